--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -86,7 +86,7 @@
 	});
 
 	const sendToStage = (stage: Stage, message: Message) => {
-		const session = pool.find(stage.address);
+		const session = pool.findSession(stage.address);
 		if (session) {
 			session.send(message);
 			return;
@@ -227,10 +227,11 @@
 			reason: reason.detail,
 		});
 		if (entry && entries.remove(entry, session)) {
-			await waitFor(entryGraceMs);
-			if (!entries.has(entry)) {
-				stages?.cancelAll(entry);
-			}
+			lifeCycle.registerTimeout(entryGraceMs, () => {
+				if (!entries.has(entry)) {
+					stages?.cancelAll(entry);
+				}
+			});
 		}
 	};
 
--- a/packages/bramleystage-agent/src/call-desk.ts
+++ b/packages/bramleystage-agent/src/call-desk.ts
@@ -37,8 +37,7 @@
 			readonly send: (entry: EntryKey, message: Message) => void;
 			readonly readClock: () => number;
 		},
-	) {
-}
+	) {}
 
 	get queued(): number {
 		return this.#queue.length;
--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -136,7 +136,7 @@
 			timeoutMs: stepTimeoutMs,
 		});
 		if (opened.isErr()) {
-			failPending(pending, opened.error);
+			rejectPending(pending, opened.error);
 			return;
 		}
 
@@ -146,9 +146,9 @@
 				resolveLine(pending, line);
 			}
 
-			failPending(pending, fail(new Error('The engine gave no output.')));
+			rejectPending(pending, fail(new Error('The engine gave no output.')));
 		} catch (error) {
-			failPending(pending, fail(error as Error));
+			rejectPending(pending, fail(error as Error));
 		}
 	}
 }
@@ -188,7 +188,7 @@
 	);
 }
 
-function failPending(
+function rejectPending(
 	pending: Map<string, PendingStep>,
 	error: HttpError,
 ): void {
--- a/packages/bramleystage-agent/src/service-client.ts
+++ b/packages/bramleystage-agent/src/service-client.ts
@@ -13,8 +13,7 @@
 export class ServiceClient {
 	readonly #agent = new http.Agent({keepAlive: true});
 
-	constructor(private readonly url: string) {
-}
+	constructor(private readonly url: string) {}
 
 	/** Makes a call and waits for the whole answer. */
 	async runCall(
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -38,8 +38,7 @@
 			readonly sendToStage: (stage: Stage, message: Message) => void;
 			readonly readClock: () => number;
 		},
-	) {
-}
+	) {}
 
 	get queued(): number {
 		return this.#waiting.length;
--- /dev/null
+++ b/packages/bramleystage-check/src/index.ts
@@ -0,0 +1,3 @@
+/** Model checks and history checks, as functions. */
+
+export const checkedSpecifications: readonly string[] = [];
--- /dev/null
+++ b/packages/bramleystage-command/src/bench-command.ts
@@ -0,0 +1,38 @@
+/** `bramleystage bench <name>`: runs a bench; its last line is one JSON object. */
+import process from 'node:process';
+import {benches, type BenchFlags} from 'bramleystage-bench';
+import type {CommandModule} from 'yargs';
+
+type Flags = {readonly name: string; readonly set: readonly string[]};
+
+export const benchCommand: CommandModule<object, Flags> = {
+	command: 'bench <name>',
+	describe: 'Run a bench; its last line is one JSON object',
+	builder: (argv) =>
+		argv
+			.positional('name', {
+				type: 'string',
+				demandOption: true,
+				choices: Object.keys(benches),
+				describe: 'Which bench to run',
+			})
+			.option('set', {
+				type: 'string',
+				array: true,
+				default: [],
+				describe: 'A flag of the bench, as name=value; may be repeated',
+			}),
+	async handler({name, set}) {
+		const figures = await benches[name]?.run(parseFlags(set));
+		process.stdout.write(`${JSON.stringify({bench: name, ...figures})}\n`);
+	},
+};
+
+function parseFlags(pairs: readonly string[]): BenchFlags {
+	return Object.fromEntries(
+		pairs.map((pair) => {
+			const [name = '', ...rest] = pair.split('=');
+			return [name, rest.join('=')];
+		}),
+	);
+}
--- a/packages/bramleystage-command/src/main.ts
+++ b/packages/bramleystage-command/src/main.ts
@@ -4,6 +4,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {agentCommand, dumpCommand, entryCommand} from './daemon-commands.js';
+import {benchCommand} from './bench-command.js';
 import {siteCommand} from './site-command.js';
 import {standInCommand} from './stand-in-commands.js';
 
@@ -15,6 +16,7 @@
 	.command(entryCommand)
 	.command(agentCommand)
 	.command(dumpCommand)
+	.command(benchCommand)
 	.command(standInCommand)
 	.demandCommand(1)
 	.strict()
--- a/packages/bramleystage-command/src/site-command.ts
+++ b/packages/bramleystage-command/src/site-command.ts
@@ -3,14 +3,16 @@
 import {createLogger} from 'bramleystage';
 import type {CommandModule} from 'yargs';
 import {
+	type DeploymentName,
 	deploymentNames,
 	deployments,
 	formatSampleKey,
-	type DeploymentName,
-} from './deployments.js';
+	runSamples,
+	type SampleResult,
+	type Site,
+	startSite,
+} from 'bramleystage-site';
 import {waitForStop} from './process-command.js';
-import {runSamples, type SampleResult} from './samples.js';
-import {type Site, startSite} from './site.js';
 
 type SiteFlags = {
 	readonly deployment: DeploymentName;
--- a/packages/bramleystage-entry/src/audit.ts
+++ b/packages/bramleystage-entry/src/audit.ts
@@ -35,13 +35,12 @@
 /** Metrics of an entry. */
 export class EntryMetrics {
 	readonly registry = new Registry();
-	readonly #registers = [this.registry];
 	readonly firstToken = new Histogram({
 		name: 'bramleystage_time_to_first_token_seconds',
 		help: 'Time from the request to its first token',
 		labelNames: ['model'],
 		buckets: [0.01, 0.03, 0.1, 0.3, 0.6, 1.2, 2.4, 5, 10],
-		registers: this.#registers,
+		registers: [this.registry],
 	});
 
 	readonly betweenTokens = new Histogram({
@@ -49,14 +48,14 @@
 		help: 'Time from one token of an answer to the next',
 		labelNames: ['model'],
 		buckets: [0.005, 0.01, 0.03, 0.062, 0.125, 0.25, 0.5, 1, 3],
-		registers: this.#registers,
+		registers: [this.registry],
 	});
 
 	readonly #requests = new Counter({
 		name: 'bramleystage_requests_total',
 		help: 'Requests by what became of them',
 		labelNames: ['subject', 'outcome', 'result'],
-		registers: this.#registers,
+		registers: [this.registry],
 	});
 
 	/** Adds a gauge that is read when the metrics are. */
@@ -64,7 +63,7 @@
 		const gauge: Gauge = new Gauge({
 			name: `bramleystage_${name}`,
 			help,
-			registers: this.#registers,
+			registers: [this.registry],
 			collect() {
 				gauge.set(read());
 			},
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -166,8 +166,7 @@
 	constructor(
 		private readonly response: ServerResponse,
 		private readonly head: AnswerHead,
-	) {
-}
+	) {}
 
 	writeToken({text, finish, promptTokens}: Token): void {
 		this.#promptTokens = promptTokens ?? this.#promptTokens;
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -77,7 +77,7 @@
 			this.#hosts.connected.get(host)?.address ??
 			this.#hosts.listed.get(host)?.address;
 		if (address !== undefined) {
-			this.options.pool.find(address)?.send(message);
+			this.options.pool.findSession(address)?.send(message);
 		}
 	}
 
--- a/packages/bramleystage-entry/src/routing.ts
+++ b/packages/bramleystage-entry/src/routing.ts
@@ -59,7 +59,9 @@
 	);
 	const measureLoad = ({host, load}: ConnectedHost) =>
 		countInFlight(host) + load.queued + load.running;
-	const [least] = candidates.sort((a, b) => measureLoad(a) - measureLoad(b));
+	const [least] = candidates.toSorted(
+		(a, b) => measureLoad(a) - measureLoad(b),
+	);
 	return least;
 }
 
--- /dev/null
+++ b/packages/bramleystage-site/src/index.ts
@@ -0,0 +1,12 @@
+/** A whole site in one process, for trials, tests and benches. */
+export {
+	type Deployment,
+	type DeploymentName,
+	deploymentNames,
+	deployments,
+	type EnginePlace,
+	formatSampleKey,
+	listTableRows,
+} from './deployments.js';
+export {runSamples, type SampleResult} from './samples.js';
+export {registerHost, type Site, startSite} from './site.js';
--- a/packages/bramleystage-command/src/samples.ts
+++ b/packages/bramleystage-site/src/samples.ts
@@ -52,7 +52,7 @@
 
 const checkChat: Check = async (deployment, address) => {
 	const messages = createMessages(deployment);
-	const text = await post(deployment, address, '/v1/chat/completions', {
+	const text = await sendPost(deployment, address, '/v1/chat/completions', {
 		model: deployment.model,
 		messages,
 		max_tokens: maxTokens,
@@ -63,7 +63,7 @@
 
 const checkStream: Check = async (deployment, address) => {
 	const messages = createMessages(deployment);
-	const text = await post(deployment, address, '/v1/chat/completions', {
+	const text = await sendPost(deployment, address, '/v1/chat/completions', {
 		model: deployment.model,
 		messages,
 		max_tokens: maxTokens,
@@ -83,7 +83,7 @@
 };
 
 const checkCompletion: Check = async (deployment, address) => {
-	const text = await post(deployment, address, '/v1/completions', {
+	const text = await sendPost(deployment, address, '/v1/completions', {
 		model: deployment.model,
 		prompt: deployment.samplePrompt,
 		max_tokens: maxTokens,
@@ -95,7 +95,7 @@
 const checkBooking: Check = async (deployment, address) => {
 	const reference = `sample-${deployment.name}-${Date.now()}`;
 	const path = `/v1/services/${deployment.service}/bookings`;
-	const answer = await post(deployment, address, path, {reference});
+	const answer = await sendPost(deployment, address, path, {reference});
 	const booking = JSON.parse(answer) as {reference?: string; runs?: number};
 	const isRight = booking.reference === reference && booking.runs === 1;
 	return {isRight, answer};
@@ -124,7 +124,7 @@
 	return choices.map((choice) => select(choice) ?? '').join('');
 }
 
-async function post(
+async function sendPost(
 	deployment: Deployment,
 	address: string,
 	path: string,
--- a/packages/bramleystage-stand-ins/src/engine.ts
+++ b/packages/bramleystage-stand-ins/src/engine.ts
@@ -186,9 +186,11 @@
 	};
 
 	const answerSequence: Route = ({method, url, body, response}) => {
-		const [, , , name = '', part] = url.pathname
+		const segments = url.pathname
 			.split('/')
-			.map(decodeURIComponent);
+			.map((part) => decodeURIComponent(part));
+		const name = segments[3] ?? '';
+		const part = segments[4];
 		const sequence = sequences.get(name);
 		if (method === 'DELETE') {
 			sequences.delete(name);
--- a/packages/bramleystage-stand-ins/src/platform.ts
+++ b/packages/bramleystage-stand-ins/src/platform.ts
@@ -3,6 +3,7 @@
  * limit on appends a second and a retention; a host list that lags; a weight
  * store with a rate limit.
  */
+import type {IncomingMessage} from 'node:http';
 import {parseJson, writeJson} from 'bramleystage';
 import {z} from 'zod';
 import {type Route, serveStandIn, type StandIn} from './faults.js';
@@ -43,8 +44,7 @@
 	readonly #waiters = new Set<() => void>();
 	#first = 0;
 
-	constructor(private readonly retained: number) {
-}
+	constructor(private readonly retained: number) {}
 
 	get first(): number {
 		return this.#first;
@@ -69,16 +69,21 @@
 	}
 
 	/** Resolves at the next append, or after a time in milliseconds. */
-	async waitForAppend(timeoutMs: number): Promise<void> {
+	async waitForAppend(
+		timeoutMs: number,
+		request: IncomingMessage,
+	): Promise<void> {
 		await new Promise<void>((resolve) => {
 			const wake = () => {
 				clearTimeout(timer);
 				this.#waiters.delete(wake);
+				request.socket.removeListener('close', wake);
 				resolve();
 			};
 
 			const timer = setTimeout(wake, timeoutMs);
 			this.#waiters.add(wake);
+			request.socket.once('close', wake);
 		});
 	}
 
@@ -122,7 +127,7 @@
 		return stream;
 	};
 
-	const answerLog: Route = async ({method, url, body, response}) => {
+	const answerLog: Route = async ({method, url, body, request, response}) => {
 		const stream = findStream(url.pathname.split('/')[3] ?? '');
 		if (method === 'POST') {
 			if (!allowAppend(performance.now())) {
@@ -137,7 +142,8 @@
 
 		const from = Number(url.searchParams.get('from') ?? 0);
 		if (stream.next <= from) {
-			await stream.waitForAppend(Number(url.searchParams.get('wait_ms') ?? 0));
+			const waitMs = Number(url.searchParams.get('wait_ms') ?? 0);
+			await stream.waitForAppend(waitMs, request);
 		}
 
 		const records = stream.read(from);
--- a/packages/bramleystage/src/coordination/pipeline.ts
+++ b/packages/bramleystage/src/coordination/pipeline.ts
@@ -91,7 +91,7 @@
 		boundaries.add(Math.min(offer.toLayer, layers));
 	}
 
-	return [...boundaries].sort((a, b) => a - b);
+	return [...boundaries].toSorted((a, b) => a - b);
 }
 
 function listEnds(
--- a/packages/bramleystage/src/transport/address.ts
+++ b/packages/bramleystage/src/transport/address.ts
@@ -11,10 +11,8 @@
 	return {host, port: Number(address.slice(colon + 1))};
 }
 
-/** Formats the address that a listener got. */
-export function formatAddress(
-	address: AddressInfo | string | undefined,
-): string {
+/** Formats the address that a listener got; Node gives null before it listens. */
+export function formatAddress(address: AddressInfo | string | null): string {
 	checkInvariant(
 		address !== null && typeof address !== 'string',
 		'missingListenerAddress',
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -62,7 +62,7 @@
 		server.once('close', resolve);
 	});
 	return {
-		address: formatAddress(server.address() as AddressInfo),
+		address: formatAddress(server.address()),
 		async drain() {
 			server.close();
 			server.closeIdleConnections();
--- a/packages/bramleystage/src/transport/life-cycle.ts
+++ b/packages/bramleystage/src/transport/life-cycle.ts
@@ -15,7 +15,7 @@
 		}
 
 		isDone = true;
-		for (const cleanUp of [...cleanUps].reverse()) {
+		for (const cleanUp of cleanUps.toReversed()) {
 			// Each may rely on what was opened before it, so they run in turn.
 			// eslint-disable-next-line no-await-in-loop
 			await cleanUp();
@@ -51,6 +51,17 @@
 		});
 	}
 
+	/** Calls a function once after a time, in milliseconds, unless stopped before. */
+	registerTimeout(delayMs: number, act: () => void): void {
+		const timer = setTimeout(() => {
+			void cleanUp();
+			act();
+		}, delayMs);
+		const cleanUp = this.register(() => {
+			clearTimeout(timer);
+		});
+	}
+
 	/** Runs every clean-up once. */
 	async stop(): Promise<void> {
 		this.#stopped ??= (async () => {
--- a/packages/bramleystage/src/transport/platform-client.ts
+++ b/packages/bramleystage/src/transport/platform-client.ts
@@ -56,8 +56,7 @@
 const retryMs = 200;
 
 export class PlatformClient {
-	constructor(private readonly address: string) {
-}
+	constructor(private readonly address: string) {}
 
 	/** Appends one record to a stream; gives its offset. */
 	async append(
--- a/packages/bramleystage/src/transport/session-pool.ts
+++ b/packages/bramleystage/src/transport/session-pool.ts
@@ -59,8 +59,7 @@
 			readonly timing: SessionTiming;
 			readonly describeSelf: DescribeSelf;
 		},
-	) {
-}
+	) {}
 
 	/** Wants sessions to exactly these addresses. */
 	update(addresses: ReadonlySet<string>): void {
@@ -87,7 +86,7 @@
 	}
 
 	/** Gives the live session to an address, if there is one. */
-	find(address: string): Session | undefined {
+	findSession(address: string): Session | undefined {
 		return this.#slots.get(address)?.session;
 	}
 
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,6 +6,9 @@
 	'bramleystage-stand-ins',
 	'bramleystage-agent',
 	'bramleystage-entry',
+	'bramleystage-site',
+	'bramleystage-bench',
+	'bramleystage-check',
 	'bramleystage-command',
 ];
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,10 +1,13 @@
 // Lint rules: XO with its own format, the order of the library's layers, and
 // the verbs that function names begin with (docs/VERBS.md).
 const verbs = [
-	'advance|append|apply|build|cancel|check|choose|close|compare|compute|create|decide|decode',
-	'describe|encode|explore|find|fold|follow|format|handle|has|is|list|load|main|measure|merge',
-	'open|parse|plan|print|read|record|refuse|register|release|remove|run|select|send|serve|start|stop',
-	'to|update|validate|wait|write',
+	'accept|add|advance|append|apply|build|cancel|carry|check|choose',
+	'close|compare|compute|count|create|decide|decode|describe|draw',
+	'encode|explore|extend|find|fold|follow|format|handle|has|is|list',
+	'listen|load|main|measure|merge|open|parse|pick|place|plan|print',
+	'publish|read|record|refuse|register|reject|release|remove|replace',
+	'resolve|restore|run|select|send|serve|settle|sort|spend|split',
+	'start|stop|take|to|try|update|validate|wait|write',
 ].join('|');
 
 const restrictImports = (layer, forbidden) => ({
@@ -23,10 +26,23 @@
 });
 
 export default [
-	{ignores: ['**/dist/**']},
+	{ignores: ['**/dist/**', '*.config.ts']},
 	{
 		prettier: true,
 		rules: {
+			// Prettier lays out the braces.
+			'@stylistic/curly-newline': 'off',
+			// Sockets, files and cbor-x speak Buffer.
+			'@typescript-eslint/no-restricted-types': 'off',
+			'n/prefer-global/buffer': 'off',
+			// A brand is put on a value by an assertion.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Event emitters of Node take async listeners.
+			'@typescript-eslint/strict-void-return': 'off',
+			'@typescript-eslint/switch-exhaustiveness-check': [
+				'error',
+				{considerDefaultExhaustiveForUnions: true},
+			],
 			'no-restricted-syntax': [
 				'error',
 				{
@@ -36,6 +52,30 @@
 			],
 		},
 	},
+	{
+		// Columns of the table, fields of the OpenAI-compatible interface and of
+		// the stand-ins' interfaces have their own spelling.
+		files: [
+			'packages/bramleystage/src/protocol/table-schema.ts',
+			'packages/bramleystage-entry/src/*.ts',
+			'packages/*/src/**/__tests__/*.ts',
+			'packages/bramleystage-{command,site,bench}/src/*.ts',
+		],
+		rules: {'@typescript-eslint/naming-convention': 'off'},
+	},
+	{
+		files: ['packages/bramleystage-{command,check}/src/*.ts'],
+		rules: {'unicorn/no-process-exit': 'off'},
+	},
+	{
+		// Test tools are dependencies of the workspace root.
+		files: ['packages/*/src/**/__tests__/*.ts'],
+		rules: {
+			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
+			'no-await-in-loop': 'off',
+		},
+	},
 	restrictImports('protocol', ['state', 'coordination', 'transport']),
 	restrictImports('state', ['coordination', 'transport']),
 	restrictImports('coordination', ['transport']),
