Hold limits over all entries by permits of their owners

Cause: each entry could admit up to the whole limit. Ways weighed: fixed shares (one entry alone reaches 1/N), shares lent with leases (a second of dead time at each move, and concurrent work cannot expire), and permits charged at an owner when they are given. Change: up to four owners a limit by rendezvous hashing, epochs of owners in the log, the least part of every epoch not yet confirmed by all, permits charged until a second after their last use.

--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,5 +1,7 @@
 /** The benches by name. Each resolves with the figures of its last line. */
 
+import {limitsBench} from './limits-bench.js';
+
 /** Flags of a bench, as text; each bench reads those that it knows. */
 export type BenchFlags = Readonly<Record<string, string>>;
 
@@ -8,4 +10,4 @@
 	readonly run: (flags: BenchFlags) => Promise<object>;
 };
 
-export const benches: Readonly<Record<string, Bench>> = {};
+export const benches: Readonly<Record<string, Bench>> = {limits: limitsBench};
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -17,6 +17,55 @@
 	decideCall,
 	type LedgerContext,
 } from './coordination/call-ledger.js';
+export {
+	type ConfirmFacts,
+	decideConfirm,
+	goneSettleMs,
+	listRemoved,
+} from './coordination/limit-confirm.js';
+export {
+	type AcquireResult,
+	LimitDesk,
+	type LimitDeskOptions,
+	type Permit,
+} from './coordination/limit-desk.js';
+export {
+	createLimitLedger,
+	decidePermit,
+	formatHolder,
+	type Holder,
+	type LimitLedger,
+	measureCharged,
+	measureHeld,
+	type PermitDecision,
+	type PermitRequest,
+	permitValidityMs,
+	releaseIncarnation,
+	releasePermit,
+	releaseUnheld,
+} from './coordination/limit-ledger.js';
+export {
+	computePart,
+	computeUsablePart,
+	createLimitMembers,
+	findConfirmedEpoch,
+	foldLimitRecord,
+	type Limit,
+	type LimitMember,
+	type LimitMembers,
+	listOwners,
+	maxOwners,
+	type MemberList,
+} from './coordination/limit-members.js';
+export {
+	LimitMembership,
+	type LimitMembershipOptions,
+} from './coordination/limit-membership.js';
+export {
+	LimitOwner,
+	type LimitOwnerOptions,
+	type PermitResult,
+} from './coordination/limit-owner.js';
 export {
 	createModelRun,
 	decideModelRun,
@@ -35,6 +84,9 @@
 	type StageCandidate,
 	type StageCost,
 } from './coordination/pipeline.js';
+export {
+	selectByRendezvous,
+} from './coordination/rendezvous.js';
 export {
 	createRetryBudget,
 	decideRetry,
@@ -103,6 +155,27 @@
 	InvariantError,
 	invariants,
 } from './protocol/invariant.js';
+export {
+	type LimitKey,
+	limitKeySchema,
+	type LimitKind,
+	limitKindSchema,
+	type LimitRecord,
+	limitRecordSchema,
+	type PermitAnswer,
+	permitAnswerSchema,
+	type PermitAsk,
+	permitAskSchema,
+	type PermitHeld,
+	permitHeldSchema,
+	type PermitMessage,
+	type PermitNumber,
+	permitNumberSchema,
+	type PermitRelease,
+	permitReleaseSchema,
+	toLimitKey,
+	toPermitNumber,
+} from './protocol/limits.js';
 export {
 	acknowledgeSchema,
 	type Activation,
@@ -146,6 +219,10 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
+export {
+	createRandom,
+	type Random,
+} from './protocol/random.js';
 export {
 	createFailure,
 	type Failure,
@@ -210,7 +287,11 @@
 	formatAddress,
 	parseAddress,
 } from './transport/address.js';
-export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
+export {
+	encodeFrame,
+	FrameDecoder,
+	maxFrameBytes,
+} from './transport/framing.js';
 export {
 	type HttpAnswer,
 	type HttpError,
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -17,6 +17,12 @@
 	serviceNameSchema,
 	sessionNumberSchema,
 } from './ids.js';
+import {
+	permitAnswerSchema,
+	permitAskSchema,
+	permitHeldSchema,
+	permitReleaseSchema,
+} from './limits.js';
 import {outcomeSchema, resultNameSchema} from './result-codes.js';
 
 /** A peer with another version is refused at the hello. */
@@ -254,6 +260,10 @@
 	stageRunSchema,
 	activationSchema,
 	tokenSchema,
+	permitAskSchema,
+	permitAnswerSchema,
+	permitReleaseSchema,
+	permitHeldSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<
--- a/xo.config.js
+++ b/xo.config.js
@@ -53,10 +53,10 @@
 		},
 	},
 	{
-		// Columns of the table, fields of the OpenAI-compatible interface and of
+		// Kinds of limits, columns of the table, fields of the OpenAI-compatible interface and of
 		// the stand-ins' interfaces have their own spelling.
 		files: [
-			'packages/bramleystage/src/protocol/table-schema.ts',
+			'packages/bramleystage/src/{protocol/table-schema,coordination/limit-members}.ts',
 			'packages/bramleystage-entry/src/*.ts',
 			'packages/*/src/**/__tests__/*.ts',
 			'packages/bramleystage-{command,site,bench}/src/*.ts',
