--- a/packages/bramleystage-bench/src/index.ts
+++ b/packages/bramleystage-bench/src/index.ts
@@ -6,6 +6,6 @@
 	limitsBench,
 	measureControl,
 	runFaults,
-	runOneEntry,
+	measureOneEntry,
 } from './limits-bench.js';
 export {VirtualTime} from './virtual-time.js';
--- a/packages/bramleystage-bench/src/limits-bench.ts
+++ b/packages/bramleystage-bench/src/limits-bench.ts
@@ -92,7 +92,7 @@
 	const inject = () => {
 		faults++;
 		skew = Math.floor(world.random() * 10);
-		injectFault(world);
+		startFault(world);
 		world.time.schedule(500 + world.random() * 6000, inject);
 	};
 
@@ -101,7 +101,7 @@
 	return {maxOver: audit.maxOver, faults};
 }
 
-function injectFault(world: LimitWorld): void {
+function startFault(world: LimitWorld): void {
 	const {random, time} = world;
 	const live = world.liveEntries;
 	const entry = live[Math.floor(random() * live.length)];
@@ -158,7 +158,7 @@
 }
 
 /** Runs all demand at one entry; gives the least share of a limit that was used. */
-export function runOneEntry(seed: number, durationMs: number): number {
+export function measureOneEntry(seed: number, durationMs: number): number {
 	const audit = new LimitAudit();
 	const world = new LimitWorld(seed, listLimits(), audit);
 	const entry = world.startEntry('entry-1');
@@ -224,7 +224,7 @@
 			faults += result.faults;
 		}
 
-		const usable = runOneEntry(1, 60_000);
+		const usable = measureOneEntry(1, 60_000);
 		return {
 			max_over: maxOver,
 			usable,
