Run clean-ups at once when registered after the stop

Cause: an agent's handler of a closed session registered its grace timer (5 s) after the life cycle had stopped, so nothing cleared it and the process stayed alive until it fired. Change: LifeCycle.register runs the clean-up at once after the stop, and registerTimeout then starts no timer. Conclusion: a stopped part can no longer leave a timer behind.

--- a/packages/bramleystage/src/transport/life-cycle.ts
+++ b/packages/bramleystage/src/transport/life-cycle.ts
@@ -31,8 +31,16 @@
 		return this.#stopped !== undefined;
 	}
 
-	/** Takes a clean-up to run at the stop; gives back a way to run it earlier. */
+	/**
+	 * Takes a clean-up to run at the stop; gives back a way to run it earlier.
+	 * After the stop the clean-up runs at once, so that nothing stays open.
+	 */
 	register(cleanUp: CleanUp): CleanUp {
+		if (this.isStopped) {
+			void cleanUp();
+			return () => undefined;
+		}
+
 		this.#cleanUps.push(cleanUp);
 		return async () => {
 			const index = this.#cleanUps.indexOf(cleanUp);
@@ -53,6 +61,10 @@
 
 	/** Calls a function once after a time, in milliseconds, unless stopped before. */
 	registerTimeout(delayMs: number, act: () => void): void {
+		if (this.isStopped) {
+			return;
+		}
+
 		const timer = setTimeout(() => {
 			void cleanUp();
 			act();
