Check every setting by schema, and drain each kind of process

Change: site and the stand-ins take their settings by the same definitions as the daemons (flag, variable, schema, default in the help); all errors come at once with exit code 2, also those of settings that depend on one another. A draining listener closes connections as they turn idle, the site drains its entries and agents, and a second signal ends at once.

--- a/packages/bramleystage-command/src/bench-command.ts
+++ b/packages/bramleystage-command/src/bench-command.ts
@@ -19,15 +19,26 @@
 			.option('set', {
 				type: 'string',
 				array: true,
-				default: [],
-				describe: 'A flag of the bench, as name=value; may be repeated',
-			}),
+				default: listVariablePairs(),
+				describe:
+					'A flag of the bench, as name=value; may be repeated [BRAMLEYSTAGE_SET, separated by spaces]',
+			})
+			.example('$0 bench overhead', 'Cost of the way through entry and agents')
+			.example(
+				'$0 bench overhead --set requests=200',
+				'The same with another count of requests',
+			),
 	async handler({name, set}) {
 		const figures = await benches[name]?.run(parseFlags(set));
 		process.stdout.write(`${JSON.stringify({bench: name, ...figures})}\n`);
 	},
 };
 
+function listVariablePairs(): string[] {
+	const text = process.env.BRAMLEYSTAGE_SET ?? '';
+	return text.split(/\s+/v).filter((pair) => pair !== '');
+}
+
 function parseFlags(pairs: readonly string[]): BenchFlags {
 	return Object.fromEntries(
 		pairs.map((pair) => {
--- a/packages/bramleystage-command/src/daemon-commands.ts
+++ b/packages/bramleystage-command/src/daemon-commands.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {
 	agentSettings,
+	checkAgentSettings,
 	createLogger,
 	entrySettings,
 	sendHttp,
@@ -44,7 +45,7 @@
 			'An agent beside a model engine',
 		),
 	async handler(flags) {
-		const settings = readSettings(agentSettings, flags);
+		const settings = readSettings(agentSettings, flags, checkAgentSettings);
 		const host = toHostId(settings.host);
 		const logger = createLogger(settings.logLevel, {role: 'agent', host});
 		const agent = await startAgent(settings, logger);
--- a/packages/bramleystage-command/src/process-command.ts
+++ b/packages/bramleystage-command/src/process-command.ts
@@ -18,7 +18,7 @@
 				await drain();
 				resolve();
 			} else {
-				await stop();
+				void stop();
 				process.exit(1);
 			}
 		};
--- a/packages/bramleystage-command/src/site-command.ts
+++ b/packages/bramleystage-command/src/site-command.ts
@@ -3,8 +3,6 @@
 import {createLogger} from 'bramleystage';
 import type {CommandModule} from 'yargs';
 import {
-	type DeploymentName,
-	deploymentNames,
 	deployments,
 	formatSampleKey,
 	runSamples,
@@ -12,50 +10,29 @@
 	type Site,
 	startSite,
 } from 'bramleystage-site';
+import {siteSettings} from './local-settings.js';
 import {waitForStop} from './process-command.js';
+import {readSettings, registerSettingOptions} from './setting-options.js';
 
-type SiteFlags = {
-	readonly deployment: DeploymentName;
-	readonly exit: boolean;
-	readonly logLevel: 'error' | 'warn' | 'info' | 'debug';
-};
-
-export const siteCommand: CommandModule<Record<string, unknown>, SiteFlags> = {
+export const siteCommand: CommandModule = {
 	command: 'site',
 	describe: 'Run a whole local site with stand-ins, in one process',
 	builder: (argv) =>
-		argv
-			.option('deployment', {
-				choices: deploymentNames,
-				default: 'kaleli',
-				describe: 'Which sample deployment to run',
-			})
-			.option('exit', {
-				type: 'boolean',
-				default: false,
-				describe: 'End after the samples: 0 if all answers were right, else 1',
-			})
-			.option('log-level', {
-				choices: ['error', 'warn', 'info', 'debug'] as const,
-				default: 'warn' as const,
-				describe: 'Lowest level of the lines that are logged',
-			})
+		registerSettingOptions(argv, siteSettings)
 			.example('$0 site --exit', 'Check that the samples are answered right')
-			.example(
-				'$0 site --deployment cooperative',
-				'Run the other deployment',
-			) as never,
+			.example('$0 site --deployment cooperative', 'Run the other deployment'),
 	async handler(flags) {
-		const logger = createLogger(flags.logLevel, {});
-		const site = await startSite(deployments[flags.deployment], logger);
+		const settings = readSettings(siteSettings, flags);
+		const logger = createLogger(settings.logLevel, {});
+		const site = await startSite(deployments[settings.deployment], logger);
 		const [entry] = site.entries;
 		const results = entry ? await runSamples(site.deployment, entry) : [];
 		printSamples(results);
 		const areRight =
 			results.length > 0 && results.every(({isRight}) => isRight);
-		if (!flags.exit) {
+		if (!settings.exit) {
 			printAddresses(site);
-			await waitForStop({drain: site.stop, stop: site.stop});
+			await waitForStop({drain: site.drain, stop: site.stop});
 		}
 
 		await site.stop();
--- a/packages/bramleystage-command/src/stand-in-commands.ts
+++ b/packages/bramleystage-command/src/stand-in-commands.ts
@@ -1,101 +1,95 @@
 /** `bramleystage stand-in …`: each stand-in as a process of its own. */
 import process from 'node:process';
+import type {SettingDefinitions} from 'bramleystage';
 import {
-	type AcceleratorKind,
-	acceleratorKinds,
 	defaultPlatformOptions,
 	type StandIn,
 	startEngine,
 	startPlatform,
 	startService,
 } from 'bramleystage-stand-ins';
-import type {Argv, CommandModule} from 'yargs';
+import type {CommandModule} from 'yargs';
+import {
+	engineSettings,
+	platformSettings,
+	serviceSettings,
+} from './local-settings.js';
 import {waitForStop} from './process-command.js';
-
-const kinds = Object.keys(acceleratorKinds) as AcceleratorKind[];
-
-const registerPort = (argv: Argv) =>
-	argv.option('port', {
-		type: 'number',
-		default: 0,
-		describe: 'Port on 127.0.0.1; 0 takes a free one',
-	});
+import {readSettings, registerSettingOptions} from './setting-options.js';
 
 async function runStandIn(standIn: StandIn): Promise<void> {
 	process.stdout.write(`listening ${standIn.address}\n`);
-	const stop = async () => standIn.close();
-	await waitForStop({drain: stop, stop});
+	await waitForStop({
+		drain: async () => standIn.drain(),
+		stop: async () => standIn.close(),
+	});
 }
 
-const platformCommand: CommandModule<
-	Record<string, unknown>,
-	{port: number}
-> = {
-	command: 'platform',
-	describe: 'Log, host list and weight store',
-	builder: (argv) => registerPort(argv),
-	async handler({port}) {
-		const address = `127.0.0.1:${port}`;
-		await runStandIn(await startPlatform({...defaultPlatformOptions, address}));
-	},
-};
+const formatAddress = (port: number) => `127.0.0.1:${port}`;
 
-type EngineFlags = {
-	port: number;
-	model: string;
-	modelVersion: string;
-	fromLayer: number;
-	toLayer: number;
-	layers: number;
-	kind: AcceleratorKind;
-	checksFencing: boolean;
+type StandInFacts = {
+	readonly name: string;
+	readonly describe: string;
+	readonly definitions: SettingDefinitions;
+	readonly example: string;
+	readonly start: (flags: Record<string, unknown>) => Promise<StandIn>;
 };
 
-const engineCommand: CommandModule<Record<string, unknown>, EngineFlags> = {
-	command: 'engine',
-	describe: 'Model engine that holds a range of layers',
+const buildCommand = (facts: StandInFacts): CommandModule => ({
+	command: facts.name,
+	describe: facts.describe,
 	builder: (argv) =>
-		registerPort(argv)
-			.option('model', {type: 'string', default: 'castle-guide'})
-			.option('model-version', {type: 'string', default: '1'})
-			.option('from-layer', {type: 'number', default: 0})
-			.option('to-layer', {type: 'number', default: 24})
-			.option('layers', {
-				type: 'number',
-				default: 24,
-				describe: 'Layers of the whole model',
-			})
-			.option('kind', {choices: kinds, default: 'medium'})
-			.option('checks-fencing', {type: 'boolean', default: true}) as never,
+		registerSettingOptions(argv, facts.definitions).example(
+			`$0 stand-in ${facts.name} ${facts.example}`,
+			facts.describe,
+		),
 	async handler(flags) {
-		const engine = await startEngine({
-			address: `127.0.0.1:${flags.port}`,
-			model: flags.model,
-			version: flags.modelVersion,
-			fromLayer: flags.fromLayer,
-			toLayer: flags.toLayer,
-			modelLayers: flags.layers,
-			acceleratorKind: flags.kind,
-			checksFencing: flags.checksFencing,
-		});
-		await runStandIn(engine);
+		await runStandIn(await facts.start(flags));
 	},
-};
+});
 
-type ServiceFlags = {port: number; name: string; bookingMs: number};
+const platformCommand = buildCommand({
+	name: 'platform',
+	describe: 'Log, host list and weight store',
+	definitions: platformSettings,
+	example: '--port 7000 --host-lag-ms 50',
+	async start(flags) {
+		const {port, ...options} = readSettings(platformSettings, flags);
+		const address = formatAddress(port);
+		return startPlatform({...defaultPlatformOptions, ...options, address});
+	},
+});
 
-const serviceCommand: CommandModule<Record<string, unknown>, ServiceFlags> = {
-	command: 'service',
+const engineCommand = buildCommand({
+	name: 'engine',
+	describe: 'Model engine that holds a range of layers',
+	definitions: engineSettings,
+	example: '--port 9001 --from-layer 0 --to-layer 10 --kind large',
+	async start(flags) {
+		const {port, modelVersion, layers, kind, ...options} = readSettings(
+			engineSettings,
+			flags,
+		);
+		return startEngine({
+			...options,
+			address: formatAddress(port),
+			version: modelVersion,
+			modelLayers: layers,
+			acceleratorKind: kind,
+		});
+	},
+});
+
+const serviceCommand = buildCommand({
+	name: 'service',
 	describe: 'Plain service with bookings',
-	builder: (argv) =>
-		registerPort(argv)
-			.option('name', {type: 'string', default: 'ticket-office'})
-			.option('booking-ms', {type: 'number', default: 5}) as never,
-	async handler({port, name, bookingMs}) {
-		const address = `127.0.0.1:${port}`;
-		await runStandIn(await startService({address, name, bookingMs}));
+	definitions: serviceSettings,
+	example: '--port 9101 --name ticket-office-1',
+	async start(flags) {
+		const {port, ...options} = readSettings(serviceSettings, flags);
+		return startService({...options, address: formatAddress(port)});
 	},
-};
+});
 
 export const standInCommand: CommandModule = {
 	command: 'stand-in',
--- a/packages/bramleystage-site/src/site.ts
+++ b/packages/bramleystage-site/src/site.ts
@@ -36,6 +36,9 @@
 	readonly agents: ReadonlyMap<HostId, RunningAgent>;
 	readonly engines: ReadonlyMap<HostId, StandIn>;
 	readonly services: ReadonlyMap<HostId, StandIn>;
+	/** Lets the requests in flight end, then stops. */
+	readonly drain: () => Promise<void>;
+	/** Ends at once. */
 	readonly stop: () => Promise<void>;
 };
 
@@ -85,6 +88,13 @@
 		agents,
 		engines,
 		services,
+		async drain() {
+			await Promise.all(entries.map(async (entry) => entry.drain()));
+			await Promise.all(
+				[...agents.values()].map(async (agent) => agent.drain()),
+			);
+			await lifeCycle.stop();
+		},
 		stop: async () => lifeCycle.stop(),
 	};
 }
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -11,6 +11,8 @@
 export type SettingDefinition = {
 	readonly schema: z.ZodType;
 	readonly description: string;
+	/** True for a flag that stands without a value. */
+	readonly isSwitch?: boolean;
 };
 
 export type SettingDefinitions = Readonly<Record<string, SettingDefinition>>;
@@ -103,22 +105,64 @@
 } as const satisfies SettingDefinitions;
 export type AgentSettings = SettingValues<typeof agentSettings>;
 
+/** Checks settings that depend on one another; gives an error for each broken rule. */
+export type CheckTogether = (
+	values: Readonly<Record<string, unknown>>,
+) => readonly string[];
+
+/** An agent fronts one engine, or one plain service that has a name. */
+export const checkAgentSettings: CheckTogether = ({
+	engine,
+	service,
+	serviceName,
+}) => {
+	const errors: string[] = [];
+	if ((engine === undefined) === (service === undefined)) {
+		errors.push('--engine, --service: exactly one of them must be set');
+	}
+
+	if ((service === undefined) !== (serviceName === undefined)) {
+		errors.push('--service, --service-name: must be set together');
+	}
+
+	return errors;
+};
+
 /** Checks all settings; gives every error, one text each. */
 export function parseSettings<Definitions extends SettingDefinitions>(
 	definitions: Definitions,
 	values: Readonly<Record<string, unknown>>,
+	checkTogether: CheckTogether = () => [],
 ): Result<SettingValues<Definitions>, string[]> {
 	const shape = Object.fromEntries(
 		Object.entries(definitions).map(([name, {schema}]) => [name, schema]),
 	);
 	const parsed = z.object(shape).safeParse(values);
-	return parsed.success
+	const issues = parsed.success ? [] : parsed.error.issues;
+	const errors = [
+		...issues.map(({path, message}) =>
+			formatSettingError(String(path[0]), message, values),
+		),
+		...checkTogether(values),
+	];
+	return errors.length === 0
 		? ok(parsed.data as SettingValues<Definitions>)
-		: err(
-				parsed.error.issues.map(
-					(issue) => `--${formatFlag(String(issue.path[0]))}: ${issue.message}`,
-				),
-			);
+		: err(errors);
+}
+
+function formatSettingError(
+	name: string,
+	message: string,
+	values: Readonly<Record<string, unknown>>,
+): string {
+	const reason = values[name] === undefined ? 'is not set' : message;
+	return `--${formatFlag(name)} (${formatVariable(name)}): ${reason}`;
+}
+
+/** Formats the value that a setting has when it is not given; nothing if it must be. */
+export function formatDefault({schema}: SettingDefinition): string | undefined {
+	const parsed = schema.safeParse(undefined);
+	return parsed.success ? String(parsed.data ?? '') : undefined;
 }
 
 /** Formats a setting's name as a flag: `dataCentre` is `data-centre`. */
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -17,6 +17,9 @@
 	bodyTimeoutMs: 15_000,
 };
 
+/** How often a draining listener closes idle connections, in milliseconds. */
+const idleCheckMs = 50;
+
 export type HttpHandler = (
 	request: IncomingMessage,
 	response: ServerResponse,
@@ -65,8 +68,12 @@
 		address: formatAddress(server.address()),
 		async drain() {
 			server.close();
-			server.closeIdleConnections();
-			return closed;
+			// A kept connection turns idle when its last answer ends.
+			const closing = setInterval(() => {
+				server.closeIdleConnections();
+			}, idleCheckMs);
+			await closed;
+			clearInterval(closing);
 		},
 		async close() {
 			server.close();
