Run a sample site as separate processes, and test planned stops

Change: examples/print-commands.mjs prints a command for each of 17 processes, examples/run-processes.mjs runs them, sends the samples to both entries, compares with the reference and stops all by SIGTERM.

--- /dev/null
+++ b/examples/commands.mjs
@@ -0,0 +1,172 @@
+/**
+ * The processes of a sample site, one command each: the stand-in platform, six
+ * engines and a plain service, an agent beside each, and two entries.
+ */
+import {fileURLToPath} from 'node:url';
+import {
+	deployments,
+	listTableRows,
+} from '../packages/bramleystage-site/dist/index.js';
+
+/** Path of the operators' command, once it is built. */
+export const commandPath = fileURLToPath(
+	new URL('../packages/bramleystage-command/dist/main.js', import.meta.url),
+);
+
+/** Ports that a site needs: one a stand-in, two an agent or entry. */
+export const portCount = 26;
+
+/** Lists ports that follow one another. */
+export const listPorts = (basePort) =>
+	Array.from({length: portCount}, (_, index) => basePort + index);
+
+/** Formats flags of a command line: `{host: 'a'}` is `--host a`. */
+const formatFlags = (values) =>
+	Object.entries(values).flatMap(([name, value]) => [
+		`--${name}`,
+		String(value),
+	]);
+
+const selectPort = (address) => address.split(':')[1];
+
+/**
+ * Lists the processes in the order to start them. `phase` is 1 for what stands
+ * in for outside systems, 2 for agents and 3 for entries.
+ */
+export function listProcesses(deploymentName, ports) {
+	const deployment = deployments[deploymentName];
+	const remaining = [...ports];
+	const takeAddress = () => `127.0.0.1:${remaining.shift()}`;
+	const platform = takeAddress();
+	const common = {
+		deployment: deployment.name,
+		platform,
+		'log-level': 'warn',
+	};
+	const backends = [
+		...listEngines(deployment, takeAddress),
+		createService(deployment, takeAddress),
+	];
+	const agents = backends.map((backend) =>
+		createAgent(backend, common, takeAddress),
+	);
+	const entries = [0, 1].map((index) =>
+		createEntry(deployment, index, common, takeAddress),
+	);
+	const platformProcess = {
+		name: 'platform',
+		phase: 1,
+		words: [
+			'stand-in',
+			'platform',
+			...formatFlags({port: selectPort(platform)}),
+		],
+	};
+	return {
+		deployment,
+		platform,
+		entries,
+		processes: [platformProcess, ...backends, ...agents, ...entries],
+		hosts: [...agents, ...entries].map(({host}) => host),
+	};
+}
+
+const listEngines = (deployment, takeAddress) =>
+	deployment.engines.map((engine) => {
+		const address = takeAddress();
+		const flags = formatFlags({
+			port: selectPort(address),
+			model: deployment.model,
+			'model-version': deployment.version,
+			layers: deployment.layers,
+			'from-layer': engine.fromLayer,
+			'to-layer': engine.toLayer,
+			kind: engine.acceleratorKind,
+		});
+		return {
+			name: `${engine.host}-stand-in`,
+			phase: 1,
+			hostName: engine.host,
+			dataCentre: engine.dataCentre,
+			agentFlags: {engine: `http://${address}`},
+			words: ['stand-in', 'engine', ...flags],
+		};
+	});
+
+function createService(deployment, takeAddress) {
+	const address = takeAddress();
+	const hostName = `${deployment.service}-1`;
+	const flags = formatFlags({port: selectPort(address), name: hostName});
+	return {
+		name: `${hostName}-stand-in`,
+		phase: 1,
+		hostName,
+		dataCentre: deployment.dataCentres[0],
+		agentFlags: {
+			service: `http://${address}`,
+			'service-name': deployment.service,
+		},
+		words: ['stand-in', 'service', ...flags],
+	};
+}
+
+function createAgent({hostName, dataCentre, agentFlags}, common, takeAddress) {
+	const facts = {role: 'agent', hostName, dataCentre, phase: 2};
+	return createDaemon(facts, {...common, ...agentFlags}, takeAddress);
+}
+
+function createEntry(deployment, index, common, takeAddress) {
+	const hostName = `entry-${index + 1}`;
+	const dataCentre = deployment.dataCentres[index];
+	const facts = {role: 'entry', hostName, dataCentre, phase: 3};
+	return createDaemon(facts, common, takeAddress);
+}
+
+function createDaemon({role, hostName, dataCentre, phase}, more, takeAddress) {
+	const address = takeAddress();
+	const operatorAddress = takeAddress();
+	const flags = formatFlags({
+		host: hostName,
+		'data-centre': dataCentre,
+		...more,
+		listen: address,
+		'operator-listen': operatorAddress,
+	});
+	return {
+		name: hostName,
+		phase,
+		address,
+		operatorAddress,
+		host: {host: hostName, role, dataCentre, address, state: 'live'},
+		words: [role, ...flags],
+	};
+}
+
+/** Builds the HTTP request that registers a host with the platform. */
+export const buildRegistration = (platform, host) => ({
+	method: 'PUT',
+	url: `http://${platform}/v1/hosts/${host.host}`,
+	body: JSON.stringify(host),
+});
+
+/** Builds the HTTP request that publishes the first table in the log. */
+export const buildPublication = (platform, deployment, edit, at) => ({
+	method: 'POST',
+	url: `http://${platform}/v1/logs/table/records`,
+	body: JSON.stringify({
+		value: {
+			kind: 'edit',
+			format: 1,
+			edit,
+			author: 'example',
+			at,
+			changes: listTableRows(deployment),
+		},
+	}),
+});
+
+/** Reads `--name value` from a command line. */
+export function readFlag(flags, name, fallback) {
+	const index = flags.indexOf(`--${name}`);
+	return index === -1 ? fallback : flags[index + 1];
+}
--- /dev/null
+++ b/examples/print-commands.mjs
@@ -0,0 +1,57 @@
+/**
+ * Prints the command of each process of a sample site, to be run in terminals
+ * of their own, and the requests that register the hosts and publish the table.
+ *
+ *     node examples/print-commands.mjs --deployment cooperative --base-port 7300
+ */
+import process from 'node:process';
+import {
+	buildPublication,
+	buildRegistration,
+	listPorts,
+	listProcesses,
+	readFlag,
+} from './commands.mjs';
+
+const defaultBasePort = 7300;
+const flags = process.argv.slice(2);
+const basePort = Number(readFlag(flags, 'base-port', defaultBasePort));
+const {deployment, platform, processes, hosts, entries} = listProcesses(
+	readFlag(flags, 'deployment', 'kaleli'),
+	listPorts(basePort),
+);
+
+function printLine(text) {
+	process.stdout.write(`${text}\n`);
+}
+
+const formatCurl = ({method, url, body}) =>
+	`curl -X ${method} ${url} -d '${body}'`;
+
+for (const {name, words} of processes) {
+	printLine(`# ${name}`);
+	printLine(
+		`node packages/bramleystage-command/dist/main.js ${words.join(' ')}`,
+	);
+}
+
+printLine('# the platform lists the hosts');
+for (const host of hosts) {
+	printLine(formatCurl(buildRegistration(platform, host)));
+}
+
+printLine('# the first table');
+printLine(
+	formatCurl(
+		buildPublication(
+			platform,
+			deployment,
+			'example-1',
+			new Date().toISOString(),
+		),
+	),
+);
+printLine('# ready when both say so');
+for (const {address} of entries) {
+	printLine(`curl http://${address}/readyz`);
+}
--- /dev/null
+++ b/examples/run-processes.mjs
@@ -0,0 +1,208 @@
+/**
+ * Runs a sample site as separate processes, sends the samples to both entries,
+ * compares the answers with the reference, and stops everything by SIGTERM.
+ * Ends with 0 if every answer was right and every process ended with 0.
+ *
+ *     node examples/run-processes.mjs --deployment cooperative --base-port 7300
+ *
+ * Without a base port it takes free ports.
+ */
+import {spawn} from 'node:child_process';
+import {createServer} from 'node:net';
+import process from 'node:process';
+import {setTimeout as waitFor} from 'node:timers/promises';
+import {runSamples} from '../packages/bramleystage-site/dist/index.js';
+import {
+	buildPublication,
+	buildRegistration,
+	commandPath,
+	listPorts,
+	listProcesses,
+	portCount,
+	readFlag,
+} from './commands.mjs';
+
+const startTimeoutMs = 15_000;
+const readyTimeoutMs = 20_000;
+const readyStepMs = 100;
+const stopTimeoutMs = 20_000;
+
+const flags = process.argv.slice(2);
+const basePort = readFlag(flags, 'base-port', undefined);
+
+/** Finds ports that are free now. */
+async function findFreePorts(count) {
+	const servers = await Promise.all(
+		Array.from(
+			{length: count},
+			async () =>
+				new Promise((resolve, reject) => {
+					const server = createServer();
+					server.once('error', reject);
+					server.listen(0, '127.0.0.1', () => {
+						resolve(server);
+					});
+				}),
+		),
+	);
+	const ports = servers.map((server) => server.address().port);
+	await Promise.all(
+		servers.map(
+			async (server) =>
+				new Promise((resolve) => {
+					server.close(resolve);
+				}),
+		),
+	);
+	return ports;
+}
+
+/** Starts a process; resolves when it says that it listens. */
+async function startProcess({name, phase, words}) {
+	const child = spawn(process.execPath, [commandPath, ...words], {
+		stdio: ['ignore', 'pipe', 'inherit'],
+	});
+	const ended = new Promise((resolve) => {
+		child.once('exit', (code, signal) => {
+			resolve(code ?? signal);
+		});
+	});
+	await new Promise((resolve, reject) => {
+		const timer = setTimeout(() => {
+			reject(new Error(`${name} did not start.`));
+		}, startTimeoutMs);
+		child.stdout.on('data', (text) => {
+			clearTimeout(timer);
+			process.stdout.write(`${name}: ${text}`);
+			resolve();
+		});
+		child.once('exit', () => {
+			clearTimeout(timer);
+			reject(new Error(`${name} ended before it listened.`));
+		});
+		child.once('error', reject);
+	}).catch((error) => {
+		child.kill('SIGKILL');
+		throw error;
+	});
+	return {name, phase, child, ended};
+}
+
+async function sendRequest({method, url, body}) {
+	const answer = await fetch(url, {
+		method,
+		body,
+		headers: {'content-type': 'application/json'},
+	});
+	if (!answer.ok) {
+		throw new Error(`${method} ${url}: ${answer.status}`);
+	}
+}
+
+/** Waits until an entry has the table and a session to every agent. */
+async function waitForEntry({name, operatorAddress}, agentCount) {
+	const until = performance.now() + readyTimeoutMs;
+	while (performance.now() < until) {
+		// eslint-disable-next-line no-await-in-loop -- polls until ready
+		const answer = await fetch(`http://${operatorAddress}/dump`);
+		// eslint-disable-next-line no-await-in-loop -- polls until ready
+		const {tableOffset, hosts} = await answer.json();
+		if (tableOffset > 0 && hosts.length >= agentCount) {
+			return;
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- polls until ready
+		await waitFor(readyStepMs);
+	}
+
+	throw new Error(`${name} did not become ready.`);
+}
+
+/** Sends the samples through one entry; true if all answers were right. */
+async function checkEntry(deployment, {name, address}) {
+	const results = await runSamples(deployment, {address});
+	for (const {name: sample, isRight, answer} of results) {
+		process.stdout.write(
+			`${name}: ${sample}: ${isRight ? 'right' : 'WRONG'}: ${answer.trim()}\n`,
+		);
+	}
+
+	return results.length > 0 && results.every(({isRight}) => isRight);
+}
+
+/** Stops a process by SIGTERM; true if it ended with 0 in time. */
+async function stopProcess({name, child, ended}) {
+	child.kill('SIGTERM');
+	const timer = setTimeout(() => {
+		child.kill('SIGKILL');
+	}, stopTimeoutMs);
+	const code = await ended;
+	clearTimeout(timer);
+	if (code !== 0) {
+		process.stdout.write(`${name}: ended with ${code}\n`);
+	}
+
+	return code === 0;
+}
+
+/** Stops entries first, then agents, then the stand-ins. */
+async function stopAll(running) {
+	let areRight = true;
+	for (const phase of [3, 2, 1]) {
+		// eslint-disable-next-line no-await-in-loop -- each phase needs the earlier ones
+		const results = await Promise.all(
+			running
+				.filter((each) => each.phase === phase)
+				.map(async (each) => stopProcess(each)),
+		);
+		areRight &&= results.every(Boolean);
+	}
+
+	return areRight;
+}
+
+const {deployment, platform, processes, hosts, entries} = listProcesses(
+	readFlag(flags, 'deployment', 'kaleli'),
+	basePort === undefined
+		? await findFreePorts(portCount)
+		: listPorts(Number(basePort)),
+);
+const running = [];
+let areRight = false;
+try {
+	for (const phase of [1, 2, 3]) {
+		// eslint-disable-next-line no-await-in-loop -- each phase needs the earlier ones
+		const started = await Promise.allSettled(
+			processes
+				.filter((each) => each.phase === phase)
+				.map(async (each) => startProcess(each)),
+		);
+		running.push(...started.map(({value}) => value).filter(Boolean));
+		const failed = started.find(({status}) => status === 'rejected');
+		if (failed) {
+			throw failed.reason;
+		}
+	}
+
+	await Promise.all(
+		hosts.map(async (host) => sendRequest(buildRegistration(platform, host))),
+	);
+	const now = new Date().toISOString();
+	await sendRequest(
+		buildPublication(platform, deployment, `example-${now}`, now),
+	);
+	const agentCount = hosts.length - entries.length;
+	areRight = true;
+	for (const entry of entries) {
+		// eslint-disable-next-line no-await-in-loop -- one entry after the other
+		await waitForEntry(entry, agentCount);
+		// eslint-disable-next-line no-await-in-loop -- one entry after the other
+		areRight = (await checkEntry(deployment, entry)) && areRight;
+	}
+} catch (error) {
+	process.stderr.write(`${error.message}\n`);
+	areRight = false;
+} finally {
+	const haveEnded = await stopAll(running);
+	process.exitCode = areRight && haveEnded ? 0 : 1;
+}
--- /dev/null
+++ b/packages/bramleystage-command/src/__tests__/examples.test.ts
@@ -0,0 +1,41 @@
+/** The example scripts, run as an operator would. */
+import {spawn} from 'node:child_process';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {deploymentNames} from 'bramleystage-site';
+import {expect, test} from 'vitest';
+
+async function runScript(name: string, words: readonly string[]) {
+	const path = fileURLToPath(
+		new URL(`../../../../examples/${name}`, import.meta.url),
+	);
+	const child = spawn(process.execPath, [path, ...words]);
+	let output = '';
+	child.stdout.on('data', (chunk) => {
+		output += String(chunk);
+	});
+	const code = await new Promise<number | null>((resolve) => {
+		child.once('close', resolve);
+	});
+	return {code, output};
+}
+
+test.each(deploymentNames)(
+	'the site of %s as separate processes answers right and stops in order',
+	async (name) => {
+		const {code, output} = await runScript('run-processes.mjs', [
+			'--deployment',
+			name,
+		]);
+		expect(output).not.toContain('WRONG');
+		expect(output.match(/: right: /gv)).toHaveLength(8);
+		expect(code).toBe(0);
+	},
+);
+
+test('the printed commands are one for each process', async () => {
+	const {code, output} = await runScript('print-commands.mjs', []);
+	expect(code).toBe(0);
+	expect(output.match(/^node /gmv)).toHaveLength(17);
+	expect(output.match(/^curl -X PUT /gmv)).toHaveLength(9);
+});
--- /dev/null
+++ b/packages/bramleystage-command/src/__tests__/planned-stop.test.ts
@@ -0,0 +1,195 @@
+/** Planned stops of real processes, with an answer in flight. */
+import {
+	PlatformClient,
+	sendHttp,
+	toDataCentreId,
+	toHostId,
+	waitFor,
+} from 'bramleystage';
+import {
+	deployments,
+	formatSampleKey,
+	listTableRows,
+	registerHost,
+} from 'bramleystage-site';
+import {computeReference} from 'bramleystage-stand-ins';
+import {afterEach, expect, test} from 'vitest';
+import {type StartedCommand, startCommand} from './start-command.js';
+
+const deployment = deployments.kaleli;
+const dataCentre = toDataCentreId('izmir-a');
+const prompt = 'Where does the coach park';
+const maxTokens = 40;
+const stepMs = 40;
+
+let started: StartedCommand[] = [];
+
+afterEach(async () => {
+	for (const {child, ended} of started) {
+		child.kill('SIGKILL');
+		await ended;
+	}
+
+	started = [];
+});
+
+async function start(words: readonly string[]): Promise<StartedCommand> {
+	const command = await startCommand(words);
+	started.push(command);
+	return command;
+}
+
+async function startSmallSite() {
+	const platform = await start(['stand-in', 'platform', '--host-lag-ms', '0']);
+	const platformAddress = platform.words[1] ?? '';
+	await new PlatformClient(platformAddress).append('table', {
+		kind: 'edit',
+		format: 1,
+		edit: 'first',
+		author: 'test',
+		at: '2026-01-01T00:00:00Z',
+		changes: listTableRows(deployment),
+	});
+	const engine = await start(['stand-in', 'engine']);
+	const common = [
+		'--platform',
+		platformAddress,
+		'--data-centre',
+		dataCentre,
+		'--log-level',
+		'error',
+	];
+	const agent = await start([
+		'agent',
+		'--host',
+		'engine-1',
+		...common,
+		'--engine',
+		`http://${engine.words[1]}`,
+	]);
+	const host = toHostId('engine-1');
+	const address = agent.words[1] ?? '';
+	await registerHost(platformAddress, {
+		host,
+		role: 'agent',
+		dataCentre,
+		address,
+	});
+	const entry = await start(['entry', '--host', 'entry-1', ...common]);
+	await waitForHosts(entry.words[3] ?? '');
+	await sendHttp({
+		method: 'PUT',
+		url: `http://${engine.words[1]}/faults`,
+		body: JSON.stringify({slowMs: stepMs}),
+		timeoutMs: 2000,
+	});
+	return {entry, agent};
+}
+
+async function waitForHosts(operatorAddress: string): Promise<void> {
+	for (;;) {
+		const answer = await fetch(`http://${operatorAddress}/dump`);
+		const {tableOffset, hosts} = (await answer.json()) as {
+			tableOffset: number;
+			hosts: unknown[];
+		};
+		if (tableOffset > 0 && hosts.length > 0) {
+			return;
+		}
+
+		await waitFor(20);
+	}
+}
+
+/** Starts a streamed answer; resolves at its first event. */
+async function startStream(entry: StartedCommand) {
+	const response = await sendCompletion(entry, true);
+	const reader = response
+		.body!.pipeThrough(new TextDecoderStream())
+		.getReader();
+	const first = await reader.read();
+	const readRest = async () => {
+		let text = first.value ?? '';
+		for (;;) {
+			const next = await reader.read();
+			if (next.done) {
+				return text;
+			}
+
+			text += next.value;
+		}
+	};
+
+	return {readRest};
+}
+
+const sendCompletion = async (entry: StartedCommand, stream: boolean) =>
+	fetch(`http://${entry.words[1]}/v1/completions`, {
+		method: 'POST',
+		headers: {
+			authorization: `Bearer ${formatSampleKey(deployment.customers[0] ?? '')}`,
+		},
+		body: JSON.stringify({
+			model: deployment.model,
+			prompt,
+			max_tokens: maxTokens,
+			stream,
+		}),
+	});
+
+function readText(events: string): string {
+	return events
+		.split('\n\n')
+		.filter((event) => event.startsWith('data: {'))
+		.map((event) => {
+			const {choices} = JSON.parse(event.slice('data: '.length)) as {
+				choices: Array<{text: string}>;
+			};
+			return choices[0]?.text ?? '';
+		})
+		.join('');
+}
+
+const reference = computeReference(prompt, deployment.layers, maxTokens);
+
+test('an entry that is told to stop ends its answer in flight, then ends with 0', async () => {
+	const {entry} = await startSmallSite();
+	const {readRest} = await startStream(entry);
+	entry.child.kill('SIGTERM');
+	await waitFor(100);
+	const ready = await fetch(`http://${entry.words[1]}/readyz`);
+	expect(ready.status).toBe(503);
+	const refused = await sendCompletion(entry, false);
+	expect(refused.status).toBe(503);
+	expect(await refused.json()).toMatchObject({
+		error: {type: 'stopping', outcome: 'not-run'},
+	});
+	const events = await readRest();
+	expect(events).toContain('data: [DONE]');
+	expect(readText(events)).toBe(reference.text);
+	expect(await entry.ended).toBe(0);
+});
+
+test('an agent that is told to stop ends its answer in flight, then ends with 0', async () => {
+	const {entry, agent} = await startSmallSite();
+	const {readRest} = await startStream(entry);
+	agent.child.kill('SIGTERM');
+	const events = await readRest();
+	expect(events).toContain('data: [DONE]');
+	expect(readText(events)).toBe(reference.text);
+	expect(await agent.ended).toBe(0);
+	const refused = await sendCompletion(entry, false);
+	expect(refused.status).toBe(503);
+	expect(await refused.json()).toMatchObject({
+		error: {type: 'noPipeline', outcome: 'not-run'},
+	});
+});
+
+test('a second signal ends a stopping process at once', async () => {
+	const {entry} = await startSmallSite();
+	await startStream(entry);
+	entry.child.kill('SIGTERM');
+	await waitFor(100);
+	entry.child.kill('SIGTERM');
+	expect(await entry.ended).toBe(1);
+});
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -162,7 +162,9 @@
 /** Formats the value that a setting has when it is not given; nothing if it must be. */
 export function formatDefault({schema}: SettingDefinition): string | undefined {
 	const parsed = schema.safeParse(undefined);
-	return parsed.success ? String(parsed.data ?? '') : undefined;
+	return parsed.success
+		? `${(parsed.data as string | undefined) ?? ''}`
+		: undefined;
 }
 
 /** Formats a setting's name as a flag: `dataCentre` is `data-centre`. */
