Add the recovery bench

Cause: no figure said how long callers wait after a stage or a connection fails. Change: bench recovery starts agents and engines as processes behind relays, kills or silences them while callers stream, and compares each answer with the reference.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -264,6 +264,7 @@
 			offers,
 			load: describeLoad(),
 			entrySessions: entries.size,
+			openStages: stages?.open ?? 0,
 			stageRecords: stages?.records ?? 0,
 			callRecords: calls?.records ?? 0,
 		}),
--- /dev/null
+++ b/packages/bramleystage-bench/src/recovery-site.ts
@@ -0,0 +1,222 @@
+/**
+ * A site for the recovery bench: the platform and one entry in this process,
+ * each agent and each engine a process of its own, with a relay before each of
+ * them that can go silent.
+ */
+import {
+	entrySettings,
+	LifeCycle,
+	type Logger,
+	parseSettings,
+	PlatformClient,
+	sendHttp,
+	toHostId,
+	type HostId,
+	waitFor,
+} from 'bramleystage';
+import {type RunningEntry, type startEntry} from 'bramleystage-entry';
+import {
+	type Deployment,
+	deployments,
+	listTableRows,
+	registerHost,
+} from 'bramleystage-site';
+import {defaultPlatformOptions, startPlatform} from 'bramleystage-stand-ins';
+import {type RunningChild, startChild} from './child-process.js';
+import {Relay} from './relay.js';
+
+/** One backend server host: engine, agent, and the relays before them. */
+export type RecoveryHost = {
+	readonly host: HostId;
+	readonly fromLayer: number;
+	readonly toLayer: number;
+	readonly engineRelay: Relay;
+	readonly agentRelay: Relay;
+	engine: RunningChild | undefined;
+	agent: RunningChild | undefined;
+};
+
+export type StartEntry = typeof startEntry;
+
+const rangeLayers = 8;
+const replicas = 2;
+const readyStepMs = 20;
+const readyTimeoutMs = 20_000;
+const silentLogger: Logger = {
+	error() {},
+	warn() {},
+	info() {},
+	debug() {},
+};
+
+export class RecoverySite {
+	readonly deployment: Deployment = {...deployments.kaleli, engines: []};
+	readonly hosts: RecoveryHost[] = [];
+	readonly #lifeCycle = new LifeCycle();
+	#platform = '';
+
+	/** Starts the platform, the engines and their agents. */
+	async start(): Promise<void> {
+		const platform = await startPlatform(defaultPlatformOptions);
+		this.#lifeCycle.register(async () => platform.close());
+		this.#platform = platform.address;
+		await new PlatformClient(platform.address).append('table', {
+			kind: 'edit',
+			format: 1,
+			edit: 'first',
+			author: 'bench',
+			at: new Date(0).toISOString(),
+			changes: listTableRows(this.deployment),
+		});
+		const ranges = this.deployment.layers / rangeLayers;
+		for (let index = 0; index < ranges * replicas; index++) {
+			const fromLayer = (index % ranges) * rangeLayers;
+			this.hosts.push({
+				host: toHostId(`engine-${index + 1}`),
+				fromLayer,
+				toLayer: fromLayer + rangeLayers,
+				engineRelay: new Relay(),
+				agentRelay: new Relay(),
+				engine: undefined,
+				agent: undefined,
+			});
+		}
+
+		await Promise.all(this.hosts.map(async (host) => this.#startHost(host)));
+	}
+
+	/** Starts one more entry in this process. */
+	async startEntry(name: string, start: StartEntry): Promise<RunningEntry> {
+		const settings = parseSettings(entrySettings, {
+			deployment: this.deployment.name,
+			host: name,
+			dataCentre: this.deployment.dataCentres[0],
+			platform: this.#platform,
+		});
+		const entry = await start(settings._unsafeUnwrap(), silentLogger);
+		this.#lifeCycle.register(async () => entry.stop());
+		await this.waitForReady(entry);
+		return entry;
+	}
+
+	/** Starts the host's processes that are not running. */
+	async restore(host: RecoveryHost): Promise<void> {
+		host.engine ??= await this.#startEngine(host);
+		host.engineRelay.update(host.engine.address);
+		host.agent ??= await this.#startAgent(host);
+		host.agentRelay.update(host.agent.address);
+	}
+
+	/** Resolves when the entry reaches every host and each offers layers. */
+	async waitForReady(entry: RunningEntry): Promise<void> {
+		const until = performance.now() + readyTimeoutMs;
+		while (performance.now() < until) {
+			// eslint-disable-next-line no-await-in-loop -- polls until ready
+			const dump = await readDump(entry.operatorAddress);
+			const hosts = (dump.hosts ?? []) as Array<{offers: unknown[]}>;
+			const ready = hosts.filter(({offers}) => offers.length > 0);
+			if (ready.length === this.hosts.length && dump.tableOffset !== 0) {
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- polls until ready
+			await waitFor(readyStepMs);
+		}
+
+		throw new Error('The site did not become ready.');
+	}
+
+	/** Lists the hosts that have a stage open now. */
+	async listBusyHosts(): Promise<RecoveryHost[]> {
+		const busy = await Promise.all(
+			this.hosts.map(async ({agent}) => {
+				const dump = agent ? await readDump(agent.operatorAddress) : {};
+				return Number(dump.openStages ?? 0) > 0;
+			}),
+		);
+		return this.hosts.filter((_, index) => busy[index]);
+	}
+
+	async stop(): Promise<void> {
+		await this.#lifeCycle.stop();
+		for (const {agent, engine, agentRelay, engineRelay} of this.hosts) {
+			agent?.kill();
+			engine?.kill();
+			agentRelay.close();
+			engineRelay.close();
+		}
+	}
+
+	async #startHost(host: RecoveryHost): Promise<void> {
+		await host.engineRelay.listen();
+		await host.agentRelay.listen();
+		await this.restore(host);
+		await registerHost(this.#platform, {
+			host: host.host,
+			role: 'agent',
+			dataCentre: this.#selectDataCentre(),
+			address: host.agentRelay.address,
+		});
+	}
+
+	async #startEngine({
+		fromLayer,
+		toLayer,
+	}: RecoveryHost): Promise<RunningChild> {
+		const {model, version, layers} = this.deployment;
+		return startChild([
+			'stand-in',
+			'engine',
+			'--model',
+			model,
+			'--model-version',
+			version,
+			'--layers',
+			String(layers),
+			'--from-layer',
+			String(fromLayer),
+			'--to-layer',
+			String(toLayer),
+			'--kind',
+			'large',
+		]);
+	}
+
+	async #startAgent(host: RecoveryHost): Promise<RunningChild> {
+		return startChild([
+			'agent',
+			'--host',
+			host.host,
+			'--platform',
+			this.#platform,
+			'--deployment',
+			this.deployment.name,
+			'--data-centre',
+			this.#selectDataCentre(),
+			'--engine',
+			`http://${host.engineRelay.address}`,
+			'--log-level',
+			'error',
+		]);
+	}
+
+	#selectDataCentre() {
+		const [first] = this.deployment.dataCentres;
+		if (first === undefined) {
+			throw new Error('A deployment needs a data centre.');
+		}
+
+		return first;
+	}
+}
+
+async function readDump(address: string): Promise<Record<string, unknown>> {
+	const answer = await sendHttp({
+		method: 'GET',
+		url: `http://${address}/dump`,
+		timeoutMs: 1000,
+	});
+	return answer.isOk()
+		? (JSON.parse(answer.value.body.toString()) as Record<string, unknown>)
+		: {};
+}
--- /dev/null
+++ b/packages/bramleystage-bench/src/stream-caller.ts
@@ -0,0 +1,170 @@
+/**
+ * Callers that stream answers without a pause. Each answer is compared with
+ * the reference computed from its prompt, and the arrival of each token is
+ * kept, so that a fault's effect on the callers can be measured.
+ */
+import readline from 'node:readline';
+import {openHttp, parseJson} from 'bramleystage';
+import {computeReference} from 'bramleystage-stand-ins';
+
+export type StreamCounts = {
+	whole: number;
+	/** Answers that failed or ended early. */
+	lost: number;
+	/** Answers with more than the reference, or other tokens than it. */
+	doubled: number;
+	/** Failures that say `not-run` though tokens had been given. */
+	toldWrongly: number;
+	readonly failures: Map<string, number>;
+};
+
+export type ActiveStream = {
+	lastTokenAt: number;
+	isEnded: boolean;
+	/** Start and end of the longest wait since the watch began. */
+	longest: {from: number; to: number};
+};
+
+export type StreamOptions = {
+	readonly url: string;
+	readonly key: string;
+	readonly model: string;
+	readonly layers: number;
+	readonly maxTokens: number;
+};
+
+type Chunk = {
+	readonly choices?: ReadonlyArray<{readonly text?: string}>;
+	readonly error?: {readonly outcome?: string; readonly message?: string};
+};
+
+const requestTimeoutMs = 60_000;
+
+export class StreamCallers {
+	readonly active = new Set<ActiveStream>();
+	readonly counts: StreamCounts = {
+		whole: 0,
+		lost: 0,
+		doubled: 0,
+		toldWrongly: 0,
+		failures: new Map(),
+	};
+
+	#isStopped = false;
+	readonly #loops: Array<Promise<void>> = [];
+
+	constructor(private readonly options: StreamOptions) {}
+
+	start(count: number): void {
+		for (let caller = 0; caller < count; caller++) {
+			this.#loops.push(this.#run(caller));
+		}
+	}
+
+	/** Starts no new stream; resolves when those that run have ended. */
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		await Promise.all(this.#loops);
+	}
+
+	async #run(caller: number): Promise<void> {
+		for (let turn = 0; !this.#isStopped; turn++) {
+			// eslint-disable-next-line no-await-in-loop -- one answer at a time
+			await this.#stream(`caller ${caller} asks question ${turn} of the day`);
+		}
+	}
+
+	async #stream(prompt: string): Promise<void> {
+		const now = performance.now();
+		const stream: ActiveStream = {
+			lastTokenAt: now,
+			isEnded: false,
+			longest: {from: now, to: now},
+		};
+		this.active.add(stream);
+		const {text, failure} = await this.#readAnswer(prompt, stream);
+		stream.isEnded = true;
+		this.active.delete(stream);
+		this.#judge(prompt, text, failure);
+	}
+
+	async #readAnswer(
+		prompt: string,
+		stream: ActiveStream,
+	): Promise<{text: string; failure: string | undefined}> {
+		const {url, key, model, maxTokens} = this.options;
+		const opened = await openHttp({
+			method: 'POST',
+			url: `${url}/v1/completions`,
+			headers: {authorization: `Bearer ${key}`},
+			body: JSON.stringify({
+				model,
+				prompt,
+				max_tokens: maxTokens,
+				stream: true,
+			}),
+			timeoutMs: requestTimeoutMs,
+		});
+		if (opened.isErr()) {
+			return {text: '', failure: opened.error.detail};
+		}
+
+		let text = '';
+		let failure: string | undefined = 'The stream ended early.';
+		try {
+			const lines = readline.createInterface({input: opened.value.response});
+			for await (const line of lines) {
+				const chunk = parseLine(line);
+				if (line === 'data: [DONE]') {
+					failure = undefined;
+				} else if (chunk?.error) {
+					failure = `${chunk.error.outcome}: ${chunk.error.message}`;
+				} else if (chunk) {
+					text += chunk.choices?.[0]?.text ?? '';
+					recordToken(stream, performance.now());
+				}
+			}
+		} catch (error) {
+			failure = (error as Error).message;
+		}
+
+		return {text, failure};
+	}
+
+	#judge(prompt: string, text: string, failure: string | undefined): void {
+		const {layers, maxTokens} = this.options;
+		const reference = computeReference(prompt, layers, maxTokens);
+		if (!reference.text.startsWith(text)) {
+			this.counts.doubled++;
+			this.#recordFailure('The answer differs from the reference.');
+		} else if (failure !== undefined || text !== reference.text) {
+			this.counts.lost++;
+			this.#recordFailure(failure ?? 'The answer is too short.');
+		} else {
+			this.counts.whole++;
+		}
+
+		if (failure?.startsWith('not-run') && text !== '') {
+			this.counts.toldWrongly++;
+		}
+	}
+
+	#recordFailure(reason: string): void {
+		const {failures} = this.counts;
+		failures.set(reason, (failures.get(reason) ?? 0) + 1);
+	}
+}
+
+function recordToken(stream: ActiveStream, now: number): void {
+	const {longest} = stream;
+	if (now - stream.lastTokenAt > longest.to - longest.from) {
+		stream.longest = {from: stream.lastTokenAt, to: now};
+	}
+
+	stream.lastTokenAt = now;
+}
+
+function parseLine(line: string): Chunk | undefined {
+	const text = line.startsWith('data: ') ? line.slice('data: '.length) : line;
+	return text.startsWith('{') ? (parseJson(text) as Chunk) : undefined;
+}
