--- a/packages/bramleystage-bench/src/recovery-site.ts
+++ b/packages/bramleystage-bench/src/recovery-site.ts
@@ -4,9 +4,9 @@
  * them that can go silent.
  */
 import {
+	createLogger,
 	entrySettings,
 	LifeCycle,
-	type Logger,
 	parseSettings,
 	PlatformClient,
 	sendHttp,
@@ -42,12 +42,7 @@
 const replicas = 2;
 const readyStepMs = 20;
 const readyTimeoutMs = 20_000;
-const silentLogger: Logger = {
-	error() {},
-	warn() {},
-	info() {},
-	debug() {},
-};
+const logger = createLogger('error', {role: 'bench'});
 
 export class RecoverySite {
 	readonly deployment: Deployment = {...deployments.kaleli, engines: []};
@@ -93,7 +88,7 @@
 			dataCentre: this.deployment.dataCentres[0],
 			platform: this.#platform,
 		});
-		const entry = await start(settings._unsafeUnwrap(), silentLogger);
+		const entry = await start(settings._unsafeUnwrap(), logger);
 		this.#lifeCycle.register(async () => entry.stop());
 		await this.waitForReady(entry);
 		return entry;
