Order an agent's work by weight, cost and priority

Cause: an agent ran steps and calls in order of arrival, so a customer with many or large requests held up all others; its load report had no rate. Change: a fair queue over customers and models, measured by cost, with a bounded advance for priority (borrowed virtual time), and a scheduler that both desks take their next work from. The load report is in layer-tokens and has the measured rate. Steps of a closed sequence leave the queue.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -29,6 +29,7 @@
 import {CallDesk} from './call-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
+import {createSchedulers} from './schedulers.js';
 import {ServiceClient} from './service-client.js';
 import {StageDesk} from './stage-desk.js';
 
@@ -69,11 +70,11 @@
 	let leaving = false;
 	let offers: Offer[] = [];
 
-	const describeLoad = (): LoadReport => ({
-		queued: (stages?.queued ?? 0) + (calls?.queued ?? 0),
-		running: (stages?.running ?? 0) + (calls?.running ?? 0),
-		rate: 0,
-	});
+	const schedulers = createSchedulers(settings);
+	const describeLoad = (): LoadReport =>
+		(settings.engine ? schedulers.steps : schedulers.calls).describeLoad(
+			readClock(),
+		);
 	const describeSelf = () => ({leaving, offers, load: describeLoad()});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
 	const pool = new SessionPool({
@@ -115,10 +116,13 @@
 	const stages = engine
 		? new StageDesk({
 				client: engine,
-				slots: settings.slots,
+				scheduler: schedulers.steps,
 				describeContext: () => ({
 					leaving,
-					findMismatch: (open) => findMismatch(offers, open),
+					findMismatch: (open) =>
+						schedulers.steps.isFull
+							? 'The queue is full.'
+							: findMismatch(offers, open),
 				}),
 				sendToEntry(entry, message) {
 					entries.send(entry, message);
@@ -130,8 +134,7 @@
 	const calls = service
 		? new CallDesk({
 				client: service,
-				slots: settings.slots,
-				maxQueued: settings.maxQueued,
+				scheduler: schedulers.calls,
 				describeContext: () => ({incarnation, leaving}),
 				send(entry, message) {
 					entries.send(entry, message);
--- a/packages/bramleystage-agent/src/call-desk.ts
+++ b/packages/bramleystage-agent/src/call-desk.ts
@@ -11,12 +11,16 @@
 	type LedgerContext,
 	type Message,
 	type RequestId,
+	type Work,
+	type WorkScheduler,
 } from 'bramleystage';
 import type {EntryKey} from './entry-sessions.js';
 import type {ServiceClient} from './service-client.js';
 
 /** How long the record of an ended call is kept, in milliseconds. */
 const retentionMs = 600_000;
+/** Every call counts alike. */
+const callCost = 1;
 
 type Held = {
 	record: CallRecord | undefined;
@@ -26,13 +30,11 @@
 export class CallDesk {
 	readonly #held = new Map<RequestId, Held>();
 	readonly #running = new Map<RequestId, AbortController>();
-	#queue: RequestId[] = [];
 
 	constructor(
 		private readonly options: {
 			readonly client: ServiceClient;
-			readonly slots: number;
-			readonly maxQueued: number;
+			readonly scheduler: WorkScheduler<RequestId>;
 			readonly describeContext: () => Omit<LedgerContext, 'queueFull'>;
 			readonly send: (entry: EntryKey, message: Message) => void;
 			readonly readClock: () => number;
@@ -40,7 +42,7 @@
 	) {}
 
 	get queued(): number {
-		return this.#queue.length;
+		return this.options.scheduler.queued;
 	}
 
 	get running(): number {
@@ -61,7 +63,7 @@
 
 		const context: LedgerContext = {
 			...this.options.describeContext(),
-			queueFull: this.#queue.length >= this.options.maxQueued,
+			queueFull: this.options.scheduler.isFull,
 		};
 		const now = this.options.readClock();
 		const [record, commands] = decideCall(held?.record, event, now, context);
@@ -87,14 +89,12 @@
 	#carryOut(command: CallCommand, entry: EntryKey): void {
 		switch (command.type) {
 			case 'enqueue': {
-				this.#queue.push(command.call.request);
+				this.options.scheduler.add(createCallWork(command.call));
 				break;
 			}
 
 			case 'dequeue': {
-				this.#queue = this.#queue.filter(
-					(request) => request !== command.request,
-				);
+				this.options.scheduler.remove((request) => request === command.request);
 				break;
 			}
 
@@ -116,13 +116,18 @@
 	}
 
 	#schedule(): void {
-		while (this.#running.size < this.options.slots) {
-			const request = this.#queue.shift();
-			if (request === undefined) {
+		const {scheduler, readClock} = this.options;
+		for (;;) {
+			const work = scheduler.take(readClock());
+			if (!work) {
 				return;
 			}
 
-			this.handle(request, {type: 'scheduled'});
+			this.handle(work.value, {type: 'scheduled'});
+			if (!this.#running.has(work.value)) {
+				// Its deadline passed while it waited, so it was not started.
+				scheduler.finish(work.cost, readClock());
+			}
 		}
 	}
 
@@ -135,6 +140,7 @@
 			abort.signal,
 		);
 		this.#running.delete(call.request);
+		this.options.scheduler.finish(callCost, this.options.readClock());
 		this.handle(
 			call.request,
 			result.match<CallEvent>(
@@ -144,3 +150,15 @@
 		);
 	}
 }
+
+function createCallWork(call: Call): Work<RequestId> {
+	return {
+		shares: [
+			{key: call.customer, weight: call.weight},
+			{key: call.service, weight: 1},
+		],
+		cost: callCost,
+		priority: call.priority,
+		value: call.request,
+	};
+}
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -12,9 +12,11 @@
 	type StageEvent,
 	type StageOpen,
 	type StageRecord,
+	type WorkScheduler,
 } from 'bramleystage';
 import type {EngineClient, EngineStep} from './engine-client.js';
 import type {EntryKey} from './entry-sessions.js';
+import {createStepWork} from './step-work.js';
 
 /** How long the record of an ended stage is kept, in milliseconds. */
 const retentionMs = 600_000;
@@ -26,13 +28,11 @@
 
 export class StageDesk {
 	readonly #held = new Map<RequestId, Held>();
-	readonly #waiting: EngineStep[] = [];
-	#running = 0;
 
 	constructor(
 		private readonly options: {
 			readonly client: EngineClient;
-			readonly slots: number;
+			readonly scheduler: WorkScheduler<EngineStep>;
 			readonly describeContext: () => StageContext;
 			readonly sendToEntry: (entry: EntryKey, message: Message) => void;
 			readonly sendToStage: (stage: Stage, message: Message) => void;
@@ -41,11 +41,11 @@
 	) {}
 
 	get queued(): number {
-		return this.#waiting.length;
+		return this.options.scheduler.queued;
 	}
 
 	get running(): number {
-		return this.#running;
+		return this.options.scheduler.running;
 	}
 
 	get open(): number {
@@ -110,12 +110,13 @@
 			}
 
 			case 'closeSequence': {
+				this.#forgetSteps(command.open);
 				void this.options.client.closeSequence(command.open);
 				break;
 			}
 
 			case 'runStep': {
-				this.#waiting.push(command);
+				this.options.scheduler.add(createStepWork(command));
 				this.#runWaiting();
 				break;
 			}
@@ -141,21 +142,27 @@
 		}
 	}
 
+	#forgetSteps({request, attempt}: StageOpen): void {
+		this.options.scheduler.remove(
+			({open}) => open.request === request && open.attempt === attempt,
+		);
+	}
+
 	#runWaiting(): void {
-		while (this.#running < this.options.slots) {
-			const step = this.#waiting.shift();
-			if (!step) {
+		const {scheduler, readClock} = this.options;
+		for (;;) {
+			const work = scheduler.take(readClock());
+			if (!work) {
 				return;
 			}
 
-			void this.#runStep(step);
+			void this.#runStep(work.value, work.cost);
 		}
 	}
 
-	async #runStep(step: EngineStep): Promise<void> {
-		this.#running++;
+	async #runStep(step: EngineStep, cost: number): Promise<void> {
 		const result = await this.options.client.runStep(step);
-		this.#running--;
+		this.options.scheduler.finish(cost, this.options.readClock());
 		this.#runWaiting();
 		const {request, attempt} = step.open;
 		const record = this.#held.get(request)?.record;
--- /dev/null
+++ b/packages/bramleystage-agent/src/step-work.ts
@@ -0,0 +1,46 @@
+/** Steps of the engine as work of the agent's scheduler. */
+import {
+	computePromptCost,
+	type Stage,
+	type StepInput,
+	type Work,
+} from 'bramleystage';
+import type {EngineStep} from './engine-client.js';
+
+/** Added to the priority of an answer under way, so that its tokens keep coming. */
+const continuationPriority = 10;
+
+/** Describes a step: its customer's share, and its cost in layer-tokens. */
+export function createStepWork(step: EngineStep): Work<EngineStep> {
+	const {open, input} = step;
+	const tokens = countTokens(input);
+	const isContinuation = step.position > open.fromPosition;
+	return {
+		shares: [
+			{key: open.customer, weight: open.weight},
+			{key: open.model, weight: 1},
+		],
+		cost: tokens * countLayers(open.stages[open.index]),
+		priority: open.priority + (isContinuation ? continuationPriority : 0),
+		value: step,
+	};
+}
+
+function countTokens(input: StepInput): number {
+	switch (input.kind) {
+		case 'prompt': {
+			return computePromptCost(input.prompt) + input.given.length;
+		}
+
+		case 'token': {
+			return 1;
+		}
+
+		case 'values': {
+			return input.values.length;
+		}
+	}
+}
+
+const countLayers = (stage: Stage | undefined) =>
+	stage ? stage.toLayer - stage.fromLayer : 1;
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -17,6 +17,7 @@
 	decideCall,
 	type LedgerContext,
 } from './coordination/call-ledger.js';
+export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
 export {
 	createModelRun,
 	decideModelRun,
@@ -41,6 +42,10 @@
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
+export {
+	type SchedulerOptions,
+	WorkScheduler,
+} from './coordination/scheduler.js';
 export {
 	decideStage,
 	type OpenStage,
@@ -52,6 +57,7 @@
 	type StepInput,
 	type StepOutput,
 } from './coordination/stage.js';
+export {computePromptCost} from './coordination/work-cost.js';
 export {
 	type Decide,
 	type Decision,
