Choose pipelines by load among a few hosts of each range

Cause: the first cut weighed every host, copied a path for each extension, and its count of work in flight was never filled, so load did not matter. Change: candidates are grouped by range and a few of each are drawn; the path search keeps the best path to each boundary for each data centre. The cost of a stage rises with the host's backlog: reported work, corrected by what was sent since. Agents report the work that open stages are expected to bring, a rate measured while work waits, and the time of a step. A measured slowness fades, so that a slow host is tried again. When layers are missing, noPipeline names them and a gauge counts it.

--- a/packages/bramleystage-agent/src/call-desk.ts
+++ b/packages/bramleystage-agent/src/call-desk.ts
@@ -11,6 +11,7 @@
 	type LedgerContext,
 	type Message,
 	type RequestId,
+	type RunningWork,
 	type Work,
 	type WorkScheduler,
 } from 'bramleystage';
@@ -30,6 +31,7 @@
 export class CallDesk {
 	readonly #held = new Map<RequestId, Held>();
 	readonly #running = new Map<RequestId, AbortController>();
+	readonly #taken = new Map<RequestId, RunningWork<RequestId>>();
 
 	constructor(
 		private readonly options: {
@@ -118,19 +120,29 @@
 	#schedule(): void {
 		const {scheduler, readClock} = this.options;
 		for (;;) {
-			const work = scheduler.take(readClock());
-			if (!work) {
+			const running = scheduler.take(readClock());
+			if (!running) {
 				return;
 			}
 
-			this.handle(work.value, {type: 'scheduled'});
-			if (!this.#running.has(work.value)) {
+			const request = running.work.value;
+			this.#taken.set(request, running);
+			this.handle(request, {type: 'scheduled'});
+			if (!this.#running.has(request)) {
 				// Its deadline passed while it waited, so it was not started.
-				scheduler.finish(work.cost, readClock());
+				this.#finish(request);
 			}
 		}
 	}
 
+	#finish(request: RequestId): void {
+		const running = this.#taken.get(request);
+		this.#taken.delete(request);
+		if (running) {
+			this.options.scheduler.finish(running, this.options.readClock());
+		}
+	}
+
 	async #run(call: Call, timeoutMs: number): Promise<void> {
 		const abort = new AbortController();
 		this.#running.set(call.request, abort);
@@ -140,7 +152,7 @@
 			abort.signal,
 		);
 		this.#running.delete(call.request);
-		this.options.scheduler.finish(callCost, this.options.readClock());
+		this.#finish(call.request);
 		this.handle(
 			call.request,
 			result.match<CallEvent>(
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -6,6 +6,7 @@
 	decideStage,
 	type Message,
 	type RequestId,
+	type RunningWork,
 	type Stage,
 	type StageCommand,
 	type StageContext,
@@ -14,7 +15,11 @@
 	type StageRecord,
 	type WorkScheduler,
 } from 'bramleystage';
-import type {EngineClient, EngineStep} from './engine-client.js';
+import {
+	type EngineClient,
+	type EngineStep,
+	formatSequence,
+} from './engine-client.js';
 import type {EntryKey} from './entry-sessions.js';
 import {createStepWork} from './step-work.js';
 
@@ -106,6 +111,10 @@
 		switch (command.type) {
 			case 'openSequence': {
 				// The engine makes the sequence at its first step.
+				this.options.scheduler.reserve(
+					formatSequence(command.open),
+					command.open.work ?? 0,
+				);
 				break;
 			}
 
@@ -116,7 +125,10 @@
 			}
 
 			case 'runStep': {
-				this.options.scheduler.add(createStepWork(command));
+				this.options.scheduler.add(
+					createStepWork(command),
+					formatSequence(command.open),
+				);
 				this.#runWaiting();
 				break;
 			}
@@ -142,7 +154,9 @@
 		}
 	}
 
-	#forgetSteps({request, attempt}: StageOpen): void {
+	#forgetSteps(closed: StageOpen): void {
+		const {request, attempt} = closed;
+		this.options.scheduler.release(formatSequence(closed));
 		this.options.scheduler.remove(
 			({open}) => open.request === request && open.attempt === attempt,
 		);
@@ -156,13 +170,14 @@
 				return;
 			}
 
-			void this.#runStep(work.value, work.cost);
+			void this.#runStep(work);
 		}
 	}
 
-	async #runStep(step: EngineStep, cost: number): Promise<void> {
+	async #runStep(running: RunningWork<EngineStep>): Promise<void> {
+		const step = running.work.value;
 		const result = await this.options.client.runStep(step);
-		this.options.scheduler.finish(cost, this.options.readClock());
+		this.options.scheduler.finish(running, this.options.readClock());
 		this.#runWaiting();
 		const {request, attempt} = step.open;
 		const record = this.#held.get(request)?.record;
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -2,7 +2,7 @@
  * The entry: takes callers' HTTP requests, finds the customer, and hands model
  * requests and service calls to their desks.
  */
-import {randomUUID} from 'node:crypto';
+import {randomInt, randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	createFailure,
@@ -11,7 +11,6 @@
 	defaultHttpBounds,
 	type EntrySettings,
 	type Failure,
-	type HostId,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
@@ -37,7 +36,7 @@
 	runModelRoute,
 } from './model-route.js';
 import {Network} from './network.js';
-import {chooseStages, chooseTarget} from './routing.js';
+import {createRouter, chooseModelStages} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
 import {runServiceRoute} from './service-route.js';
 import {TableFollower} from './table-follower.js';
@@ -88,10 +87,17 @@
 	lifeCycle.register(() => {
 		pool.close();
 	});
-	const network = new Network({platform, pool, lifeCycle, readClock});
+	const router = createRouter(randomInt);
+	const network = new Network({
+		platform,
+		pool,
+		lifeCycle,
+		readClock,
+		onReport(reported) {
+			router.recordReport(reported, readClock());
+		},
+	});
 	const follower = new TableFollower(platform, lifeCycle, logger);
-	const inFlight = new Map<HostId, number>();
-	const countInFlight = (id: HostId) => inFlight.get(id) ?? 0;
 
 	const allowRetry = () => {
 		const [next, isAllowed] = decideRetry(budget);
@@ -105,14 +111,18 @@
 
 	const models = new ModelDesk({
 		choose: (request, excluding) =>
-			chooseStages(network.hosts, request, excluding, countInFlight),
+			chooseModelStages(
+				router,
+				{request, hosts: network.hosts, excluding},
+				readClock(),
+			),
 		send,
 		allowRetry,
 		readClock,
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			chooseTarget(network.hosts, call.service, excluding, countInFlight),
+			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
 		send,
 		allowRetry,
 		readClock,
@@ -220,6 +230,11 @@
 		'Agents with a live session',
 		() => network.hosts.connected.size,
 	);
+	metrics.registerGauge(
+		'uncovered_layer_choices',
+		'Choices of a pipeline that found layers that no live engine holds',
+		() => router.uncovered,
+	);
 	metrics.registerGauge(
 		'requests_in_flight',
 		'Requests that have no whole answer yet',
@@ -238,6 +253,7 @@
 			hosts: [...network.hosts.connected.values()],
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
+			routing: router.describe(readClock()),
 		}),
 	});
 	lifeCycle.register(async () => operators.close());
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -27,7 +27,12 @@
 	runModelRoute,
 } from './model-route.js';
 export {Network, type NetworkEvent} from './network.js';
-export {chooseStages, chooseTarget, type CountInFlight} from './routing.js';
+export {
+	createRouter,
+	measureRequest,
+	chooseModelStages,
+} from './model-routing.js';
+export {type RouteRequest, Router, type RouterOptions} from './routing.js';
 export {
 	type ChooseTarget,
 	ServiceDesk,
--- a/packages/bramleystage-entry/src/model-desk.ts
+++ b/packages/bramleystage-entry/src/model-desk.ts
@@ -2,6 +2,7 @@
 import {
 	type Attempt,
 	type AllowRetry,
+	computeStageWork,
 	createModelRun,
 	type CustomerCells,
 	type CustomerId,
@@ -18,7 +19,9 @@
 	type Stage,
 	type Token,
 } from 'bramleystage';
+import type {Result} from 'neverthrow';
 import type {ModelBody} from './model-body.js';
+import {measureRequest} from './model-routing.js';
 import type {NetworkEvent} from './network.js';
 
 /** One request as the desk runs it. */
@@ -37,11 +40,11 @@
 	) => void;
 };
 
-/** Routing decision: the stages for a request, or none. */
+/** Routing decision: the stages for a request, or why there are none. */
 export type ChooseStages = (
 	request: ModelRequest,
 	excluding: readonly HostId[],
-) => readonly Stage[] | undefined;
+) => Result<readonly Stage[], Failure>;
 
 type Held = {
 	readonly request: ModelRequest;
@@ -139,7 +142,13 @@
 		switch (command.type) {
 			case 'choose': {
 				const stages = this.options.choose(request, command.excluding);
-				this.handle(request.request, {type: 'chosen', stages});
+				this.handle(
+					request.request,
+					stages.match<ModelRunEvent>(
+						(chosen) => ({type: 'chosen', stages: chosen}),
+						(failure) => ({type: 'chosen', stages: undefined, failure}),
+					),
+				);
 				break;
 			}
 
@@ -189,6 +198,7 @@
 			deadlineMs,
 		}: Extract<ModelRunCommand, {type: 'openStages'}>,
 	): void {
+		const shape = measureRequest(request);
 		for (const [index, stage] of stages.entries()) {
 			this.options.send(stage.host, {
 				type: 'stageOpen',
@@ -203,6 +213,7 @@
 				index,
 				fromPosition: findNextPosition(state),
 				maxTokens: request.body.maxTokens,
+				work: computeStageWork(shape, stage.toLayer - stage.fromLayer),
 				deadlineMs,
 			});
 		}
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -41,6 +41,8 @@
 			readonly pool: SessionPool;
 			readonly lifeCycle: LifeCycle;
 			readonly readClock: () => number;
+			/** Called with each load report. */
+			readonly onReport?: (host: ConnectedHost) => void;
 		},
 	) {
 		const {pool, lifeCycle} = options;
@@ -106,6 +108,7 @@
 			roundTripMs: 0,
 		};
 		this.#hosts = updateConnectedHost(this.#hosts, connected);
+		this.options.onReport?.(connected);
 		if (isNew) {
 			this.events.next({type: 'opened', host: connected});
 		}
--- a/packages/bramleystage-entry/src/routing.ts
+++ b/packages/bramleystage-entry/src/routing.ts
@@ -1,75 +1,209 @@
 /** The entry's routing: which stages or which agent a request goes to. */
 import {
+	type CandidateGroup,
 	choosePipeline,
+	computeStageWork,
 	type ConnectedHost,
+	createFailure,
+	createRouteCosts,
+	createStages,
+	type DrawIndex,
+	type Failure,
+	formatLayers,
+	buildCandidateGroups,
 	type HostId,
 	type HostsSnapshot,
 	listAvailableHosts,
 	listCandidates,
+	LoadBook,
+	type Milliseconds,
+	type ModelName,
+	type Pipeline,
+	type RequestShape,
+	selectCandidates,
 	type ServiceName,
 	type Stage,
 	type StageCandidate,
 	type Target,
 } from 'bramleystage';
-import type {ModelRequest} from './model-desk.js';
+import type {Result} from 'neverthrow';
 
-/** Work that this entry has at a host now, in requests. */
-export type CountInFlight = (host: HostId) => number;
+/** What a model request asks of the routing. */
+export type RouteRequest = RequestShape & {
+	readonly model: ModelName;
+	readonly version: string;
+	readonly layers: number;
+};
 
-const msPerSecond = 1000;
+export type RouterOptions = {
+	readonly drawIndex: DrawIndex;
+	/** Hosts of each range that a decision weighs. */
+	readonly choices: number;
+};
 
-/** Chooses a pipeline among the hosts that were not excluded. */
-export function chooseStages(
-	hosts: HostsSnapshot,
-	request: ModelRequest,
-	excluding: readonly HostId[],
-	countInFlight: CountInFlight,
-): readonly Stage[] | undefined {
-	const {layers} = request.model;
-	if (layers === undefined) {
-		return undefined;
+type Index = {
+	readonly builtAt: Milliseconds;
+	readonly groups: readonly CandidateGroup[];
+};
+
+/** A new host gets work after at most this long, in milliseconds. */
+const indexLifeMs = 100;
+const sameDataCentreMs = 0.05;
+const otherDataCentreMs = 0.5;
+
+/** Chooses pipelines and service targets, and keeps the load that it sent. */
+export class Router {
+	readonly loads = new LoadBook();
+	readonly #indexes = new Map<string, Index>();
+	#uncovered = 0;
+
+	constructor(private readonly options: RouterOptions) {}
+
+	/** Choices that found layers that no live engine holds. */
+	get uncovered(): number {
+		return this.#uncovered;
+	}
+
+	/** Describes the held state, for the dump. */
+	describe(now: Milliseconds): Record<string, unknown> {
+		const groups = [...this.#indexes].map(([key, index]) => [
+			key,
+			{ranges: index.groups.length, ageMs: now - index.builtAt},
+		]);
+		return {
+			hosts: this.loads.size,
+			uncovered: this.#uncovered,
+			models: Object.fromEntries(groups),
+		};
+	}
+
+	/** Takes the load that a host reported. */
+	recordReport({host, load, offers}: ConnectedHost, now: Milliseconds): void {
+		this.loads.recordReport(host, load, findClaimedRate(offers), now);
+	}
+
+	/** Chooses a pipeline among the hosts that were not excluded. */
+	chooseStages(
+		hosts: HostsSnapshot,
+		request: RouteRequest,
+		excluding: readonly HostId[],
+		now: Milliseconds,
+	): Result<readonly Stage[], Failure> {
+		const {layers} = request;
+		const findUsable = (host: HostId) =>
+			excluding.includes(host) ? undefined : findAvailable(hosts, host);
+		const costs = createRouteCosts(
+			request,
+			{
+				estimateLoad: (...load) => this.loads.estimate(...load),
+				linkMs: estimateLinkMs,
+			},
+			now,
+		);
+		const chooseAmong = (groups: readonly CandidateGroup[]) => {
+			const {choices, drawIndex} = this.options;
+			return choosePipeline(
+				selectCandidates(groups, choices, findUsable, drawIndex),
+				layers,
+				costs,
+			);
+		};
+
+		return chooseAmong(this.#findGroups(hosts, request, now))
+			.orElse(() => chooseAmong(this.#buildGroups(hosts, request, now)))
+			.map((pipeline) => this.#recordSent(request, pipeline, now))
+			.mapErr((missing) => {
+				this.#uncovered++;
+				return createFailure(
+					'noPipeline',
+					`No live engine holds layers ${formatLayers(missing)}.`,
+					{retryAfterSeconds: 1},
+				);
+			});
 	}
 
-	const candidates = listCandidates(listUsable(hosts, excluding), {
-		model: request.body.model,
-		version: request.model.version,
-		layers,
-	});
-	const stageCost = ({host, offer}: StageCandidate, count: number) => {
-		const serviceMs = (count * msPerSecond) / offer.layerTokensPerSecond;
-		return serviceMs * (1 + countInFlight(host.host) + host.load.queued);
-	};
-
-	const linkCost = (from: StageCandidate, to: StageCandidate) =>
-		from.host.dataCentre === to.host.dataCentre ? 0 : 1;
-	return choosePipeline(candidates, layers, {stageCost, linkCost});
+	/** Chooses the least loaded agent that offers a service; ties by chance. */
+	chooseTarget(
+		hosts: HostsSnapshot,
+		service: ServiceName,
+		excluding: readonly HostId[],
+		now: Milliseconds,
+	): Target | undefined {
+		const candidates = listAvailableHosts(hosts).filter(
+			({host, offers}) =>
+				!excluding.includes(host) &&
+				offers.some(
+					(offer) => offer.kind === 'service' && offer.service === service,
+				),
+		);
+		const measureLoad = ({host}: ConnectedHost) =>
+			this.loads.estimate(host, 1, now).backlog;
+		const offset = this.options.drawIndex(Math.max(1, candidates.length));
+		const [least] = [
+			...candidates.slice(offset),
+			...candidates.slice(0, offset),
+		].toSorted((a, b) => measureLoad(a) - measureLoad(b));
+		if (least) {
+			this.loads.recordSent(least.host, 1, now);
+		}
+
+		return least;
+	}
+
+	#recordSent(
+		shape: RequestShape,
+		pipeline: Pipeline,
+		now: Milliseconds,
+	): readonly Stage[] {
+		for (const {candidate, fromLayer, toLayer} of pipeline.stages) {
+			const work = computeStageWork(shape, toLayer - fromLayer);
+			this.loads.recordSent(candidate.host.host, work, now);
+		}
+
+		return createStages(pipeline);
+	}
+
+	#findGroups(
+		hosts: HostsSnapshot,
+		request: RouteRequest,
+		now: Milliseconds,
+	): readonly CandidateGroup[] {
+		const known = this.#indexes.get(formatKey(request));
+		return known && now - known.builtAt < indexLifeMs
+			? known.groups
+			: this.#buildGroups(hosts, request, now);
+	}
+
+	#buildGroups(
+		hosts: HostsSnapshot,
+		request: RouteRequest,
+		now: Milliseconds,
+	): readonly CandidateGroup[] {
+		const candidates = listCandidates(listAvailableHosts(hosts), request);
+		const groups = buildCandidateGroups(candidates);
+		this.#indexes.set(formatKey(request), {builtAt: now, groups});
+		return groups;
+	}
 }
 
-/** Chooses the least loaded agent that offers a service. */
-export function chooseTarget(
+const formatKey = ({model, version}: RouteRequest) => `${model}/${version}`;
+
+function findAvailable(
 	hosts: HostsSnapshot,
-	service: ServiceName,
-	excluding: readonly HostId[],
-	countInFlight: CountInFlight,
-): Target | undefined {
-	const candidates = listUsable(hosts, excluding).filter(({offers}) =>
-		offers.some(
-			(offer) => offer.kind === 'service' && offer.service === service,
-		),
-	);
-	const measureLoad = ({host, load}: ConnectedHost) =>
-		countInFlight(host) + load.queued + load.running;
-	const [least] = candidates.toSorted(
-		(a, b) => measureLoad(a) - measureLoad(b),
-	);
-	return least;
+	id: HostId,
+): ConnectedHost | undefined {
+	const host = hosts.connected.get(id);
+	const isLeaving =
+		host?.leaving === true || hosts.listed.get(id)?.state === 'leaving';
+	return isLeaving ? undefined : host;
 }
 
-function listUsable(
-	hosts: HostsSnapshot,
-	excluding: readonly HostId[],
-): ConnectedHost[] {
-	return listAvailableHosts(hosts).filter(
-		({host}) => !excluding.includes(host),
-	);
+function findClaimedRate(offers: ConnectedHost['offers']): number {
+	const offer = offers.find(({kind}) => kind === 'layers');
+	return offer?.kind === 'layers' ? offer.layerTokensPerSecond : 0;
 }
+
+const estimateLinkMs = (from: StageCandidate, to: StageCandidate) =>
+	from.host.dataCentre === to.host.dataCentre
+		? sameDataCentreMs
+		: otherDataCentreMs;
--- a/packages/bramleystage/src/coordination/__tests__/scheduler.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/scheduler.test.ts
@@ -24,11 +24,15 @@
 
 		expect(scheduler.isFull).toBe(true);
 		// A large item runs alone, since it always passes.
-		expect(scheduler.take(0)?.value).toBe(0);
+		const first = scheduler.take(0);
+		expect(first?.work.value).toBe(0);
 		expect(scheduler.take(0)).toBeUndefined();
-		scheduler.finish(500, 10);
-		expect(scheduler.take(10)?.value).toBe(1);
-		expect(scheduler.take(10)?.value).toBe(2);
+		if (first) {
+			scheduler.finish(first, 10);
+		}
+
+		expect(scheduler.take(10)?.work.value).toBe(1);
+		expect(scheduler.take(10)?.work.value).toBe(2);
 		expect(scheduler.queued).toBe(0);
 	});
 
@@ -37,17 +41,37 @@
 		scheduler.add(createWork(1, 50));
 		scheduler.add(createWork(2, 50));
 		scheduler.add(createWork(3, 30));
-		scheduler.take(1000);
-		scheduler.take(1000);
+		const running = [scheduler.take(1000), scheduler.take(1000)];
 		expect(scheduler.describeLoad(1000)).toEqual({
 			queued: 30,
 			running: 100,
 			rate: 0,
 		});
-		scheduler.finish(50, 1050);
-		scheduler.finish(50, 1100);
-		expect(scheduler.describeLoad(1100).rate).toBe(1000);
-		expect(scheduler.estimateWait(1100)).toBe(30);
+		for (const [index, work] of running.entries()) {
+			if (work) {
+				scheduler.finish(work, 1050 + 50 * index);
+			}
+		}
+
+		expect(scheduler.describeLoad(1100)).toEqual({
+			queued: 30,
+			running: 0,
+			rate: 1000,
+			stepMs: 65,
+		});
 		expect(scheduler.describeLoad(60_000).rate).toBe(0);
 	});
+
+	it('counts the work that open stages are expected to bring', () => {
+		const scheduler = createScheduler();
+		scheduler.reserve('stage', 80);
+		scheduler.add(createWork(1, 30), 'stage');
+		expect(scheduler.describeLoad(0).queued).toBe(80);
+		scheduler.add(createWork(2, 70), 'stage');
+		expect(scheduler.describeLoad(0).queued).toBe(100);
+		scheduler.reserve('other', 10);
+		scheduler.release('stage');
+		scheduler.release('other');
+		expect(scheduler.describeLoad(0).queued).toBe(100);
+	});
 });
--- a/packages/bramleystage/src/coordination/model-run.ts
+++ b/packages/bramleystage/src/coordination/model-run.ts
@@ -31,7 +31,12 @@
 export type ModelRunEvent =
 	| {readonly type: 'started'}
 	/** The routing decision; no stages when no pipeline covers the model. */
-	| {readonly type: 'chosen'; readonly stages: readonly Stage[] | undefined}
+	| {
+			readonly type: 'chosen';
+			readonly stages: readonly Stage[] | undefined;
+			/** Why there are no stages. */
+			readonly failure?: Failure;
+	  }
 	| {
 			readonly type: 'stageOpened';
 			readonly attempt: Attempt;
@@ -102,7 +107,7 @@
 		}
 
 		case 'chosen': {
-			return decideChosen(state, event.stages, now);
+			return decideChosen(state, event, now);
 		}
 
 		case 'stageOpened': {
@@ -149,7 +154,7 @@
 
 function decideChosen(
 	state: ModelRunState,
-	stages: readonly Stage[] | undefined,
+	{stages, failure}: Extract<ModelRunEvent, {type: 'chosen'}>,
 	now: Milliseconds,
 ): ModelRunDecision {
 	if (state.phase !== 'choosing') {
@@ -157,13 +162,13 @@
 	}
 
 	if (!stages) {
-		return decideGiveUp(
-			state,
+		const known =
+			failure ??
 			createFailure('noPipeline', 'No live engines cover all layers.', {
-				outcome: state.attempt > 0 ? 'unknown' : 'not-run',
 				retryAfterSeconds: 1,
-			}),
-		);
+			});
+		const outcome = state.attempt > 0 ? 'unknown' : 'not-run';
+		return decideGiveUp(state, {...known, outcome});
 	}
 
 	const attempt = toAttempt(state.attempt + 1);
--- a/packages/bramleystage/src/coordination/pipeline.ts
+++ b/packages/bramleystage/src/coordination/pipeline.ts
@@ -3,21 +3,22 @@
  * a model exactly, at the least expected cost. Engines hold ranges that need
  * not line up, so a stage may run part of what its engine holds. The cost of a
  * stage and of a link are functions passed in.
+ *
+ * The search is a shortest path over the layers where some range begins or
+ * ends. It keeps the best path to each such layer for each data centre that
+ * the path may stand in, since the cost of the next link depends on it. A host
+ * is never used twice on a path: its range has no gap, so a path that comes
+ * back to a host could have stayed there.
  */
-import type {ModelName} from '../protocol/ids.js';
-import type {LayersOffer, Stage} from '../protocol/messages.js';
-import type {ConnectedHost} from '../state/hosts.js';
-
-/** A host with the range of layers that it holds of one model. */
-export type StageCandidate = {
-	readonly host: ConnectedHost;
-	readonly offer: LayersOffer;
-};
+import {err, ok, type Result} from 'neverthrow';
+import type {DataCentreId} from '../protocol/ids.js';
+import type {Stage} from '../protocol/messages.js';
+import type {StageCandidate} from './candidates.js';
 
-/** Expected time in milliseconds to run `layers` layers at a candidate. */
+/** Expected cost in milliseconds of running `layers` layers at a candidate. */
 export type StageCost = (candidate: StageCandidate, layers: number) => number;
 
-/** Expected time in milliseconds to cross from one stage to the next. */
+/** Expected cost in milliseconds of the link from one stage to another. */
 export type LinkCost = (from: StageCandidate, to: StageCandidate) => number;
 
 export type PipelineCosts = {
@@ -25,111 +26,195 @@
 	readonly linkCost: LinkCost;
 };
 
-export type PipelineRequest = {
-	readonly model: ModelName;
-	readonly version: string;
-	readonly layers: number;
+/** Layers from (inclusive) to (exclusive). */
+export type LayerSpan = {readonly fromLayer: number; readonly toLayer: number};
+
+export type PlannedStage = LayerSpan & {readonly candidate: StageCandidate};
+
+export type Pipeline = {
+	/** Expected cost in milliseconds, as the given functions count it. */
+	readonly cost: number;
+	readonly stages: readonly PlannedStage[];
 };
 
-type Path = {
+type Path = LayerSpan & {
 	readonly cost: number;
-	readonly stages: ReadonlyArray<{
-		readonly candidate: StageCandidate;
-		readonly fromLayer: number;
-		readonly toLayer: number;
-	}>;
+	readonly candidate: StageCandidate;
+	readonly previous: Path | undefined;
 };
 
-/** Lists the hosts that hold some layers of a model's version. */
-export function listCandidates(
-	hosts: readonly ConnectedHost[],
-	{model, version}: PipelineRequest,
-): StageCandidate[] {
-	return hosts.flatMap((host) =>
-		host.offers
-			.filter((offer) => offer.kind === 'layers')
-			.filter((offer) => offer.model === model && offer.version === version)
-			.map((offer) => ({host, offer})),
-	);
-}
+type Reached = Map<DataCentreId, Path>;
+
+/** A candidate that may run layers from `fromLayer` up to later boundaries. */
+type Extension = {
+	readonly candidate: StageCandidate;
+	readonly fromLayer: number;
+	readonly boundaries: readonly number[];
+};
 
-/** Finds the cheapest pipeline, or nothing when the candidates leave a gap. */
+/** Finds the cheapest pipeline; the error lists the layers that nobody holds. */
 export function choosePipeline(
 	candidates: readonly StageCandidate[],
 	layers: number,
 	costs: PipelineCosts,
-): Stage[] | undefined {
+): Result<Pipeline, readonly LayerSpan[]> {
 	const boundaries = listBoundaries(candidates, layers);
-	const best = new Map<number, Path>([[0, {cost: 0, stages: []}]]);
+	const reached = new Map<number, Reached>();
 	for (const fromLayer of boundaries) {
-		const path = best.get(fromLayer);
-		if (!path) {
+		const paths = reached.get(fromLayer);
+		if (fromLayer !== 0 && !paths) {
 			continue;
 		}
 
 		for (const candidate of candidates) {
-			for (const toLayer of listEnds(path, candidate, fromLayer, boundaries)) {
-				const range = {fromLayer, toLayer};
-				const extended = addStage(path, candidate, range, costs);
-				if (extended.cost < (best.get(toLayer)?.cost ?? Infinity)) {
-					best.set(toLayer, extended);
-				}
-			}
+			extendPaths(reached, {candidate, fromLayer, boundaries}, costs);
 		}
 	}
 
-	return best.get(layers)?.stages.map((stage) => createStage(stage));
+	const best = findCheapest(reached.get(layers));
+	return best
+		? ok({cost: best.cost, stages: listStages(best)})
+		: err(findMissingLayers(candidates, layers));
 }
 
+/** Lists the layers that no candidate holds. */
+export function findMissingLayers(
+	candidates: readonly StageCandidate[],
+	layers: number,
+): LayerSpan[] {
+	const missing: LayerSpan[] = [];
+	const spans = candidates
+		.map(({offer}) => offer)
+		.toSorted((a, b) => a.fromLayer - b.fromLayer);
+	let covered = 0;
+	for (const {fromLayer, toLayer} of spans) {
+		if (fromLayer > covered) {
+			missing.push({
+				fromLayer: covered,
+				toLayer: Math.min(fromLayer, layers),
+			});
+		}
+
+		covered = Math.max(covered, toLayer);
+		if (covered >= layers) {
+			return missing.filter((span) => span.fromLayer < span.toLayer);
+		}
+	}
+
+	return [...missing, {fromLayer: covered, toLayer: layers}];
+}
+
+/** Formats layers for an error's detail, such as `8-11, 20-23`. */
+export const formatLayers = (spans: readonly LayerSpan[]) =>
+	spans.map(({fromLayer, toLayer}) => `${fromLayer}-${toLayer - 1}`).join(', ');
+
+/** Describes a pipeline's stages as messages carry them. */
+export const createStages = ({stages}: Pipeline): Stage[] =>
+	stages.map(({candidate, fromLayer, toLayer}) => {
+		const {host, address, incarnation} = candidate.host;
+		return {host, address, incarnation, fromLayer, toLayer};
+	});
+
 function listBoundaries(
 	candidates: readonly StageCandidate[],
 	layers: number,
 ): number[] {
 	const boundaries = new Set([0, layers]);
 	for (const {offer} of candidates) {
-		boundaries.add(offer.fromLayer);
+		boundaries.add(Math.min(offer.fromLayer, layers));
 		boundaries.add(Math.min(offer.toLayer, layers));
 	}
 
 	return [...boundaries].toSorted((a, b) => a - b);
 }
 
-function listEnds(
-	path: Path,
-	{host, offer}: StageCandidate,
-	fromLayer: number,
-	boundaries: readonly number[],
-): number[] {
-	const holds = offer.fromLayer <= fromLayer && fromLayer < offer.toLayer;
-	const isUsed = path.stages.some(
-		(stage) => stage.candidate.host.host === host.host,
-	);
-	if (!holds || isUsed) {
-		return [];
+function extendPaths(
+	reached: Map<number, Reached>,
+	{candidate, fromLayer, boundaries}: Extension,
+	costs: PipelineCosts,
+): void {
+	const {offer} = candidate;
+	if (offer.fromLayer > fromLayer || offer.toLayer <= fromLayer) {
+		return;
 	}
 
-	return boundaries.filter(
-		(toLayer) => toLayer > fromLayer && toLayer <= offer.toLayer,
-	);
+	const previous = findPrevious(reached.get(fromLayer), candidate, costs);
+	if (fromLayer !== 0 && !previous) {
+		return;
+	}
+
+	const before = previous?.cost ?? 0;
+	for (const toLayer of boundaries) {
+		if (toLayer <= fromLayer || toLayer > offer.toLayer) {
+			continue;
+		}
+
+		const cost = before + costs.stageCost(candidate, toLayer - fromLayer);
+		const path = previous?.path;
+		recordPath(reached, {fromLayer, toLayer, cost, candidate, previous: path});
+	}
 }
 
-function addStage(
-	path: Path,
+function findPrevious(
+	paths: Reached | undefined,
 	candidate: StageCandidate,
-	range: {fromLayer: number; toLayer: number},
-	costs: PipelineCosts,
-): Path {
-	const last = path.stages.at(-1);
-	const link = last ? costs.linkCost(last.candidate, candidate) : 0;
-	const stage = costs.stageCost(candidate, range.toLayer - range.fromLayer);
-	return {
-		cost: path.cost + link + stage,
-		stages: [...path.stages, {candidate, ...range}],
-	};
+	{linkCost}: PipelineCosts,
+): {path: Path; cost: number} | undefined {
+	let best: Path | undefined;
+	let least = Infinity;
+	for (const path of paths?.values() ?? []) {
+		const cost = path.cost + linkCost(path.candidate, candidate);
+		if (cost < least && !hasHost(path, candidate)) {
+			best = path;
+			least = cost;
+		}
+	}
+
+	return best && {path: best, cost: least};
 }
 
-function createStage(stage: Path['stages'][number]): Stage {
-	const {host, address, incarnation} = stage.candidate.host;
-	const {fromLayer, toLayer} = stage;
-	return {host, address, incarnation, fromLayer, toLayer};
+function hasHost(path: Path, {host}: StageCandidate): boolean {
+	let visited: Path | undefined = path;
+	while (visited) {
+		if (visited.candidate.host.host === host.host) {
+			return true;
+		}
+
+		visited = visited.previous;
+	}
+
+	return false;
+}
+
+function recordPath(reached: Map<number, Reached>, path: Path): void {
+	const {dataCentre} = path.candidate.host;
+	const paths = reached.get(path.toLayer) ?? new Map<DataCentreId, Path>();
+	reached.set(path.toLayer, paths);
+	const known = paths.get(dataCentre);
+	if (!known || path.cost < known.cost) {
+		paths.set(dataCentre, path);
+	}
+}
+
+function findCheapest(paths: Reached | undefined): Path | undefined {
+	let best: Path | undefined;
+	for (const path of paths?.values() ?? []) {
+		if (!best || path.cost < best.cost) {
+			best = path;
+		}
+	}
+
+	return best;
+}
+
+function listStages(last: Path): PlannedStage[] {
+	const stages: PlannedStage[] = [];
+	let path: Path | undefined = last;
+	while (path) {
+		const {candidate, fromLayer, toLayer} = path;
+		stages.unshift({candidate, fromLayer, toLayer});
+		path = path.previous;
+	}
+
+	return stages;
 }
--- a/packages/bramleystage/src/coordination/scheduler.ts
+++ b/packages/bramleystage/src/coordination/scheduler.ts
@@ -6,6 +6,7 @@
 import type {Milliseconds} from '../protocol/decision.js';
 import type {LoadReport} from '../protocol/messages.js';
 import {FairQueue, type Work} from './fair-queue.js';
+import {RateMeter} from './rate-meter.js';
 
 export type SchedulerOptions = {
 	/** Items that the backend server is given at once. */
@@ -18,22 +19,20 @@
 	readonly priorityCost: number;
 };
 
-/** Weight of the newest sample in the smoothed rate. */
-const rateSmoothing = 0.3;
-/** Busy time of one sample of the rate, in milliseconds. */
-const rateSampleMs = 50;
-/** A rate that was not measured for this long is reported as unknown. */
-const rateMemoryMs = 5000;
+/** Work that the backend server has, and when it was given. */
+export type RunningWork<Value> = {
+	readonly work: Work<Value>;
+	readonly startedAt: Milliseconds;
+};
 
 export class WorkScheduler<Value> {
 	readonly #queue: FairQueue<Value>;
+	readonly #meter = new RateMeter();
+	/** Expected work of open stages that has not come to the queue yet. */
+	readonly #reserved = new Map<string, number>();
+	#reservedCost = 0;
 	#running = 0;
 	#runningCost = 0;
-	#busySince: Milliseconds = 0;
-	#sampleCost = 0;
-	#sampleMs = 0;
-	#rate = 0;
-	#ratedAt: Milliseconds = -Infinity;
 
 	constructor(private readonly options: SchedulerOptions) {
 		this.#queue = new FairQueue(options.priorityCost);
@@ -51,12 +50,32 @@
 		return this.#queue.size >= this.options.maxQueued;
 	}
 
-	add(work: Work<Value>): void {
+	/** Announces work that `key` is expected to bring in parts. */
+	reserve(key: string, cost: number): void {
+		this.release(key);
+		this.#reserved.set(key, cost);
+		this.#reservedCost += cost;
+	}
+
+	/** Drops what is left of an announcement. */
+	release(key: string): void {
+		this.#reservedCost -= this.#reserved.get(key) ?? 0;
+		this.#reserved.delete(key);
+	}
+
+	/** Adds work; it uses up the announcement of `key`. */
+	add(work: Work<Value>, key?: string): void {
 		this.#queue.add(work);
+		const reserved = key === undefined ? undefined : this.#reserved.get(key);
+		if (key !== undefined && reserved !== undefined) {
+			const left = Math.max(0, reserved - work.cost);
+			this.#reserved.set(key, left);
+			this.#reservedCost += left - reserved;
+		}
 	}
 
 	/** Takes the next work if the backend server has room for it. */
-	take(now: Milliseconds): Work<Value> | undefined {
+	take(now: Milliseconds): RunningWork<Value> | undefined {
 		const {slots, maxRunningCost} = this.options;
 		const hasRoom =
 			this.#running === 0 ||
@@ -67,24 +86,22 @@
 		}
 
 		if (this.#running === 0) {
-			this.#busySince = now;
+			this.#meter.start(now);
 		}
 
 		this.#running++;
 		this.#runningCost += work.cost;
-		return work;
+		return {work, startedAt: now};
 	}
 
 	/** Records that the backend server has finished an item. */
-	finish(cost: number, now: Milliseconds): void {
+	finish({work, startedAt}: RunningWork<Value>, now: Milliseconds): void {
 		this.#running--;
-		this.#runningCost -= cost;
-		this.#sampleCost += cost;
-		const busyMs = this.#sampleMs + now - this.#busySince;
-		if (busyMs >= rateSampleMs) {
-			this.#updateRate((this.#sampleCost * 1000) / busyMs, now);
-		} else if (this.#running === 0) {
-			this.#sampleMs = busyMs;
+		this.#runningCost -= work.cost;
+		this.#meter.finish(work.cost, now - startedAt, now);
+		if (this.#queue.size === 0) {
+			// Without a queue the rate tells of the demand, not of the server.
+			this.#meter.start(now);
 		}
 	}
 
@@ -93,29 +110,12 @@
 		this.#queue.remove(matches);
 	}
 
-	/** Expected wait of new work in milliseconds, by the measured rate. */
-	estimateWait(now: Milliseconds): Milliseconds {
-		const {queued, running, rate} = this.describeLoad(now);
-		return rate > 0 ? ((queued + running) * 1000) / rate : 0;
-	}
-
-	/** Load in units of cost; a rate of 0 is unknown. */
+	/** Load in units of cost. */
 	describeLoad(now: Milliseconds): LoadReport {
 		return {
-			queued: this.#queue.cost,
+			queued: this.#queue.cost + this.#reservedCost,
 			running: this.#runningCost,
-			rate: now - this.#ratedAt < rateMemoryMs ? this.#rate : 0,
+			...this.#meter.describe(now),
 		};
 	}
-
-	#updateRate(sample: number, now: Milliseconds): void {
-		const isKnown = now - this.#ratedAt < rateMemoryMs;
-		this.#rate = isKnown
-			? this.#rate + rateSmoothing * (sample - this.#rate)
-			: sample;
-		this.#ratedAt = now;
-		this.#busySince = now;
-		this.#sampleCost = 0;
-		this.#sampleMs = 0;
-	}
 }
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -17,6 +17,16 @@
 	decideCall,
 	type LedgerContext,
 } from './coordination/call-ledger.js';
+export {
+	type CandidateGroup,
+	type DrawIndex,
+	type FindUsable,
+	buildCandidateGroups,
+	listCandidates,
+	type PipelineRequest,
+	selectCandidates,
+	type StageCandidate,
+} from './coordination/candidates.js';
 export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
 export {
 	createModelRun,
@@ -29,11 +39,14 @@
 } from './coordination/model-run.js';
 export {
 	choosePipeline,
+	createStages,
+	findMissingLayers,
+	formatLayers,
+	type LayerSpan,
 	type LinkCost,
-	listCandidates,
+	type Pipeline,
 	type PipelineCosts,
-	type PipelineRequest,
-	type StageCandidate,
+	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
 export {
@@ -43,6 +56,15 @@
 	type RetryBudget,
 } from './coordination/retry-budget.js';
 export {
+	computeStageWork,
+	createRouteCosts,
+	type EstimateCached,
+	type EstimateLoad,
+	type RequestShape,
+	type RouteCostOptions,
+} from './coordination/route-cost.js';
+export {
+	type RunningWork,
 	type SchedulerOptions,
 	WorkScheduler,
 } from './coordination/scheduler.js';
@@ -202,6 +224,7 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {LoadBook, type LoadEstimate} from './state/load.js';
 export {
 	createTable,
 	type EditResult,
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -49,11 +49,16 @@
 
 /** Load of a backend server as its agent last saw it. */
 export const loadReportSchema = z.object({
-	/** Work waiting at the agent, in layer-tokens for engines, in calls for services. */
+	/**
+	 * Work that waits or that open stages are expected to bring, in layer-tokens
+	 * for engines, in calls for services.
+	 */
 	queued: amount,
 	running: amount,
-	/** Work finished a second, smoothed. */
+	/** Work finished a second while work waited, smoothed; 0 is unknown. */
 	rate: amount,
+	/** Smoothed time of one step or call at the backend server, in milliseconds. */
+	stepMs: amount.optional(),
 });
 export type LoadReport = z.infer<typeof loadReportSchema>;
 
@@ -190,6 +195,8 @@
 	/** Position of the first token of this attempt: the tokens already given. */
 	fromPosition: positionSchema,
 	maxTokens: count,
+	/** Layer-tokens that the stage is expected to run. */
+	work: amount.optional(),
 	deadlineMs: amount,
 });
 export type StageOpen = z.infer<typeof stageOpenSchema>;
