--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -6,15 +6,22 @@
 	decideStage,
 	type Message,
 	type RequestId,
+	type RunningWork,
 	type Stage,
 	type StageCommand,
 	type StageContext,
 	type StageEvent,
 	type StageOpen,
 	type StageRecord,
+	type WorkScheduler,
 } from 'bramleystage';
-import type {EngineClient, EngineStep} from './engine-client.js';
+import {
+	type EngineClient,
+	type EngineStep,
+	formatSequence,
+} from './engine-client.js';
 import type {EntryKey} from './entry-sessions.js';
+import {createStepWork} from './step-work.js';
 
 /** How long the record of an ended stage is kept, in milliseconds. */
 const retentionMs = 600_000;
@@ -26,13 +33,11 @@
 
 export class StageDesk {
 	readonly #held = new Map<RequestId, Held>();
-	readonly #waiting: EngineStep[] = [];
-	#running = 0;
 
 	constructor(
 		private readonly options: {
 			readonly client: EngineClient;
-			readonly slots: number;
+			readonly scheduler: WorkScheduler<EngineStep>;
 			readonly describeContext: () => StageContext;
 			readonly sendToEntry: (entry: EntryKey, message: Message) => void;
 			readonly sendToStage: (stage: Stage, message: Message) => void;
@@ -41,11 +46,11 @@
 	) {}
 
 	get queued(): number {
-		return this.#waiting.length;
+		return this.options.scheduler.queued;
 	}
 
 	get running(): number {
-		return this.#running;
+		return this.options.scheduler.running;
 	}
 
 	get open(): number {
@@ -106,16 +111,24 @@
 		switch (command.type) {
 			case 'openSequence': {
 				// The engine makes the sequence at its first step.
+				this.options.scheduler.reserve(
+					formatSequence(command.open),
+					command.open.work ?? 0,
+				);
 				break;
 			}
 
 			case 'closeSequence': {
+				this.#forgetSteps(command.open);
 				void this.options.client.closeSequence(command.open);
 				break;
 			}
 
 			case 'runStep': {
-				this.#waiting.push(command);
+				this.options.scheduler.add(
+					createStepWork(command),
+					formatSequence(command.open),
+				);
 				this.#runWaiting();
 				break;
 			}
@@ -141,21 +154,30 @@
 		}
 	}
 
+	#forgetSteps(closed: StageOpen): void {
+		const {request, attempt} = closed;
+		this.options.scheduler.release(formatSequence(closed));
+		this.options.scheduler.remove(
+			({open}) => open.request === request && open.attempt === attempt,
+		);
+	}
+
 	#runWaiting(): void {
-		while (this.#running < this.options.slots) {
-			const step = this.#waiting.shift();
-			if (!step) {
+		const {scheduler, readClock} = this.options;
+		for (;;) {
+			const work = scheduler.take(readClock());
+			if (!work) {
 				return;
 			}
 
-			void this.#runStep(step);
+			void this.#runStep(work);
 		}
 	}
 
-	async #runStep(step: EngineStep): Promise<void> {
-		this.#running++;
+	async #runStep(running: RunningWork<EngineStep>): Promise<void> {
+		const step = running.work.value;
 		const result = await this.options.client.runStep(step);
-		this.#running--;
+		this.options.scheduler.finish(running, this.options.readClock());
 		this.#runWaiting();
 		const {request, attempt} = step.open;
 		const record = this.#held.get(request)?.record;
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -17,6 +17,21 @@
 	decideCall,
 	type LedgerContext,
 } from './coordination/call-ledger.js';
+export {
+	buildCandidateGroups,
+	type CandidateGroup,
+	type DrawIndex,
+	type FindUsable,
+	listCandidates,
+	type PipelineRequest,
+	selectCandidates,
+	type StageCandidate,
+} from './coordination/candidates.js';
+export {
+	FairQueue,
+	type Share,
+	type Work,
+} from './coordination/fair-queue.js';
 export {
 	type ConfirmFacts,
 	decideConfirm,
@@ -58,6 +73,7 @@
 	type MemberList,
 } from './coordination/limit-members.js';
 export {
+	type DescribeUse,
 	LimitMembership,
 	type LimitMembershipOptions,
 } from './coordination/limit-membership.js';
@@ -77,13 +93,19 @@
 } from './coordination/model-run.js';
 export {
 	choosePipeline,
+	createStages,
+	findMissingLayers,
+	formatLayers,
+	type LayerSpan,
 	type LinkCost,
-	listCandidates,
+	type Pipeline,
 	type PipelineCosts,
-	type PipelineRequest,
-	type StageCandidate,
+	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
+export {
+	RateMeter,
+} from './coordination/rate-meter.js';
 export {
 	selectByRendezvous,
 } from './coordination/rendezvous.js';
@@ -93,6 +115,19 @@
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
+export {
+	computeStageWork,
+	createRouteCosts,
+	type EstimateCached,
+	type EstimateLoad,
+	type RequestShape,
+	type RouteCostOptions,
+} from './coordination/route-cost.js';
+export {
+	type RunningWork,
+	type SchedulerOptions,
+	WorkScheduler,
+} from './coordination/scheduler.js';
 export {
 	decideStage,
 	type OpenStage,
@@ -104,6 +139,9 @@
 	type StepInput,
 	type StepOutput,
 } from './coordination/stage.js';
+export {
+	computePromptCost,
+} from './coordination/work-cost.js';
 export {
 	type Decide,
 	type Decision,
@@ -236,9 +274,9 @@
 export {
 	agentSettings,
 	type AgentSettings,
-	entrySettings,
 	checkAgentSettings,
 	type CheckTogether,
+	entrySettings,
 	type EntrySettings,
 	formatDefault,
 	formatFlag,
@@ -276,6 +314,10 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {
+	LoadBook,
+	type LoadEstimate,
+} from './state/load.js';
 export {
 	createTable,
 	type EditResult,
