--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -27,11 +27,7 @@
 	selectCandidates,
 	type StageCandidate,
 } from './coordination/candidates.js';
-export {
-	FairQueue,
-	type Share,
-	type Work,
-} from './coordination/fair-queue.js';
+export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
 export {
 	type ConfirmFacts,
 	decideConfirm,
@@ -103,12 +99,8 @@
 	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
-export {
-	RateMeter,
-} from './coordination/rate-meter.js';
-export {
-	selectByRendezvous,
-} from './coordination/rendezvous.js';
+export {RateMeter} from './coordination/rate-meter.js';
+export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
 	createRetryBudget,
 	decideRetry,
@@ -139,9 +131,7 @@
 	type StepInput,
 	type StepOutput,
 } from './coordination/stage.js';
-export {
-	computePromptCost,
-} from './coordination/work-cost.js';
+export {computePromptCost} from './coordination/work-cost.js';
 export {
 	type Decide,
 	type Decision,
@@ -257,10 +247,7 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
-export {
-	createRandom,
-	type Random,
-} from './protocol/random.js';
+export {createRandom, type Random} from './protocol/random.js';
 export {
 	createFailure,
 	type Failure,
@@ -314,10 +301,7 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
-export {
-	LoadBook,
-	type LoadEstimate,
-} from './state/load.js';
+export {LoadBook, type LoadEstimate} from './state/load.js';
 export {
 	createTable,
 	type EditResult,
@@ -332,11 +316,7 @@
 	formatAddress,
 	parseAddress,
 } from './transport/address.js';
-export {
-	encodeFrame,
-	FrameDecoder,
-	maxFrameBytes,
-} from './transport/framing.js';
+export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
 export {
 	type HttpAnswer,
 	type HttpError,
