Fold the table at the cost of the changed rows

Cause: each fold built the view of all rows anew, and a removed row lost its version, so a late second copy of an edit could bring it back. A key digest belongs to one customer.

--- a/packages/bramleystage/src/state/__tests__/table.test.ts
+++ b/packages/bramleystage/src/state/__tests__/table.test.ts
@@ -16,7 +16,9 @@
 	const second = foldRecord(first.table, toLogOffset(1), edit('b', 0, '2'));
 	const late = foldRecord(second.table, toLogOffset(2), edit('c', 0, '3'));
 	expect(second.result?.accepted).toEqual(['customer/gates']);
-	expect(late.result?.refused).toEqual(['customer/gates']);
+	expect(late.result?.refused).toEqual([
+		{row: 'customer/gates', reason: 'changedSince'},
+	]);
 	expect([...late.table.rows.values()][0]?.cells.weight).toBe('2');
 });
 
--- a/packages/bramleystage/src/state/table.ts
+++ b/packages/bramleystage/src/state/table.ts
@@ -2,153 +2,206 @@
  * The table as a fold over the records of the platform's log. Every process
  * folds the same records to the same table: an edit is applied row by row, and
  * a row that was changed since the version its author saw is refused at every
- * process alike. A snapshot is immutable; `foldRecord` gives the next one.
+ * process alike. A snapshot is immutable; `foldRecord` gives the next one at
+ * the cost of the changed rows.
+ *
+ * A removed row leaves its version behind, and a new row of that name must
+ * name it. A second copy of a record, appended because the answer to the first
+ * was lost, is recognised by its edit id and changes nothing.
  */
+import {type EditId, type LogOffset, toLogOffset} from '../protocol/ids.js';
 import {
-	type CustomerId,
-	type EditId,
-	type LogOffset,
-	type ModelName,
-	type ServiceName,
-	toCustomerId,
-	toLogOffset,
-	toModelName,
-	toServiceName,
-} from '../protocol/ids.js';
-import {
-	type CustomerCells,
 	cellSchemas,
+	type EditRecord,
 	editRecordSchema,
-	type ModelCells,
+	nameSchemas,
 	type RowChange,
 	type RowKey,
-	type RowKind,
-	type ServiceCells,
 } from '../protocol/table-schema.js';
-
-/** A row as text, with the offset of the record that last changed it. */
+import {BucketMap} from './bucket-map.js';
+import {
+	createView,
+	parseRowKey,
+	type RowCells,
+	type UpdatableView,
+	updateView,
+} from './table-view.js';
+
+/** A row as text, with the record that last changed it. */
 export type TableRow = {
+	/** Offset of the record that last changed the row. */
 	readonly version: LogOffset;
-	readonly cells: Readonly<Record<string, string>>;
-};
-
-/** Rows typed by kind, for the decisions. */
-export type TableView = {
-	readonly customers: ReadonlyMap<CustomerId, CustomerCells>;
-	readonly services: ReadonlyMap<ServiceName, ServiceCells>;
-	readonly models: ReadonlyMap<ModelName, ModelCells>;
-	/** Customer of each key digest (SHA-256, lower-case hexadecimal). */
-	readonly customerOfKey: ReadonlyMap<string, CustomerId>;
+	/** Author of that record. */
+	readonly author: string;
+	readonly cells: RowCells;
 };
 
 export type TableSnapshot = {
 	/** Offset of the next record to fold. */
 	readonly next: LogOffset;
-	readonly rows: ReadonlyMap<RowKey, TableRow>;
-	readonly view: TableView;
+	readonly rows: BucketMap<RowKey, TableRow>;
+	/** Versions of rows that were removed. */
+	readonly removed: BucketMap<RowKey, LogOffset>;
+	readonly view: UpdatableView;
+	/** Offsets of the edits among the last `repeatWindow` records. */
+	readonly edits: BucketMap<EditId, LogOffset>;
+	/** The same edits by their offset, as text. */
+	readonly editAt: BucketMap<string, EditId>;
 	/** Records that were no valid edit, skipped at every process alike. */
 	readonly skipped: number;
 };
 
+/** Why a row of an edit was refused. */
+export type RefusalReason = 'changedSince' | 'badCells' | 'keyInUse';
+
+export type RefusedRow = {
+	readonly row: RowKey;
+	readonly reason: RefusalReason;
+};
+
 /** What became of one edit. */
 export type EditResult = {
 	readonly edit: EditId;
+	readonly author: string;
 	readonly offset: LogOffset;
 	readonly accepted: readonly RowKey[];
-	readonly refused: readonly RowKey[];
+	readonly refused: readonly RefusedRow[];
 };
 
-const emptyView: TableView = {
-	customers: new Map(),
-	services: new Map(),
-	models: new Map(),
-	customerOfKey: new Map(),
-};
+/** A second copy of an edit is recognised within this many records. */
+export const repeatWindow = 4096;
 
 /** Creates the table before any record. */
 export function createTable(): TableSnapshot {
-	return {next: toLogOffset(0), rows: new Map(), view: emptyView, skipped: 0};
+	return {
+		next: toLogOffset(0),
+		rows: BucketMap.create(),
+		removed: BucketMap.create(),
+		view: createView(),
+		edits: BucketMap.create(),
+		editAt: BucketMap.create(),
+		skipped: 0,
+	};
+}
+
+/** Version that a change of a row must be made against; null if it never was. */
+export function findRowVersion(
+	{rows, removed}: TableSnapshot,
+	row: RowKey,
+): LogOffset | null {
+	return rows.get(row)?.version ?? removed.get(row) ?? null;
 }
 
-/** Folds one record; gives what became of it, or nothing for a skipped record. */
+/**
+ * Folds one record; gives what became of it, or nothing for a skipped record
+ * or a second copy of an edit.
+ */
 export function foldRecord(
 	table: TableSnapshot,
 	offset: LogOffset,
 	record: unknown,
 ): {table: TableSnapshot; result: EditResult | undefined} {
-	const next = toLogOffset(offset + 1);
 	const parsed = editRecordSchema.safeParse(record);
+	const next = toLogOffset(offset + 1);
+	const kept = removeOldEdit({...table, next}, offset);
 	if (!parsed.success) {
-		return {
-			table: {...table, next, skipped: table.skipped + 1},
-			result: undefined,
-		};
+		return {table: {...kept, skipped: kept.skipped + 1}, result: undefined};
 	}
 
-	const rows = new Map(table.rows);
-	const accepted: RowKey[] = [];
-	const refused: RowKey[] = [];
-	for (const change of parsed.data.changes) {
-		const isApplied = applyChange(rows, change, offset);
-		(isApplied ? accepted : refused).push(change.row);
+	const {edit} = parsed.data;
+	if (kept.edits.has(edit)) {
+		return {table: kept, result: undefined};
 	}
 
-	return {
-		table: {...table, next, rows, view: buildView(rows)},
-		result: {edit: parsed.data.edit, offset, accepted, refused},
+	const remembered = {
+		...kept,
+		edits: kept.edits.apply([[edit, offset]]),
+		editAt: kept.editAt.apply([[String(offset), edit]]),
 	};
+	return foldEdit(remembered, offset, parsed.data);
 }
 
-function applyChange(
-	rows: Map<RowKey, TableRow>,
-	change: RowChange,
-	offset: LogOffset,
-): boolean {
-	const current = rows.get(change.row);
-	if ((current?.version ?? null) !== change.against) {
-		return false;
-	}
+/** Forgets the edit that leaves the window at an offset. */
+function removeOldEdit(table: TableSnapshot, offset: LogOffset): TableSnapshot {
+	const oldest = String(offset - repeatWindow);
+	const edit = table.editAt.get(oldest);
+	return edit === undefined
+		? table
+		: {
+				...table,
+				edits: table.edits.apply([[edit, undefined]]),
+				editAt: table.editAt.apply([[oldest, undefined]]),
+			};
+}
 
-	if (change.cells === null) {
-		rows.delete(change.row);
-		return true;
-	}
+function foldEdit(
+	table: TableSnapshot,
+	offset: LogOffset,
+	{edit, author, changes}: EditRecord,
+): {table: TableSnapshot; result: EditResult} {
+	const accepted = new Map<RowKey, RowCells | undefined>();
+	const refused: RefusedRow[] = [];
+	const keys = new Map<string, RowKey>();
+	for (const change of changes) {
+		const decided = accepted.has(change.row)
+			? 'changedSince'
+			: decideChange(table, change, keys);
+		if (typeof decided === 'string') {
+			refused.push({row: change.row, reason: decided});
+			continue;
+		}
 
-	const cells = {...current?.cells, ...change.cells};
-	const {kind} = parseRowKey(change.row);
-	if (!cellSchemas[kind].safeParse(cells).success) {
-		return false;
+		accepted.set(change.row, decided.cells);
+		const digest = decided.cells?.key_sha256 ?? '';
+		if (digest !== '') {
+			keys.set(digest, change.row);
+		}
 	}
 
-	rows.set(change.row, {version: offset, cells});
-	return true;
+	return {
+		table: {
+			...table,
+			rows: table.rows.apply(
+				[...accepted].map(([row, cells]) => [
+					row,
+					cells && {version: offset, author, cells},
+				]),
+			),
+			removed: table.removed.apply(
+				[...accepted].map(([row, cells]) => [row, cells ? undefined : offset]),
+			),
+			view: updateView(table.view, accepted),
+		},
+		result: {edit, author, offset, accepted: [...accepted.keys()], refused},
+	};
 }
 
-/** Splits a row's key into its kind and name. */
-export function parseRowKey(key: RowKey): {kind: RowKind; name: string} {
-	const slash = key.indexOf('/');
-	return {kind: key.slice(0, slash) as RowKind, name: key.slice(slash + 1)};
-}
+/** Decides one row against the table before the edit. */
+function decideChange(
+	table: TableSnapshot,
+	change: RowChange,
+	keys: ReadonlyMap<string, RowKey>,
+): RefusalReason | {readonly cells: RowCells | undefined} {
+	if (findRowVersion(table, change.row) !== change.against) {
+		return 'changedSince';
+	}
 
-function buildView(rows: ReadonlyMap<RowKey, TableRow>): TableView {
-	const customers = new Map<CustomerId, CustomerCells>();
-	const services = new Map<ServiceName, ServiceCells>();
-	const models = new Map<ModelName, ModelCells>();
-	const customerOfKey = new Map<string, CustomerId>();
-	for (const [key, row] of rows) {
-		const {kind, name} = parseRowKey(key);
-		if (kind === 'customer') {
-			const cells = cellSchemas.customer.parse(row.cells);
-			customers.set(toCustomerId(name), cells);
-			if (cells.key_sha256 !== '') {
-				customerOfKey.set(cells.key_sha256, toCustomerId(name));
-			}
-		} else if (kind === 'service') {
-			services.set(toServiceName(name), cellSchemas.service.parse(row.cells));
-		} else {
-			models.set(toModelName(name), cellSchemas.model.parse(row.cells));
-		}
+	if (change.cells === null) {
+		return table.rows.has(change.row) ? {cells: undefined} : 'changedSince';
+	}
+
+	const cells = {...table.rows.get(change.row)?.cells, ...change.cells};
+	const {kind, name} = parseRowKey(change.row);
+	if (
+		!nameSchemas[kind].safeParse(name).success ||
+		!cellSchemas[kind].safeParse(cells).success
+	) {
+		return 'badCells';
 	}
 
-	return {customers, services, models, customerOfKey};
+	const digest = kind === 'customer' ? (cells.key_sha256 ?? '') : '';
+	const owner = table.view.customerOfKey.get(digest);
+	const isTaken =
+		keys.has(digest) || (owner !== undefined && owner !== (name as never));
+	return digest !== '' && isTaken ? 'keyInUse' : {cells};
 }
