Follow the table by log at entries and by sessions at agents

Cause: only entries followed the log, a lost connection stopped reads for the whole timeout, expired records left a silent gap, and a process that was cut off never noticed. Change: the follower is in the library.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -18,9 +18,11 @@
 	protocolVersion,
 	type Session,
 	SessionPool,
+	type SessionPeer,
 	type SessionTiming,
 	type Stage,
 	type StageOpen,
+	TableFollower,
 	toIncarnation,
 	toServiceName,
 	waitFor,
@@ -74,7 +76,18 @@
 		running: (stages?.running ?? 0) + (calls?.running ?? 0),
 		rate: 0,
 	});
-	const describeSelf = () => ({leaving, offers, load: describeLoad()});
+	const describeSelf = (peer: SessionPeer) => ({
+		leaving,
+		offers,
+		load: describeLoad(),
+		table: follower.describe(peer),
+	});
+	const follower = new TableFollower({
+		dataCentre,
+		lifeCycle,
+		logger,
+		readClock,
+	});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
@@ -209,6 +222,9 @@
 		const entry =
 			hello.role === 'entry' ? entries.register(session, hello) : undefined;
 		session.messages.subscribe((message) => {
+			follower.receive(hello, message, (answer) => {
+				session.send(answer);
+			});
 			if (!entry || entries.isNewest(entry, session)) {
 				receive(message, entry);
 			}
@@ -263,6 +279,10 @@
 			leaving,
 			offers,
 			load: describeLoad(),
+			tableOffset: follower.table.value.next,
+			tableSkipped: follower.table.value.skipped,
+			tableStale: follower.isStale,
+			tablePeers: follower.peerOffsets,
 			entrySessions: entries.size,
 			stageRecords: stages?.records ?? 0,
 			callRecords: calls?.records ?? 0,
--- /dev/null
+++ b/packages/bramleystage-entry/src/entry-table.ts
@@ -0,0 +1,113 @@
+/**
+ * The entry's part in the table: it follows the log, passes records on to the
+ * agents, appends snapshots, and refuses new work while its table is too old.
+ */
+import {
+	createFailure,
+	type EntrySettings,
+	type Failure,
+	type LifeCycle,
+	type Logger,
+	type PlatformClient,
+	type PoolEvent,
+	TableFollower,
+	TableSnapshotWriter,
+} from 'bramleystage';
+import type {EntryMetrics} from './audit.js';
+
+export type EntryTableOptions = {
+	readonly platform: PlatformClient;
+	readonly settings: EntrySettings;
+	readonly lifeCycle: LifeCycle;
+	readonly logger: Logger;
+	readonly readClock: () => number;
+};
+
+export type EntryTable = {
+	readonly follower: TableFollower;
+	/** Takes what the sessions to agents say of the table. */
+	readonly receive: (event: PoolEvent) => void;
+	/** Gives the failure for new work while the table is too old. */
+	readonly findStaleness: () => Failure | undefined;
+	readonly registerGauges: (metrics: EntryMetrics) => void;
+	/** Describes the table for the dump. */
+	readonly describe: () => Record<string, unknown>;
+};
+
+const retryAfterSeconds = 1;
+
+/** Starts following the table. */
+export function startTable(options: EntryTableOptions): EntryTable {
+	const {platform, settings, lifeCycle, logger, readClock} = options;
+	const {dataCentre, snapshotIntervalMs, snapshotRecords} = settings;
+	const follower = new TableFollower({
+		platform,
+		dataCentre,
+		lifeCycle,
+		logger,
+		readClock,
+	});
+	new TableSnapshotWriter({
+		platform,
+		timing: {intervalMs: snapshotIntervalMs, records: snapshotRecords},
+		lifeCycle,
+		logger,
+		readTable: () => follower.table.value,
+		readClock,
+		drawNumber: Math.random,
+	}).start();
+	return {
+		follower,
+		receive(event) {
+			if (event.type === 'message') {
+				const {session, message} = event;
+				follower.receive(session.peer, message, (answer) => {
+					session.send(answer);
+				});
+			}
+		},
+		findStaleness: () =>
+			follower.isStale
+				? createFailure(
+						'tableStale',
+						'The table may have been edited since this entry last read it.',
+						{retryAfterSeconds},
+					)
+				: undefined,
+		registerGauges(metrics) {
+			registerTableGauges(follower, metrics);
+		},
+		describe: () => describeTable(follower),
+	};
+}
+
+function registerTableGauges(
+	follower: TableFollower,
+	metrics: EntryMetrics,
+): void {
+	metrics.registerGauge('table_offset', 'Next offset of the table', () =>
+		Number(follower.table.value.next),
+	);
+	metrics.registerGauge(
+		'table_skipped_records',
+		'Records of the table that were no valid edit',
+		() => follower.table.value.skipped,
+	);
+	metrics.registerGauge(
+		'table_stale',
+		'1 while the table is too old to take new work',
+		() => Number(follower.isStale),
+	);
+}
+
+function describeTable(follower: TableFollower): Record<string, unknown> {
+	const {next, rows, skipped} = follower.table.value;
+	return {
+		tableOffset: next,
+		tableSkipped: skipped,
+		tableStale: follower.isStale,
+		/** Offsets of the agents as they last told them. */
+		tablePeers: follower.peerOffsets,
+		tableRows: Object.fromEntries(rows),
+	};
+}
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -40,7 +40,7 @@
 import {chooseStages, chooseTarget} from './routing.js';
 import {ServiceDesk} from './service-desk.js';
 import {runServiceRoute} from './service-route.js';
-import {TableFollower} from './table-follower.js';
+import {startTable} from './entry-table.js';
 
 export type RunningEntry = {
 	/** Address of the callers' port. */
@@ -76,6 +76,13 @@
 	let leaving = false;
 	let budget = createRetryBudget();
 
+	const {follower, ...tableParts} = startTable({
+		platform,
+		settings,
+		lifeCycle,
+		logger,
+		readClock,
+	});
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
 		timing: {
@@ -83,13 +90,13 @@
 			silenceMs: settings.silenceMs,
 			handshakeMs: settings.silenceMs,
 		},
-		describeSelf: () => ({leaving}),
+		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
 	});
 	lifeCycle.register(() => {
 		pool.close();
 	});
 	const network = new Network({platform, pool, lifeCycle, readClock});
-	const follower = new TableFollower(platform, lifeCycle, logger);
+	pool.events.subscribe(tableParts.receive);
 	const inFlight = new Map<HostId, number>();
 	const countInFlight = (id: HostId) => inFlight.get(id) ?? 0;
 
@@ -121,7 +128,7 @@
 		models.receive(event);
 		services.receive(event);
 	});
-	const isReady = () => !leaving && follower.hasRead;
+	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
 		audit,
@@ -155,6 +162,12 @@
 			return;
 		}
 
+		const stale = tableParts.findStaleness();
+		if (stale) {
+			rejectMessage(message, response, stale);
+			return;
+		}
+
 		const body = await readBody(message, bounds);
 		if (body.isErr()) {
 			rejectMessage(message, response, body.error);
@@ -212,9 +225,7 @@
 	await network.refresh();
 	const listener = await listenHttp(settings.listen, handle, bounds);
 	lifeCycle.register(async () => listener.close());
-	metrics.registerGauge('table_offset', 'Next offset of the table', () =>
-		Number(follower.table.value.next),
-	);
+	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
 		'connected_hosts',
 		'Agents with a live session',
@@ -233,8 +244,7 @@
 			deployment,
 			address: listener.address,
 			leaving,
-			tableOffset: follower.table.value.next,
-			tableRows: Object.fromEntries(follower.table.value.rows),
+			...tableParts.describe(),
 			hosts: [...network.hosts.connected.values()],
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -39,4 +39,3 @@
 	runServiceRoute,
 	type ServiceRouteOptions,
 } from './service-route.js';
-export {TableFollower, tableStream} from './table-follower.js';
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -168,6 +168,16 @@
 	type SettingDefinitions,
 	type SettingValues,
 } from './protocol/settings.js';
+export {
+	type TablePart,
+	tablePartSchema,
+	type TableRecords,
+	tableRecordsSchema,
+	type TableReport,
+	tableReportSchema,
+	type TableRequest,
+	tableRequestSchema,
+} from './protocol/table-messages.js';
 export {
 	cellSchemas,
 	type CustomerCells,
@@ -186,6 +196,14 @@
 	type ServiceCells,
 	serviceCellsSchema,
 } from './protocol/table-schema.js';
+export {
+	type SnapshotPart,
+	snapshotPartRows,
+	snapshotPartSchema,
+	type SnapshotRow,
+	snapshotRowSchema,
+} from './protocol/table-snapshot-schema.js';
+export {type BucketChange, BucketMap} from './state/bucket-map.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -196,14 +214,43 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {
+	createTableContact,
+	createTableReport,
+	isTableStale,
+	recordLogRead,
+	recordPeerReport,
+	removePeer,
+	staleAfterMs,
+	type TableContact,
+	type TablePeer,
+} from './state/table-contact.js';
+export {
+	type CollectedParts,
+	addSnapshotPart,
+	computeTableDigest,
+	createSnapshotParts,
+	listSnapshotRows,
+	restoreTable,
+} from './state/table-snapshot.js';
+export {
+	createView,
+	parseRowKey,
+	type RowCells,
+	type TableView,
+	type UpdatableView,
+	updateView,
+} from './state/table-view.js';
 export {
 	createTable,
 	type EditResult,
+	findRowVersion,
 	foldRecord,
-	parseRowKey,
+	type RefusalReason,
+	type RefusedRow,
+	repeatWindow,
 	type TableRow,
 	type TableSnapshot,
-	type TableView,
 } from './state/table.js';
 export {
 	type Address,
@@ -251,6 +298,7 @@
 export {
 	type LogEvent,
 	type LogRecords,
+	maxReadRecords,
 	PlatformClient,
 	type PlatformError,
 } from './transport/platform-client.js';
@@ -272,3 +320,24 @@
 	type SessionTiming,
 	startServer,
 } from './transport/session.js';
+export {
+	appendSnapshot,
+	type FoundSnapshot,
+	readSnapshot,
+	tableSnapshotStream,
+} from './transport/table-bootstrap.js';
+export {
+	TableFollower,
+	type TableFollowerOptions,
+} from './transport/table-follower.js';
+export {
+	TableLogReader,
+	type TableLogReaderOptions,
+	tableStream,
+} from './transport/table-log-reader.js';
+export {TableSharing} from './transport/table-sharing.js';
+export {
+	type SnapshotTiming,
+	TableSnapshotWriter,
+	type TableSnapshotWriterOptions,
+} from './transport/table-snapshot-writer.js';
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -18,6 +18,12 @@
 	sessionNumberSchema,
 } from './ids.js';
 import {outcomeSchema, resultNameSchema} from './result-codes.js';
+import {
+	tablePartSchema,
+	tableRecordsSchema,
+	tableReportSchema,
+	tableRequestSchema,
+} from './table-messages.js';
 
 /** A peer with another version is refused at the hello. */
 export const protocolVersion = 1;
@@ -92,6 +98,7 @@
 	leaving: z.boolean(),
 	offers: z.array(offerSchema).max(100).optional(),
 	load: loadReportSchema.optional(),
+	table: tableReportSchema.optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
@@ -254,6 +261,9 @@
 	stageRunSchema,
 	activationSchema,
 	tokenSchema,
+	tableRequestSchema,
+	tableRecordsSchema,
+	tablePartSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -71,6 +71,16 @@
 		schema: z.coerce.number().int().positive().max(1e8).default(4_194_304),
 		description: "Largest body of a caller's request, in bytes",
 	},
+	snapshotIntervalMs: {
+		schema: durationMs.default(600_000),
+		description:
+			'A snapshot of the table is appended this often, in milliseconds; well under the retention of the log',
+	},
+	snapshotRecords: {
+		schema: z.coerce.number().int().positive().max(1e6).default(2000),
+		description:
+			'A snapshot of the table is appended after this many records at the latest',
+	},
 } as const satisfies SettingDefinitions;
 export type EntrySettings = SettingValues<typeof entrySettings>;
 
--- a/packages/bramleystage/src/transport/platform-client.ts
+++ b/packages/bramleystage/src/transport/platform-client.ts
@@ -51,6 +51,9 @@
 	| {readonly type: 'records'; readonly batch: LogRecords}
 	| {readonly type: 'failed'; readonly error: PlatformError};
 
+/** Records that one read gives at most; fewer mean the end was reached. */
+export const maxReadRecords = 1000;
+
 const requestTimeoutMs = 2000;
 const longPollMs = 10_000;
 const retryMs = 200;
@@ -77,13 +80,13 @@
 		stream: string,
 		from: LogOffset,
 		waitMs = 0,
-		signal?: AbortSignal,
+		more: {signal?: AbortSignal; timeoutMs?: number} = {},
 	): Promise<Result<LogRecords, PlatformError>> {
 		return this.#send(
 			'GET',
 			`/v1/logs/${stream}/records?from=${from}&wait_ms=${waitMs}`,
 			recordsSchema,
-			{timeoutMs: waitMs + requestTimeoutMs, signal},
+			{timeoutMs: waitMs + requestTimeoutMs, ...more},
 		);
 	}
 
@@ -99,7 +102,7 @@
 						stream,
 						toLogOffset(next),
 						longPollMs,
-						abort.signal,
+						{signal: abort.signal},
 					);
 					if (batch.isErr()) {
 						subscriber.next({type: 'failed', error: batch.error});
--- a/packages/bramleystage/src/transport/session.ts
+++ b/packages/bramleystage/src/transport/session.ts
@@ -39,7 +39,7 @@
 >;
 
 /** What a process says of itself in each heartbeat. */
-export type DescribeSelf = () => Omit<Heartbeat, 'type'>;
+export type DescribeSelf = (peer: SessionPeer) => Omit<Heartbeat, 'type'>;
 
 export class Session {
 	readonly #socket: Socket;
@@ -86,7 +86,7 @@
 		this.#socket.on('error', (error) => {
 			this.close(createFailure('backendLost', error.message));
 		});
-		this.send({type: 'heartbeat', ...describeSelf()});
+		this.send({type: 'heartbeat', ...describeSelf(this.peer)});
 		this.#timer = setInterval(() => {
 			this.#beat(timing, describeSelf);
 		}, timing.heartbeatMs);
@@ -143,7 +143,7 @@
 			return;
 		}
 
-		this.send({type: 'heartbeat', ...describeSelf()});
+		this.send({type: 'heartbeat', ...describeSelf(this.peer)});
 	}
 }
 
