--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -39,7 +39,7 @@
 import {createRouter, chooseModelStages} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
 import {runServiceRoute} from './service-route.js';
-import {TableFollower} from './table-follower.js';
+import {startTable} from './entry-table.js';
 
 export type RunningEntry = {
 	/** Address of the callers' port. */
@@ -75,6 +75,13 @@
 	let leaving = false;
 	let budget = createRetryBudget();
 
+	const {follower, ...tableParts} = startTable({
+		platform,
+		settings,
+		lifeCycle,
+		logger,
+		readClock,
+	});
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
 		timing: {
@@ -82,7 +89,7 @@
 			silenceMs: settings.silenceMs,
 			handshakeMs: settings.silenceMs,
 		},
-		describeSelf: () => ({leaving}),
+		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
 	});
 	lifeCycle.register(() => {
 		pool.close();
@@ -97,7 +104,7 @@
 			router.recordReport(reported, readClock());
 		},
 	});
-	const follower = new TableFollower(platform, lifeCycle, logger);
+	pool.events.subscribe(tableParts.receive);
 
 	const allowRetry = () => {
 		const [next, isAllowed] = decideRetry(budget);
@@ -131,7 +138,7 @@
 		models.receive(event);
 		services.receive(event);
 	});
-	const isReady = () => !leaving && follower.hasRead;
+	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
 		audit,
@@ -165,6 +172,12 @@
 			return;
 		}
 
+		const stale = tableParts.findStaleness();
+		if (stale) {
+			rejectMessage(message, response, stale);
+			return;
+		}
+
 		const body = await readBody(message, bounds);
 		if (body.isErr()) {
 			rejectMessage(message, response, body.error);
@@ -222,9 +235,7 @@
 	await network.refresh();
 	const listener = await listenHttp(settings.listen, handle, bounds);
 	lifeCycle.register(async () => listener.close());
-	metrics.registerGauge('table_offset', 'Next offset of the table', () =>
-		Number(follower.table.value.next),
-	);
+	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
 		'connected_hosts',
 		'Agents with a live session',
@@ -248,8 +259,7 @@
 			deployment,
 			address: listener.address,
 			leaving,
-			tableOffset: follower.table.value.next,
-			tableRows: Object.fromEntries(follower.table.value.rows),
+			...tableParts.describe(),
 			hosts: [...network.hosts.connected.values()],
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -24,6 +24,12 @@
 	permitReleaseSchema,
 } from './limits.js';
 import {outcomeSchema, resultNameSchema} from './result-codes.js';
+import {
+	tablePartSchema,
+	tableRecordsSchema,
+	tableReportSchema,
+	tableRequestSchema,
+} from './table-messages.js';
 
 /** A peer with another version is refused at the hello. */
 export const protocolVersion = 1;
@@ -103,6 +109,7 @@
 	leaving: z.boolean(),
 	offers: z.array(offerSchema).max(100).optional(),
 	load: loadReportSchema.optional(),
+	table: tableReportSchema.optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
@@ -271,6 +278,9 @@
 	permitAnswerSchema,
 	permitReleaseSchema,
 	permitHeldSchema,
+	tableRequestSchema,
+	tableRecordsSchema,
+	tablePartSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<
