--- a/examples/commands.mjs
+++ b/examples/commands.mjs
@@ -13,8 +13,8 @@
 	new URL('../packages/bramleystage-command/dist/main.js', import.meta.url),
 );
 
-/** Ports that a site needs: one a stand-in, two an agent or entry. */
-export const portCount = 26;
+/** Ports that a site needs: one a stand-in, two an agent, three an entry. */
+export const portCount = 28;
 
 /** Lists ports that follow one another. */
 export const listPorts = (basePort) =>
@@ -125,19 +125,29 @@
 function createDaemon({role, hostName, dataCentre, phase}, more, takeAddress) {
 	const address = takeAddress();
 	const operatorAddress = takeAddress();
+	const sessionAddress = role === 'entry' ? takeAddress() : address;
+	const sessionFlags =
+		role === 'entry' ? {'session-listen': sessionAddress} : {};
 	const flags = formatFlags({
 		host: hostName,
 		'data-centre': dataCentre,
 		...more,
 		listen: address,
 		'operator-listen': operatorAddress,
+		...sessionFlags,
 	});
 	return {
 		name: hostName,
 		phase,
 		address,
 		operatorAddress,
-		host: {host: hostName, role, dataCentre, address, state: 'live'},
+		host: {
+			host: hostName,
+			role,
+			dataCentre,
+			address: sessionAddress,
+			state: 'live',
+		},
 		words: [role, ...flags],
 	};
 }
--- a/packages/bramleystage-bench/src/limit-world.ts
+++ b/packages/bramleystage-bench/src/limit-world.ts
@@ -11,6 +11,7 @@
 	LimitDesk,
 	type LimitKey,
 	type LimitRecord,
+	type LimitSnapshot,
 	type Message,
 	type Permit,
 	type PermitMessage,
@@ -54,7 +55,7 @@
 	isLogOut = false;
 	messages = 0;
 	bytes = 0;
-	readonly #log: LimitRecord[] = [];
+	readonly #log: Array<LimitRecord | LimitSnapshot> = [];
 	readonly #cuts = new Set<string>();
 	#incarnations = 0;
 
@@ -240,7 +241,7 @@
 		return true;
 	}
 
-	#append(entry: WorldEntry, record: LimitRecord): void {
+	#append(entry: WorldEntry, record: LimitRecord | LimitSnapshot): void {
 		this.time.schedule(logLatencyMs, () => {
 			if (!this.isLogOut && !entry.isCutFromLog) {
 				this.#log.push(record);
@@ -264,15 +265,15 @@
 
 	#applyRecords(
 		{desk}: WorldEntry,
-		records: readonly LimitRecord[],
+		records: ReadonlyArray<LimitRecord | LimitSnapshot>,
 		sentAt: number,
 	): void {
 		const {membership} = desk;
 		const {now} = this.time;
-		for (let {next} = membership.state; next < records.length; next++) {
-			membership.applyRecord(toLogOffset(next), records[next], now);
-		}
-
+		const news = records
+			.map((value, index) => ({offset: toLogOffset(index), value}))
+			.slice(membership.state.next);
+		membership.applyBatch(toLogOffset(0), news, now);
 		membership.recordLogRead(sentAt);
 	}
 }
--- a/packages/bramleystage-command/src/daemon-commands.ts
+++ b/packages/bramleystage-command/src/daemon-commands.ts
@@ -30,7 +30,7 @@
 		const logger = createLogger(settings.logLevel, {role: 'entry', host});
 		const entry = await startEntry(settings, logger);
 		process.stdout.write(
-			`listening ${entry.address} operators ${entry.operatorAddress}\n`,
+			`listening ${entry.address} operators ${entry.operatorAddress} sessions ${entry.sessionAddress}\n`,
 		);
 		await waitForStop(entry);
 	},
--- a/packages/bramleystage-entry/src/answers.ts
+++ b/packages/bramleystage-entry/src/answers.ts
@@ -33,3 +33,15 @@
 			: {'retry-after': String(Math.ceil(failure.retryAfterSeconds))};
 	writeJson(response, resultCodes[failure.result].status, body, headers);
 }
+
+/** Calls a function once if the caller is gone or goes before the answer is whole. */
+export function registerCallerGone(
+	response: ServerResponse,
+	onGone: () => void,
+): void {
+	if (response.destroyed) {
+		onGone();
+	} else {
+		response.once('close', onGone);
+	}
+}
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -29,6 +29,9 @@
 import {writeFailure} from './answers.js';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
 import {findCustomer} from './authentication.js';
+import {createCallerHandler} from './caller-port.js';
+import {EntryLimits} from './entry-limits.js';
+import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
 import {
 	type ModelRouteOptions,
@@ -44,6 +47,8 @@
 export type RunningEntry = {
 	/** Address of the callers' port. */
 	readonly address: string;
+	/** Address at which other entries open sessions. */
+	readonly sessionAddress: string;
 	readonly operatorAddress: string;
 	/** A record of each request as it ends. */
 	readonly records: Observable<RequestRecord>;
@@ -55,7 +60,6 @@
 
 /** How long the ready check fails before new connections are refused. */
 const leavingNoticeMs = 1000;
-const timeoutHeader = 'x-request-timeout-ms';
 
 const readClock = () => performance.now();
 
@@ -82,13 +86,14 @@
 		logger,
 		readClock,
 	});
+	const timing = {
+		heartbeatMs: settings.heartbeatMs,
+		silenceMs: settings.silenceMs,
+		handshakeMs: settings.silenceMs,
+	};
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
-		timing: {
-			heartbeatMs: settings.heartbeatMs,
-			silenceMs: settings.silenceMs,
-			handshakeMs: settings.silenceMs,
-		},
+		timing,
 		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
 	});
 	lifeCycle.register(() => {
@@ -105,6 +110,23 @@
 		},
 	});
 	pool.events.subscribe(tableParts.receive);
+	const peers = new EntryPeers({
+		listen: settings.sessionListen,
+		identity: {...identity, version: protocolVersion, deployment},
+		timing,
+		isLeaving: () => leaving,
+		lifeCycle,
+	});
+	const limits = new EntryLimits({
+		self: {host, incarnation},
+		platform,
+		peers,
+		lifeCycle,
+		logger,
+		readView: () => follower.table.value.view,
+		readListed: () => network.hosts.listed,
+		readClock,
+	});
 
 	const allowRetry = () => {
 		const [next, isAllowed] = decideRetry(budget);
@@ -144,95 +166,32 @@
 		audit,
 		metrics,
 		readClock,
+		limits,
 		readCreated: () => Math.floor(Date.now() / 1000),
 	};
 
-	const handle = async (message: IncomingMessage, response: ServerResponse) => {
-		const url = message.url ?? '/';
-		if (url === '/healthz' || url === '/readyz') {
-			const isOk = url === '/healthz' || isReady();
-			writeJson(response, isOk ? 200 : 503, {ok: isOk});
-			return;
-		}
-
-		const request = toRequestId(randomUUID());
-		response.setHeader('x-request-id', request);
-		const {view} = follower.table.value;
-		const customer = findCustomer(message.headers.authorization, view);
-		if (customer.isErr()) {
-			rejectMessage(message, response, customer.error);
-			return;
-		}
-
-		if (leaving) {
-			const failure = createFailure('stopping', 'The entry is stopping.', {
-				retryAfterSeconds: 1,
-			});
-			rejectMessage(message, response, failure);
-			return;
-		}
-
-		const stale = tableParts.findStaleness();
-		if (stale) {
-			rejectMessage(message, response, stale);
-			return;
-		}
-
-		const body = await readBody(message, bounds);
-		if (body.isErr()) {
-			rejectMessage(message, response, body.error);
-			return;
-		}
-
-		budget = recordRequest(budget);
-		const context: RouteContext = {
-			request,
-			customer: customer.value,
-			view,
-			deadlineMs: parseTimeout(message, settings.requestTimeoutMs),
-			response,
-		};
-		routeMessage(message, context, body.value);
-	};
-
-	const routeMessage = (
-		message: IncomingMessage,
-		context: RouteContext,
-		body: Buffer,
-	) => {
-		const {response, view} = context;
-		const [path = ''] = (message.url ?? '/').split('?');
-		if (path.startsWith('/v1/services/')) {
-			runServiceRoute(
-				{desk: services, audit, readClock},
-				context,
-				message,
-				body,
-			);
-			return;
-		}
-
-		const method = pathMethods.get(path);
-		if (method === undefined) {
-			writeFailure(response, createFailure('unknownPath', `No path ${path}.`));
-		} else if (method !== message.method) {
-			const failure = createFailure('methodNotAllowed', `Use ${method}.`);
-			writeFailure(response, failure);
-		} else if (path === '/v1/models') {
-			const data = [...view.models.keys()].map((id) => ({
-				id,
-				object: 'model',
-				created: 0,
-				owned_by: deployment,
-			}));
-			writeJson(response, 200, {object: 'list', data});
-		} else {
-			const kind = path === '/v1/completions' ? 'completion' : 'chat';
-			runModelRoute(modelRoute, context, kind, body.toString());
-		}
-	};
+	const handle = createCallerHandler({
+		settings,
+		isReady,
+		isLeaving: () => leaving,
+		findStaleness: tableParts.findStaleness,
+		readView: () => follower.table.value.view,
+		recordRequest() {
+			budget = recordRequest(budget);
+		},
+		models: modelRoute,
+		services: {desk: services, audit, readClock, limits},
+	});
 
+	await peers.start();
+	const updatingPeers = network.listed.subscribe((listed) => {
+		peers.update(listed);
+	});
+	lifeCycle.register(() => {
+		updatingPeers.unsubscribe();
+	});
 	await network.refresh();
+	limits.start();
 	const listener = await listenHttp(settings.listen, handle, bounds);
 	lifeCycle.register(async () => listener.close());
 	tableParts.registerGauges(metrics);
@@ -264,6 +223,7 @@
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
 			routing: router.describe(readClock()),
+			limits: limits.describe(),
 		}),
 	});
 	lifeCycle.register(async () => operators.close());
@@ -271,6 +231,7 @@
 
 	return {
 		address: listener.address,
+		sessionAddress: peers.address,
 		operatorAddress: operators.address,
 		records: audit.records.asObservable(),
 		async drain() {
@@ -278,6 +239,7 @@
 			logger.info('entry.leaving');
 			await waitFor(leavingNoticeMs);
 			await listener.drain();
+			limits.retire();
 			await lifeCycle.stop();
 			logger.info('entry.stopped');
 		},
@@ -286,27 +248,3 @@
 		},
 	};
 }
-
-const pathMethods = new Map([
-	['/v1/models', 'GET'],
-	['/v1/chat/completions', 'POST'],
-	['/v1/completions', 'POST'],
-]);
-
-/** Answers a request that is not taken; the rest of its body is not read. */
-function rejectMessage(
-	message: IncomingMessage,
-	response: ServerResponse,
-	failure: Failure,
-): void {
-	if (!message.complete) {
-		response.setHeader('connection', 'close');
-	}
-
-	writeFailure(response, failure);
-}
-
-function parseTimeout(message: IncomingMessage, longestMs: number): number {
-	const asked = Number(message.headers[timeoutHeader] ?? longestMs);
-	return asked > 0 ? Math.min(asked, longestMs) : longestMs;
-}
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -1,5 +1,5 @@
 /** The entry process that takes callers' requests. */
-export {buildErrorBody, writeFailure} from './answers.js';
+export {buildErrorBody, registerCallerGone, writeFailure} from './answers.js';
 export {
 	Audit,
 	EntryMetrics,
@@ -7,6 +7,25 @@
 	type RequestRecord,
 } from './audit.js';
 export {computeKeyDigest, findCustomer} from './authentication.js';
+export {type CallerPortOptions, createCallerHandler} from './caller-port.js';
+export {
+	type AcquirePermits,
+	EntryLimits,
+	type EntryLimitsOptions,
+	findLimit,
+	type LimitedWork,
+	type ReleasePermits,
+} from './entry-limits.js';
+export {
+	EntryPeers,
+	type EntryPeersOptions,
+	type PeerMessage,
+} from './entry-peers.js';
+export {
+	type EntryTable,
+	type EntryTableOptions,
+	startTable,
+} from './entry-table.js';
 export {type RunningEntry, startEntry} from './entry.js';
 export {selectAnswerHeaders, selectRequestHeaders} from './headers.js';
 export {
@@ -26,13 +45,14 @@
 	type RouteContext,
 	runModelRoute,
 } from './model-route.js';
-export {Network, type NetworkEvent} from './network.js';
 export {
+	chooseModelStages,
 	createRouter,
 	measureRequest,
-	chooseModelStages,
+	type ModelChoice,
 } from './model-routing.js';
-export {type RouteRequest, Router, type RouterOptions} from './routing.js';
+export {Network, type NetworkEvent} from './network.js';
+export {Router, type RouteRequest, type RouterOptions} from './routing.js';
 export {
 	type ChooseTarget,
 	ServiceDesk,
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import {
 	createFailure,
+	computePromptCost,
 	type CustomerId,
 	type Failure,
 	type RequestId,
@@ -9,8 +10,9 @@
 	type Token,
 	writeJson,
 } from 'bramleystage';
-import {writeFailure} from './answers.js';
+import {registerCallerGone, writeFailure} from './answers.js';
 import {type Audit, type EntryMetrics, formatPipeline} from './audit.js';
+import type {AcquirePermits, ReleasePermits} from './entry-limits.js';
 import {
 	type AnswerHead,
 	buildAnswer,
@@ -28,6 +30,7 @@
 	readonly audit: Audit;
 	readonly metrics: EntryMetrics;
 	readonly readClock: () => number;
+	readonly limits: AcquirePermits;
 	/** Seconds since 1970, for the `created` field alone. */
 	readonly readCreated: () => number;
 };
@@ -42,12 +45,12 @@
 };
 
 /** Runs one model request to its end. */
-export function runModelRoute(
+export async function runModelRoute(
 	options: ModelRouteOptions,
 	context: RouteContext,
 	kind: ModelBody['kind'],
 	text: string,
-): void {
+): Promise<void> {
 	const parsed = parseModelBody(kind, text);
 	const body = parsed.unwrapOr(undefined);
 	const failure = parsed.isErr()
@@ -55,12 +58,31 @@
 		: findProblem(context, parsed.value);
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
-		writeFailure(context.response, rejected);
-		recordRejected(options, context, body?.model ?? kind, rejected);
+		rejectRequest(options, context, body?.model ?? kind, rejected);
+		return;
+	}
+
+	const permits = await options.limits.acquire({
+		customer: context.customer,
+		subject: {kind: 'model', name: body.model},
+		tokens: computePromptCost(body.prompt) + body.maxTokens,
+	});
+	if (permits.isErr()) {
+		rejectRequest(options, context, body.model, permits.error);
 		return;
 	}
 
-	startRun(options, context, body);
+	startRun(options, context, body, permits.value);
+}
+
+function rejectRequest(
+	options: ModelRouteOptions,
+	context: RouteContext,
+	subject: string,
+	failure: Failure,
+): void {
+	writeFailure(context.response, failure);
+	recordRejected(options, context, subject, failure);
 }
 
 function findProblem(
@@ -103,6 +125,7 @@
 	options: ModelRouteOptions,
 	context: RouteContext,
 	body: ModelBody,
+	release: ReleasePermits,
 ): void {
 	const {request, customer, view, response, deadlineMs} = context;
 	const startedAt = options.readClock();
@@ -112,9 +135,6 @@
 		body,
 	});
 	const observe = createTokenObserver(options, body.model, startedAt);
-	response.once('close', () => {
-		options.desk.handle(request, {type: 'callerGone'});
-	});
 	options.desk.start({
 		request,
 		customer,
@@ -127,6 +147,7 @@
 			writer.writeToken(token);
 		},
 		finish(failure, {attempts, stages}) {
+			release();
 			writer.finish(failure);
 			options.audit.record({
 				request,
@@ -139,6 +160,9 @@
 			});
 		},
 	});
+	registerCallerGone(response, () => {
+		options.desk.handle(request, {type: 'callerGone'});
+	});
 }
 
 function createTokenObserver(
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -33,6 +33,8 @@
 
 export class Network {
 	readonly events = new Subject<NetworkEvent>();
+	/** The platform's list, each time it was read. */
+	readonly listed = new Subject<readonly ListedHost[]>();
 	#hosts = createHosts();
 
 	constructor(
@@ -71,6 +73,7 @@
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
 		this.options.pool.update(listAgentAddresses(listed.value));
+		this.listed.next(listed.value);
 	}
 
 	/** Sends to a host, if there is a session to it. */
--- a/packages/bramleystage-entry/src/service-route.ts
+++ b/packages/bramleystage-entry/src/service-route.ts
@@ -8,8 +8,9 @@
 	type ServiceCells,
 	toServiceName,
 } from 'bramleystage';
-import {writeFailure} from './answers.js';
+import {registerCallerGone, writeFailure} from './answers.js';
 import type {Audit} from './audit.js';
+import type {AcquirePermits} from './entry-limits.js';
 import {selectAnswerHeaders, selectRequestHeaders} from './headers.js';
 import type {RouteContext} from './model-route.js';
 import type {ServiceDesk, ServiceRequest} from './service-desk.js';
@@ -18,6 +19,7 @@
 	readonly desk: ServiceDesk;
 	readonly audit: Audit;
 	readonly readClock: () => number;
+	readonly limits: AcquirePermits;
 };
 
 const idempotentMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
@@ -64,12 +66,12 @@
 }
 
 /** Runs one call to its end. */
-export function runServiceRoute(
+export async function runServiceRoute(
 	options: ServiceRouteOptions,
 	context: RouteContext,
 	message: IncomingMessage,
 	body: Buffer,
-): void {
+): Promise<void> {
 	const target = parseServicePath(message.url ?? '/');
 	const service = toServiceName(target?.service ?? '');
 	const cells = context.view.services.get(service);
@@ -88,13 +90,23 @@
 		service,
 		cells,
 	});
-	const startedAt = options.readClock();
-	context.response.once('close', () => {
-		options.desk.handle(context.request, {type: 'callerGone'});
+	const permits = await options.limits.acquire({
+		customer: context.customer,
+		subject: {kind: 'service', name: service},
+		tokens: 0,
 	});
+	if (permits.isErr()) {
+		const failure = permits.error;
+		writeFailure(context.response, failure);
+		recordEnd(options, context, {subject: service, failure});
+		return;
+	}
+
+	const startedAt = options.readClock();
 	options.desk.start({
 		call,
 		finish(result, {attempts, target: last}) {
+			permits.value();
 			const failure = 'result' in result ? result : undefined;
 			if ('result' in result) {
 				writeFailure(context.response, result);
@@ -111,6 +123,9 @@
 			});
 		},
 	});
+	registerCallerGone(context.response, () => {
+		options.desk.handle(context.request, {type: 'callerGone'});
+	});
 }
 
 function buildCall(
--- a/packages/bramleystage-site/src/site.ts
+++ b/packages/bramleystage-site/src/site.ts
@@ -210,7 +210,7 @@
 				platform,
 			});
 			const entry = await startEntry(settings, logger);
-			const {address} = entry;
+			const address = entry.sessionAddress;
 			await registerHost(platform, {host, role: 'entry', dataCentre, address});
 			return entry;
 		}),
--- a/packages/bramleystage/src/coordination/limit-members.ts
+++ b/packages/bramleystage/src/coordination/limit-members.ts
@@ -16,6 +16,8 @@
 	type LimitKind,
 	type LimitRecord,
 	limitRecordSchema,
+	type LimitSnapshot,
+	limitSnapshotSchema,
 } from '../protocol/limits.js';
 import {selectByRendezvous} from './rendezvous.js';
 
@@ -95,6 +97,72 @@
 	return removeOldLists({next, epoch, members, lists});
 }
 
+/** A record as it is read from the log. */
+export type LogRecord = {readonly offset: LogOffset; readonly value: unknown};
+
+/**
+ * Folds records that were read together. When those in between have expired,
+ * the fold goes on from a snapshot among them; without one it waits.
+ */
+export function foldLimitRecords(
+	state: LimitMembers,
+	first: LogOffset,
+	records: readonly LogRecord[],
+): LimitMembers {
+	const start = first > state.next ? findSnapshot(first, records) : state;
+	let folded = start ?? state;
+	for (const {offset, value} of start ? records : []) {
+		if (offset >= folded.next) {
+			folded = foldLimitRecord(folded, offset, value);
+		}
+	}
+
+	return folded;
+}
+
+function findSnapshot(
+	first: LogOffset,
+	records: readonly LogRecord[],
+): LimitMembers | undefined {
+	for (const {value} of records) {
+		const parsed = limitSnapshotSchema.safeParse(value);
+		if (parsed.success && parsed.data.next >= first) {
+			return restoreSnapshot(parsed.data);
+		}
+	}
+
+	return undefined;
+}
+
+/** Builds the record that a later reader may start from. */
+export function createLimitSnapshot(state: LimitMembers): LimitSnapshot {
+	return {
+		kind: 'snapshot',
+		format: 1,
+		next: state.next,
+		epoch: state.epoch,
+		members: [...state.members.values()],
+		lists: [...state.lists].map(([epoch, list]) => ({
+			epoch,
+			members: [...list],
+		})),
+	};
+}
+
+function restoreSnapshot({
+	next,
+	epoch,
+	members,
+	lists,
+}: LimitSnapshot): LimitMembers {
+	return {
+		next,
+		epoch,
+		members: new Map(members.map((member) => [member.host, member])),
+		lists: new Map(lists.map((list) => [list.epoch, new Map(list.members)])),
+	};
+}
+
 function applyRecord(
 	{members}: LimitMembers,
 	record: LimitRecord,
--- a/packages/bramleystage/src/coordination/limit-membership.ts
+++ b/packages/bramleystage/src/coordination/limit-membership.ts
@@ -5,7 +5,7 @@
  */
 import type {Milliseconds} from '../protocol/decision.js';
 import type {HostId, Incarnation, LogOffset} from '../protocol/ids.js';
-import type {LimitRecord} from '../protocol/limits.js';
+import type {LimitRecord, LimitSnapshot} from '../protocol/limits.js';
 import {
 	type ConfirmFacts,
 	decideConfirm,
@@ -14,7 +14,9 @@
 import {
 	computeUsablePart,
 	createLimitMembers,
-	foldLimitRecord,
+	createLimitSnapshot,
+	foldLimitRecords,
+	type LogRecord,
 	type Limit,
 	type LimitMember,
 	type LimitMembers,
@@ -24,6 +26,9 @@
 /** A longer gap between ticks means that the process was paused. */
 const longestTickGapMs = 1000;
 
+/** Interval at which each member appends what it has folded. */
+const snapshotIntervalMs = 600_000;
+
 /** An append that is not seen in the log after this long is made again. */
 const appendRetryMs = 2000;
 
@@ -35,7 +40,7 @@
 
 export type LimitMembershipOptions = {
 	readonly self: {readonly host: HostId; readonly incarnation: Incarnation};
-	readonly append: (record: LimitRecord) => void;
+	readonly append: (record: LimitRecord | LimitSnapshot) => void;
 };
 
 export class LimitMembership {
@@ -43,6 +48,7 @@
 	#epochReadAt: Milliseconds = 0;
 	#lastTickAt: Milliseconds;
 	#lastAppendAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	#lastSnapshotAt: Milliseconds;
 	#staleSince: Milliseconds | undefined;
 	#isRetiring = false;
 
@@ -51,6 +57,7 @@
 		now: Milliseconds,
 	) {
 		this.#lastTickAt = now;
+		this.#lastSnapshotAt = now;
 		this.#staleSince = now;
 	}
 
@@ -66,10 +73,14 @@
 		return [...this.#state.members.values()];
 	}
 
-	/** Folds one record of the `limits` stream. */
-	applyRecord(offset: LogOffset, value: unknown, now: Milliseconds): void {
+	/** Folds records of the `limits` stream; `first` is the oldest still kept. */
+	applyBatch(
+		first: LogOffset,
+		records: readonly LogRecord[],
+		now: Milliseconds,
+	): void {
 		const before = this.#state.epoch;
-		this.#state = foldLimitRecord(this.#state, offset, value);
+		this.#state = foldLimitRecords(this.#state, first, records);
 		if (this.#state.epoch !== before) {
 			this.#epochReadAt = now;
 		}
@@ -110,6 +121,9 @@
 		} else if (member.confirmed < epoch && this.#mayConfirm(describeUse, now)) {
 			this.#lastAppendAt = now;
 			append({kind: 'confirm', format: 1, ...self, epoch});
+		} else if (now >= this.#lastSnapshotAt + snapshotIntervalMs) {
+			this.#lastSnapshotAt = now;
+			append(createLimitSnapshot(this.#state));
 		}
 	}
 
--- a/packages/bramleystage/src/protocol/limits.ts
+++ b/packages/bramleystage/src/protocol/limits.ts
@@ -4,7 +4,7 @@
  * may own a part of a limit.
  */
 import {z} from 'zod';
-import {hostIdSchema, incarnationSchema} from './ids.js';
+import {hostIdSchema, incarnationSchema, logOffsetSchema} from './ids.js';
 
 export const limitKindSchema = z.enum([
 	'requests_per_second',
@@ -79,3 +79,25 @@
 	epoch: z.int().min(0).optional(),
 });
 export type LimitRecord = z.infer<typeof limitRecordSchema>;
+
+/** The state after all records below an offset, for readers that came after some expired. */
+export const limitSnapshotSchema = z.object({
+	kind: z.literal('snapshot'),
+	format: z.literal(1),
+	next: logOffsetSchema,
+	epoch: z.int().min(0),
+	members: z.array(
+		z.object({
+			host: hostIdSchema,
+			incarnation: incarnationSchema,
+			confirmed: z.int(),
+		}),
+	),
+	lists: z.array(
+		z.object({
+			epoch: z.int().min(0),
+			members: z.array(z.tuple([hostIdSchema, incarnationSchema])),
+		}),
+	),
+});
+export type LimitSnapshot = z.infer<typeof limitSnapshotSchema>;
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -65,6 +65,10 @@
 		schema: address.default('127.0.0.1:0'),
 		description: "Address of the callers' HTTP port, host:port",
 	},
+	sessionListen: {
+		schema: address.default('127.0.0.1:0'),
+		description: 'Address for sessions of other entries, host:port',
+	},
 	requestTimeoutMs: {
 		schema: durationMs.default(120_000),
 		description: 'Deadline of a request that names none, in milliseconds',
