--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -23,11 +23,13 @@
 	type Stage,
 	type StageOpen,
 	TableFollower,
+	type TableSnapshot,
 	toIncarnation,
 	toServiceName,
 	waitFor,
 } from 'bramleystage';
 import {Gauge, Registry} from 'prom-client';
+import type {Observable} from 'rxjs';
 import {CallDesk} from './call-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
@@ -38,6 +40,8 @@
 	/** Address for sessions. */
 	readonly address: string;
 	readonly operatorAddress: string;
+	/** The table as this agent has it. */
+	readonly tables: Observable<TableSnapshot>;
 	/** Takes no new work, lets the work in flight end, then stops. */
 	readonly drain: () => Promise<void>;
 	/** Ends at once. */
@@ -296,6 +300,7 @@
 	return {
 		address: listener.address,
 		operatorAddress: operators.address,
+		tables: follower.table.asObservable(),
 		async drain() {
 			leaving = true;
 			logger.info('agent.leaving');
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -21,6 +21,7 @@
 	readBody,
 	recordRequest,
 	SessionPool,
+	type TableSnapshot,
 	toIncarnation,
 	toRequestId,
 	waitFor,
@@ -48,6 +49,8 @@
 	readonly operatorAddress: string;
 	/** A record of each request as it ends. */
 	readonly records: Observable<RequestRecord>;
+	/** The table as this entry has it. */
+	readonly tables: Observable<TableSnapshot>;
 	/** Takes no new request, lets those in flight end, then stops. */
 	readonly drain: () => Promise<void>;
 	/** Ends at once. */
@@ -257,6 +260,7 @@
 		address: listener.address,
 		operatorAddress: operators.address,
 		records: audit.records.asObservable(),
+		tables: follower.table.asObservable(),
 		async drain() {
 			leaving = true;
 			logger.info('entry.leaving');
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -204,6 +204,13 @@
 	snapshotRowSchema,
 } from './protocol/table-snapshot-schema.js';
 export {type BucketChange, BucketMap} from './state/bucket-map.js';
+export {
+	createEditProgress,
+	decideEdit,
+	type EditCommand,
+	type EditEvent,
+	type EditProgress,
+} from './state/edit-progress.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -335,6 +342,7 @@
 	type TableLogReaderOptions,
 	tableStream,
 } from './transport/table-log-reader.js';
+export {publishEdit, type PublishOptions} from './transport/table-publisher.js';
 export {TableSharing} from './transport/table-sharing.js';
 export {
 	type SnapshotTiming,
--- a/packages/bramleystage/src/transport/table-follower.ts
+++ b/packages/bramleystage/src/transport/table-follower.ts
@@ -81,6 +81,11 @@
 		return this.#hasRead;
 	}
 
+	/** Latest moment at which the table is known to have lacked no record. */
+	get provedAt(): number | undefined {
+		return this.#contact.provedAt;
+	}
+
 	/** True if this process must take no new work now. */
 	get isStale(): boolean {
 		const {dataCentre, readClock} = this.options;
