--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -33,6 +33,7 @@
 import {CallDesk} from './call-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
+import {createSchedulers} from './schedulers.js';
 import {ServiceClient} from './service-client.js';
 import {StageDesk} from './stage-desk.js';
 
@@ -75,10 +76,16 @@
 	let leaving = false;
 	let offers: Offer[] = [];
 
-	const describeLoad = (): LoadReport => ({
-		queued: (stages?.queued ?? 0) + (calls?.queued ?? 0),
-		running: (stages?.running ?? 0) + (calls?.running ?? 0),
-		rate: 0,
+	const schedulers = createSchedulers(settings);
+	const describeLoad = (): LoadReport =>
+		(settings.engine ? schedulers.steps : schedulers.calls).describeLoad(
+			readClock(),
+		);
+	const follower = new TableFollower({
+		dataCentre,
+		lifeCycle,
+		logger,
+		readClock,
 	});
 	const describeSelf = (peer: SessionPeer) => ({
 		leaving,
@@ -86,12 +93,6 @@
 		load: describeLoad(),
 		table: follower.describe(peer),
 	});
-	const follower = new TableFollower({
-		dataCentre,
-		lifeCycle,
-		logger,
-		readClock,
-	});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
@@ -132,10 +133,13 @@
 	const stages = engine
 		? new StageDesk({
 				client: engine,
-				slots: settings.slots,
+				scheduler: schedulers.steps,
 				describeContext: () => ({
 					leaving,
-					findMismatch: (open) => findMismatch(offers, open),
+					findMismatch: (open) =>
+						schedulers.steps.isFull
+							? 'The queue is full.'
+							: findMismatch(offers, open),
 				}),
 				sendToEntry(entry, message) {
 					entries.send(entry, message);
@@ -147,8 +151,7 @@
 	const calls = service
 		? new CallDesk({
 				client: service,
-				slots: settings.slots,
-				maxQueued: settings.maxQueued,
+				scheduler: schedulers.calls,
 				describeContext: () => ({incarnation, leaving}),
 				send(entry, message) {
 					entries.send(entry, message);
@@ -283,11 +286,9 @@
 			leaving,
 			offers,
 			load: describeLoad(),
-			tableOffset: follower.table.value.next,
-			tableSkipped: follower.table.value.skipped,
-			tableStale: follower.isStale,
-			tablePeers: follower.peerOffsets,
+			...follower.summary,
 			entrySessions: entries.size,
+			openStages: stages?.open ?? 0,
 			stageRecords: stages?.records ?? 0,
 			callRecords: calls?.records ?? 0,
 		}),
--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,5 +1,7 @@
 /** The benches by name. Each resolves with the figures of its last line. */
 import {tableBench} from './table-bench.js';
+import {limitsBench} from './limits-bench.js';
+import {runRecoveryBench} from './recovery-bench.js';
 
 /** Flags of a bench, as text; each bench reads those that it knows. */
 export type BenchFlags = Readonly<Record<string, string>>;
@@ -11,4 +13,9 @@
 
 export const benches: Readonly<Record<string, Bench>> = {
 	table: tableBench,
+	limits: limitsBench,
+	recovery: {
+		describe: 'Time from a fault to the callers’ next token',
+		run: runRecoveryBench,
+	},
 };
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -17,6 +17,67 @@
 	decideCall,
 	type LedgerContext,
 } from './coordination/call-ledger.js';
+export {
+	buildCandidateGroups,
+	type CandidateGroup,
+	type DrawIndex,
+	type FindUsable,
+	listCandidates,
+	type PipelineRequest,
+	selectCandidates,
+	type StageCandidate,
+} from './coordination/candidates.js';
+export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
+export {
+	type ConfirmFacts,
+	decideConfirm,
+	goneSettleMs,
+	listRemoved,
+} from './coordination/limit-confirm.js';
+export {
+	type AcquireResult,
+	LimitDesk,
+	type LimitDeskOptions,
+	type Permit,
+} from './coordination/limit-desk.js';
+export {
+	createLimitLedger,
+	decidePermit,
+	formatHolder,
+	type Holder,
+	type LimitLedger,
+	measureCharged,
+	measureHeld,
+	type PermitDecision,
+	type PermitRequest,
+	permitValidityMs,
+	releaseIncarnation,
+	releasePermit,
+	releaseUnheld,
+} from './coordination/limit-ledger.js';
+export {
+	computePart,
+	computeUsablePart,
+	createLimitMembers,
+	findConfirmedEpoch,
+	foldLimitRecord,
+	type Limit,
+	type LimitMember,
+	type LimitMembers,
+	listOwners,
+	maxOwners,
+	type MemberList,
+} from './coordination/limit-members.js';
+export {
+	type DescribeUse,
+	LimitMembership,
+	type LimitMembershipOptions,
+} from './coordination/limit-membership.js';
+export {
+	LimitOwner,
+	type LimitOwnerOptions,
+	type PermitResult,
+} from './coordination/limit-owner.js';
 export {
 	createModelRun,
 	decideModelRun,
@@ -28,19 +89,37 @@
 } from './coordination/model-run.js';
 export {
 	choosePipeline,
+	createStages,
+	findMissingLayers,
+	formatLayers,
+	type LayerSpan,
 	type LinkCost,
-	listCandidates,
+	type Pipeline,
 	type PipelineCosts,
-	type PipelineRequest,
-	type StageCandidate,
+	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
+export {RateMeter} from './coordination/rate-meter.js';
+export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
 	createRetryBudget,
 	decideRetry,
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
+export {
+	computeStageWork,
+	createRouteCosts,
+	type EstimateCached,
+	type EstimateLoad,
+	type RequestShape,
+	type RouteCostOptions,
+} from './coordination/route-cost.js';
+export {
+	type RunningWork,
+	type SchedulerOptions,
+	WorkScheduler,
+} from './coordination/scheduler.js';
 export {
 	decideStage,
 	type OpenStage,
@@ -52,6 +131,7 @@
 	type StepInput,
 	type StepOutput,
 } from './coordination/stage.js';
+export {computePromptCost} from './coordination/work-cost.js';
 export {
 	type Decide,
 	type Decision,
@@ -103,6 +183,27 @@
 	InvariantError,
 	invariants,
 } from './protocol/invariant.js';
+export {
+	type LimitKey,
+	limitKeySchema,
+	type LimitKind,
+	limitKindSchema,
+	type LimitRecord,
+	limitRecordSchema,
+	type PermitAnswer,
+	permitAnswerSchema,
+	type PermitAsk,
+	permitAskSchema,
+	type PermitHeld,
+	permitHeldSchema,
+	type PermitMessage,
+	type PermitNumber,
+	permitNumberSchema,
+	type PermitRelease,
+	permitReleaseSchema,
+	toLimitKey,
+	toPermitNumber,
+} from './protocol/limits.js';
 export {
 	acknowledgeSchema,
 	type Activation,
@@ -146,6 +247,7 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
+export {createRandom, type Random} from './protocol/random.js';
 export {
 	createFailure,
 	type Failure,
@@ -159,8 +261,11 @@
 export {
 	agentSettings,
 	type AgentSettings,
+	checkAgentSettings,
+	type CheckTogether,
 	entrySettings,
 	type EntrySettings,
+	formatDefault,
 	formatFlag,
 	formatVariable,
 	parseSettings,
@@ -221,6 +326,7 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {LoadBook, type LoadEstimate} from './state/load.js';
 export {
 	createTableContact,
 	createTableReport,
@@ -336,6 +442,7 @@
 export {
 	TableFollower,
 	type TableFollowerOptions,
+	type TableSummary,
 } from './transport/table-follower.js';
 export {
 	TableLogReader,
