--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -23,11 +23,13 @@
 	type Stage,
 	type StageOpen,
 	TableFollower,
+	type TableSnapshot,
 	toIncarnation,
 	toServiceName,
 	waitFor,
 } from 'bramleystage';
 import {Gauge, Registry} from 'prom-client';
+import type {Observable} from 'rxjs';
 import {CallDesk} from './call-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
@@ -39,6 +41,8 @@
 	/** Address for sessions. */
 	readonly address: string;
 	readonly operatorAddress: string;
+	/** The table as this agent has it. */
+	readonly tables: Observable<TableSnapshot>;
 	/** Takes no new work, lets the work in flight end, then stops. */
 	readonly drain: () => Promise<void>;
 	/** Ends at once. */
@@ -282,10 +286,7 @@
 			leaving,
 			offers,
 			load: describeLoad(),
-			tableOffset: follower.table.value.next,
-			tableSkipped: follower.table.value.skipped,
-			tableStale: follower.isStale,
-			tablePeers: follower.peerOffsets,
+			...follower.summary,
 			entrySessions: entries.size,
 			openStages: stages?.open ?? 0,
 			stageRecords: stages?.records ?? 0,
@@ -300,6 +301,7 @@
 	return {
 		address: listener.address,
 		operatorAddress: operators.address,
+		tables: follower.table.asObservable(),
 		async drain() {
 			leaving = true;
 			logger.info('agent.leaving');
--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,4 +1,5 @@
 /** The benches by name. Each resolves with the figures of its last line. */
+import {tableBench} from './table-bench.js';
 import {limitsBench} from './limits-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
 
@@ -11,6 +12,7 @@
 };
 
 export const benches: Readonly<Record<string, Bench>> = {
+	table: tableBench,
 	limits: limitsBench,
 	recovery: {
 		describe: 'Time from a fault to the callers’ next token',
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -20,6 +20,7 @@
 	readBody,
 	recordRequest,
 	SessionPool,
+	type TableSnapshot,
 	toIncarnation,
 	toRequestId,
 	waitFor,
@@ -52,6 +53,8 @@
 	readonly operatorAddress: string;
 	/** A record of each request as it ends. */
 	readonly records: Observable<RequestRecord>;
+	/** The table as this entry has it. */
+	readonly tables: Observable<TableSnapshot>;
 	/** Takes no new request, lets those in flight end, then stops. */
 	readonly drain: () => Promise<void>;
 	/** Ends at once. */
@@ -234,6 +237,7 @@
 		sessionAddress: peers.address,
 		operatorAddress: operators.address,
 		records: audit.records.asObservable(),
+		tables: follower.table.asObservable(),
 		async drain() {
 			leaving = true;
 			logger.info('entry.leaving');
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -314,6 +314,13 @@
 	snapshotRowSchema,
 } from './protocol/table-snapshot-schema.js';
 export {type BucketChange, BucketMap} from './state/bucket-map.js';
+export {
+	createEditProgress,
+	decideEdit,
+	type EditCommand,
+	type EditEvent,
+	type EditProgress,
+} from './state/edit-progress.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -440,12 +447,14 @@
 export {
 	TableFollower,
 	type TableFollowerOptions,
+	type TableSummary,
 } from './transport/table-follower.js';
 export {
 	TableLogReader,
 	type TableLogReaderOptions,
 	tableStream,
 } from './transport/table-log-reader.js';
+export {publishEdit, type PublishOptions} from './transport/table-publisher.js';
 export {TableSharing} from './transport/table-sharing.js';
 export {
 	type SnapshotTiming,
