Keep sessions to a bounded subset of agents

Cause: every entry kept a session to every agent: 400 by 3,700 is a full mesh. Ways weighed: plain rendezvous by entry (the worst entry is a third above the mean), slices of a ring (a joining entry moves half of every slice), and rendezvous by agent with a cap for each entry.

--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -108,6 +108,8 @@
 		pool,
 		lifeCycle,
 		readClock,
+		self: host,
+		maxAgentSessions: settings.maxAgentSessions,
 		onReport(reported) {
 			router.recordReport(reported, readClock());
 		},
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -14,6 +14,7 @@
 	type Message,
 	type PlatformClient,
 	removeConnectedHost,
+	selectAgentPeers,
 	type Session,
 	type SessionPool,
 	updateConnectedHost,
@@ -36,6 +37,8 @@
 	/** The platform's list, each time it was read. */
 	readonly listed = new Subject<readonly ListedHost[]>();
 	#hosts = createHosts();
+	#selectedFor = '';
+	#selected: ReadonlySet<string> = new Set();
 
 	constructor(
 		private readonly options: {
@@ -43,6 +46,9 @@
 			readonly pool: SessionPool;
 			readonly lifeCycle: LifeCycle;
 			readonly readClock: () => number;
+			readonly self: HostId;
+			/** Most agents that this entry keeps sessions to. */
+			readonly maxAgentSessions: number;
 			/** Called with each load report. */
 			readonly onReport?: (host: ConnectedHost) => void;
 		},
@@ -72,7 +78,7 @@
 		}
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
-		this.options.pool.update(listAgentAddresses(listed.value));
+		this.options.pool.update(this.#selectAddresses(listed.value));
 		this.listed.next(listed.value);
 	}
 
@@ -86,6 +92,31 @@
 		}
 	}
 
+	/** Selects again only when the list changed, since that takes long at a large site. */
+	#selectAddresses(listed: readonly ListedHost[]): ReadonlySet<string> {
+		const key = listed
+			.map(({host, address}) => `${host} ${address}`)
+			.join('\n');
+		if (key !== this.#selectedFor) {
+			this.#selectedFor = key;
+			this.#selected = this.#selectAgents(listed);
+		}
+
+		return this.#selected;
+	}
+
+	#selectAgents(listed: readonly ListedHost[]): Set<string> {
+		const entries = listed.filter(({role}) => role === 'entry');
+		const agents = listed.filter(({role}) => role === 'agent');
+		const {self, maxAgentSessions} = this.options;
+		const selected = new Set(
+			selectAgentPeers(self, entries, agents, maxAgentSessions),
+		);
+		return new Set(
+			agents.filter(({host}) => selected.has(host)).map(({address}) => address),
+		);
+	}
+
 	#receive(session: Session, address: string, message: Message): void {
 		if (message.type === 'heartbeat') {
 			this.#update(session, address, message);
@@ -126,9 +157,3 @@
 		}
 	}
 }
-
-function listAgentAddresses(hosts: readonly ListedHost[]): Set<string> {
-	return new Set(
-		hosts.filter(({role}) => role === 'agent').map(({address}) => address),
-	);
-}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -90,6 +90,7 @@
 	type ModelRunEvent,
 	type ModelRunState,
 } from './coordination/model-run.js';
+export {type PeerHost, selectAgentPeers} from './coordination/peers.js';
 export {
 	choosePipeline,
 	createStages,
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -69,6 +69,10 @@
 		schema: address.default('127.0.0.1:0'),
 		description: 'Address for sessions of other entries, host:port',
 	},
+	maxAgentSessions: {
+		schema: z.coerce.number().int().positive().max(10_000).default(256),
+		description: 'Most agents that the entry keeps sessions to',
+	},
 	requestTimeoutMs: {
 		schema: durationMs.default(120_000),
 		description: 'Deadline of a request that names none, in milliseconds',
