--- a/packages/bramleystage-agent/src/service-client.ts
+++ b/packages/bramleystage-agent/src/service-client.ts
@@ -27,7 +27,7 @@
 			headers: mergeHeaders(call.headers),
 			body: call.body.length > 0 ? call.body : undefined,
 			// A kept connection may close under a call that must not be repeated.
-			agent: call.idempotent ? this.#agent : undefined,
+			agent: call.idempotent && this.#agent,
 			timeoutMs,
 			signal,
 		});
--- a/packages/bramleystage-command/src/local-settings.ts
+++ b/packages/bramleystage-command/src/local-settings.ts
@@ -11,7 +11,10 @@
 import {
 	type AcceleratorKind,
 	acceleratorKinds,
+	defaultLoadLagMs,
+	defaultMaxBatchSteps,
 	defaultPlatformOptions,
+	defaultPrefixCacheOptions,
 } from 'bramleystage-stand-ins';
 import {z} from 'zod';
 
@@ -109,6 +112,32 @@
 		description: 'Refuse orders with an old fencing number',
 		isSwitch: true,
 	},
+	maxBatchSteps: {
+		schema: wholeNumber(1, maxRate).default(defaultMaxBatchSteps),
+		description: 'Steps of one batch',
+	},
+	loadLagMs: {
+		schema: wholeNumber(0, 600_000).default(defaultLoadLagMs),
+		description: 'Age of the load report, in milliseconds',
+	},
+	cacheBlocks: {
+		schema: wholeNumber(1, maxRate).default(
+			defaultPrefixCacheOptions.maxBlocks,
+		),
+		description: 'Blocks of tokens that the prefix cache keeps',
+	},
+	cacheEventLagMs: {
+		schema: wholeNumber(0, 600_000).default(
+			defaultPrefixCacheOptions.eventLagMs,
+		),
+		description: 'How late cache events appear, in milliseconds',
+	},
+	cacheLoseEvery: {
+		schema: wholeNumber(0, maxRate).default(
+			defaultPrefixCacheOptions.loseEvery,
+		),
+		description: 'One cache event in this many is lost; 0 loses none',
+	},
 } as const satisfies SettingDefinitions;
 
 /** Settings of `bramleystage stand-in service`. */
--- a/packages/bramleystage-command/src/stand-in-commands.ts
+++ b/packages/bramleystage-command/src/stand-in-commands.ts
@@ -66,16 +66,18 @@
 	definitions: engineSettings,
 	example: '--port 9001 --from-layer 0 --to-layer 10 --kind large',
 	async start(flags) {
-		const {port, modelVersion, layers, kind, ...options} = readSettings(
-			engineSettings,
-			flags,
-		);
+		const settings = readSettings(engineSettings, flags);
 		return startEngine({
-			...options,
-			address: formatAddress(port),
-			version: modelVersion,
-			modelLayers: layers,
-			acceleratorKind: kind,
+			...settings,
+			address: formatAddress(settings.port),
+			version: settings.modelVersion,
+			modelLayers: settings.layers,
+			acceleratorKind: settings.kind,
+			prefixCache: {
+				maxBlocks: settings.cacheBlocks,
+				eventLagMs: settings.cacheEventLagMs,
+				loseEvery: settings.cacheLoseEvery,
+			},
 		});
 	},
 });
--- /dev/null
+++ b/packages/bramleystage-stand-ins/src/accelerator.ts
@@ -0,0 +1,26 @@
+/** Service time of the engine's stand-in by accelerator kind. */
+
+/** Service time by accelerator kind, in microseconds. */
+export const acceleratorKinds = {
+	large: {perBatchUs: 400, perLayerTokenUs: 4},
+	medium: {perBatchUs: 600, perLayerTokenUs: 8},
+	small: {perBatchUs: 900, perLayerTokenUs: 16},
+	edge: {perBatchUs: 1500, perLayerTokenUs: 40},
+} as const;
+export type AcceleratorKind = keyof typeof acceleratorKinds;
+
+const usPerSecond = 1_000_000;
+const usPerMs = 1000;
+
+/** Layers that a kind runs for one token, a second. */
+export const computeLayerRate = (kind: AcceleratorKind) =>
+	usPerSecond / acceleratorKinds[kind].perLayerTokenUs;
+
+/** Computes how long a batch takes, in milliseconds. */
+export function computeBatchMs(
+	kind: AcceleratorKind,
+	layerTokens: number,
+): number {
+	const {perBatchUs, perLayerTokenUs} = acceleratorKinds[kind];
+	return (perBatchUs + layerTokens * perLayerTokenUs) / usPerMs;
+}
--- /dev/null
+++ b/packages/bramleystage-stand-ins/src/engine-schema.ts
@@ -0,0 +1,62 @@
+/** Bodies of the engine stand-in's HTTP interface. */
+import {z} from 'zod';
+
+export const stepSchema = z.object({
+	sequence: z.string(),
+	position: z.int().min(0),
+	fromLayer: z.int(),
+	toLayer: z.int(),
+	/** Steps of a higher priority go into a batch first. */
+	priority: z.int().default(0),
+	input: z.discriminatedUnion('kind', [
+		z.object({
+			kind: z.literal('prompt'),
+			prompt: z.string(),
+			given: z.array(z.int()),
+		}),
+		z.object({kind: z.literal('token'), token: z.int()}),
+		z.object({kind: z.literal('values'), values: z.array(z.number())}),
+	]),
+});
+export type Step = z.infer<typeof stepSchema>;
+
+export const stepsSchema = z.object({steps: z.array(stepSchema)});
+
+/** The output of a step; `error` replaces the values when it was not run. */
+export type StepAnswer = {
+	readonly sequence: string;
+	readonly position: number;
+	readonly values?: readonly number[];
+	readonly token?: {
+		readonly id: number;
+		readonly text: string;
+		readonly isEnd: boolean;
+	};
+	readonly promptTokens?: number;
+	/** Tokens whose work the prefix cache saved. */
+	readonly cachedTokens?: number;
+	readonly error?: string;
+};
+
+/** A sequence's KV cache, as it is exported and imported. */
+export const cacheStateSchema = z.object({
+	fromLayer: z.int(),
+	toLayer: z.int(),
+	/** Position of the next step. */
+	position: z.int(),
+	states: z.array(z.number()),
+	index: z.int(),
+});
+export type CacheState = z.infer<typeof cacheStateSchema>;
+
+export const orderSchema = z.object({
+	order: z.enum(['load', 'unload', 'role']),
+	fencing: z.int(),
+	model: z.string().optional(),
+	version: z.string().optional(),
+	fromLayer: z.int().optional(),
+	toLayer: z.int().optional(),
+	adapter: z.string().optional(),
+	role: z.string().optional(),
+});
+export type Order = z.infer<typeof orderSchema>;
--- a/packages/bramleystage-stand-ins/src/engine.ts
+++ b/packages/bramleystage-stand-ins/src/engine.ts
@@ -1,17 +1,26 @@
 /**
- * Stand-in of a model engine that holds a range of layers. Steps of many
- * sequences run in one batch; a step that was already run gives its recorded
- * output again, so a step whose answer was lost can be asked for once more.
+ * Stand-in of a model engine that holds a range of layers, over HTTP.
+ * docs/STAND-INS.md describes the interface.
  */
-import {parseJson, waitFor, writeJson} from 'bramleystage';
-import {z} from 'zod';
+import {parseJson, writeJson} from 'bramleystage';
+import {type AcceleratorKind, computeLayerRate} from './accelerator.js';
+import {BatchRunner} from './engine-batches.js';
+import {hasLayers, HoldingDesk} from './engine-holding.js';
+import {
+	cacheStateSchema,
+	orderSchema,
+	type Step,
+	type StepAnswer,
+	stepsSchema,
+} from './engine-schema.js';
+import {listInputs, SequenceStore} from './engine-sequences.js';
 import {type Route, serveStandIn, type StandIn} from './faults.js';
+import {LaggingValue} from './lagging-value.js';
 import {
-	decodeToken,
-	drawToken,
-	encodeText,
-	LayerRange,
-} from './reference-model.js';
+	defaultPrefixCacheOptions,
+	PrefixCache,
+	type PrefixCacheOptions,
+} from './prefix-cache.js';
 
 export type EngineOptions = {
 	readonly address: string;
@@ -23,162 +32,59 @@
 	readonly modelLayers: number;
 	readonly acceleratorKind: AcceleratorKind;
 	readonly checksFencing: boolean;
+	readonly prefixCache?: PrefixCacheOptions;
+	/** Age of the load report, in milliseconds. */
+	readonly loadLagMs?: number;
+	/** Steps of one batch. */
+	readonly maxBatchSteps?: number;
 };
 
-/** Service time by accelerator kind, in microseconds. */
-export const acceleratorKinds = {
-	large: {perBatchUs: 400, perLayerTokenUs: 4},
-	medium: {perBatchUs: 600, perLayerTokenUs: 8},
-	small: {perBatchUs: 900, perLayerTokenUs: 16},
-	edge: {perBatchUs: 1500, perLayerTokenUs: 40},
-} as const;
-export type AcceleratorKind = keyof typeof acceleratorKinds;
-
-const stepSchema = z.object({
-	sequence: z.string(),
-	position: z.int().min(0),
-	fromLayer: z.int(),
-	toLayer: z.int(),
-	priority: z.int().default(0),
-	input: z.discriminatedUnion('kind', [
-		z.object({
-			kind: z.literal('prompt'),
-			prompt: z.string(),
-			given: z.array(z.int()),
-		}),
-		z.object({kind: z.literal('token'), token: z.int()}),
-		z.object({kind: z.literal('values'), values: z.array(z.number())}),
-	]),
-});
-const stepsSchema = z.object({steps: z.array(stepSchema)});
-type Step = z.infer<typeof stepSchema>;
-const restoreSchema = z.object({
-	fromLayer: z.int(),
-	toLayer: z.int(),
-	position: z.int(),
-	states: z.array(z.number()),
-	index: z.int(),
-});
-const orderSchema = z.object({
-	order: z.enum(['load', 'unload', 'role']),
-	fencing: z.int(),
-	model: z.string().optional(),
-	version: z.string().optional(),
-	fromLayer: z.int().optional(),
-	toLayer: z.int().optional(),
-	role: z.string().optional(),
-});
-
-type Sequence = {
-	readonly layers: LayerRange;
-	readonly outputs: Map<number, Record<string, unknown>>;
-	next: number | undefined;
-};
-
-type WaitingStep = {
-	readonly step: Step;
-	readonly resolve: (output: Record<string, unknown>) => void;
-};
+export const defaultLoadLagMs = 500;
+export const defaultMaxBatchSteps = 64;
 
-const maxBatchSteps = 64;
-const maxRecordedOutputs = 64;
+const readClock = () => performance.now();
 
 /** Starts an engine's stand-in. */
 export async function startEngine(options: EngineOptions): Promise<StandIn> {
-	const kind = acceleratorKinds[options.acceleratorKind];
-	const sequences = new Map<string, Sequence>();
-	const waiting: WaitingStep[] = [];
-	let holds = {
-		model: options.model,
-		version: options.version,
-		fromLayer: options.fromLayer,
-		toLayer: options.toLayer,
-		role: 'serving',
-	};
-	let highestFencing = -1;
-	let isRunning = false;
-	let stepsRun = 0;
-
-	const findSequence = (step: Step): Sequence => {
-		const known = sequences.get(step.sequence);
-		if (known) {
-			return known;
-		}
-
-		const created: Sequence = {
-			layers: new LayerRange(step.fromLayer, step.toLayer),
-			outputs: new Map(),
-			next: undefined,
-		};
-		sequences.set(step.sequence, created);
-		return created;
-	};
-
-	const runStep = (step: Step): Record<string, unknown> => {
-		const {sequence: name, position} = step;
-		const sequence = findSequence(step);
-		const recorded = sequence.outputs.get(position);
-		if (recorded) {
-			return recorded;
-		}
-
-		if (sequence.next !== undefined && sequence.next !== position) {
-			return {sequence: name, position, error: 'out of order'};
-		}
+	const cache = new PrefixCache(
+		options.prefixCache ?? defaultPrefixCacheOptions,
+	);
+	const sequences = new SequenceStore(options.modelLayers, cache, readClock);
+	const load = new LaggingValue(
+		{waiting: 0, running: 0},
+		options.loadLagMs ?? defaultLoadLagMs,
+	);
+	const {model, version, fromLayer, toLayer} = options;
+	const holding = new HoldingDesk(
+		{model, version, fromLayer, toLayer, role: 'serving', adapters: []},
+		options.checksFencing,
+	);
 
-		const inputs = listInputs(step);
-		const values = sequence.layers.run(inputs);
-		const output = {
-			sequence: name,
-			position,
-			values: step.toLayer === options.modelLayers ? [] : values,
-			token:
-				step.toLayer === options.modelLayers
-					? describeToken(values.at(-1) ?? 0)
-					: undefined,
-			promptTokens: inputs.length,
-		};
-		sequence.next = position + 1;
-		sequence.outputs.set(position, output);
-		sequence.outputs.delete(position - maxRecordedOutputs);
-		stepsRun++;
-		return output;
+	const runStep = (step: Step) => {
+		const {sequence, position} = step;
+		const answer: StepAnswer = hasLayers(holding.current, step)
+			? sequences.run(step)
+			: {sequence, position, error: 'layers not held'};
+		const inputs = answer.error === undefined ? listInputs(step).length : 0;
+		return {answer, tokens: inputs - (answer.cachedTokens ?? 0)};
 	};
 
-	const runBatches = async () => {
-		if (isRunning) {
-			return;
-		}
-
-		isRunning = true;
-		while (waiting.length > 0) {
-			waiting.sort((a, b) => b.step.priority - a.step.priority);
-			const batch = waiting.splice(0, maxBatchSteps);
-			const outputs = batch.map(({step}) => runStep(step));
-			// eslint-disable-next-line no-await-in-loop -- one batch at a time
-			await waitFor(measureBatch(batch, kind) / 1000);
-			for (const [index, {resolve}] of batch.entries()) {
-				resolve(outputs[index] ?? {});
-			}
-		}
-
-		isRunning = false;
-	};
+	const batches: BatchRunner = new BatchRunner({
+		kind: options.acceleratorKind,
+		maxBatchSteps: options.maxBatchSteps ?? defaultMaxBatchSteps,
+		runStep,
+		onChange() {
+			const {waiting, running} = batches;
+			load.update({waiting, running}, readClock());
+		},
+	});
 
 	const answerSteps: Route = async ({body, response}) => {
-		const parsed = stepsSchema.safeParse(parseJson(body.toString()));
-		if (!parsed.success) {
-			writeJson(response, 400, {error: parsed.error.message});
-			return;
-		}
-
+		const {steps} = stepsSchema.parse(parseJson(body.toString()));
 		response.writeHead(200, {'content-type': 'application/x-ndjson'});
 		await Promise.all(
-			parsed.data.steps.map(async (step) => {
-				const output = await new Promise<Record<string, unknown>>((resolve) => {
-					waiting.push({step, resolve});
-					void runBatches();
-				});
+			steps.map(async (step) => {
+				const output = await batches.add(step);
 				response.write(`${JSON.stringify(output)}\n`);
 			}),
 		);
@@ -186,110 +92,84 @@
 	};
 
 	const answerSequence: Route = ({method, url, body, response}) => {
-		const segments = url.pathname
+		const [name = '', part] = url.pathname
 			.split('/')
-			.map((part) => decodeURIComponent(part));
-		const name = segments[3] ?? '';
-		const part = segments[4];
-		const sequence = sequences.get(name);
+			.slice(3)
+			.map((segment) => decodeURIComponent(segment));
 		if (method === 'DELETE') {
-			sequences.delete(name);
-			writeJson(response, 200, {deleted: sequence !== undefined});
-		} else if (method === 'PUT' && part === 'kv') {
-			const {fromLayer, toLayer, position, ...restored} = restoreSchema.parse(
-				parseJson(body.toString()),
-			);
-			const layers = new LayerRange(fromLayer, toLayer, restored);
-			sequences.set(name, {layers, outputs: new Map(), next: position});
+			batches.cancel(name);
+			writeJson(response, 200, {deleted: sequences.remove(name)});
+			return;
+		}
+
+		if (method === 'PUT' && part === 'kv') {
+			const state = cacheStateSchema.parse(parseJson(body.toString()));
+			sequences.restore(name, state);
 			writeJson(response, 200, {});
-		} else if (sequence) {
-			const {fromLayer, toLayer, snapshot} = sequence.layers;
-			writeJson(response, 200, {
-				fromLayer,
-				toLayer,
-				position: sequence.next ?? 0,
-				...snapshot,
-			});
-		} else {
-			writeJson(response, 404, {error: 'No such sequence.'});
+			return;
 		}
+
+		const from = Number(url.searchParams.get('from') ?? 0);
+		const found =
+			part === 'outputs'
+				? sequences.listOutputs(name, from)
+				: sequences.read(name);
+		writeJson(
+			response,
+			found ? 200 : 404,
+			found ?? {error: 'No such sequence.'},
+		);
 	};
 
 	const answerOrder: Route = ({body, response}) => {
 		const order = orderSchema.parse(parseJson(body.toString()));
-		if (options.checksFencing && order.fencing < highestFencing) {
-			writeJson(response, 409, {error: 'old fencing number', highestFencing});
-			return;
-		}
+		holding.handle(order).match(
+			(held) => {
+				writeJson(response, 200, held);
+			},
+			(refusal) => {
+				writeJson(response, 409, refusal);
+			},
+		);
+	};
+
+	const answerCacheEvents: Route = ({url, response}) => {
+		const from = Number(url.searchParams.get('from') ?? 0);
+		writeJson(response, 200, cache.listEvents(from, readClock()));
+	};
+
+	const answerLoad: Route = ({response}) => {
+		const {at, value} = load.read(readClock());
+		const ageMs = Number.isFinite(at) ? readClock() - at : null;
+		writeJson(response, 200, {...value, ageMs});
+	};
 
-		highestFencing = Math.max(highestFencing, order.fencing);
-		const {order: verb, fencing: _fencing, ...facts} = order;
-		holds =
-			verb === 'unload'
-				? {...holds, toLayer: holds.fromLayer}
-				: {...holds, ...removeUndefined(facts)};
-		writeJson(response, 200, holds);
+	const answerEngine: Route = ({response}) => {
+		writeJson(response, 200, {
+			...holding.current,
+			acceleratorKind: options.acceleratorKind,
+			layerTokensPerSecond: computeLayerRate(options.acceleratorKind),
+			waiting: batches.waiting,
+			sequences: sequences.size,
+			stepsRun: sequences.stepsRun,
+		});
 	};
 
+	const routes = new Map<string, Route>([
+		['steps', answerSteps],
+		['sequences', answerSequence],
+		['orders', answerOrder],
+		['cache-events', answerCacheEvents],
+		['load', answerLoad],
+		['engine', answerEngine],
+	]);
 	return serveStandIn(options.address, async (context) => {
-		const {pathname} = context.url;
-		if (pathname === '/v1/steps') {
-			await answerSteps(context);
-		} else if (pathname.startsWith('/v1/sequences/')) {
-			await answerSequence(context);
-		} else if (pathname === '/v1/orders') {
-			await answerOrder(context);
-		} else if (pathname === '/v1/engine') {
-			writeJson(context.response, 200, {
-				...holds,
-				acceleratorKind: options.acceleratorKind,
-				layerTokensPerSecond: 1_000_000 / kind.perLayerTokenUs,
-				waiting: waiting.length,
-				sequences: sequences.size,
-				stepsRun,
-			});
+		const [, version, name = ''] = context.url.pathname.split('/');
+		const route = version === 'v1' ? routes.get(name) : undefined;
+		if (route) {
+			await route(context);
 		} else {
 			writeJson(context.response, 404, {error: 'No such path.'});
 		}
 	});
 }
-
-function listInputs({input}: Step): readonly number[] {
-	switch (input.kind) {
-		case 'prompt': {
-			return [...encodeText(input.prompt), ...input.given];
-		}
-
-		case 'token': {
-			return [input.token];
-		}
-
-		case 'values': {
-			return input.values;
-		}
-	}
-}
-
-function describeToken(activation: number): Record<string, unknown> {
-	const {id, isEnd} = drawToken(activation);
-	return {id, isEnd, text: decodeToken(id)};
-}
-
-function measureBatch(
-	batch: readonly WaitingStep[],
-	kind: (typeof acceleratorKinds)[AcceleratorKind],
-): number {
-	const layerTokens = batch.map(
-		({step}) => (step.toLayer - step.fromLayer) * listInputs(step).length,
-	);
-	const total = layerTokens.reduce((sum, count) => sum + count, 0);
-	return kind.perBatchUs + total * kind.perLayerTokenUs;
-}
-
-function removeUndefined<Facts extends Record<string, unknown>>(
-	facts: Facts,
-): Partial<Facts> {
-	return Object.fromEntries(
-		Object.entries(facts).filter(([, value]) => value !== undefined),
-	) as Partial<Facts>;
-}
--- a/packages/bramleystage-stand-ins/src/faults.ts
+++ b/packages/bramleystage-stand-ins/src/faults.ts
@@ -59,6 +59,11 @@
 		}
 	};
 
+	const changeFaults = (body: Buffer, response: ServerResponse) => {
+		setFaults(faultsSchema.partial().parse(parseJson(body.toString())));
+		writeJson(response, 200, faults);
+	};
+
 	const answer = async (request: IncomingMessage, response: ServerResponse) => {
 		const {socket} = request;
 		if (!connections.has(socket)) {
@@ -74,8 +79,7 @@
 
 		const url = new URL(request.url ?? '/', 'http://stand-in');
 		if (url.pathname === '/faults') {
-			setFaults(faultsSchema.partial().parse(parseJson(body.value.toString())));
-			writeJson(response, 200, faults);
+			changeFaults(body.value, response);
 			return;
 		}
 
@@ -91,15 +95,35 @@
 
 		if (faults.loseAnswers > 0) {
 			faults = {...faults, loseAnswers: faults.loseAnswers - 1};
-			response.write = () => true;
-			response.writeHead = () => response;
-			response.end = () => response.destroy();
+			closeInsteadOfAnswer(response);
 		}
 
 		const method = request.method ?? 'GET';
 		await route({method, url, body: body.value, request, response});
 	};
 
-	const listener = await listenHttp(address, answer);
+	const answerChecked = async (
+		request: IncomingMessage,
+		response: ServerResponse,
+	) => {
+		try {
+			await answer(request, response);
+		} catch (error) {
+			if (!(error instanceof z.ZodError) || response.headersSent) {
+				throw error;
+			}
+
+			writeJson(response, 400, {error: error.message});
+		}
+	};
+
+	const listener = await listenHttp(address, answerChecked);
 	return {...listener, setFaults};
 }
+
+/** Lets a request take effect, but closes its connection in place of an answer. */
+function closeInsteadOfAnswer(response: ServerResponse): void {
+	response.write = () => true;
+	response.writeHead = () => response;
+	response.end = () => response.destroy();
+}
--- a/packages/bramleystage/src/transport/http-client.ts
+++ b/packages/bramleystage/src/transport/http-client.ts
@@ -8,7 +8,8 @@
 	readonly headers?: Readonly<Record<string, string | string[]>>;
 	readonly body?: Uint8Array | string;
 	readonly timeoutMs: number;
-	readonly agent?: Agent;
+	/** Node's shared agent keeps connections; false opens one for this request. */
+	readonly agent?: Agent | false;
 	readonly signal?: AbortSignal;
 	readonly maxBodyBytes?: number;
 };
