--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -72,6 +72,10 @@
 		noDelay: true,
 	});
 
+	/** Steps that have no output yet, by sequence. */
+	readonly #outstanding = new Map<string, number>();
+	/** Sequences to drop once their last step is back. */
+	readonly #closing = new Set<string>();
 	#ready: PendingStep[] = [];
 
 	constructor(private readonly url: string) {}
@@ -96,29 +100,65 @@
 
 	/** Runs one step; steps asked for in the same turn of the loop share a request. */
 	async runStep(step: EngineStep): Promise<StepResult> {
-		return new Promise((resolve) => {
-			this.#ready.push({step, resolve});
-			if (this.#ready.length === 1) {
-				setImmediate(() => {
-					void this.#sendReady();
-				});
-			}
-		});
+		const sequence = formatSequence(step.open);
+		this.#outstanding.set(sequence, this.#countOutstanding(sequence) + 1);
+		const result = await this.#addStep(step);
+		await this.#settleStep(sequence);
+		return result;
 	}
 
-	/** Drops a sequence's state at the engine. */
+	/**
+	 * Drops a sequence's state at the engine. A step that is on its way may make
+	 * the sequence anew, so it is dropped again once the last one is back.
+	 */
 	async closeSequence(open: StageOpen): Promise<void> {
-		const name = encodeURIComponent(formatSequence(open));
+		const sequence = formatSequence(open);
+		if (this.#countOutstanding(sequence) > 0) {
+			this.#closing.add(sequence);
+		}
+
+		await this.#removeSequence(sequence);
+	}
+
+	close(): void {
+		this.#agent.destroy();
+	}
+
+	#countOutstanding(sequence: string): number {
+		return this.#outstanding.get(sequence) ?? 0;
+	}
+
+	async #settleStep(sequence: string): Promise<void> {
+		const count = this.#countOutstanding(sequence) - 1;
+		if (count > 0) {
+			this.#outstanding.set(sequence, count);
+			return;
+		}
+
+		this.#outstanding.delete(sequence);
+		if (this.#closing.delete(sequence)) {
+			await this.#removeSequence(sequence);
+		}
+	}
+
+	async #removeSequence(sequence: string): Promise<void> {
 		await sendHttp({
 			method: 'DELETE',
-			url: `${this.url}/v1/sequences/${name}`,
+			url: `${this.url}/v1/sequences/${encodeURIComponent(sequence)}`,
 			agent: this.#agent,
 			timeoutMs: orderTimeoutMs,
 		});
 	}
 
-	close(): void {
-		this.#agent.destroy();
+	async #addStep(step: EngineStep): Promise<StepResult> {
+		return new Promise((resolve) => {
+			this.#ready.push({step, resolve});
+			if (this.#ready.length === 1) {
+				setImmediate(() => {
+					void this.#sendReady();
+				});
+			}
+		});
 	}
 
 	async #sendReady(): Promise<void> {
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -148,23 +148,29 @@
 				return;
 			}
 
-			void this.#runStep(step);
+			if (this.#isOpen(step)) {
+				void this.#runStep(step);
+			}
 		}
 	}
 
+	/** False for a step of a stage that was closed or replaced meanwhile. */
+	#isOpen({open: {request, attempt}}: EngineStep): boolean {
+		const record = this.#held.get(request)?.record;
+		return record?.phase === 'open' && record.open.attempt === attempt;
+	}
+
 	async #runStep(step: EngineStep): Promise<void> {
 		this.#running++;
 		const result = await this.options.client.runStep(step);
 		this.#running--;
 		this.#runWaiting();
-		const {request, attempt} = step.open;
-		const record = this.#held.get(request)?.record;
-		if (record?.phase !== 'open' || record.open.attempt !== attempt) {
+		if (!this.#isOpen(step)) {
 			return;
 		}
 
 		this.handle(
-			request,
+			step.open.request,
 			result.match<StageEvent>(
 				(output) => ({type: 'stepped', output}),
 				(failure) => ({type: 'stepFailed', failure}),
--- a/packages/bramleystage-entry/src/answers.ts
+++ b/packages/bramleystage-entry/src/answers.ts
@@ -1,19 +1,11 @@
 /** Error answers to callers: the numbered code, the outcome and the detail. */
 import type {ServerResponse} from 'node:http';
-import {type Failure, resultCodes, writeJson} from 'bramleystage';
-
-/** Builds the body of an error answer, in the shape that OpenAI clients read. */
-export function buildErrorBody(failure: Failure): Record<string, unknown> {
-	const {code, meaning} = resultCodes[failure.result];
-	return {
-		error: {
-			message: failure.detail || meaning,
-			type: failure.result,
-			code,
-			outcome: failure.outcome,
-		},
-	};
-}
+import {
+	buildErrorBody,
+	type Failure,
+	resultCodes,
+	writeJson,
+} from 'bramleystage';
 
 /** Writes an error answer; on an open event stream, as its last event. */
 export function writeFailure(response: ServerResponse, failure: Failure): void {
--- a/packages/bramleystage-entry/src/audit.ts
+++ b/packages/bramleystage-entry/src/audit.ts
@@ -15,7 +15,8 @@
 
 export type RequestRecord = {
 	readonly request: RequestId;
-	readonly customer: CustomerId;
+	/** Absent when the bearer key was not known. */
+	readonly customer: CustomerId | undefined;
 	/** Name of the model or service. */
 	readonly subject: string;
 	/** Nothing when the request was answered in full. */
@@ -70,9 +71,10 @@
 		});
 	}
 
-	recordRequest({subject, failure}: RequestRecord): void {
+	recordRequest({subject, failure, attempts}: RequestRecord): void {
 		this.#requests.inc({
-			subject,
+			// Paths and names that no row has would make labels without bound.
+			subject: attempts > 0 ? subject : 'none',
 			outcome: failure?.outcome ?? 'ran',
 			result: failure?.result ?? 'ok',
 		});
@@ -88,6 +90,23 @@
 		private readonly metrics: EntryMetrics,
 	) {}
 
+	/** Records a request that was rejected before anything was sent on. */
+	recordRejected(
+		{request, customer}: Pick<RequestRecord, 'request' | 'customer'>,
+		subject: string,
+		failure: Failure,
+	): void {
+		this.#recordLocal({request, customer, subject, failure});
+	}
+
+	/** Records a request that the entry answered by itself. */
+	recordAnswered(
+		{request, customer}: Pick<RequestRecord, 'request' | 'customer'>,
+		subject: string,
+	): void {
+		this.#recordLocal({request, customer, subject, failure: undefined});
+	}
+
 	record(record: RequestRecord): void {
 		const {request, customer, subject, failure, attempts, pipeline} = record;
 		const result = failure?.result ?? 'ok';
@@ -106,4 +125,10 @@
 		});
 		this.records.next(record);
 	}
+
+	#recordLocal(
+		facts: Pick<RequestRecord, 'request' | 'customer' | 'subject' | 'failure'>,
+	): void {
+		this.record({...facts, attempts: 0, pipeline: '', durationMs: 0});
+	}
 }
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -27,7 +27,6 @@
 	writeJson,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
-import {writeFailure} from './answers.js';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
 import {findCustomer} from './authentication.js';
 import {ModelDesk} from './model-desk.js';
@@ -37,8 +36,11 @@
 	runModelRoute,
 } from './model-route.js';
 import {Network} from './network.js';
+import {rejectMessage} from './rejection.js';
+import {parseTimeout} from './request-timeout.js';
 import {chooseStages, chooseTarget} from './routing.js';
 import {ServiceDesk} from './service-desk.js';
+import {checkRoute} from './route-check.js';
 import {runServiceRoute} from './service-route.js';
 import {TableFollower} from './table-follower.js';
 
@@ -56,7 +58,6 @@
 
 /** How long the ready check fails before new connections are refused. */
 const leavingNoticeMs = 1000;
-const timeoutHeader = 'x-request-timeout-ms';
 
 const readClock = () => performance.now();
 
@@ -72,7 +73,11 @@
 	const platform = new PlatformClient(settings.platform);
 	const metrics = new EntryMetrics();
 	const audit = new Audit(logger, metrics);
-	const bounds = {...defaultHttpBounds, maxBodyBytes: settings.maxBodyBytes};
+	const bounds = {
+		...defaultHttpBounds,
+		maxBodyBytes: settings.maxBodyBytes,
+		bodyTimeoutMs: settings.bodyTimeoutMs,
+	};
 	let leaving = false;
 	let budget = createRetryBudget();
 
@@ -141,9 +146,16 @@
 		const request = toRequestId(randomUUID());
 		response.setHeader('x-request-id', request);
 		const {view} = follower.table.value;
-		const customer = findCustomer(message.headers.authorization, view);
-		if (customer.isErr()) {
-			rejectMessage(message, response, customer.error);
+		const found = findCustomer(message.headers.authorization, view);
+		const customer = found.unwrapOr(undefined);
+		const reject = (failure: Failure) => {
+			const [subject = ''] = url.split('?');
+			audit.recordRejected({request, customer}, subject, failure);
+			rejectMessage(message, response, failure);
+		};
+
+		if (found.isErr()) {
+			reject(found.error);
 			return;
 		}
 
@@ -151,22 +163,35 @@
 			const failure = createFailure('stopping', 'The entry is stopping.', {
 				retryAfterSeconds: 1,
 			});
-			rejectMessage(message, response, failure);
+			reject(failure);
+			return;
+		}
+
+		const problem = checkRoute(message);
+		if (problem) {
+			reject(problem);
+			return;
+		}
+
+		const deadline = parseTimeout(message, settings.requestTimeoutMs);
+		if (deadline.isErr()) {
+			reject(deadline.error);
 			return;
 		}
 
 		const body = await readBody(message, bounds);
 		if (body.isErr()) {
-			rejectMessage(message, response, body.error);
+			reject(body.error);
 			return;
 		}
 
 		budget = recordRequest(budget);
+		logger.debug('request.received', {request, customer: found.value, url});
 		const context: RouteContext = {
 			request,
-			customer: customer.value,
+			customer: found.value,
 			view,
-			deadlineMs: parseTimeout(message, settings.requestTimeoutMs),
+			deadlineMs: deadline.value,
 			response,
 		};
 		routeMessage(message, context, body.value);
@@ -189,13 +214,7 @@
 			return;
 		}
 
-		const method = pathMethods.get(path);
-		if (method === undefined) {
-			writeFailure(response, createFailure('unknownPath', `No path ${path}.`));
-		} else if (method !== message.method) {
-			const failure = createFailure('methodNotAllowed', `Use ${method}.`);
-			writeFailure(response, failure);
-		} else if (path === '/v1/models') {
+		if (path === '/v1/models') {
 			const data = [...view.models.keys()].map((id) => ({
 				id,
 				object: 'model',
@@ -203,6 +222,7 @@
 				owned_by: deployment,
 			}));
 			writeJson(response, 200, {object: 'list', data});
+			audit.recordAnswered(context, path);
 		} else {
 			const kind = path === '/v1/completions' ? 'completion' : 'chat';
 			runModelRoute(modelRoute, context, kind, body.toString());
@@ -260,27 +280,3 @@
 		},
 	};
 }
-
-const pathMethods = new Map([
-	['/v1/models', 'GET'],
-	['/v1/chat/completions', 'POST'],
-	['/v1/completions', 'POST'],
-]);
-
-/** Answers a request that is not taken; the rest of its body is not read. */
-function rejectMessage(
-	message: IncomingMessage,
-	response: ServerResponse,
-	failure: Failure,
-): void {
-	if (!message.complete) {
-		response.setHeader('connection', 'close');
-	}
-
-	writeFailure(response, failure);
-}
-
-function parseTimeout(message: IncomingMessage, longestMs: number): number {
-	const asked = Number(message.headers[timeoutHeader] ?? longestMs);
-	return asked > 0 ? Math.min(asked, longestMs) : longestMs;
-}
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -1,5 +1,5 @@
 /** The entry process that takes callers' requests. */
-export {buildErrorBody, writeFailure} from './answers.js';
+export {writeFailure} from './answers.js';
 export {
 	Audit,
 	EntryMetrics,
@@ -15,6 +15,8 @@
 	buildChunk,
 	buildUsageChunk,
 	type ChatMessages,
+	type ChunkPart,
+	formatAnswerId,
 	formatChatPrompt,
 	type ModelBody,
 	parseModelBody,
@@ -27,6 +29,9 @@
 	runModelRoute,
 } from './model-route.js';
 export {Network, type NetworkEvent} from './network.js';
+export {rejectMessage} from './rejection.js';
+export {parseTimeout, timeoutHeader} from './request-timeout.js';
+export {checkRoute} from './route-check.js';
 export {chooseStages, chooseTarget, type CountInFlight} from './routing.js';
 export {
 	type ChooseTarget,
--- a/packages/bramleystage-entry/src/model-body.ts
+++ b/packages/bramleystage-entry/src/model-body.ts
@@ -5,6 +5,7 @@
 	type ModelName,
 	modelNameSchema,
 	parseJson,
+	type RequestId,
 } from 'bramleystage';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
@@ -95,6 +96,10 @@
 	});
 }
 
+/** Formats a request's id as clients expect it for the kind of answer. */
+export const formatAnswerId = (kind: ModelBody['kind'], request: RequestId) =>
+	`${kind === 'chat' ? 'chatcmpl' : 'cmpl'}-${request}`;
+
 /** What the answers to one request have in common. */
 export type AnswerHead = {
 	readonly id: string;
@@ -135,16 +140,22 @@
 	};
 }
 
-/** Builds one event of a streamed answer; the first names the role. */
+/** What one event of a streamed answer adds. */
+export type ChunkPart =
+	| {readonly type: 'role'}
+	| {readonly type: 'text'; readonly text: string}
+	| {readonly type: 'finish'; readonly reason: string};
+
+/** Builds one event of a streamed answer. */
 export function buildChunk(
 	{id, created, body}: AnswerHead,
-	text: string,
-	more: {isFirst: boolean; finish: string | undefined},
+	part: ChunkPart,
 ): Record<string, unknown> {
-	const {kind, model} = body;
-	const delta = more.isFirst
-		? {role: 'assistant', content: text}
-		: {content: text};
+	const {kind, model, includeUsage} = body;
+	const choice =
+		kind === 'chat'
+			? {delta: buildDelta(part)}
+			: {text: part.type === 'text' ? part.text : '', logprobs: null};
 	return {
 		id,
 		object: kind === 'chat' ? 'chat.completion.chunk' : 'text_completion',
@@ -153,13 +164,31 @@
 		choices: [
 			{
 				index: 0,
-				...(kind === 'chat' ? {delta} : {text, logprobs: null}),
-				finish_reason: more.finish ?? null,
+				...choice,
+				finish_reason: part.type === 'finish' ? part.reason : null,
 			},
 		],
+		// With usage asked for, every event but the last says that it has none.
+		...(includeUsage ? {usage: null} : {}),
 	};
 }
 
+function buildDelta(part: ChunkPart): Record<string, unknown> {
+	switch (part.type) {
+		case 'role': {
+			return {role: 'assistant', content: ''};
+		}
+
+		case 'text': {
+			return {content: part.text};
+		}
+
+		case 'finish': {
+			return {};
+		}
+	}
+}
+
 /** Builds the event that gives the usage of a streamed answer. */
 export function buildUsageChunk(
 	{id, created, body}: AnswerHead,
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -16,6 +16,7 @@
 	buildAnswer,
 	buildChunk,
 	buildUsageChunk,
+	formatAnswerId,
 	type ModelBody,
 	parseModelBody,
 } from './model-body.js';
@@ -56,7 +57,7 @@
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
 		writeFailure(context.response, rejected);
-		recordRejected(options, context, body?.model ?? kind, rejected);
+		options.audit.recordRejected(context, 'model', rejected);
 		return;
 	}
 
@@ -82,23 +83,6 @@
 	return undefined;
 }
 
-function recordRejected(
-	{audit}: ModelRouteOptions,
-	{request, customer}: RouteContext,
-	subject: string,
-	failure: Failure,
-): void {
-	audit.record({
-		request,
-		customer,
-		subject,
-		failure,
-		attempts: 0,
-		pipeline: '',
-		durationMs: 0,
-	});
-}
-
 function startRun(
 	options: ModelRouteOptions,
 	context: RouteContext,
@@ -107,7 +91,7 @@
 	const {request, customer, view, response, deadlineMs} = context;
 	const startedAt = options.readClock();
 	const writer = new AnswerWriter(response, {
-		id: request,
+		id: formatAnswerId(body.kind, request),
 		created: options.readCreated(),
 		body,
 	});
@@ -169,11 +153,12 @@
 	) {}
 
 	writeToken({text, finish, promptTokens}: Token): void {
-		this.#promptTokens = promptTokens ?? this.#promptTokens;
+		// Later tokens tell only what their own step read.
+		this.#promptTokens =
+			this.#tokens === 0 ? (promptTokens ?? 0) : this.#promptTokens;
 		this.#finish = finish ?? this.#finish;
 		if (this.head.body.stream) {
-			const isFirst = this.#tokens === 0;
-			this.#writeEvent(buildChunk(this.head, text, {isFirst, finish}));
+			this.#writeChunk(text);
 		} else {
 			this.#text += text;
 		}
@@ -197,6 +182,8 @@
 			return;
 		}
 
+		const reason = this.#finish;
+		this.#writeEvent(buildChunk(this.head, {type: 'finish', reason}));
 		if (this.head.body.includeUsage) {
 			this.#writeEvent(buildUsageChunk(this.head, usage));
 		}
@@ -204,6 +191,14 @@
 		this.response.end('data: [DONE]\n\n');
 	}
 
+	#writeChunk(text: string): void {
+		if (this.#tokens === 0 && this.head.body.kind === 'chat') {
+			this.#writeEvent(buildChunk(this.head, {type: 'role'}));
+		}
+
+		this.#writeEvent(buildChunk(this.head, {type: 'text', text}));
+	}
+
 	#writeEvent(event: Record<string, unknown>): void {
 		if (!this.response.headersSent) {
 			this.response.writeHead(200, {
--- a/packages/bramleystage-entry/src/service-route.ts
+++ b/packages/bramleystage-entry/src/service-route.ts
@@ -79,7 +79,7 @@
 			`No service ${service} in the table.`,
 		);
 		writeFailure(context.response, failure);
-		recordEnd(options, context, {subject: service || 'service', failure});
+		options.audit.recordRejected(context, 'service', failure);
 		return;
 	}
 
@@ -106,7 +106,7 @@
 				subject: service,
 				failure,
 				attempts,
-				pipeline: last?.host,
+				pipeline: last?.host ?? '',
 				durationMs: options.readClock() - startedAt,
 			});
 		},
@@ -163,18 +163,10 @@
 	end: {
 		subject: string;
 		failure: Failure | undefined;
-		attempts?: number;
-		pipeline?: string;
-		durationMs?: number;
+		attempts: number;
+		pipeline: string;
+		durationMs: number;
 	},
 ): void {
-	audit.record({
-		request,
-		customer,
-		subject: end.subject,
-		failure: end.failure,
-		attempts: end.attempts ?? 0,
-		pipeline: end.pipeline ?? '',
-		durationMs: end.durationMs ?? 0,
-	});
+	audit.record({request, customer, ...end});
 }
--- a/packages/bramleystage-site/src/index.ts
+++ b/packages/bramleystage-site/src/index.ts
@@ -9,4 +9,4 @@
 	listTableRows,
 } from './deployments.js';
 export {runSamples, type SampleResult} from './samples.js';
-export {registerHost, type Site, startSite} from './site.js';
+export {registerHost, type Site, type SiteOptions, startSite} from './site.js';
--- a/packages/bramleystage-site/src/site.ts
+++ b/packages/bramleystage-site/src/site.ts
@@ -16,7 +16,6 @@
 	type SettingDefinitions,
 	type SettingValues,
 	toHostId,
-	waitFor,
 } from 'bramleystage';
 import {type RunningAgent, startAgent} from 'bramleystage-agent';
 import {type RunningEntry, startEntry} from 'bramleystage-entry';
@@ -28,6 +27,7 @@
 	type StandIn,
 } from 'bramleystage-stand-ins';
 import {type Deployment, listTableRows} from './deployments.js';
+import {waitForReady} from './site-ready.js';
 
 export type Site = {
 	readonly deployment: Deployment;
@@ -45,13 +45,18 @@
 const entryCount = 2;
 const serviceCount = 3;
 const bookingMs = 5;
-const readyStepMs = 20;
-const readyTimeoutMs = 20_000;
+
+/** Settings of the processes that differ from their defaults. */
+export type SiteOptions = {
+	readonly entry?: Readonly<Record<string, unknown>>;
+	readonly agent?: Readonly<Record<string, unknown>>;
+};
 
 /** Starts a site; resolves when both entries can reach every agent. */
 export async function startSite(
 	deployment: Deployment,
 	logger: Logger,
+	options: SiteOptions = {},
 ): Promise<Site> {
 	const lifeCycle = new LifeCycle();
 	const platform = await startPlatform({
@@ -72,11 +77,17 @@
 	const agents = await startAgents(
 		{deployment, platform, engines, services},
 		logger,
+		options,
 	);
 	lifeCycle.register(async () => {
 		await Promise.all([...agents.values()].map(async (agent) => agent.stop()));
 	});
-	const entries = await startEntries(deployment, platform.address, logger);
+	const entries = await startEntries(
+		deployment,
+		platform.address,
+		logger,
+		options,
+	);
 	lifeCycle.register(async () => {
 		await Promise.all(entries.map(async (entry) => entry.stop()));
 	});
@@ -154,6 +165,7 @@
 async function startAgents(
 	parts: Pick<Site, 'deployment' | 'platform' | 'engines' | 'services'>,
 	logger: Logger,
+	options: SiteOptions,
 ): Promise<Map<HostId, RunningAgent>> {
 	const {deployment, platform, engines, services} = parts;
 	const common = {deployment: deployment.name, platform: platform.address};
@@ -179,6 +191,7 @@
 				host,
 				dataCentre,
 				...backend,
+				...options.agent,
 			});
 			const agent = await startAgent(settings, logger);
 			const {address} = agent;
@@ -198,6 +211,7 @@
 	deployment: Deployment,
 	platform: string,
 	logger: Logger,
+	options: SiteOptions,
 ): Promise<RunningEntry[]> {
 	return Promise.all(
 		Array.from({length: entryCount}, async (_, index) => {
@@ -208,6 +222,7 @@
 				host,
 				dataCentre,
 				platform,
+				...options.entry,
 			});
 			const entry = await startEntry(settings, logger);
 			const {address} = entry;
@@ -256,36 +271,3 @@
 
 	return selected;
 }
-
-async function waitForReady(
-	entries: readonly RunningEntry[],
-	agentCount: number,
-): Promise<void> {
-	const until = performance.now() + readyTimeoutMs;
-	while (performance.now() < until) {
-		const checks = entries.map(async ({operatorAddress}) => {
-			const dump = await sendHttp({
-				method: 'GET',
-				url: `http://${operatorAddress}/dump`,
-				timeoutMs: 1000,
-			});
-			const state = dump.isOk()
-				? (JSON.parse(dump.value.body.toString()) as {
-						tableOffset: number;
-						hosts: unknown[];
-					})
-				: undefined;
-			return state && state.tableOffset > 0 && state.hosts.length >= agentCount;
-		});
-		// eslint-disable-next-line no-await-in-loop -- polls until ready
-		const ready = await Promise.all(checks);
-		if (ready.every(Boolean)) {
-			return;
-		}
-
-		// eslint-disable-next-line no-await-in-loop -- polls until ready
-		await waitFor(readyStepMs);
-	}
-
-	throw new Error('The site did not become ready.');
-}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -147,6 +147,7 @@
 	welcomeSchema,
 } from './protocol/messages.js';
 export {
+	buildErrorBody,
 	createFailure,
 	type Failure,
 	type Outcome,
--- a/packages/bramleystage/src/protocol/result-codes.ts
+++ b/packages/bramleystage/src/protocol/result-codes.ts
@@ -56,6 +56,13 @@
 		'not-run',
 		'The body did not arrive within its time.',
 	),
+	headersTooLarge: row(
+		1010,
+		431,
+		'not-run',
+		'The headers are over the size limit.',
+	),
+	badHttp: row(1011, 400, 'not-run', 'The request is not valid HTTP.'),
 	limitReached: row(
 		2001,
 		429,
@@ -239,3 +246,16 @@
 		retryAfterSeconds: more.retryAfterSeconds,
 	};
 }
+
+/** Builds the body of an error answer, in the shape that OpenAI clients read. */
+export function buildErrorBody(failure: Failure): Record<string, unknown> {
+	const {code, meaning} = resultCodes[failure.result];
+	return {
+		error: {
+			message: failure.detail || meaning,
+			type: failure.result,
+			code,
+			outcome: failure.outcome,
+		},
+	};
+}
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -73,6 +73,11 @@
 		schema: z.coerce.number().int().positive().max(1e8).default(4_194_304),
 		description: "Largest body of a caller's request, in bytes",
 	},
+	bodyTimeoutMs: {
+		schema: durationMs.default(15_000),
+		description:
+			"A caller's headers and body must each arrive within this time, in milliseconds",
+	},
 } as const satisfies SettingDefinitions;
 export type EntrySettings = SettingValues<typeof entrySettings>;
 
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -2,7 +2,12 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
-import {type Failure, createFailure} from '../protocol/result-codes.js';
+import {
+	buildErrorBody,
+	createFailure,
+	type Failure,
+	resultCodes,
+} from '../protocol/result-codes.js';
 import {formatAddress, parseAddress} from './address.js';
 
 export type HttpBounds = {
@@ -20,6 +25,8 @@
 /** How often a draining listener closes idle connections, in milliseconds. */
 const idleCheckMs = 50;
 
+const maxCheckingIntervalMs = 5000;
+
 export type HttpHandler = (
 	request: IncomingMessage,
 	response: ServerResponse,
@@ -44,6 +51,10 @@
 			maxHeaderSize: bounds.maxHeaderBytes,
 			headersTimeout: bounds.bodyTimeoutMs,
 			requestTimeout: 0,
+			connectionsCheckingInterval: Math.min(
+				bounds.bodyTimeoutMs,
+				maxCheckingIntervalMs,
+			),
 			noDelay: true,
 		},
 		async (request, response) => {
@@ -54,6 +65,13 @@
 			}
 		},
 	);
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		if (socket.writable) {
+			socket.end(formatRawFailure(describeClientError(error)));
+		} else {
+			socket.destroy();
+		}
+	});
 	const {host, port} = parseAddress(address);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
@@ -83,15 +101,47 @@
 	};
 }
 
+function describeClientError({code}: NodeJS.ErrnoException): Failure {
+	switch (code) {
+		case 'HPE_HEADER_OVERFLOW': {
+			return createFailure('headersTooLarge', 'The headers are too large.');
+		}
+
+		case 'ERR_HTTP_REQUEST_TIMEOUT': {
+			return createFailure('bodyTimeout', 'The headers came too slowly.');
+		}
+
+		default: {
+			return createFailure('badHttp', 'The request is not valid HTTP.');
+		}
+	}
+}
+
+/** Formats an answer for a request that Node's parser did not accept. */
+function formatRawFailure(failure: Failure): string {
+	const {status} = resultCodes[failure.result];
+	const body = JSON.stringify(buildErrorBody(failure));
+	return [
+		`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
+		'content-type: application/json; charset=utf-8',
+		`content-length: ${Buffer.byteLength(body)}`,
+		'connection: close',
+		'',
+		body,
+	].join('\r\n');
+}
+
 function writeInternalError(response: ServerResponse, error: Error): void {
 	if (response.headersSent) {
 		response.destroy();
 		return;
 	}
 
-	writeJson(response, 500, {
-		error: {code: 9001, outcome: 'unknown', message: error.message},
-	});
+	writeJson(
+		response,
+		resultCodes.internal.status,
+		buildErrorBody(createFailure('internal', error.message)),
+	);
 }
 
 /** Reads a whole body within the bounds. */
