--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -18,9 +18,11 @@
 	protocolVersion,
 	type Session,
 	SessionPool,
+	type SessionPeer,
 	type SessionTiming,
 	type Stage,
 	type StageOpen,
+	TableFollower,
 	toIncarnation,
 	toServiceName,
 	waitFor,
@@ -29,6 +31,7 @@
 import {CallDesk} from './call-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
+import {createSchedulers} from './schedulers.js';
 import {ServiceClient} from './service-client.js';
 import {StageDesk} from './stage-desk.js';
 
@@ -69,12 +72,23 @@
 	let leaving = false;
 	let offers: Offer[] = [];
 
-	const describeLoad = (): LoadReport => ({
-		queued: (stages?.queued ?? 0) + (calls?.queued ?? 0),
-		running: (stages?.running ?? 0) + (calls?.running ?? 0),
-		rate: 0,
+	const schedulers = createSchedulers(settings);
+	const describeLoad = (): LoadReport =>
+		(settings.engine ? schedulers.steps : schedulers.calls).describeLoad(
+			readClock(),
+		);
+	const describeSelf = (peer: SessionPeer) => ({
+		leaving,
+		offers,
+		load: describeLoad(),
+		table: follower.describe(peer),
+	});
+	const follower = new TableFollower({
+		dataCentre,
+		lifeCycle,
+		logger,
+		readClock,
 	});
-	const describeSelf = () => ({leaving, offers, load: describeLoad()});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
@@ -115,10 +129,13 @@
 	const stages = engine
 		? new StageDesk({
 				client: engine,
-				slots: settings.slots,
+				scheduler: schedulers.steps,
 				describeContext: () => ({
 					leaving,
-					findMismatch: (open) => findMismatch(offers, open),
+					findMismatch: (open) =>
+						schedulers.steps.isFull
+							? 'The queue is full.'
+							: findMismatch(offers, open),
 				}),
 				sendToEntry(entry, message) {
 					entries.send(entry, message);
@@ -130,8 +147,7 @@
 	const calls = service
 		? new CallDesk({
 				client: service,
-				slots: settings.slots,
-				maxQueued: settings.maxQueued,
+				scheduler: schedulers.calls,
 				describeContext: () => ({incarnation, leaving}),
 				send(entry, message) {
 					entries.send(entry, message);
@@ -209,6 +225,9 @@
 		const entry =
 			hello.role === 'entry' ? entries.register(session, hello) : undefined;
 		session.messages.subscribe((message) => {
+			follower.receive(hello, message, (answer) => {
+				session.send(answer);
+			});
 			if (!entry || entries.isNewest(entry, session)) {
 				receive(message, entry);
 			}
@@ -263,7 +282,12 @@
 			leaving,
 			offers,
 			load: describeLoad(),
+			tableOffset: follower.table.value.next,
+			tableSkipped: follower.table.value.skipped,
+			tableStale: follower.isStale,
+			tablePeers: follower.peerOffsets,
 			entrySessions: entries.size,
+			openStages: stages?.open ?? 0,
 			stageRecords: stages?.records ?? 0,
 			callRecords: calls?.records ?? 0,
 		}),
--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,4 +1,6 @@
 /** The benches by name. Each resolves with the figures of its last line. */
+import {limitsBench} from './limits-bench.js';
+import {runRecoveryBench} from './recovery-bench.js';
 
 /** Flags of a bench, as text; each bench reads those that it knows. */
 export type BenchFlags = Readonly<Record<string, string>>;
@@ -8,4 +10,10 @@
 	readonly run: (flags: BenchFlags) => Promise<object>;
 };
 
-export const benches: Readonly<Record<string, Bench>> = {};
+export const benches: Readonly<Record<string, Bench>> = {
+	limits: limitsBench,
+	recovery: {
+		describe: 'Time from a fault to the callers’ next token',
+		run: runRecoveryBench,
+	},
+};
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -2,7 +2,7 @@
  * The entry: takes callers' HTTP requests, finds the customer, and hands model
  * requests and service calls to their desks.
  */
-import {randomUUID} from 'node:crypto';
+import {randomInt, randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	createFailure,
@@ -11,7 +11,6 @@
 	defaultHttpBounds,
 	type EntrySettings,
 	type Failure,
-	type HostId,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
@@ -27,8 +26,8 @@
 	writeJson,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
+import {checkArrival} from './arrival.js';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
-import {findCustomer} from './authentication.js';
 import {ModelDesk} from './model-desk.js';
 import {
 	type ModelRouteOptions,
@@ -37,12 +36,10 @@
 } from './model-route.js';
 import {Network} from './network.js';
 import {rejectMessage} from './rejection.js';
-import {parseTimeout} from './request-timeout.js';
-import {chooseStages, chooseTarget} from './routing.js';
+import {createRouter, chooseModelStages} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
-import {checkRoute} from './route-check.js';
 import {runServiceRoute} from './service-route.js';
-import {TableFollower} from './table-follower.js';
+import {startTable} from './entry-table.js';
 
 export type RunningEntry = {
 	/** Address of the callers' port. */
@@ -81,6 +78,13 @@
 	let leaving = false;
 	let budget = createRetryBudget();
 
+	const {follower, ...tableParts} = startTable({
+		platform,
+		settings,
+		lifeCycle,
+		logger,
+		readClock,
+	});
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
 		timing: {
@@ -88,15 +92,22 @@
 			silenceMs: settings.silenceMs,
 			handshakeMs: settings.silenceMs,
 		},
-		describeSelf: () => ({leaving}),
+		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
 	});
 	lifeCycle.register(() => {
 		pool.close();
 	});
-	const network = new Network({platform, pool, lifeCycle, readClock});
-	const follower = new TableFollower(platform, lifeCycle, logger);
-	const inFlight = new Map<HostId, number>();
-	const countInFlight = (id: HostId) => inFlight.get(id) ?? 0;
+	const router = createRouter(randomInt);
+	const network = new Network({
+		platform,
+		pool,
+		lifeCycle,
+		readClock,
+		onReport(reported) {
+			router.recordReport(reported, readClock());
+		},
+	});
+	pool.events.subscribe(tableParts.receive);
 
 	const allowRetry = () => {
 		const [next, isAllowed] = decideRetry(budget);
@@ -110,14 +121,18 @@
 
 	const models = new ModelDesk({
 		choose: (request, excluding) =>
-			chooseStages(network.hosts, request, excluding, countInFlight),
+			chooseModelStages(
+				router,
+				{request, hosts: network.hosts, excluding},
+				readClock(),
+			),
 		send,
 		allowRetry,
 		readClock,
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			chooseTarget(network.hosts, call.service, excluding, countInFlight),
+			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
 		send,
 		allowRetry,
 		readClock,
@@ -126,7 +141,7 @@
 		models.receive(event);
 		services.receive(event);
 	});
-	const isReady = () => !leaving && follower.hasRead;
+	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
 		audit,
@@ -146,36 +161,20 @@
 		const request = toRequestId(randomUUID());
 		response.setHeader('x-request-id', request);
 		const {view} = follower.table.value;
-		const found = findCustomer(message.headers.authorization, view);
-		const customer = found.unwrapOr(undefined);
-		const reject = (failure: Failure) => {
+		const {customer, deadlineMs, failure} = checkArrival(message, {
+			view,
+			leaving,
+			stale: tableParts.findStaleness(),
+			longestMs: settings.requestTimeoutMs,
+		});
+		const reject = (reason: Failure) => {
 			const [subject = ''] = url.split('?');
-			audit.recordRejected({request, customer}, subject, failure);
-			rejectMessage(message, response, failure);
+			audit.recordRejected({request, customer}, subject, reason);
+			rejectMessage(message, response, reason);
 		};
 
-		if (found.isErr()) {
-			reject(found.error);
-			return;
-		}
-
-		if (leaving) {
-			const failure = createFailure('stopping', 'The entry is stopping.', {
-				retryAfterSeconds: 1,
-			});
-			reject(failure);
-			return;
-		}
-
-		const problem = checkRoute(message);
-		if (problem) {
-			reject(problem);
-			return;
-		}
-
-		const deadline = parseTimeout(message, settings.requestTimeoutMs);
-		if (deadline.isErr()) {
-			reject(deadline.error);
+		if (customer === undefined || failure !== undefined) {
+			reject(failure ?? createFailure('unauthorized', ''));
 			return;
 		}
 
@@ -186,12 +185,12 @@
 		}
 
 		budget = recordRequest(budget);
-		logger.debug('request.received', {request, customer: found.value, url});
+		logger.debug('request.received', {request, customer, url});
 		const context: RouteContext = {
 			request,
-			customer: found.value,
+			customer,
 			view,
-			deadlineMs: deadline.value,
+			deadlineMs,
 			response,
 		};
 		routeMessage(message, context, body.value);
@@ -232,14 +231,17 @@
 	await network.refresh();
 	const listener = await listenHttp(settings.listen, handle, bounds);
 	lifeCycle.register(async () => listener.close());
-	metrics.registerGauge('table_offset', 'Next offset of the table', () =>
-		Number(follower.table.value.next),
-	);
+	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
 		'connected_hosts',
 		'Agents with a live session',
 		() => network.hosts.connected.size,
 	);
+	metrics.registerGauge(
+		'uncovered_layer_choices',
+		'Choices of a pipeline that found layers that no live engine holds',
+		() => router.uncovered,
+	);
 	metrics.registerGauge(
 		'requests_in_flight',
 		'Requests that have no whole answer yet',
@@ -253,11 +255,11 @@
 			deployment,
 			address: listener.address,
 			leaving,
-			tableOffset: follower.table.value.next,
-			tableRows: Object.fromEntries(follower.table.value.rows),
+			...tableParts.describe(),
 			hosts: [...network.hosts.connected.values()],
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
+			routing: router.describe(readClock()),
 		}),
 	});
 	lifeCycle.register(async () => operators.close());
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry process that takes callers' requests. */
 export {writeFailure} from './answers.js';
+export {type Arrival, type ArrivalContext, checkArrival} from './arrival.js';
 export {
 	Audit,
 	EntryMetrics,
@@ -32,7 +33,12 @@
 export {rejectMessage} from './rejection.js';
 export {parseTimeout, timeoutHeader} from './request-timeout.js';
 export {checkRoute} from './route-check.js';
-export {chooseStages, chooseTarget, type CountInFlight} from './routing.js';
+export {
+	createRouter,
+	measureRequest,
+	chooseModelStages,
+} from './model-routing.js';
+export {type RouteRequest, Router, type RouterOptions} from './routing.js';
 export {
 	type ChooseTarget,
 	ServiceDesk,
@@ -44,4 +50,3 @@
 	runServiceRoute,
 	type ServiceRouteOptions,
 } from './service-route.js';
-export {TableFollower, tableStream} from './table-follower.js';
--- /dev/null
+++ b/packages/bramleystage/src/coordination/__tests__/scheduler.test.ts
@@ -0,0 +1,77 @@
+import {describe, expect, it} from 'vitest';
+import {WorkScheduler} from '../scheduler.js';
+
+const createScheduler = () =>
+	new WorkScheduler<number>({
+		slots: 2,
+		maxQueued: 3,
+		maxRunningCost: 100,
+		priorityCost: 0,
+	});
+const createWork = (value: number, cost: number) => ({
+	shares: [{key: 'customer', weight: 1}],
+	cost,
+	priority: 0,
+	value,
+});
+
+describe('WorkScheduler', () => {
+	it('keeps to its slots and to the cost that may run at once', () => {
+		const scheduler = createScheduler();
+		for (const [value, cost] of [500, 10, 10].entries()) {
+			scheduler.add(createWork(value, cost));
+		}
+
+		expect(scheduler.isFull).toBe(true);
+		// A large item runs alone, since it always passes.
+		const first = scheduler.take(0);
+		expect(first?.work.value).toBe(0);
+		expect(scheduler.take(0)).toBeUndefined();
+		if (first) {
+			scheduler.finish(first, 10);
+		}
+
+		expect(scheduler.take(10)?.work.value).toBe(1);
+		expect(scheduler.take(10)?.work.value).toBe(2);
+		expect(scheduler.queued).toBe(0);
+	});
+
+	it('reports what waits and runs, and the rate while busy', () => {
+		const scheduler = createScheduler();
+		scheduler.add(createWork(1, 50));
+		scheduler.add(createWork(2, 50));
+		scheduler.add(createWork(3, 30));
+		const running = [scheduler.take(1000), scheduler.take(1000)];
+		expect(scheduler.describeLoad(1000)).toEqual({
+			queued: 30,
+			running: 100,
+			rate: 0,
+		});
+		for (const [index, work] of running.entries()) {
+			if (work) {
+				scheduler.finish(work, 1050 + 50 * index);
+			}
+		}
+
+		expect(scheduler.describeLoad(1100)).toEqual({
+			queued: 30,
+			running: 0,
+			rate: 1000,
+			stepMs: 65,
+		});
+		expect(scheduler.describeLoad(60_000).rate).toBe(0);
+	});
+
+	it('counts the work that open stages are expected to bring', () => {
+		const scheduler = createScheduler();
+		scheduler.reserve('stage', 80);
+		scheduler.add(createWork(1, 30), 'stage');
+		expect(scheduler.describeLoad(0).queued).toBe(80);
+		scheduler.add(createWork(2, 70), 'stage');
+		expect(scheduler.describeLoad(0).queued).toBe(100);
+		scheduler.reserve('other', 10);
+		scheduler.release('stage');
+		scheduler.release('other');
+		expect(scheduler.describeLoad(0).queued).toBe(100);
+	});
+});
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -17,6 +17,67 @@
 	decideCall,
 	type LedgerContext,
 } from './coordination/call-ledger.js';
+export {
+	buildCandidateGroups,
+	type CandidateGroup,
+	type DrawIndex,
+	type FindUsable,
+	listCandidates,
+	type PipelineRequest,
+	selectCandidates,
+	type StageCandidate,
+} from './coordination/candidates.js';
+export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
+export {
+	type ConfirmFacts,
+	decideConfirm,
+	goneSettleMs,
+	listRemoved,
+} from './coordination/limit-confirm.js';
+export {
+	type AcquireResult,
+	LimitDesk,
+	type LimitDeskOptions,
+	type Permit,
+} from './coordination/limit-desk.js';
+export {
+	createLimitLedger,
+	decidePermit,
+	formatHolder,
+	type Holder,
+	type LimitLedger,
+	measureCharged,
+	measureHeld,
+	type PermitDecision,
+	type PermitRequest,
+	permitValidityMs,
+	releaseIncarnation,
+	releasePermit,
+	releaseUnheld,
+} from './coordination/limit-ledger.js';
+export {
+	computePart,
+	computeUsablePart,
+	createLimitMembers,
+	findConfirmedEpoch,
+	foldLimitRecord,
+	type Limit,
+	type LimitMember,
+	type LimitMembers,
+	listOwners,
+	maxOwners,
+	type MemberList,
+} from './coordination/limit-members.js';
+export {
+	type DescribeUse,
+	LimitMembership,
+	type LimitMembershipOptions,
+} from './coordination/limit-membership.js';
+export {
+	LimitOwner,
+	type LimitOwnerOptions,
+	type PermitResult,
+} from './coordination/limit-owner.js';
 export {
 	createModelRun,
 	decideModelRun,
@@ -28,19 +89,37 @@
 } from './coordination/model-run.js';
 export {
 	choosePipeline,
+	createStages,
+	findMissingLayers,
+	formatLayers,
+	type LayerSpan,
 	type LinkCost,
-	listCandidates,
+	type Pipeline,
 	type PipelineCosts,
-	type PipelineRequest,
-	type StageCandidate,
+	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
+export {RateMeter} from './coordination/rate-meter.js';
+export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
 	createRetryBudget,
 	decideRetry,
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
+export {
+	computeStageWork,
+	createRouteCosts,
+	type EstimateCached,
+	type EstimateLoad,
+	type RequestShape,
+	type RouteCostOptions,
+} from './coordination/route-cost.js';
+export {
+	type RunningWork,
+	type SchedulerOptions,
+	WorkScheduler,
+} from './coordination/scheduler.js';
 export {
 	decideStage,
 	type OpenStage,
@@ -52,6 +131,7 @@
 	type StepInput,
 	type StepOutput,
 } from './coordination/stage.js';
+export {computePromptCost} from './coordination/work-cost.js';
 export {
 	type Decide,
 	type Decision,
@@ -103,6 +183,27 @@
 	InvariantError,
 	invariants,
 } from './protocol/invariant.js';
+export {
+	type LimitKey,
+	limitKeySchema,
+	type LimitKind,
+	limitKindSchema,
+	type LimitRecord,
+	limitRecordSchema,
+	type PermitAnswer,
+	permitAnswerSchema,
+	type PermitAsk,
+	permitAskSchema,
+	type PermitHeld,
+	permitHeldSchema,
+	type PermitMessage,
+	type PermitNumber,
+	permitNumberSchema,
+	type PermitRelease,
+	permitReleaseSchema,
+	toLimitKey,
+	toPermitNumber,
+} from './protocol/limits.js';
 export {
 	acknowledgeSchema,
 	type Activation,
@@ -146,6 +247,7 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
+export {createRandom, type Random} from './protocol/random.js';
 export {
 	buildErrorBody,
 	createFailure,
@@ -160,9 +262,9 @@
 export {
 	agentSettings,
 	type AgentSettings,
-	entrySettings,
 	checkAgentSettings,
 	type CheckTogether,
+	entrySettings,
 	type EntrySettings,
 	formatDefault,
 	formatFlag,
@@ -172,6 +274,16 @@
 	type SettingDefinitions,
 	type SettingValues,
 } from './protocol/settings.js';
+export {
+	type TablePart,
+	tablePartSchema,
+	type TableRecords,
+	tableRecordsSchema,
+	type TableReport,
+	tableReportSchema,
+	type TableRequest,
+	tableRequestSchema,
+} from './protocol/table-messages.js';
 export {
 	cellSchemas,
 	type CustomerCells,
@@ -190,6 +302,14 @@
 	type ServiceCells,
 	serviceCellsSchema,
 } from './protocol/table-schema.js';
+export {
+	type SnapshotPart,
+	snapshotPartRows,
+	snapshotPartSchema,
+	type SnapshotRow,
+	snapshotRowSchema,
+} from './protocol/table-snapshot-schema.js';
+export {type BucketChange, BucketMap} from './state/bucket-map.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -200,14 +320,44 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {LoadBook, type LoadEstimate} from './state/load.js';
+export {
+	createTableContact,
+	createTableReport,
+	isTableStale,
+	recordLogRead,
+	recordPeerReport,
+	removePeer,
+	staleAfterMs,
+	type TableContact,
+	type TablePeer,
+} from './state/table-contact.js';
+export {
+	type CollectedParts,
+	addSnapshotPart,
+	computeTableDigest,
+	createSnapshotParts,
+	listSnapshotRows,
+	restoreTable,
+} from './state/table-snapshot.js';
+export {
+	createView,
+	parseRowKey,
+	type RowCells,
+	type TableView,
+	type UpdatableView,
+	updateView,
+} from './state/table-view.js';
 export {
 	createTable,
 	type EditResult,
+	findRowVersion,
 	foldRecord,
-	parseRowKey,
+	type RefusalReason,
+	type RefusedRow,
+	repeatWindow,
 	type TableRow,
 	type TableSnapshot,
-	type TableView,
 } from './state/table.js';
 export {
 	type Address,
@@ -255,6 +405,7 @@
 export {
 	type LogEvent,
 	type LogRecords,
+	maxReadRecords,
 	PlatformClient,
 	type PlatformError,
 } from './transport/platform-client.js';
@@ -276,3 +427,24 @@
 	type SessionTiming,
 	startServer,
 } from './transport/session.js';
+export {
+	appendSnapshot,
+	type FoundSnapshot,
+	readSnapshot,
+	tableSnapshotStream,
+} from './transport/table-bootstrap.js';
+export {
+	TableFollower,
+	type TableFollowerOptions,
+} from './transport/table-follower.js';
+export {
+	TableLogReader,
+	type TableLogReaderOptions,
+	tableStream,
+} from './transport/table-log-reader.js';
+export {TableSharing} from './transport/table-sharing.js';
+export {
+	type SnapshotTiming,
+	TableSnapshotWriter,
+	type TableSnapshotWriterOptions,
+} from './transport/table-snapshot-writer.js';
