--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -174,19 +174,23 @@
 		}
 	}
 
+	/** False for a step of a stage that was closed or replaced meanwhile. */
+	#isOpen({open: {request, attempt}}: EngineStep): boolean {
+		const record = this.#held.get(request)?.record;
+		return record?.phase === 'open' && record.open.attempt === attempt;
+	}
+
 	async #runStep(running: RunningWork<EngineStep>): Promise<void> {
 		const step = running.work.value;
 		const result = await this.options.client.runStep(step);
 		this.options.scheduler.finish(running, this.options.readClock());
 		this.#runWaiting();
-		const {request, attempt} = step.open;
-		const record = this.#held.get(request)?.record;
-		if (record?.phase !== 'open' || record.open.attempt !== attempt) {
+		if (!this.#isOpen(step)) {
 			return;
 		}
 
 		this.handle(
-			request,
+			step.open.request,
 			result.match<StageEvent>(
 				(output) => ({type: 'stepped', output}),
 				(failure) => ({type: 'stepFailed', failure}),
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -3,46 +3,32 @@
  * requests and service calls to their desks.
  */
 import {randomInt, randomUUID} from 'node:crypto';
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	createFailure,
 	createRetryBudget,
 	decideRetry,
-	defaultHttpBounds,
 	type EntrySettings,
-	type Failure,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
 	type Logger,
 	PlatformClient,
 	protocolVersion,
-	readBody,
 	recordRequest,
 	SessionPool,
 	type TableSnapshot,
 	toIncarnation,
-	toRequestId,
 	waitFor,
-	writeJson,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
-import {writeFailure} from './answers.js';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
-import {findCustomer} from './authentication.js';
-import {createCallerHandler} from './caller-port.js';
+import {createCallerHandler, selectBounds} from './caller-port.js';
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
-import {
-	type ModelRouteOptions,
-	type RouteContext,
-	runModelRoute,
-} from './model-route.js';
+import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
 import {createRouter, chooseModelStages} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
-import {runServiceRoute} from './service-route.js';
 import {startTable} from './entry-table.js';
 
 export type RunningEntry = {
@@ -78,7 +64,6 @@
 	const platform = new PlatformClient(settings.platform);
 	const metrics = new EntryMetrics();
 	const audit = new Audit(logger, metrics);
-	const bounds = {...defaultHttpBounds, maxBodyBytes: settings.maxBodyBytes};
 	let leaving = false;
 	let budget = createRetryBudget();
 
@@ -177,10 +162,14 @@
 
 	const handle = createCallerHandler({
 		settings,
+		logger,
+		audit,
 		isReady,
-		isLeaving: () => leaving,
-		findStaleness: tableParts.findStaleness,
-		readView: () => follower.table.value.view,
+		readArrivalContext: () => ({
+			view: follower.table.value.view,
+			leaving,
+			stale: tableParts.findStaleness(),
+		}),
 		recordRequest() {
 			budget = recordRequest(budget);
 		},
@@ -197,7 +186,11 @@
 	});
 	await network.refresh();
 	limits.start();
-	const listener = await listenHttp(settings.listen, handle, bounds);
+	const listener = await listenHttp(
+		settings.listen,
+		handle,
+		selectBounds(settings),
+	);
 	lifeCycle.register(async () => listener.close());
 	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -255,6 +255,7 @@
 } from './protocol/messages.js';
 export {createRandom, type Random} from './protocol/random.js';
 export {
+	buildErrorBody,
 	createFailure,
 	type Failure,
 	type Outcome,
