--- a/examples/run-processes.mjs
+++ b/examples/run-processes.mjs
@@ -30,33 +30,43 @@
 const flags = process.argv.slice(2);
 const basePort = readFlag(flags, 'base-port', undefined);
 
-/** Finds ports that are free now. */
+/**
+ * Ports below those that systems give to outgoing connections, so that none is
+ * taken between the look and the start.
+ */
+const firstPort = 12_000;
+const lastPort = 30_000;
+
+/** Finds ports that are free now, starting at a place of this process's own. */
 async function findFreePorts(count) {
-	const servers = await Promise.all(
-		Array.from(
-			{length: count},
-			async () =>
-				new Promise((resolve, reject) => {
-					const server = createServer();
-					server.once('error', reject);
-					server.listen(0, '127.0.0.1', () => {
-						resolve(server);
-					});
-				}),
-		),
-	);
-	const ports = servers.map((server) => server.address().port);
-	await Promise.all(
-		servers.map(
-			async (server) =>
-				new Promise((resolve) => {
-					server.close(resolve);
-				}),
-		),
-	);
+	const ports = [];
+	let port = firstPort + ((process.pid * count) % (lastPort - firstPort));
+	while (ports.length < count) {
+		// eslint-disable-next-line no-await-in-loop -- until enough are found
+		if (await isFree(port)) {
+			ports.push(port);
+		}
+
+		port = port >= lastPort ? firstPort : port + 1;
+	}
+
 	return ports;
 }
 
+async function isFree(port) {
+	return new Promise((resolve) => {
+		const server = createServer();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
 /** Starts a process; resolves when it says that it listens. */
 async function startProcess({name, phase, words}) {
 	const child = spawn(process.execPath, [commandPath, ...words], {
