Harden plain service calls and explore them with a model check

Cause: reading the dispatch against the ledger showed faults. A second copy of an agent's not-run, sent in reply to a call repeated on a reopened session, moved the entry on from the next agent, so a booking could run twice. An idempotent call that left an agent without its word could still be told not-run. A cancel was answered but the answer was not read. A lost agent held its caller until the deadline.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -154,11 +154,7 @@
 	const receive = (message: Message, entry: EntryKey | undefined) => {
 		switch (message.type) {
 			case 'call': {
-				calls?.handle(
-					message.request,
-					{type: 'received', call: message},
-					entry,
-				);
+				calls?.receive(message, entry);
 				break;
 			}
 
@@ -190,13 +186,13 @@
 
 			case 'cancel': {
 				const {request} = message;
-				calls?.handle(request, {type: 'cancelled', request}, entry);
+				calls?.receive(message, entry);
 				stages?.handle(request, {type: 'cancelled', message}, entry);
 				break;
 			}
 
 			case 'acknowledge': {
-				calls?.handle(message.request, {type: 'acknowledged'});
+				calls?.receive(message, entry);
 				break;
 			}
 
--- a/packages/bramleystage-agent/src/call-desk.ts
+++ b/packages/bramleystage-agent/src/call-desk.ts
@@ -7,19 +7,18 @@
 	type CallCommand,
 	type CallEvent,
 	type CallRecord,
+	isForgettable,
 	decideCall,
 	type LedgerContext,
 	type Message,
 	type RequestId,
+	toCallEvent,
 } from 'bramleystage';
 import type {EntryKey} from './entry-sessions.js';
 import type {ServiceClient} from './service-client.js';
 
-/** How long the record of an ended call is kept, in milliseconds. */
-const retentionMs = 600_000;
-
 type Held = {
-	record: CallRecord | undefined;
+	record: CallRecord;
 	entry: EntryKey;
 };
 
@@ -51,6 +50,17 @@
 		return this.#held.size;
 	}
 
+	/** Takes a frame of an entry's newest session. */
+	receive(
+		message: Extract<Message, {request: RequestId}>,
+		entry: EntryKey | undefined,
+	): void {
+		const event = toCallEvent(message);
+		if (event) {
+			this.handle(message.request, event, entry);
+		}
+	}
+
 	/** Decides an event of a request and carries out what follows. */
 	handle(request: RequestId, event: CallEvent, entry?: EntryKey): void {
 		const held = this.#held.get(request);
@@ -65,7 +75,10 @@
 		};
 		const now = this.options.readClock();
 		const [record, commands] = decideCall(held?.record, event, now, context);
-		this.#held.set(request, {record, entry: owner});
+		if (record) {
+			this.#held.set(request, {record, entry: owner});
+		}
+
 		for (const command of commands) {
 			this.#carryOut(command, owner);
 		}
@@ -76,9 +89,7 @@
 	/** Forgets ended calls that are past their retention. */
 	sweep(now: number): void {
 		for (const [request, {record}] of this.#held) {
-			const isEnded =
-				record?.phase === 'failed' || record?.phase === 'answered';
-			if (!record || (isEnded && now - record.at > retentionMs)) {
+			if (isForgettable(record, now)) {
 				this.#held.delete(request);
 			}
 		}
--- a/packages/bramleystage-agent/src/entry-sessions.ts
+++ b/packages/bramleystage-agent/src/entry-sessions.ts
@@ -3,25 +3,26 @@
  * an entry's incarnation counts: frames of an older one are late and dropped,
  * and answers go out on the newest.
  */
-import type {
-	Hello,
-	Message,
-	Session,
-	SessionNumber,
-	HostId,
-	Incarnation,
+import {
+	type Hello,
+	type HostId,
+	type Incarnation,
+	isCurrentSession,
+	type Message,
+	type Session,
+	type SessionFence,
+	updateFence,
 } from 'bramleystage';
 
 /** One life of an entry process. */
 export type EntryKey = `${HostId}/${Incarnation}`;
 
-type NewestSession = {
-	readonly session: Session;
-	readonly number: SessionNumber;
-};
+/** Entry incarnations whose highest session number is remembered. */
+const maxFences = 10_000;
 
 export class EntrySessions {
-	readonly #newest = new Map<EntryKey, NewestSession>();
+	readonly #newest = new Map<EntryKey, Session>();
+	readonly #fences = new Map<EntryKey, SessionFence>();
 
 	get size(): number {
 		return this.#newest.size;
@@ -30,9 +31,12 @@
 	/** Takes a new session; gives its entry's key. */
 	register(session: Session, hello: Hello): EntryKey {
 		const key: EntryKey = `${hello.host}/${hello.incarnation}`;
-		const known = this.#newest.get(key);
-		if (!known || known.number < hello.session) {
-			this.#newest.set(key, {session, number: hello.session});
+		const fence = updateFence(this.#fences.get(key), hello.session);
+		this.#fences.delete(key);
+		this.#fences.set(key, fence);
+		this.#forgetOldFence();
+		if (isCurrentSession(fence, hello.session)) {
+			this.#newest.set(key, session);
 		}
 
 		return key;
@@ -43,7 +47,7 @@
 	}
 
 	isNewest(key: EntryKey, session: Session): boolean {
-		return this.#newest.get(key)?.session === session;
+		return this.#newest.get(key) === session;
 	}
 
 	/** Forgets a session that ended; true if the entry has none left. */
@@ -52,6 +56,14 @@
 	}
 
 	send(key: EntryKey, message: Message): void {
-		this.#newest.get(key)?.session.send(message);
+		this.#newest.get(key)?.send(message);
+	}
+
+	/** Drops the fence that was touched longest ago, once there are too many. */
+	#forgetOldFence(): void {
+		const [oldest] = this.#fences.keys();
+		if (oldest !== undefined && this.#fences.size > maxFences) {
+			this.#fences.delete(oldest);
+		}
 	}
 }
--- a/packages/bramleystage-agent/src/service-client.ts
+++ b/packages/bramleystage-agent/src/service-client.ts
@@ -11,7 +11,8 @@
 import type {Result} from 'neverthrow';
 
 export class ServiceClient {
-	readonly #agent = new http.Agent({keepAlive: true});
+	readonly #kept = new http.Agent({keepAlive: true});
+	readonly #fresh = new http.Agent({keepAlive: false});
 
 	constructor(private readonly url: string) {}
 
@@ -27,7 +28,7 @@
 			headers: mergeHeaders(call.headers),
 			body: call.body.length > 0 ? call.body : undefined,
 			// A kept connection may close under a call that must not be repeated.
-			agent: call.idempotent ? this.#agent : undefined,
+			agent: call.idempotent ? this.#kept : this.#fresh,
 			timeoutMs,
 			signal,
 		});
@@ -43,7 +44,8 @@
 	}
 
 	close(): void {
-		this.#agent.destroy();
+		this.#kept.destroy();
+		this.#fresh.destroy();
 	}
 }
 
--- /dev/null
+++ b/packages/bramleystage-check/src/__tests__/check.test.ts
@@ -0,0 +1,25 @@
+import {describe, expect, test} from 'vitest';
+import {checkBrokenRule, checkSpecification} from '../check-report.js';
+import {specifications} from '../specifications.js';
+
+describe.each(specifications.map((each) => [each.name, each] as const))(
+	'specification %s',
+	(name, specification) => {
+		test('holds at the small sizes', () => {
+			const {isRight, lines} = checkSpecification(specification, 'small');
+			expect(isRight, lines.join('\n')).toBe(true);
+		});
+
+		test.each(specification.rules.map((rule) => rule.name))(
+			'without the mechanism of %s a counter-example is found',
+			(rule) => {
+				const {isRight, lines} = checkBrokenRule(
+					[specification],
+					`${name}/${rule}`,
+					'small',
+				);
+				expect(isRight, lines.join('\n')).toBe(true);
+			},
+		);
+	},
+);
--- /dev/null
+++ b/packages/bramleystage-check/src/request-agent-steps.ts
@@ -0,0 +1,332 @@
+/** Steps of the agents and their backend servers in the model of the request protocol. */
+import {
+	type CallAnswer,
+	type CallCommand,
+	type CallEvent,
+	isForgettable,
+	createFailure,
+	type LedgerContext,
+	type Message,
+	toRequestId,
+} from 'bramleystage';
+import type {RequestStep} from './request-entry-steps.js';
+import type {RequestMechanisms} from './request-mechanisms.js';
+import {
+	addName,
+	createAgent,
+	findRequestIndex,
+	formatPlace,
+	formatRequest,
+	type ModelAgent,
+	modelDeadline,
+	recordBroken,
+	replaceAt,
+	replaceSession,
+	type RequestState,
+	spendFault,
+	toTarget,
+} from './request-state.js';
+
+/** Decides an event of a call at an agent and carries out what follows. */
+export function carryOutCall(
+	{decideCall}: RequestMechanisms,
+	state: RequestState,
+	host: number,
+	request: number,
+	event: CallEvent,
+	more: {queueFull?: boolean; now?: number} = {},
+): RequestState {
+	const agent = state.agents[host]!;
+	const target = toTarget(host, agent.incarnation);
+	const context: LedgerContext = {
+		incarnation: target.incarnation,
+		leaving: false,
+		queueFull: more.queueFull ?? false,
+	};
+	const [record, commands] = decideCall(
+		agent.records[request],
+		event,
+		more.now ?? 0,
+		context,
+	);
+	const records = replaceAt(agent.records, request, record);
+	let next = replaceAgent(state, host, {records});
+	if (record?.phase === 'failed' && record.failure.outcome === 'not-run') {
+		next = recordPlace(next, 'refusedBy', request, formatPlace(target));
+	}
+
+	for (const command of commands) {
+		next = carryOutCommand(next, host, command);
+	}
+
+	return next;
+}
+
+function carryOutCommand(
+	state: RequestState,
+	host: number,
+	command: CallCommand,
+): RequestState {
+	const agent = state.agents[host]!;
+	switch (command.type) {
+		case 'enqueue': {
+			const request = findRequestIndex(command.call.request);
+			return replaceAgent(state, host, {queue: [...agent.queue, request]});
+		}
+
+		case 'dequeue': {
+			const request = findRequestIndex(command.request);
+			const queue = agent.queue.filter((each) => each !== request);
+			return replaceAgent(state, host, {queue});
+		}
+
+		case 'startCall': {
+			const request = findRequestIndex(command.call.request);
+			const running = [...agent.running, {request, seen: false}];
+			const next = replaceAgent(state, host, {running});
+			return recordStart(next, host, request, command.call.incarnation);
+		}
+
+		case 'abortCall': {
+			// An aborted call may end in any way; the backend's steps cover them.
+			return state;
+		}
+
+		case 'send': {
+			return sendToEntry(state, host, command.message);
+		}
+	}
+}
+
+function recordStart(
+	state: RequestState,
+	host: number,
+	request: number,
+	incarnation: string,
+): RequestState {
+	const target = toTarget(host, state.agents[host]!.incarnation);
+	const place = formatPlace(target);
+	const {refusedBy, startedBy} = state.history;
+	let next = recordPlace(state, 'startedBy', request, place);
+	if (refusedBy[request]!.includes(place)) {
+		next = recordBroken(next, 'tombstone-refuses-late-frames');
+	}
+
+	if (startedBy[request]!.includes(place)) {
+		next = recordBroken(next, 'record-outlives-late-frames');
+	}
+
+	return incarnation === target.incarnation
+		? next
+		: recordBroken(next, 'stale-incarnation-refused');
+}
+
+function recordPlace(
+	state: RequestState,
+	list: 'refusedBy' | 'startedBy',
+	request: number,
+	place: string,
+): RequestState {
+	const {history} = state;
+	const places = addName(history[list][request]!, place);
+	const changed = replaceAt(history[list], request, places);
+	return {...state, history: {...history, [list]: changed}};
+}
+
+/** Answers go out on the newest session that the agent knows. */
+function sendToEntry(
+	state: RequestState,
+	host: number,
+	message: Message,
+): RequestState {
+	const {fence} = state.agents[host]!;
+	const index = state.sessions.findIndex(
+		(each) =>
+			each.agentOpen && each.host === host && each.number === fence?.newest,
+	);
+	const session = state.sessions[index];
+	return session?.entryOpen
+		? replaceSession(state, index, {toEntry: [...session.toEntry, message]})
+		: state;
+}
+
+export function replaceAgent(
+	state: RequestState,
+	host: number,
+	changed: Partial<ModelAgent>,
+): RequestState {
+	const agent = {...state.agents[host]!, ...changed};
+	return {...state, agents: replaceAt(state.agents, host, agent)};
+}
+
+/** Steps that the agents, their backend servers and the platform take by themselves. */
+export function listAgentSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+): RequestStep[] {
+	const steps = state.agents.flatMap((_, host) => [
+		...listQueueSteps(mechanisms, state, host),
+		...listBackendSteps(mechanisms, state, host),
+		...listForgetSteps(mechanisms, state, host),
+		...listReplacementSteps(state, host),
+	]);
+	for (const [index, request] of state.orphans.entries()) {
+		const orphans = state.orphans.filter((_, at) => at !== index);
+		const next = {...recordRun(state, request), orphans};
+		const label = `a backend server sees ${formatRequest(request)} of a dead agent`;
+		steps.push({label, next});
+	}
+
+	return steps;
+}
+
+function listQueueSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	host: number,
+): RequestStep[] {
+	const [request, ...queue] = state.agents[host]!.queue;
+	if (request === undefined) {
+		return [];
+	}
+
+	const taken = replaceAgent(state, host, {queue});
+	const name = `h${host}: ${formatRequest(request)}`;
+	const event: CallEvent = {type: 'scheduled'};
+	return [
+		{
+			label: `${name} has its turn`,
+			next: carryOutCall(mechanisms, taken, host, request, event),
+		},
+		{
+			label: `${name} has its turn past its deadline`,
+			next: carryOutCall(mechanisms, taken, host, request, event, {
+				now: modelDeadline,
+			}),
+		},
+	];
+}
+
+function listBackendSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	host: number,
+): RequestStep[] {
+	const {running} = state.agents[host]!;
+	return running.flatMap(({request, seen}, index) => {
+		const name = `h${host}: ${formatRequest(request)}`;
+		const others = running.filter((_, at) => at !== index);
+		const finish = (label: string, event: CallEvent): RequestStep => ({
+			label: `${name} ${label}`,
+			next: carryOutCall(
+				mechanisms,
+				replaceAgent(state, host, {running: others}),
+				host,
+				request,
+				event,
+			),
+		});
+
+		if (seen) {
+			const failure = createFailure('backendLost', '');
+			return [
+				finish('is answered by the backend server', {
+					type: 'answered',
+					answer: createAnswer(request),
+				}),
+				finish('is lost with its connection', {type: 'failed', failure}),
+			];
+		}
+
+		const failure = createFailure('backendRefused', '');
+		const next = replaceAgent(recordRun(state, request), host, {
+			running: replaceAt(running, index, {request, seen: true}),
+		});
+		return [
+			{label: `${name} runs at the backend server`, next},
+			finish('is refused by the backend server', {type: 'failed', failure}),
+		];
+	});
+}
+
+function recordRun(state: RequestState, request: number): RequestState {
+	const {history} = state;
+	const runs = replaceAt(history.runs, request, history.runs[request]! + 1);
+	return {...state, history: {...history, runs}};
+}
+
+const createAnswer = (request: number): CallAnswer => ({
+	type: 'callAnswer',
+	request: toRequestId(formatRequest(request)),
+	status: 200,
+	headers: [],
+	body: new Uint8Array(),
+});
+
+/**
+ * A record goes when its time is over. The time is long enough that the entry
+ * has ended the call and no frame of it is left on the newest session; an older
+ * session may hold one still.
+ */
+function listForgetSteps(
+	{forgetsEarly}: RequestMechanisms,
+	state: RequestState,
+	host: number,
+): RequestStep[] {
+	const {records} = state.agents[host]!;
+	return records.flatMap((record, request) => {
+		const canGo = record && isForgettable(record, Number.POSITIVE_INFINITY);
+		if (!canGo || (!forgetsEarly && isNeeded(state, host, request))) {
+			return [];
+		}
+
+		const next = replaceAgent(state, host, {
+			records: replaceAt(records, request, undefined),
+		});
+		return [{label: `h${host} forgets ${formatRequest(request)}`, next}];
+	});
+}
+
+function isNeeded(state: RequestState, host: number, request: number): boolean {
+	const {fence, records} = state.agents[host]!;
+	const isEnded =
+		!state.entryAlive ||
+		state.dispatches[request]!.phase === 'done' ||
+		records[request]?.phase === 'acknowledged';
+	const isComing = state.sessions.some(
+		({host: to, number, agentOpen, toAgent, copies}) =>
+			to === host &&
+			agentOpen &&
+			number === fence?.newest &&
+			[...toAgent, ...copies].some(
+				(message) =>
+					message.type === 'call' && message.request === formatRequest(request),
+			),
+	);
+	return !isEnded || isComing;
+}
+
+function listReplacementSteps(
+	state: RequestState,
+	host: number,
+): RequestStep[] {
+	if (state.faults.replacements === 0) {
+		return [];
+	}
+
+	const {incarnation, running, records} = state.agents[host]!;
+	const unseen = running.filter(({seen}) => !seen);
+	let next = replaceAgent(
+		spendFault(state, 'replacements'),
+		host,
+		createAgent(incarnation + 1, records.length),
+	);
+	for (let index = state.sessions.length - 1; index >= 0; index--) {
+		if (state.sessions[index]!.host === host) {
+			next = replaceSession(next, index, {agentOpen: false});
+		}
+	}
+
+	const orphans = [...state.orphans, ...unseen.map(({request}) => request)];
+	return [{label: `h${host} is replaced`, next: {...next, orphans}}];
+}
--- /dev/null
+++ b/packages/bramleystage-check/src/request-entry-steps.ts
@@ -0,0 +1,297 @@
+/** Steps of the entry in the model of the request protocol. */
+import {
+	type Call,
+	type DispatchCommand,
+	type DispatchEvent,
+	type Message,
+	type Target,
+	toCustomerId,
+	toRequestId,
+	toServiceName,
+} from 'bramleystage';
+import type {RequestMechanisms} from './request-mechanisms.js';
+import {
+	addName,
+	findHostIndex,
+	formatPlace,
+	formatRequest,
+	type ModelSession,
+	recordBroken,
+	replaceAt,
+	replaceSession,
+	type RequestState,
+	spendFault,
+	type Told,
+	toTarget,
+} from './request-state.js';
+import type {Step} from './specification.js';
+
+/** A step of the model of the request protocol. */
+export type RequestStep = Step<RequestState>;
+
+/** Decides an event of a dispatch; both ways if the retry budget matters. */
+export function listDispatchSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	request: number,
+	event: DispatchEvent,
+	label: string,
+	now = 0,
+): RequestStep[] {
+	let asked = false;
+	const decide = (isAllowed: boolean) =>
+		carryOutDispatch(mechanisms, state, request, event, now, () => {
+			asked = true;
+			return isAllowed;
+		});
+	const steps = [{label, next: decide(true)}];
+	if (asked) {
+		steps.push({label: `${label}, no retry budget`, next: decide(false)});
+	}
+
+	return steps;
+}
+
+function carryOutDispatch(
+	{decideDispatch}: RequestMechanisms,
+	state: RequestState,
+	request: number,
+	event: DispatchEvent,
+	now: number,
+	allowRetry: () => boolean,
+): RequestState {
+	const dispatch = state.dispatches[request]!;
+	const [decided, commands] = decideDispatch(dispatch, event, now, {
+		allowRetry,
+		computeBackoff: () => 0,
+	});
+	const dispatches = replaceAt(state.dispatches, request, decided);
+	let next: RequestState = {...state, dispatches};
+	const isOthers =
+		(event.type === 'failed' || event.type === 'cancelled') &&
+		(!dispatch.target ||
+			formatPlace(dispatch.target) !== formatPlace(event.from));
+	if (isOthers && decided !== dispatch) {
+		next = recordBroken(next, 'failure-of-current-target-only');
+	}
+
+	for (const command of commands) {
+		next = carryOutCommand(next, request, command);
+	}
+
+	return next;
+}
+
+function carryOutCommand(
+	state: RequestState,
+	request: number,
+	command: DispatchCommand,
+): RequestState {
+	const id = toRequestId(formatRequest(request));
+	switch (command.type) {
+		case 'sendCall': {
+			const {target} = command;
+			const call = createCall(state, request, target);
+			return sendToAgent(recordSent(state, request, target), target, call);
+		}
+
+		case 'sendCancel': {
+			const message: Message = {type: 'cancel', request: id};
+			return sendToAgent(state, command.target, message);
+		}
+
+		case 'sendAcknowledge': {
+			const message: Message = {type: 'acknowledge', request: id};
+			return sendToAgent(state, command.target, message);
+		}
+
+		case 'answerCaller': {
+			const told = {type: 'answer', request: command.answer.request} as const;
+			return recordTold(state, request, told);
+		}
+
+		case 'failCaller': {
+			const {outcome} = command.failure;
+			return recordTold(state, request, {type: 'failure', outcome});
+		}
+
+		// The choice and the timers are steps of their own.
+		default: {
+			return state;
+		}
+	}
+}
+
+function createCall(
+	{dispatches}: RequestState,
+	request: number,
+	{incarnation}: Target,
+): Call {
+	return {
+		type: 'call',
+		request: toRequestId(formatRequest(request)),
+		incarnation,
+		customer: toCustomerId('c'),
+		service: toServiceName('s'),
+		weight: 1,
+		priority: 1,
+		idempotent: dispatches[request]!.idempotent,
+		method: 'POST',
+		path: '/',
+		headers: [],
+		body: new Uint8Array(),
+		deadlineMs: dispatches[request]!.deadline,
+	};
+}
+
+function sendToAgent(
+	state: RequestState,
+	target: Target,
+	message: Message,
+): RequestState {
+	const index = findEntrySession(state, findHostIndex(target));
+	const session = state.sessions[index];
+	return session?.agentOpen
+		? replaceSession(state, index, {toAgent: [...session.toAgent, message]})
+		: state;
+}
+
+/** The entry's own open session to a host; -1 if there is none. */
+export function findEntrySession(
+	{sessions}: RequestState,
+	host: number,
+): number {
+	return sessions.findIndex((each) => each.entryOpen && each.host === host);
+}
+
+function recordSent(
+	state: RequestState,
+	request: number,
+	target: Target,
+): RequestState {
+	const {history} = state;
+	const place = formatPlace(target);
+	const earlier = history.sentTo[request] ?? [];
+	const refused = history.refusedBy[request] ?? [];
+	const isUncertain = earlier.some(
+		(each) => each !== place && !refused.includes(each),
+	);
+	const sentTo = replaceAt(history.sentTo, request, addName(earlier, place));
+	const next = {...state, history: {...history, sentTo}};
+	return isUncertain && !state.dispatches[request]!.idempotent
+		? recordBroken(next, 'unknown-never-repeated')
+		: next;
+}
+
+function recordTold(
+	state: RequestState,
+	request: number,
+	told: Told,
+): RequestState {
+	const {history} = state;
+	const all = replaceAt(history.told, request, told);
+	return {...state, history: {...history, told: all}};
+}
+
+/** Steps that the entry takes by itself. */
+export function listEntrySteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+): RequestStep[] {
+	if (!state.entryAlive) {
+		return [];
+	}
+
+	const steps = state.dispatches.flatMap((_, request) =>
+		listRequestSteps(mechanisms, state, request),
+	);
+	if (state.faults.entryDeaths > 0) {
+		const sessions = state.sessions
+			.filter(({agentOpen}) => agentOpen)
+			.map((each) => ({...each, entryOpen: false, toEntry: []}));
+		const next = {...state, entryAlive: false, sessions};
+		steps.push({
+			label: 'the entry dies',
+			next: spendFault(next, 'entryDeaths'),
+		});
+	}
+
+	return steps;
+}
+
+function listRequestSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	request: number,
+): RequestStep[] {
+	const {phase, waitUntil} = state.dispatches[request]!;
+	const name = formatRequest(request);
+	if (!state.started[request]) {
+		const started = replaceAt(state.started, request, true);
+		return [{label: `${name} arrives`, next: {...state, started}}];
+	}
+
+	const steps: RequestStep[] = [];
+	const add = (from: RequestState, event: DispatchEvent, now = 0) => {
+		const label = `${name}: ${formatEvent(event)}`;
+		steps.push(
+			...listDispatchSteps(mechanisms, from, request, event, label, now),
+		);
+	};
+
+	if (phase === 'choosing') {
+		for (const [next, target] of listChoices(state, request)) {
+			add(next, {type: 'chosen', target});
+		}
+	}
+
+	if (waitUntil !== undefined) {
+		add(state, {type: 'timer'}, waitUntil);
+	}
+
+	if (phase !== 'done' && phase !== 'cancelling' && state.faults.ends > 0) {
+		const spent = spendFault(state, 'ends');
+		add(spent, {type: 'deadline'});
+		add(spent, {type: 'callerGone'});
+	}
+
+	return steps;
+}
+
+/** Agents that the entry may choose, also one whose replacement it has not heard of. */
+function listChoices(
+	state: RequestState,
+	request: number,
+): ReadonlyArray<readonly [RequestState, Target | undefined]> {
+	const {tried} = state.dispatches[request]!;
+	const isUsable = ({entryOpen, announced, host}: ModelSession) =>
+		entryOpen && announced && !tried.includes(toTarget(host, 0).host);
+	const usable = state.sessions.filter((each) => isUsable(each));
+	const fresh = usable.map(
+		({host, incarnation}) => [state, toTarget(host, incarnation)] as const,
+	);
+	if (fresh.length === 0) {
+		return [[state, undefined]];
+	}
+
+	const stale = usable
+		.filter(({incarnation}) => incarnation > 0 && state.faults.staleChoices > 0)
+		.map(
+			({host, incarnation}) =>
+				[
+					spendFault(state, 'staleChoices'),
+					toTarget(host, incarnation - 1),
+				] as const,
+		);
+	return [...fresh, ...stale];
+}
+
+function formatEvent(event: DispatchEvent): string {
+	if (event.type !== 'chosen') {
+		return event.type;
+	}
+
+	return event.target
+		? `chosen ${formatPlace(event.target)}`
+		: 'no agent to choose';
+}
--- /dev/null
+++ b/packages/bramleystage-check/src/request-network-steps.ts
@@ -0,0 +1,229 @@
+/** Steps of the sessions in the model of the request protocol. */
+import {
+	type Message,
+	toCallEvent,
+	toDispatchEvent,
+	toSessionNumber,
+	updateFence,
+} from 'bramleystage';
+import {carryOutCall, replaceAgent} from './request-agent-steps.js';
+import {
+	findEntrySession,
+	listDispatchSteps,
+	type RequestStep,
+} from './request-entry-steps.js';
+import type {RequestMechanisms} from './request-mechanisms.js';
+import {
+	createSession,
+	findRequestIndex,
+	type ModelSession,
+	recordBroken,
+	replaceSession,
+	type RequestState,
+	spendFault,
+	toTarget,
+} from './request-state.js';
+
+/** Steps of all sessions, and the opening of new ones. */
+export function listNetworkSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+): RequestStep[] {
+	const steps = state.sessions.flatMap((session, index) => [
+		...listAgentEndSteps(mechanisms, state, session, index),
+		...listEntryEndSteps(mechanisms, state, session, index),
+	]);
+	if (state.entryAlive) {
+		for (const host of state.agents.keys()) {
+			if (findEntrySession(state, host) === -1) {
+				steps.push(createOpening(state, host));
+			}
+		}
+	}
+
+	return steps;
+}
+
+/** The agent's end: frames arrive, are copied, or are lost with the session. */
+function listAgentEndSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	session: ModelSession,
+	index: number,
+): RequestStep[] {
+	const {toAgent, copies, agentOpen, entryOpen} = session;
+	if (!agentOpen) {
+		return [];
+	}
+
+	const name = formatSession(session);
+	const steps: RequestStep[] = [];
+	const [first, ...rest] = toAgent;
+	if (first) {
+		const taken = replaceSession(state, index, {toAgent: rest});
+		steps.push(...listArrivals(mechanisms, taken, session, first, 'takes'));
+	}
+
+	if (first && state.faults.copies > 0) {
+		const next = replaceSession(spendFault(state, 'copies'), index, {
+			copies: [...copies, first],
+		});
+		steps.push({label: `${name}: a ${first.type} frame is copied`, next});
+	}
+
+	for (const [at, copy] of copies.entries()) {
+		const others = copies.filter((_, other) => other !== at);
+		const taken = replaceSession(state, index, {copies: others});
+		steps.push(
+			...listArrivals(mechanisms, taken, session, copy, 'takes a late'),
+		);
+	}
+
+	if (!entryOpen) {
+		const next = replaceSession(state, index, {agentOpen: false});
+		steps.push({label: `${name}: closes at the agent`, next});
+	}
+
+	return steps;
+}
+
+function listArrivals(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	session: ModelSession,
+	message: Message,
+	verb: string,
+): RequestStep[] {
+	const {host, number} = session;
+	const {fence} = state.agents[host]!;
+	const label = `${formatSession(session)}: h${host} ${verb} ${message.type}`;
+	const event = toCallEvent(message);
+	if (!event || !('request' in message)) {
+		return [];
+	}
+
+	if (!mechanisms.isCurrentSession(fence, toSessionNumber(number))) {
+		return [{label: `${label}, fenced`, next: state}];
+	}
+
+	const isOlder = fence !== undefined && number < fence.newest;
+	const from = isOlder ? recordBroken(state, 'older-session-fenced') : state;
+	const request = findRequestIndex(message.request);
+	const next = carryOutCall(mechanisms, from, host, request, event);
+	if (message.type !== 'call' || state.faults.fullQueues === 0) {
+		return [{label, next}];
+	}
+
+	const full = carryOutCall(
+		mechanisms,
+		spendFault(from, 'fullQueues'),
+		host,
+		request,
+		event,
+		{queueFull: true},
+	);
+	return [
+		{label, next},
+		{label: `${label}, queue full`, next: full},
+	];
+}
+
+/** The entry's end: a first heartbeat, frames, and the loss of the session. */
+function listEntryEndSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	session: ModelSession,
+	index: number,
+): RequestStep[] {
+	const {host, incarnation, toEntry, entryOpen, agentOpen, announced} = session;
+	if (!entryOpen) {
+		return [];
+	}
+
+	const name = formatSession(session);
+	const target = toTarget(host, incarnation);
+	const steps: RequestStep[] = [];
+	if (announced) {
+		const [first, ...rest] = toEntry;
+		if (first) {
+			const taken = replaceSession(state, index, {toEntry: rest});
+			steps.push(...listAnswerSteps(mechanisms, taken, session, first));
+		}
+	} else {
+		const next = replaceSession(state, index, {announced: true});
+		const label = `${name}: first heartbeat at the entry`;
+		steps.push(
+			...listForAll(mechanisms, next, label, {type: 'sessionOpened', target}),
+		);
+	}
+
+	if (!agentOpen || state.faults.losses > 0) {
+		const spent = agentOpen ? spendFault(state, 'losses') : state;
+		const next = replaceSession(spent, index, {entryOpen: false});
+		const label = `${name}: lost at the entry`;
+		steps.push(
+			...(announced
+				? listForAll(mechanisms, next, label, {type: 'sessionLost', target})
+				: [{label, next}]),
+		);
+	}
+
+	return steps;
+}
+
+function listAnswerSteps(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	session: ModelSession,
+	message: Message,
+): RequestStep[] {
+	const {host, incarnation} = session;
+	const label = `${formatSession(session)}: entry takes ${message.type}`;
+	const event = toDispatchEvent(message, toTarget(host, incarnation));
+	if (!event) {
+		return [{label, next: state}];
+	}
+
+	const {findDispatch} = mechanisms;
+	const request = findDispatch(message, state.dispatches.length);
+	return listDispatchSteps(mechanisms, state, request, event, label);
+}
+
+/** Decides an event for every request, one after another. */
+function listForAll(
+	mechanisms: RequestMechanisms,
+	state: RequestState,
+	label: string,
+	event: Parameters<typeof listDispatchSteps>[3],
+): RequestStep[] {
+	let steps: RequestStep[] = [{label, next: state}];
+	for (const request of state.dispatches.keys()) {
+		steps = steps.flatMap((step) =>
+			listDispatchSteps(mechanisms, step.next, request, event, step.label),
+		);
+	}
+
+	return steps;
+}
+
+function createOpening(state: RequestState, host: number): RequestStep {
+	const agent = state.agents[host]!;
+	const numbers = state.sessions
+		.filter((each) => each.host === host)
+		.map(({number}) => number);
+	const number = Math.max(0, agent.fence?.newest ?? 0, ...numbers) + 1;
+	const session = {
+		...createSession(host, number, agent.incarnation),
+		announced: false,
+	};
+	const fence = updateFence(agent.fence, toSessionNumber(number));
+	const next = replaceAgent(state, host, {fence});
+	const sessions = [...state.sessions, session];
+	return {
+		label: `${formatSession(session)}: opens`,
+		next: {...next, sessions},
+	};
+}
+
+const formatSession = ({host, number}: ModelSession): string =>
+	`session ${number} to h${host}`;
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -5,6 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+	computeBackoff,
 	createFailure,
 	createRetryBudget,
 	decideRetry,
@@ -114,7 +115,10 @@
 		choose: ({call}, excluding) =>
 			chooseTarget(network.hosts, call.service, excluding, countInFlight),
 		send,
-		allowRetry,
+		policy: {
+			allowRetry,
+			computeBackoff: (attempts) => computeBackoff(attempts, Math.random),
+		},
 		readClock,
 	});
 	network.events.subscribe((event) => {
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -9,6 +9,7 @@
 	type Heartbeat,
 	type HostId,
 	type HostsSnapshot,
+	type Incarnation,
 	type LifeCycle,
 	type ListedHost,
 	type Message,
@@ -26,6 +27,7 @@
 	| {
 			readonly type: 'message';
 			readonly from: HostId;
+			readonly incarnation: Incarnation;
 			readonly message: Message;
 	  };
 
@@ -85,8 +87,8 @@
 		if (message.type === 'heartbeat') {
 			this.#update(session, address, message);
 		} else {
-			const from = session.peer.host;
-			this.events.next({type: 'message', from, message});
+			const {host: from, incarnation} = session.peer;
+			this.events.next({type: 'message', from, incarnation, message});
 		}
 	}
 
--- a/packages/bramleystage-entry/src/service-desk.ts
+++ b/packages/bramleystage-entry/src/service-desk.ts
@@ -1,18 +1,19 @@
 /** Carries out the dispatch decisions of plain service calls. */
 import {
-	type AllowRetry,
 	type Call,
 	type CallAnswer,
 	createDispatch,
 	decideDispatch,
 	type DispatchCommand,
 	type DispatchEvent,
+	type DispatchPolicy,
 	type DispatchState,
 	type Failure,
 	type HostId,
 	type Message,
 	type RequestId,
 	type Target,
+	toDispatchEvent,
 } from 'bramleystage';
 import type {NetworkEvent} from './network.js';
 
@@ -34,9 +35,13 @@
 type Held = {
 	readonly request: ServiceRequest;
 	readonly timer: NodeJS.Timeout;
+	wait?: NodeJS.Timeout;
 	state: DispatchState;
 };
 
+/** A timer may fire this much before its time on the monotonic clock. */
+const timerMarginMs = 1;
+
 export class ServiceDesk {
 	readonly #held = new Map<RequestId, Held>();
 
@@ -44,7 +49,7 @@
 		private readonly options: {
 			readonly choose: ChooseTarget;
 			readonly send: (host: HostId, message: Message) => void;
-			readonly allowRetry: AllowRetry;
+			readonly policy: DispatchPolicy;
 			readonly readClock: () => number;
 		},
 	) {}
@@ -78,7 +83,7 @@
 			held.state,
 			event,
 			this.options.readClock(),
-			this.options.allowRetry,
+			this.options.policy,
 		);
 		held.state = state;
 		for (const command of commands) {
@@ -89,7 +94,8 @@
 	/** Takes what the network says. */
 	receive(event: NetworkEvent): void {
 		if (event.type === 'message') {
-			this.#receiveMessage(event.message);
+			const {from: host, incarnation, message} = event;
+			this.#receiveMessage(message, {host, incarnation});
 			return;
 		}
 
@@ -99,11 +105,18 @@
 		}
 	}
 
-	#receiveMessage(message: Message): void {
-		if (message.type === 'callAnswer') {
-			this.handle(message.request, {type: 'answered', answer: message});
-		} else if (message.type === 'failed') {
-			this.handle(message.request, {type: 'failed', message});
+	#receiveMessage(message: Message, from: Target): void {
+		const event = toDispatchEvent(message, from);
+		if (!event || !('request' in message)) {
+			return;
+		}
+
+		const {request} = message;
+		if (this.#held.has(request)) {
+			this.handle(request, event);
+		} else if (event.type === 'answered') {
+			// The caller is gone; the agent may drop the answer.
+			this.options.send(from.host, {type: 'acknowledge', request});
 		}
 	}
 
@@ -136,6 +149,14 @@
 				break;
 			}
 
+			case 'startTimer': {
+				clearTimeout(held.wait);
+				held.wait = setTimeout(() => {
+					this.handle(id, {type: 'timer'});
+				}, command.durationMs + timerMarginMs);
+				break;
+			}
+
 			case 'answerCaller': {
 				this.#finish(held, command.answer);
 				break;
@@ -151,6 +172,7 @@
 	#finish(held: Held, result: CallAnswer | Failure): void {
 		const {request, state, timer} = held;
 		clearTimeout(timer);
+		clearTimeout(held.wait);
 		this.#held.delete(request.call.request);
 		const {attempts, target} = state;
 		request.finish(result, {attempts, target});
--- a/packages/bramleystage/src/coordination/call-ledger.ts
+++ b/packages/bramleystage/src/coordination/call-ledger.ts
@@ -30,12 +30,19 @@
 	| {
 			readonly phase: 'answered';
 			readonly answer: CallAnswer;
-			readonly at: Milliseconds;
+			readonly forgetAt: Milliseconds;
 	  }
+	/** A tombstone too: the id never starts again. */
 	| {
 			readonly phase: 'failed';
 			readonly failure: Failure;
-			readonly at: Milliseconds;
+			readonly forgetAt: Milliseconds;
+	  }
+	/** The entry has the end of the call; what stays refuses late frames. */
+	| {
+			readonly phase: 'acknowledged';
+			readonly outcome: Outcome;
+			readonly forgetAt: Milliseconds;
 	  };
 
 export type CallEvent =
@@ -68,6 +75,41 @@
 	readonly queueFull: boolean;
 };
 
+/**
+ * How long a record outlives its call's deadline or its acknowledgement, in
+ * milliseconds. An entry trusts `not-run` for less than this (`tombstoneTrustMs`).
+ */
+export const retentionMs = 60_000;
+
+/** Deadline assumed for a call that was cancelled before its frame was seen. */
+const unknownCallMs = 600_000;
+
+/** Tells whether nothing that the entry still does can need the record. */
+export function isForgettable(record: CallRecord, now: Milliseconds): boolean {
+	return 'forgetAt' in record && record.forgetAt <= now;
+}
+
+/** Gives the ledger event that a message from an entry is, if it is one. */
+export function toCallEvent(message: Message): CallEvent | undefined {
+	switch (message.type) {
+		case 'call': {
+			return {type: 'received', call: message};
+		}
+
+		case 'cancel': {
+			return {type: 'cancelled', request: message.request};
+		}
+
+		case 'acknowledge': {
+			return {type: 'acknowledged'};
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+}
+
 /** Decides what one event does to the record of one call. */
 export function decideCall(
 	record: CallRecord | undefined,
@@ -85,11 +127,11 @@
 		}
 
 		case 'answered': {
-			return decideAnswered(record, event.answer, now);
+			return decideAnswered(record, event.answer);
 		}
 
 		case 'failed': {
-			return decideFailed(record, event.failure, now);
+			return decideFailed(record, event.failure);
 		}
 
 		case 'cancelled': {
@@ -108,6 +150,15 @@
 	now: Milliseconds,
 	context: LedgerContext,
 ): CallDecision {
+	if (call.incarnation !== context.incarnation) {
+		const failure = createFailure(
+			'staleIncarnation',
+			'The call was sent to an earlier incarnation of this agent.',
+		);
+		const message = createFailed(call.request, failure);
+		return [record, [{type: 'send', message}]];
+	}
+
 	if (record) {
 		return [
 			record,
@@ -115,11 +166,12 @@
 		];
 	}
 
-	const failure = findRefusal(call, context);
+	const failure = findRefusal(context);
 	if (failure) {
+		const message = createFailed(call.request, failure);
 		return [
-			{phase: 'failed', failure, at: now},
-			[{type: 'send', message: createFailed(call.request, failure)}],
+			createFailedRecord(failure, now + call.deadlineMs),
+			[{type: 'send', message}],
 		];
 	}
 
@@ -129,14 +181,7 @@
 	];
 }
 
-function findRefusal(call: Call, context: LedgerContext): Failure | undefined {
-	if (call.incarnation !== context.incarnation) {
-		return createFailure(
-			'staleIncarnation',
-			'The call was sent to an earlier incarnation of this agent.',
-		);
-	}
-
+function findRefusal(context: LedgerContext): Failure | undefined {
 	if (context.leaving) {
 		return createFailure('stopping', 'The backend server is leaving.');
 	}
@@ -162,10 +207,8 @@
 			'deadlineUnreachable',
 			'The deadline passed while the call was queued.',
 		);
-		return [
-			{phase: 'failed', failure, at: now},
-			[{type: 'send', message: createFailed(call.request, failure)}],
-		];
+		const message = createFailed(call.request, failure);
+		return [createFailedRecord(failure, deadline), [{type: 'send', message}]];
 	}
 
 	return [
@@ -177,14 +220,14 @@
 function decideAnswered(
 	record: CallRecord | undefined,
 	answer: CallAnswer,
-	now: Milliseconds,
 ): CallDecision {
 	if (record?.phase !== 'running') {
 		return [record, []];
 	}
 
+	const forgetAt = record.deadline + retentionMs;
 	return [
-		{phase: 'answered', answer, at: now},
+		{phase: 'answered', answer, forgetAt},
 		[{type: 'send', message: answer}],
 	];
 }
@@ -192,15 +235,15 @@
 function decideFailed(
 	record: CallRecord | undefined,
 	failure: Failure,
-	now: Milliseconds,
 ): CallDecision {
 	if (record?.phase !== 'running') {
 		return [record, []];
 	}
 
+	const message = createFailed(record.call.request, failure);
 	return [
-		{phase: 'failed', failure, at: now},
-		[{type: 'send', message: createFailed(record.call.request, failure)}],
+		createFailedRecord(failure, record.deadline),
+		[{type: 'send', message}],
 	];
 }
 
@@ -220,33 +263,57 @@
 			commands.unshift({type: 'dequeue', request});
 		}
 
-		return [{phase: 'failed', failure, at: now}, commands];
+		const deadline = record?.deadline ?? now + unknownCallMs;
+		return [createFailedRecord(failure, deadline), commands];
 	}
 
-	if (record.phase === 'running') {
-		return [
-			{...record, cancelled: true},
-			[
-				{type: 'abortCall', request},
-				{type: 'send', message: createCancelled(request, 'unknown')},
-			],
-		];
-	}
+	switch (record.phase) {
+		case 'running': {
+			const message = createCancelled(request, 'unknown');
+			const commands: CallCommand[] = [{type: 'send', message}];
+			// A non-idempotent call runs on, so that its answer is known to a repeat.
+			if (record.call.idempotent) {
+				commands.unshift({type: 'abortCall', request});
+			}
+
+			return [{...record, cancelled: true}, commands];
+		}
 
-	const outcome = record.phase === 'answered' ? 'ran' : record.failure.outcome;
-	return [record, [{type: 'send', message: createCancelled(request, outcome)}]];
+		case 'answered': {
+			return [record, [{type: 'send', message: record.answer}]];
+		}
+
+		case 'failed': {
+			const message = createCancelled(request, record.failure.outcome);
+			return [record, [{type: 'send', message}]];
+		}
+
+		case 'acknowledged': {
+			const message = createCancelled(request, record.outcome);
+			return [record, [{type: 'send', message}]];
+		}
+	}
 }
 
 function decideAcknowledged(
 	record: CallRecord | undefined,
 	now: Milliseconds,
 ): CallDecision {
-	if (record?.phase !== 'answered') {
-		return [record, []];
-	}
+	const forgetAt = now + retentionMs;
+	switch (record?.phase) {
+		case 'answered': {
+			return [{phase: 'acknowledged', outcome: 'ran', forgetAt}, []];
+		}
 
-	const failure = createFailure('ok', 'Answered and acknowledged.');
-	return [{phase: 'failed', failure, at: now}, []];
+		case 'failed': {
+			const {outcome} = record.failure;
+			return [{phase: 'acknowledged', outcome, forgetAt}, []];
+		}
+
+		default: {
+			return [record, []];
+		}
+	}
 }
 
 function describeRecord(record: CallRecord, request: RequestId): Message {
@@ -259,12 +326,28 @@
 			return createFailed(request, record.failure);
 		}
 
+		case 'acknowledged': {
+			const failure = createFailure(
+				'unknownRequest',
+				'The call has ended and its answer was acknowledged.',
+				{outcome: record.outcome},
+			);
+			return createFailed(request, failure);
+		}
+
 		default: {
 			return {type: 'callRunning', request};
 		}
 	}
 }
 
+function createFailedRecord(
+	failure: Failure,
+	deadline: Milliseconds,
+): CallRecord {
+	return {phase: 'failed', failure, forgetAt: deadline + retentionMs};
+}
+
 function createFailed(request: RequestId, failure: Failure): Message {
 	const {result, outcome, detail} = failure;
 	return {
--- a/packages/bramleystage/src/coordination/retry-budget.ts
+++ b/packages/bramleystage/src/coordination/retry-budget.ts
@@ -29,3 +29,24 @@
 		? [{available: budget.available - 1}, true]
 		: [budget, false];
 }
+
+/** Wait before the second retry, in milliseconds; it doubles with each further one. */
+const firstBackoffMs = 25;
+const maxBackoffMs = 1000;
+
+/**
+ * Computes the wait before the next attempt, in milliseconds. The first retry
+ * goes at once, since it goes to another host; later ones wait longer, with
+ * full jitter from a random number in [0, 1).
+ */
+export function computeBackoff(
+	attempts: number,
+	drawRandom: () => number,
+): number {
+	if (attempts < 2) {
+		return 0;
+	}
+
+	const longest = Math.min(maxBackoffMs, firstBackoffMs * 2 ** (attempts - 2));
+	return drawRandom() * longest;
+}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -1,13 +1,18 @@
 /** The bramleystage library: state, coordination, protocol and transport. */
 export {
 	type AllowRetry,
+	cancelWaitMs,
 	createDispatch,
 	decideDispatch,
 	type DispatchCommand,
 	type DispatchDecision,
 	type DispatchEvent,
+	type DispatchPolicy,
 	type DispatchState,
+	reconnectWaitMs,
 	type Target,
+	toDispatchEvent,
+	tombstoneTrustMs,
 } from './coordination/call-dispatch.js';
 export {
 	type CallCommand,
@@ -15,7 +20,10 @@
 	type CallEvent,
 	type CallRecord,
 	decideCall,
+	isForgettable,
 	type LedgerContext,
+	retentionMs,
+	toCallEvent,
 } from './coordination/call-ledger.js';
 export {
 	createModelRun,
@@ -36,11 +44,17 @@
 	type StageCost,
 } from './coordination/pipeline.js';
 export {
+	computeBackoff,
 	createRetryBudget,
 	decideRetry,
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
+export {
+	isCurrentSession,
+	type SessionFence,
+	updateFence,
+} from './coordination/session-fence.js';
 export {
 	decideStage,
 	type OpenStage,
