--- a/packages/bramleystage-agent/src/call-desk.ts
+++ b/packages/bramleystage-agent/src/call-desk.ts
@@ -12,11 +12,17 @@
 	type LedgerContext,
 	type Message,
 	type RequestId,
+	type RunningWork,
 	toCallEvent,
+	type Work,
+	type WorkScheduler,
 } from 'bramleystage';
 import type {EntryKey} from './entry-sessions.js';
 import type {ServiceClient} from './service-client.js';
 
+/** Every call counts alike. */
+const callCost = 1;
+
 type Held = {
 	record: CallRecord;
 	entry: EntryKey;
@@ -25,13 +31,12 @@
 export class CallDesk {
 	readonly #held = new Map<RequestId, Held>();
 	readonly #running = new Map<RequestId, AbortController>();
-	#queue: RequestId[] = [];
+	readonly #taken = new Map<RequestId, RunningWork<RequestId>>();
 
 	constructor(
 		private readonly options: {
 			readonly client: ServiceClient;
-			readonly slots: number;
-			readonly maxQueued: number;
+			readonly scheduler: WorkScheduler<RequestId>;
 			readonly describeContext: () => Omit<LedgerContext, 'queueFull'>;
 			readonly send: (entry: EntryKey, message: Message) => void;
 			readonly readClock: () => number;
@@ -39,7 +44,7 @@
 	) {}
 
 	get queued(): number {
-		return this.#queue.length;
+		return this.options.scheduler.queued;
 	}
 
 	get running(): number {
@@ -71,7 +76,7 @@
 
 		const context: LedgerContext = {
 			...this.options.describeContext(),
-			queueFull: this.#queue.length >= this.options.maxQueued,
+			queueFull: this.options.scheduler.isFull,
 		};
 		const now = this.options.readClock();
 		const [record, commands] = decideCall(held?.record, event, now, context);
@@ -98,14 +103,12 @@
 	#carryOut(command: CallCommand, entry: EntryKey): void {
 		switch (command.type) {
 			case 'enqueue': {
-				this.#queue.push(command.call.request);
+				this.options.scheduler.add(createCallWork(command.call));
 				break;
 			}
 
 			case 'dequeue': {
-				this.#queue = this.#queue.filter(
-					(request) => request !== command.request,
-				);
+				this.options.scheduler.remove((request) => request === command.request);
 				break;
 			}
 
@@ -127,13 +130,28 @@
 	}
 
 	#schedule(): void {
-		while (this.#running.size < this.options.slots) {
-			const request = this.#queue.shift();
-			if (request === undefined) {
+		const {scheduler, readClock} = this.options;
+		for (;;) {
+			const running = scheduler.take(readClock());
+			if (!running) {
 				return;
 			}
 
+			const request = running.work.value;
+			this.#taken.set(request, running);
 			this.handle(request, {type: 'scheduled'});
+			if (!this.#running.has(request)) {
+				// Its deadline passed while it waited, so it was not started.
+				this.#finish(request);
+			}
+		}
+	}
+
+	#finish(request: RequestId): void {
+		const running = this.#taken.get(request);
+		this.#taken.delete(request);
+		if (running) {
+			this.options.scheduler.finish(running, this.options.readClock());
 		}
 	}
 
@@ -146,6 +164,7 @@
 			abort.signal,
 		);
 		this.#running.delete(call.request);
+		this.#finish(call.request);
 		this.handle(
 			call.request,
 			result.match<CallEvent>(
@@ -155,3 +174,15 @@
 		);
 	}
 }
+
+function createCallWork(call: Call): Work<RequestId> {
+	return {
+		shares: [
+			{key: call.customer, weight: call.weight},
+			{key: call.service, weight: 1},
+		],
+		cost: callCost,
+		priority: call.priority,
+		value: call.request,
+	};
+}
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -35,6 +35,8 @@
 
 export class Network {
 	readonly events = new Subject<NetworkEvent>();
+	/** The platform's list, each time it was read. */
+	readonly listed = new Subject<readonly ListedHost[]>();
 	#hosts = createHosts();
 
 	constructor(
@@ -43,6 +45,8 @@
 			readonly pool: SessionPool;
 			readonly lifeCycle: LifeCycle;
 			readonly readClock: () => number;
+			/** Called with each load report. */
+			readonly onReport?: (host: ConnectedHost) => void;
 		},
 	) {
 		const {pool, lifeCycle} = options;
@@ -71,6 +75,7 @@
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
 		this.options.pool.update(listAgentAddresses(listed.value));
+		this.listed.next(listed.value);
 	}
 
 	/** Sends to a host, if there is a session to it. */
@@ -108,6 +113,7 @@
 			roundTripMs: 0,
 		};
 		this.#hosts = updateConnectedHost(this.#hosts, connected);
+		this.options.onReport?.(connected);
 		if (isNew) {
 			this.events.next({type: 'opened', host: connected});
 		}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -25,6 +25,70 @@
 	retentionMs,
 	toCallEvent,
 } from './coordination/call-ledger.js';
+export {
+	buildCandidateGroups,
+	type CandidateGroup,
+	type DrawIndex,
+	type FindUsable,
+	listCandidates,
+	type PipelineRequest,
+	selectCandidates,
+	type StageCandidate,
+} from './coordination/candidates.js';
+export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
+export {
+	type ConfirmFacts,
+	decideConfirm,
+	goneSettleMs,
+	listRemoved,
+} from './coordination/limit-confirm.js';
+export {
+	type AcquireResult,
+	LimitDesk,
+	type LimitDeskOptions,
+	type Permit,
+} from './coordination/limit-desk.js';
+export {
+	createLimitLedger,
+	decidePermit,
+	formatHolder,
+	type Holder,
+	type LimitLedger,
+	measureCharged,
+	measureHeld,
+	type PermitDecision,
+	type PermitRequest,
+	permitValidityMs,
+	releaseIncarnation,
+	releasePermit,
+	releaseUnheld,
+} from './coordination/limit-ledger.js';
+export {
+	computePart,
+	computeUsablePart,
+	createLimitMembers,
+	createLimitSnapshot,
+	findConfirmedEpoch,
+	foldLimitRecord,
+	foldLimitRecords,
+	type Limit,
+	type LimitMember,
+	type LimitMembers,
+	listOwners,
+	type LogRecord,
+	maxOwners,
+	type MemberList,
+} from './coordination/limit-members.js';
+export {
+	type DescribeUse,
+	LimitMembership,
+	type LimitMembershipOptions,
+} from './coordination/limit-membership.js';
+export {
+	LimitOwner,
+	type LimitOwnerOptions,
+	type PermitResult,
+} from './coordination/limit-owner.js';
 export {
 	createModelRun,
 	decideModelRun,
@@ -36,13 +100,18 @@
 } from './coordination/model-run.js';
 export {
 	choosePipeline,
+	createStages,
+	findMissingLayers,
+	formatLayers,
+	type LayerSpan,
 	type LinkCost,
-	listCandidates,
+	type Pipeline,
 	type PipelineCosts,
-	type PipelineRequest,
-	type StageCandidate,
+	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
+export {RateMeter} from './coordination/rate-meter.js';
+export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
 	computeBackoff,
 	createRetryBudget,
@@ -55,6 +124,19 @@
 	type SessionFence,
 	updateFence,
 } from './coordination/session-fence.js';
+export {
+	computeStageWork,
+	createRouteCosts,
+	type EstimateCached,
+	type EstimateLoad,
+	type RequestShape,
+	type RouteCostOptions,
+} from './coordination/route-cost.js';
+export {
+	type RunningWork,
+	type SchedulerOptions,
+	WorkScheduler,
+} from './coordination/scheduler.js';
 export {
 	decideStage,
 	type OpenStage,
@@ -66,6 +148,7 @@
 	type StepInput,
 	type StepOutput,
 } from './coordination/stage.js';
+export {computePromptCost} from './coordination/work-cost.js';
 export {
 	type Decide,
 	type Decision,
@@ -117,6 +200,29 @@
 	InvariantError,
 	invariants,
 } from './protocol/invariant.js';
+export {
+	type LimitKey,
+	limitKeySchema,
+	type LimitKind,
+	limitKindSchema,
+	type LimitRecord,
+	limitRecordSchema,
+	type LimitSnapshot,
+	limitSnapshotSchema,
+	type PermitAnswer,
+	permitAnswerSchema,
+	type PermitAsk,
+	permitAskSchema,
+	type PermitHeld,
+	permitHeldSchema,
+	type PermitMessage,
+	type PermitNumber,
+	permitNumberSchema,
+	type PermitRelease,
+	permitReleaseSchema,
+	toLimitKey,
+	toPermitNumber,
+} from './protocol/limits.js';
 export {
 	acknowledgeSchema,
 	type Activation,
@@ -160,6 +266,7 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
+export {createRandom, type Random} from './protocol/random.js';
 export {
 	createFailure,
 	type Failure,
@@ -173,8 +280,11 @@
 export {
 	agentSettings,
 	type AgentSettings,
+	checkAgentSettings,
+	type CheckTogether,
 	entrySettings,
 	type EntrySettings,
+	formatDefault,
 	formatFlag,
 	formatVariable,
 	parseSettings,
@@ -182,6 +292,16 @@
 	type SettingDefinitions,
 	type SettingValues,
 } from './protocol/settings.js';
+export {
+	type TablePart,
+	tablePartSchema,
+	type TableRecords,
+	tableRecordsSchema,
+	type TableReport,
+	tableReportSchema,
+	type TableRequest,
+	tableRequestSchema,
+} from './protocol/table-messages.js';
 export {
 	cellSchemas,
 	type CustomerCells,
@@ -200,6 +320,21 @@
 	type ServiceCells,
 	serviceCellsSchema,
 } from './protocol/table-schema.js';
+export {
+	type SnapshotPart,
+	snapshotPartRows,
+	snapshotPartSchema,
+	type SnapshotRow,
+	snapshotRowSchema,
+} from './protocol/table-snapshot-schema.js';
+export {type BucketChange, BucketMap} from './state/bucket-map.js';
+export {
+	createEditProgress,
+	decideEdit,
+	type EditCommand,
+	type EditEvent,
+	type EditProgress,
+} from './state/edit-progress.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -210,14 +345,44 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {LoadBook, type LoadEstimate} from './state/load.js';
+export {
+	createTableContact,
+	createTableReport,
+	isTableStale,
+	recordLogRead,
+	recordPeerReport,
+	removePeer,
+	staleAfterMs,
+	type TableContact,
+	type TablePeer,
+} from './state/table-contact.js';
+export {
+	addSnapshotPart,
+	type CollectedParts,
+	computeTableDigest,
+	createSnapshotParts,
+	listSnapshotRows,
+	restoreTable,
+} from './state/table-snapshot.js';
+export {
+	createView,
+	parseRowKey,
+	type RowCells,
+	type TableView,
+	type UpdatableView,
+	updateView,
+} from './state/table-view.js';
 export {
 	createTable,
 	type EditResult,
+	findRowVersion,
 	foldRecord,
-	parseRowKey,
+	type RefusalReason,
+	type RefusedRow,
+	repeatWindow,
 	type TableRow,
 	type TableSnapshot,
-	type TableView,
 } from './state/table.js';
 export {
 	type Address,
@@ -265,6 +430,7 @@
 export {
 	type LogEvent,
 	type LogRecords,
+	maxReadRecords,
 	PlatformClient,
 	type PlatformError,
 } from './transport/platform-client.js';
@@ -286,3 +452,26 @@
 	type SessionTiming,
 	startServer,
 } from './transport/session.js';
+export {
+	appendSnapshot,
+	type FoundSnapshot,
+	readSnapshot,
+	tableSnapshotStream,
+} from './transport/table-bootstrap.js';
+export {
+	TableFollower,
+	type TableFollowerOptions,
+	type TableSummary,
+} from './transport/table-follower.js';
+export {
+	TableLogReader,
+	type TableLogReaderOptions,
+	tableStream,
+} from './transport/table-log-reader.js';
+export {publishEdit, type PublishOptions} from './transport/table-publisher.js';
+export {TableSharing} from './transport/table-sharing.js';
+export {
+	type SnapshotTiming,
+	TableSnapshotWriter,
+	type TableSnapshotWriterOptions,
+} from './transport/table-snapshot-writer.js';
