--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -4,6 +4,7 @@
  */
 import {randomInt, randomUUID} from 'node:crypto';
 import {
+	computeBackoff,
 	createRetryBudget,
 	decideRetry,
 	type EntrySettings,
@@ -143,7 +144,10 @@
 		choose: ({call}, excluding) =>
 			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
 		send,
-		allowRetry,
+		policy: {
+			allowRetry,
+			computeBackoff: (attempts) => computeBackoff(attempts, Math.random),
+		},
 		readClock,
 	});
 	network.events.subscribe((event) => {
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -9,6 +9,7 @@
 	type Heartbeat,
 	type HostId,
 	type HostsSnapshot,
+	type Incarnation,
 	type LifeCycle,
 	type ListedHost,
 	type Message,
@@ -27,6 +28,7 @@
 	| {
 			readonly type: 'message';
 			readonly from: HostId;
+			readonly incarnation: Incarnation;
 			readonly message: Message;
 	  };
 
@@ -121,8 +123,8 @@
 		if (message.type === 'heartbeat') {
 			this.#update(session, address, message);
 		} else {
-			const from = session.peer.host;
-			this.events.next({type: 'message', from, message});
+			const {host: from, incarnation} = session.peer;
+			this.events.next({type: 'message', from, incarnation, message});
 		}
 	}
 
