Even out backlogs in time, bound what an engine is given, add the throughput bench

Cause: with the backlog weighed by each engine's own service time, fast engines queued for seconds while slow ones stood idle 70% of the time; and an engine was given so much at once that steps waited behind large prompts. Change: a layer-token costs the same for each millisecond of backlog at any kind of engine; a step time counts only when it tells of a slow host; an engine is given 10 ms of work at once. The rate is measured only while work waits. Bench throughput: 40 timed engines under virtual time against max-flow.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -70,7 +70,7 @@
 	let leaving = false;
 	let offers: Offer[] = [];
 
-	const schedulers = createSchedulers(settings);
+	const schedulers = createSchedulers(settings, () => offers);
 	const describeLoad = (): LoadReport =>
 		(settings.engine ? schedulers.steps : schedulers.calls).describeLoad(
 			readClock(),
--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,4 +1,5 @@
 /** The benches by name. Each resolves with the figures of its last line. */
+import {runThroughput} from './throughput-bench.js';
 
 /** Flags of a bench, as text; each bench reads those that it knows. */
 export type BenchFlags = Readonly<Record<string, string>>;
@@ -8,4 +9,9 @@
 	readonly run: (flags: BenchFlags) => Promise<object>;
 };
 
-export const benches: Readonly<Record<string, Bench>> = {};
+export const benches: Readonly<Record<string, Bench>> = {
+	throughput: {
+		describe: 'Tokens a second at saturation against the bound of the engines',
+		run: runThroughput,
+	},
+};
--- /dev/null
+++ b/packages/bramleystage-bench/src/throughput-bench.ts
@@ -0,0 +1,215 @@
+/**
+ * Throughput at saturation against the bound that the engines' own rates set,
+ * with simpler policies beside it in the same run.
+ */
+import {
+	type HostsSnapshot,
+	listAvailableHosts,
+	listCandidates,
+	type Stage,
+	type StageCandidate,
+} from 'bramleystage';
+import {Router} from 'bramleystage-entry';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {benchLayers, createFleet, fleetLinkTime} from './bench-fleet.js';
+import type {BenchFlags} from './benches.js';
+import {computeTokenBound} from './engine-bound.js';
+import {benchModel, TimedSite} from './timed-site.js';
+import {VirtualTime} from './virtual-time.js';
+
+type Shape = {readonly promptTokens: number; readonly answerTokens: number};
+type Choose = (shape: Shape, now: number) => readonly Stage[];
+type Draw = (bound: number) => number;
+
+const shapes: readonly Shape[] = [
+	{promptTokens: 16, answerTokens: 32},
+	{promptTokens: 64, answerTokens: 64},
+	{promptTokens: 200, answerTokens: 32},
+	{promptTokens: 600, answerTokens: 24},
+];
+const entryCount = 4;
+const reportIntervalMs = 250;
+const warmUpMs = 8000;
+const measuredMs = 12_000;
+const msPerSecond = 1000;
+
+export const createDraw = (seed: number): Draw => {
+	const generator = xoroshiro128plus(seed);
+	return (bound) => uniformInt(generator, 0, bound - 1);
+};
+
+const policies = {
+	cost: 'the exported router',
+	random: 'a random host that holds the next layer',
+	roundRobin: 'each host that holds the next layer in turn',
+	leastInFlight: 'the host with the fewest requests of the entry in flight',
+} as const;
+type Policy = keyof typeof policies;
+
+/** Runs the bench; `concurrent` and `seed` are its flags. */
+export async function runThroughput(flags: BenchFlags): Promise<object> {
+	const concurrent = Number(flags.concurrent ?? 4000);
+	const seed = Number(flags.seed ?? 5);
+	const engines = createFleet(Number(flags.engines ?? 40));
+	const rated = new TimedSite(new VirtualTime(), engines, fleetLinkTime);
+	const bound = computeTokenBound(
+		[...rated.agents.values()].map(({facts, engine}) => ({
+			...facts,
+			layerTokensPerSecond: engine.layerTokensPerSecond,
+		})),
+		benchLayers,
+	);
+	const measure = (policy: Policy) =>
+		measurePolicy(policy, {concurrent, seed, engines});
+	const tokens = measure('cost');
+	return {
+		tokens_per_second: Math.round(tokens),
+		bound_tokens_per_second: Math.round(bound),
+		ratio_to_bound: round(tokens / bound),
+		random_ratio: round(measure('random') / bound),
+		round_robin_ratio: round(measure('roundRobin') / bound),
+		least_in_flight_ratio: round(measure('leastInFlight') / bound),
+		concurrent,
+		seed,
+	};
+}
+
+const round = (value: number) => Math.round(value * 1000) / 1000;
+
+function measurePolicy(
+	policy: Policy,
+	{
+		concurrent,
+		seed,
+		engines,
+	}: {
+		readonly concurrent: number;
+		readonly seed: number;
+		readonly engines: ReturnType<typeof createFleet>;
+	},
+): number {
+	const time = new VirtualTime();
+	const site = new TimedSite(time, engines, fleetLinkTime);
+	const draw = createDraw(seed);
+	const entries = Array.from({length: entryCount}, (_, index) =>
+		policy === 'cost'
+			? createRouterChoice(site, draw, index)
+			: createSimpleChoice(policy, site.hosts, draw),
+	);
+	const send = (index: number) => {
+		const shape = shapes[draw(shapes.length)]!;
+		const entry = entries[index % entryCount]!;
+		const {stages, finish} = entry(shape, time.now);
+		site.run(
+			{
+				...shape,
+				customer: `customer-${index % 10}`,
+				weight: 1,
+				priority: 5,
+				onToken(isLast) {
+					if (isLast) {
+						finish();
+						send(index);
+					}
+				},
+			},
+			stages,
+		);
+	};
+
+	for (let index = 0; index < concurrent; index++) {
+		time.add(draw(500), () => {
+			send(index);
+		});
+	}
+
+	time.runUntil(warmUpMs);
+	const before = site.tokensRun;
+	time.runUntil(warmUpMs + measuredMs);
+	return ((site.tokensRun - before) * msPerSecond) / measuredMs;
+}
+
+type Choice = {readonly stages: readonly Stage[]; readonly finish: () => void};
+type MakeChoice = (shape: Shape, now: number) => Choice;
+
+const doNothing = () => undefined;
+
+function createRouterChoice(
+	site: TimedSite,
+	draw: Draw,
+	index: number,
+): MakeChoice {
+	const router = new Router({drawIndex: draw, choices: 4});
+	site.startReports(
+		reportIntervalMs,
+		(index * reportIntervalMs) / entryCount,
+		(host) => {
+			router.recordReport(host, host.reportedAt);
+		},
+	);
+	const model = {model: benchModel, version: '1', layers: benchLayers};
+	return (shape, now) => ({
+		stages: router
+			.chooseStages(site.hosts, {...model, ...shape}, [], now)
+			._unsafeUnwrap(),
+		finish: doNothing,
+	});
+}
+
+/** Runs all that the picked host holds from the next layer on. */
+function createSimpleChoice(
+	policy: Exclude<Policy, 'cost'>,
+	hosts: HostsSnapshot,
+	draw: Draw,
+): MakeChoice {
+	const candidates = listCandidates(listAvailableHosts(hosts), {
+		model: benchModel,
+		version: '1',
+	});
+	const inFlight = new Map<StageCandidate, number>();
+	let turn = 0;
+	const count = (candidate: StageCandidate) => inFlight.get(candidate) ?? 0;
+	const add = (candidate: StageCandidate, change: number) => {
+		inFlight.set(candidate, count(candidate) + change);
+	};
+
+	const pick = (able: readonly StageCandidate[]): StageCandidate => {
+		if (policy === 'random') {
+			return able[draw(able.length)]!;
+		}
+
+		if (policy === 'roundRobin') {
+			return able[turn++ % able.length]!;
+		}
+
+		return able.toSorted((a, b) => count(a) - count(b))[0]!;
+	};
+
+	return () => {
+		const used: StageCandidate[] = [];
+		const stages: Stage[] = [];
+		let next = 0;
+		while (next < benchLayers) {
+			const fromLayer = next;
+			const able = candidates.filter(
+				({offer}) => offer.fromLayer <= fromLayer && fromLayer < offer.toLayer,
+			);
+			const candidate = pick(able);
+			const {host, address, incarnation} = candidate.host;
+			next = candidate.offer.toLayer;
+			stages.push({host, address, incarnation, fromLayer, toLayer: next});
+			used.push(candidate);
+			add(candidate, 1);
+		}
+
+		return {
+			stages,
+			finish() {
+				for (const candidate of used) {
+					add(candidate, -1);
+				}
+			},
+		};
+	};
+}
--- /dev/null
+++ b/packages/bramleystage-bench/src/timed-site.ts
@@ -0,0 +1,237 @@
+/**
+ * Timed engines behind the real decisions: each engine has the agent's
+ * scheduler, each entry the entry's router, and load reports lag. What is left
+ * out is sockets, parsing and faults.
+ */
+import {
+	type ConnectedHost,
+	createHosts,
+	type HostId,
+	type HostsSnapshot,
+	type RequestShape,
+	type Stage,
+	toDataCentreId,
+	toHostId,
+	toIncarnation,
+	toModelName,
+	updateConnectedHost,
+	WorkScheduler,
+} from 'bramleystage';
+import type {AcceleratorKind} from 'bramleystage-stand-ins';
+import {TimedEngine} from './timed-engine.js';
+import type {VirtualTime} from './virtual-time.js';
+
+export const benchModel = toModelName('bench-model');
+
+export type EngineFacts = {
+	readonly dataCentre: string;
+	readonly kind: AcceleratorKind;
+	readonly fromLayer: number;
+	readonly toLayer: number;
+};
+
+/** One request as a bench sends it. */
+export type TimedRequest = RequestShape & {
+	readonly customer: string;
+	readonly weight: number;
+	readonly priority: number;
+	/** Called with each token, and whether it is the last. */
+	readonly onToken: (isLast: boolean) => void;
+};
+
+/** Time of the link between two data centres, in milliseconds one way. */
+export type LinkTime = (from: string, to: string) => number;
+
+type Step = {readonly layerTokens: number; readonly finish: () => void};
+
+const priorityCost = 500;
+const runningSeconds = 0.01;
+const slots = 64;
+const maxQueued = 100_000;
+const continuationPriority = 10;
+
+/** An engine and the agent's scheduler beside it. */
+export class TimedAgent {
+	readonly engine: TimedEngine;
+	readonly scheduler: WorkScheduler<Step>;
+
+	constructor(
+		readonly facts: EngineFacts,
+		private readonly time: VirtualTime,
+	) {
+		this.engine = new TimedEngine(facts.kind, time);
+		this.scheduler = new WorkScheduler({
+			slots,
+			maxQueued,
+			findMaxRunningCost: () =>
+				runningSeconds * this.engine.layerTokensPerSecond,
+			priorityCost,
+		});
+	}
+
+	add(
+		key: string,
+		{customer, weight, priority}: TimedRequest,
+		step: Step & {readonly isContinuation: boolean},
+	): void {
+		this.scheduler.add(
+			{
+				shares: [
+					{key: customer, weight},
+					{key: benchModel, weight: 1},
+				],
+				cost: step.layerTokens,
+				priority: priority + (step.isContinuation ? continuationPriority : 0),
+				value: step,
+			},
+			key,
+		);
+		this.#runWaiting();
+	}
+
+	#runWaiting(): void {
+		for (;;) {
+			const running = this.scheduler.take(this.time.now);
+			if (!running) {
+				return;
+			}
+
+			const {layerTokens, finish} = running.work.value;
+			this.engine.run({
+				layerTokens,
+				finish: () => {
+					this.scheduler.finish(running, this.time.now);
+					this.time.add(0, () => {
+						this.#runWaiting();
+					});
+					finish();
+				},
+			});
+		}
+	}
+}
+
+export class TimedSite {
+	readonly agents: ReadonlyMap<HostId, TimedAgent>;
+	readonly hosts: HostsSnapshot;
+	/** Tokens of prompts and answers that the last layer has run. */
+	tokensRun = 0;
+	#requests = 0;
+
+	constructor(
+		private readonly time: VirtualTime,
+		engines: readonly EngineFacts[],
+		private readonly linkTime: LinkTime,
+	) {
+		this.agents = new Map(
+			engines.map((facts, index) => [
+				toHostId(`engine-${index + 1}`),
+				new TimedAgent(facts, time),
+			]),
+		);
+		let hosts = createHosts();
+		for (const [host, agent] of this.agents) {
+			hosts = updateConnectedHost(hosts, describeHost(host, agent, 0));
+		}
+
+		this.hosts = hosts;
+	}
+
+	/** Gives each host's load report to a listener at an interval, from `delayMs` on. */
+	startReports(
+		intervalMs: number,
+		delayMs: number,
+		onReport: (host: ConnectedHost) => void,
+	): void {
+		const report = () => {
+			for (const [host, agent] of this.agents) {
+				onReport(describeHost(host, agent, this.time.now));
+			}
+
+			this.time.add(intervalMs, report);
+		};
+
+		this.time.add(delayMs, report);
+	}
+
+	/** Runs a request on the given stages. */
+	run(request: TimedRequest, stages: readonly Stage[]): void {
+		const key = `request-${this.#requests++}`;
+		const {promptTokens, answerTokens} = request;
+		const parts = stages.map((stage) => ({
+			agent: this.agents.get(stage.host)!,
+			layers: stage.toLayer - stage.fromLayer,
+		}));
+		for (const {agent, layers} of parts) {
+			const work = (promptTokens + answerTokens) * layers;
+			agent.scheduler.reserve(key, work);
+		}
+
+		const runStep = (index: number, position: number): void => {
+			const {agent, layers} = parts[index]!;
+			const tokens = position === 0 ? promptTokens : 1;
+			agent.add(key, request, {
+				layerTokens: tokens * layers,
+				isContinuation: position > 0,
+				finish() {
+					finishStep(index, position, tokens);
+				},
+			});
+		};
+
+		const finishStep = (index: number, position: number, tokens: number) => {
+			const isLastStage = index + 1 === parts.length;
+			const next = isLastStage ? 0 : index + 1;
+			const nextPosition = isLastStage ? position + 1 : position;
+			if (isLastStage) {
+				this.tokensRun += tokens;
+				request.onToken(nextPosition === answerTokens);
+			}
+
+			if (nextPosition === answerTokens) {
+				for (const {agent} of parts) {
+					agent.scheduler.release(key);
+				}
+
+				return;
+			}
+
+			const from = parts[index]!.agent.facts.dataCentre;
+			const to = parts[next]!.agent.facts.dataCentre;
+			this.time.add(this.linkTime(from, to), () => {
+				runStep(next, nextPosition);
+			});
+		};
+
+		runStep(0, 0);
+	}
+}
+
+function describeHost(
+	host: HostId,
+	{facts, engine, scheduler}: TimedAgent,
+	now: number,
+): ConnectedHost {
+	const {fromLayer, toLayer, kind, dataCentre} = facts;
+	return {
+		host,
+		address: host,
+		dataCentre: toDataCentreId(dataCentre),
+		incarnation: toIncarnation('1'),
+		leaving: false,
+		offers: [
+			{
+				kind: 'layers',
+				model: benchModel,
+				version: '1',
+				fromLayer,
+				toLayer,
+				acceleratorKind: kind,
+				layerTokensPerSecond: engine.layerTokensPerSecond,
+			},
+		],
+		load: scheduler.describeLoad(now),
+		reportedAt: now,
+		roundTripMs: 0,
+	};
+}
--- a/packages/bramleystage/src/coordination/__tests__/scheduler.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/scheduler.test.ts
@@ -5,7 +5,7 @@
 	new WorkScheduler<number>({
 		slots: 2,
 		maxQueued: 3,
-		maxRunningCost: 100,
+		findMaxRunningCost: () => 100,
 		priorityCost: 0,
 	});
 const createWork = (value: number, cost: number) => ({
--- a/packages/bramleystage/src/coordination/rate-meter.ts
+++ b/packages/bramleystage/src/coordination/rate-meter.ts
@@ -13,32 +13,35 @@
 	#rate = 0;
 	#ratedAt: Milliseconds = -Infinity;
 	#sampleCost = 0;
-	#sampleStart: Milliseconds = 0;
+	#sampleMs = 0;
+	#busySince: Milliseconds = 0;
 	#stepMs = 0;
 	#steppedAt: Milliseconds = -Infinity;
 
-	/** Starts a sample of the rate, when the server becomes busy. */
+	/** Records that the server becomes busy. */
 	start(now: Milliseconds): void {
-		this.#sampleStart = now;
-		this.#sampleCost = 0;
+		this.#busySince = now;
 	}
 
 	/** Records one finished item and the time that it took. */
 	finish(cost: number, tookMs: Milliseconds, now: Milliseconds): void {
-		this.#stepMs =
-			now - this.#steppedAt < memoryMs ? smooth(this.#stepMs, tookMs) : tookMs;
+		const isKnown = now - this.#steppedAt < memoryMs;
+		this.#stepMs = isKnown ? smooth(this.#stepMs, tookMs) : tookMs;
 		this.#steppedAt = now;
 		this.#sampleCost += cost;
-		const elapsed = now - this.#sampleStart;
-		if (elapsed >= sampleMs) {
-			const rate = (this.#sampleCost * msPerSecond) / elapsed;
-			const isKnown = now - this.#ratedAt < memoryMs;
-			this.#rate = isKnown ? smooth(this.#rate, rate) : rate;
-			this.#ratedAt = now;
-			this.start(now);
+		this.#sampleMs += now - this.#busySince;
+		this.#busySince = now;
+		if (this.#sampleMs >= sampleMs) {
+			this.#recordSample(now);
 		}
 	}
 
+	/** Drops the sample: without a queue a rate tells of the demand. */
+	cancelSample(): void {
+		this.#sampleCost = 0;
+		this.#sampleMs = 0;
+	}
+
 	/** Gives the rate (0 is unknown) and the step time (absent is unknown). */
 	describe(now: Milliseconds): {rate: number; stepMs?: number} {
 		const rate = now - this.#ratedAt < memoryMs ? this.#rate : 0;
@@ -46,6 +49,14 @@
 			? {rate, stepMs: this.#stepMs}
 			: {rate};
 	}
+
+	#recordSample(now: Milliseconds): void {
+		const rate = (this.#sampleCost * msPerSecond) / this.#sampleMs;
+		const isKnown = now - this.#ratedAt < memoryMs;
+		this.#rate = isKnown ? smooth(this.#rate, rate) : rate;
+		this.#ratedAt = now;
+		this.cancelSample();
+	}
 }
 
 const smooth = (previous: number, sample: number) =>
--- a/packages/bramleystage/src/coordination/route-cost.ts
+++ b/packages/bramleystage/src/coordination/route-cost.ts
@@ -1,7 +1,7 @@
 /**
  * The cost policy of pipelines. A stage costs its own service time, and the
- * delay that it brings to the work already there: time to run the layers at
- * the host's rate, raised by the backlog. So under load work moves to where
+ * delay that it brings to the work already there, which grows with the backlog.
+ * So under load work moves to where
  * the next layer-token delays least, also between engines whose ranges overlap
  * only in part, and the load follows the rates of the engines.
  */
@@ -35,10 +35,16 @@
 };
 
 const msPerSecond = 1000;
-/** Backlog that doubles the cost of a host, in milliseconds of its work. */
-const referenceBacklogMs = 50;
-/** Time of a step at a host that has reported none, in milliseconds. */
+/**
+ * Cost in milliseconds of a layer-token for each millisecond of backlog. It is
+ * the same for all kinds of engine, so that their backlogs even out in time,
+ * not in work: each then has enough to stay busy.
+ */
+const congestionPrice = 0.0001;
+/** Least time of a step at a stage besides its layers, in milliseconds. */
 const leastStepMs = 1;
+/** A step that takes longer than this tells of a slow host, in milliseconds. */
+const ordinaryStepMs = 250;
 
 /** Layer-tokens that a stage of `layers` layers runs for a request. */
 export const computeStageWork = (
@@ -73,8 +79,9 @@
 			const work = computeStageWork({...shape, promptTokens}, layers);
 			const serviceMs = (work * msPerSecond) / rate;
 			const backlogMs = (backlog * msPerSecond) / rate;
-			const stepsMs = steps * Math.max(leastStepMs, stepMs);
-			return serviceMs * (1 + backlogMs / referenceBacklogMs) + stepsMs;
+			const congestionMs = work * backlogMs * congestionPrice;
+			const slowMs = Math.max(0, stepMs - ordinaryStepMs);
+			return serviceMs + congestionMs + steps * (leastStepMs + slowMs);
 		},
 		linkCost: (from, to) => steps * linkMs(from, to),
 	};
--- a/packages/bramleystage/src/coordination/scheduler.ts
+++ b/packages/bramleystage/src/coordination/scheduler.ts
@@ -14,7 +14,7 @@
 	/** Items that may wait. */
 	readonly maxQueued: number;
 	/** Cost that the backend server is given at once; one item always passes. */
-	readonly maxRunningCost: number;
+	readonly findMaxRunningCost: () => number;
 	/** Cost that one step of priority may borrow. */
 	readonly priorityCost: number;
 };
@@ -76,10 +76,10 @@
 
 	/** Takes the next work if the backend server has room for it. */
 	take(now: Milliseconds): RunningWork<Value> | undefined {
-		const {slots, maxRunningCost} = this.options;
+		const {slots, findMaxRunningCost} = this.options;
 		const hasRoom =
 			this.#running === 0 ||
-			(this.#running < slots && this.#runningCost < maxRunningCost);
+			(this.#running < slots && this.#runningCost < findMaxRunningCost());
 		const work = hasRoom ? this.#queue.take() : undefined;
 		if (!work) {
 			return undefined;
@@ -100,8 +100,7 @@
 		this.#runningCost -= work.cost;
 		this.#meter.finish(work.cost, now - startedAt, now);
 		if (this.#queue.size === 0) {
-			// Without a queue the rate tells of the demand, not of the server.
-			this.#meter.start(now);
+			this.#meter.cancelSample();
 		}
 	}
 
