--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,4 +1,6 @@
 /** The benches by name. Each resolves with the figures of its last line. */
+import {limitsBench} from './limits-bench.js';
+import {runRecoveryBench} from './recovery-bench.js';
 import {runThroughput} from './throughput-bench.js';
 
 /** Flags of a bench, as text; each bench reads those that it knows. */
@@ -10,6 +12,11 @@
 };
 
 export const benches: Readonly<Record<string, Bench>> = {
+	limits: limitsBench,
+	recovery: {
+		describe: 'Time from a fault to the callers’ next token',
+		run: runRecoveryBench,
+	},
 	throughput: {
 		describe: 'Tokens a second at saturation against the bound of the engines',
 		run: runThroughput,
--- a/packages/bramleystage-bench/src/throughput-bench.ts
+++ b/packages/bramleystage-bench/src/throughput-bench.ts
@@ -3,6 +3,8 @@
  * with simpler policies beside it in the same run.
  */
 import {
+	createRandom,
+	type DrawIndex,
 	type HostsSnapshot,
 	listAvailableHosts,
 	listCandidates,
@@ -10,8 +12,6 @@
 	type StageCandidate,
 } from 'bramleystage';
 import {Router} from 'bramleystage-entry';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {benchLayers, createFleet, fleetLinkTime} from './bench-fleet.js';
 import type {BenchFlags} from './benches.js';
 import {computeTokenBound} from './engine-bound.js';
@@ -20,7 +20,6 @@
 
 type Shape = {readonly promptTokens: number; readonly answerTokens: number};
 type Choose = (shape: Shape, now: number) => readonly Stage[];
-type Draw = (bound: number) => number;
 
 const shapes: readonly Shape[] = [
 	{promptTokens: 16, answerTokens: 32},
@@ -34,10 +33,11 @@
 const measuredMs = 12_000;
 const msPerSecond = 1000;
 
-export const createDraw = (seed: number): Draw => {
-	const generator = xoroshiro128plus(seed);
-	return (bound) => uniformInt(generator, 0, bound - 1);
-};
+/** Creates a source of indexes from a seed. */
+export function createDraw(seed: number): DrawIndex {
+	const random = createRandom(seed);
+	return (bound) => Math.floor(random() * bound);
+}
 
 const policies = {
 	cost: 'the exported router',
@@ -119,14 +119,14 @@
 	};
 
 	for (let index = 0; index < concurrent; index++) {
-		time.add(draw(500), () => {
+		time.schedule(draw(500), () => {
 			send(index);
 		});
 	}
 
-	time.runUntil(warmUpMs);
+	time.run(warmUpMs);
 	const before = site.tokensRun;
-	time.runUntil(warmUpMs + measuredMs);
+	time.run(warmUpMs + measuredMs);
 	return ((site.tokensRun - before) * msPerSecond) / measuredMs;
 }
 
@@ -137,7 +137,7 @@
 
 function createRouterChoice(
 	site: TimedSite,
-	draw: Draw,
+	draw: DrawIndex,
 	index: number,
 ): MakeChoice {
 	const router = new Router({drawIndex: draw, choices: 4});
@@ -161,7 +161,7 @@
 function createSimpleChoice(
 	policy: Exclude<Policy, 'cost'>,
 	hosts: HostsSnapshot,
-	draw: Draw,
+	draw: DrawIndex,
 ): MakeChoice {
 	const candidates = listCandidates(listAvailableHosts(hosts), {
 		model: benchModel,
--- a/packages/bramleystage-bench/src/timed-engine.ts
+++ b/packages/bramleystage-bench/src/timed-engine.ts
@@ -36,7 +36,7 @@
 		if (!this.#isRunning) {
 			this.#isRunning = true;
 			// Steps that are given at the same time share a batch.
-			this.time.add(0, () => {
+			this.time.schedule(0, () => {
 				this.#runBatch();
 			});
 		}
@@ -54,12 +54,12 @@
 		const batchMs =
 			((perBatchUs + total * perLayerTokenUs) * this.slowness) / usPerMs;
 		this.busyMs += batchMs;
-		this.time.add(batchMs, () => {
+		this.time.schedule(batchMs, () => {
 			for (const {finish} of batch) {
 				finish();
 			}
 
-			this.time.add(0, () => {
+			this.time.schedule(0, () => {
 				this.#runBatch();
 			});
 		});
--- a/packages/bramleystage-bench/src/timed-site.ts
+++ b/packages/bramleystage-bench/src/timed-site.ts
@@ -101,7 +101,7 @@
 				layerTokens,
 				finish: () => {
 					this.scheduler.finish(running, this.time.now);
-					this.time.add(0, () => {
+					this.time.schedule(0, () => {
 						this.#runWaiting();
 					});
 					finish();
@@ -148,10 +148,10 @@
 				onReport(describeHost(host, agent, this.time.now));
 			}
 
-			this.time.add(intervalMs, report);
+			this.time.schedule(intervalMs, report);
 		};
 
-		this.time.add(delayMs, report);
+		this.time.schedule(delayMs, report);
 	}
 
 	/** Runs a request on the given stages. */
@@ -198,7 +198,7 @@
 
 			const from = parts[index]!.agent.facts.dataCentre;
 			const to = parts[next]!.agent.facts.dataCentre;
-			this.time.add(this.linkTime(from, to), () => {
+			this.time.schedule(this.linkTime(from, to), () => {
 				runStep(next, nextPosition);
 			});
 		};
--- a/packages/bramleystage-bench/src/virtual-time.ts
+++ b/packages/bramleystage-bench/src/virtual-time.ts
@@ -1,31 +1,44 @@
-/** Virtual time: events in order of their time, then of their making. */
+/** A virtual clock: events run in the order of their times, none of them waits. */
 
-type TimedEvent = {
+type Event = {
 	readonly at: number;
 	readonly order: number;
-	readonly run: () => void;
+	readonly act: () => void;
 };
 
 export class VirtualTime {
 	#now = 0;
 	#order = 0;
-	readonly #heap: TimedEvent[] = [];
+	readonly #heap: Event[] = [];
 
-	/** Present time in milliseconds. */
+	/** Present virtual time, in milliseconds. */
 	get now(): number {
 		return this.#now;
 	}
 
-	/** Runs something after a delay in milliseconds. */
-	add(delayMs: number, run: () => void): void {
-		const at = this.#now + Math.max(0, delayMs);
+	/** Runs a function after a delay in milliseconds. */
+	schedule(delayMs: number, act: () => void): void {
+		this.#order++;
+		this.#push({at: this.#now + Math.max(0, delayMs), order: this.#order, act});
+	}
+
+	/** Runs all events up to a time, in milliseconds. */
+	run(until: number): void {
+		while (this.#heap[0] && this.#heap[0].at <= until) {
+			const event = this.#pop();
+			this.#now = event.at;
+			event.act();
+		}
+
+		this.#now = until;
+	}
+
+	#push(event: Event): void {
 		const heap = this.#heap;
-		const event = {at, order: this.#order++, run};
-		let index = heap.length;
-		heap.push(event);
+		let index = heap.push(event) - 1;
 		while (index > 0) {
 			const parent = Math.floor((index - 1) / 2);
-			if (compareEvents(heap[parent]!, event) <= 0) {
+			if (!isBefore(event, heap[parent]!)) {
 				break;
 			}
 
@@ -36,41 +49,31 @@
 		heap[index] = event;
 	}
 
-	/** Runs all events up to a time in milliseconds. */
-	runUntil(until: number): void {
-		while ((this.#heap[0]?.at ?? Infinity) <= until) {
-			const event = this.#take();
-			this.#now = event.at;
-			event.run();
-		}
-
-		this.#now = until;
-	}
-
-	#take(): TimedEvent {
+	#pop(): Event {
 		const heap = this.#heap;
 		const first = heap[0]!;
 		const last = heap.pop()!;
-		if (heap.length === 0) {
-			return first;
+		if (heap.length > 0) {
+			this.#sink(last);
 		}
 
+		return first;
+	}
+
+	#sink(event: Event): void {
+		const heap = this.#heap;
 		let index = 0;
 		for (;;) {
-			let child = 2 * index + 1;
+			let child = index * 2 + 1;
 			if (child >= heap.length) {
 				break;
 			}
 
-			const right = child + 1;
-			if (
-				right < heap.length &&
-				compareEvents(heap[right]!, heap[child]!) < 0
-			) {
-				child = right;
+			if (child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!)) {
+				child++;
 			}
 
-			if (compareEvents(last, heap[child]!) <= 0) {
+			if (!isBefore(heap[child]!, event)) {
 				break;
 			}
 
@@ -78,10 +81,9 @@
 			index = child;
 		}
 
-		heap[index] = last;
-		return first;
+		heap[index] = event;
 	}
 }
 
-const compareEvents = (a: TimedEvent, b: TimedEvent) =>
-	a.at - b.at || a.order - b.order;
+const isBefore = (a: Event, b: Event) =>
+	a.at < b.at || (a.at === b.at && a.order < b.order);
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -18,16 +18,66 @@
 	type LedgerContext,
 } from './coordination/call-ledger.js';
 export {
+	buildCandidateGroups,
 	type CandidateGroup,
 	type DrawIndex,
 	type FindUsable,
-	buildCandidateGroups,
 	listCandidates,
 	type PipelineRequest,
 	selectCandidates,
 	type StageCandidate,
 } from './coordination/candidates.js';
 export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
+export {
+	type ConfirmFacts,
+	decideConfirm,
+	goneSettleMs,
+	listRemoved,
+} from './coordination/limit-confirm.js';
+export {
+	type AcquireResult,
+	LimitDesk,
+	type LimitDeskOptions,
+	type Permit,
+} from './coordination/limit-desk.js';
+export {
+	createLimitLedger,
+	decidePermit,
+	formatHolder,
+	type Holder,
+	type LimitLedger,
+	measureCharged,
+	measureHeld,
+	type PermitDecision,
+	type PermitRequest,
+	permitValidityMs,
+	releaseIncarnation,
+	releasePermit,
+	releaseUnheld,
+} from './coordination/limit-ledger.js';
+export {
+	computePart,
+	computeUsablePart,
+	createLimitMembers,
+	findConfirmedEpoch,
+	foldLimitRecord,
+	type Limit,
+	type LimitMember,
+	type LimitMembers,
+	listOwners,
+	maxOwners,
+	type MemberList,
+} from './coordination/limit-members.js';
+export {
+	type DescribeUse,
+	LimitMembership,
+	type LimitMembershipOptions,
+} from './coordination/limit-membership.js';
+export {
+	LimitOwner,
+	type LimitOwnerOptions,
+	type PermitResult,
+} from './coordination/limit-owner.js';
 export {
 	createModelRun,
 	decideModelRun,
@@ -49,6 +99,8 @@
 	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
+export {RateMeter} from './coordination/rate-meter.js';
+export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
 	createRetryBudget,
 	decideRetry,
@@ -131,6 +183,27 @@
 	InvariantError,
 	invariants,
 } from './protocol/invariant.js';
+export {
+	type LimitKey,
+	limitKeySchema,
+	type LimitKind,
+	limitKindSchema,
+	type LimitRecord,
+	limitRecordSchema,
+	type PermitAnswer,
+	permitAnswerSchema,
+	type PermitAsk,
+	permitAskSchema,
+	type PermitHeld,
+	permitHeldSchema,
+	type PermitMessage,
+	type PermitNumber,
+	permitNumberSchema,
+	type PermitRelease,
+	permitReleaseSchema,
+	toLimitKey,
+	toPermitNumber,
+} from './protocol/limits.js';
 export {
 	acknowledgeSchema,
 	type Activation,
@@ -174,6 +247,7 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
+export {createRandom, type Random} from './protocol/random.js';
 export {
 	createFailure,
 	type Failure,
@@ -187,8 +261,11 @@
 export {
 	agentSettings,
 	type AgentSettings,
+	checkAgentSettings,
+	type CheckTogether,
 	entrySettings,
 	type EntrySettings,
+	formatDefault,
 	formatFlag,
 	formatVariable,
 	parseSettings,
@@ -196,6 +273,16 @@
 	type SettingDefinitions,
 	type SettingValues,
 } from './protocol/settings.js';
+export {
+	type TablePart,
+	tablePartSchema,
+	type TableRecords,
+	tableRecordsSchema,
+	type TableReport,
+	tableReportSchema,
+	type TableRequest,
+	tableRequestSchema,
+} from './protocol/table-messages.js';
 export {
 	cellSchemas,
 	type CustomerCells,
@@ -214,6 +301,14 @@
 	type ServiceCells,
 	serviceCellsSchema,
 } from './protocol/table-schema.js';
+export {
+	type SnapshotPart,
+	snapshotPartRows,
+	snapshotPartSchema,
+	type SnapshotRow,
+	snapshotRowSchema,
+} from './protocol/table-snapshot-schema.js';
+export {type BucketChange, BucketMap} from './state/bucket-map.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -225,14 +320,43 @@
 	updateConnectedHost,
 } from './state/hosts.js';
 export {LoadBook, type LoadEstimate} from './state/load.js';
+export {
+	createTableContact,
+	createTableReport,
+	isTableStale,
+	recordLogRead,
+	recordPeerReport,
+	removePeer,
+	staleAfterMs,
+	type TableContact,
+	type TablePeer,
+} from './state/table-contact.js';
+export {
+	type CollectedParts,
+	addSnapshotPart,
+	computeTableDigest,
+	createSnapshotParts,
+	listSnapshotRows,
+	restoreTable,
+} from './state/table-snapshot.js';
+export {
+	createView,
+	parseRowKey,
+	type RowCells,
+	type TableView,
+	type UpdatableView,
+	updateView,
+} from './state/table-view.js';
 export {
 	createTable,
 	type EditResult,
+	findRowVersion,
 	foldRecord,
-	parseRowKey,
+	type RefusalReason,
+	type RefusedRow,
+	repeatWindow,
 	type TableRow,
 	type TableSnapshot,
-	type TableView,
 } from './state/table.js';
 export {
 	type Address,
@@ -280,6 +404,7 @@
 export {
 	type LogEvent,
 	type LogRecords,
+	maxReadRecords,
 	PlatformClient,
 	type PlatformError,
 } from './transport/platform-client.js';
@@ -301,3 +426,24 @@
 	type SessionTiming,
 	startServer,
 } from './transport/session.js';
+export {
+	appendSnapshot,
+	type FoundSnapshot,
+	readSnapshot,
+	tableSnapshotStream,
+} from './transport/table-bootstrap.js';
+export {
+	TableFollower,
+	type TableFollowerOptions,
+} from './transport/table-follower.js';
+export {
+	TableLogReader,
+	type TableLogReaderOptions,
+	tableStream,
+} from './transport/table-log-reader.js';
+export {TableSharing} from './transport/table-sharing.js';
+export {
+	type SnapshotTiming,
+	TableSnapshotWriter,
+	type TableSnapshotWriterOptions,
+} from './transport/table-snapshot-writer.js';
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -17,7 +17,19 @@
 	serviceNameSchema,
 	sessionNumberSchema,
 } from './ids.js';
+import {
+	permitAnswerSchema,
+	permitAskSchema,
+	permitHeldSchema,
+	permitReleaseSchema,
+} from './limits.js';
 import {outcomeSchema, resultNameSchema} from './result-codes.js';
+import {
+	tablePartSchema,
+	tableRecordsSchema,
+	tableReportSchema,
+	tableRequestSchema,
+} from './table-messages.js';
 
 /** A peer with another version is refused at the hello. */
 export const protocolVersion = 1;
@@ -97,6 +109,7 @@
 	leaving: z.boolean(),
 	offers: z.array(offerSchema).max(100).optional(),
 	load: loadReportSchema.optional(),
+	table: tableReportSchema.optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
@@ -261,6 +274,13 @@
 	stageRunSchema,
 	activationSchema,
 	tokenSchema,
+	permitAskSchema,
+	permitAnswerSchema,
+	permitReleaseSchema,
+	permitHeldSchema,
+	tableRequestSchema,
+	tableRecordsSchema,
+	tablePartSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<
