--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -2,6 +2,7 @@
 import {tableBench} from './table-bench.js';
 import {limitsBench} from './limits-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
+import {runThroughput} from './throughput-bench.js';
 
 /** Flags of a bench, as text; each bench reads those that it knows. */
 export type BenchFlags = Readonly<Record<string, string>>;
@@ -18,4 +19,8 @@
 		describe: 'Time from a fault to the callers’ next token',
 		run: runRecoveryBench,
 	},
+	throughput: {
+		describe: 'Tokens a second at saturation against the bound of the engines',
+		run: runThroughput,
+	},
 };
