Pace heartbeats by what a session carries

Cause: every session beat four times a second with offers, load and table report, also when nothing had changed: by the sizes of the frames about 40 KB/s at an entry with 46 agents.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -68,6 +68,7 @@
 	const incarnation = toIncarnation(randomUUID());
 	const timing: SessionTiming = {
 		heartbeatMs: settings.heartbeatMs,
+		idleHeartbeatMs: settings.idleHeartbeatMs,
 		silenceMs: settings.silenceMs,
 		handshakeMs: settings.silenceMs,
 	};
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -77,6 +77,7 @@
 	});
 	const timing = {
 		heartbeatMs: settings.heartbeatMs,
+		idleHeartbeatMs: settings.idleHeartbeatMs,
 		silenceMs: settings.silenceMs,
 		handshakeMs: settings.silenceMs,
 	};
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -120,11 +120,6 @@
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
-export {
-	isCurrentSession,
-	type SessionFence,
-	updateFence,
-} from './coordination/session-fence.js';
 export {
 	computeStageWork,
 	createRouteCosts,
@@ -138,6 +133,11 @@
 	type SchedulerOptions,
 	WorkScheduler,
 } from './coordination/scheduler.js';
+export {
+	isCurrentSession,
+	type SessionFence,
+	updateFence,
+} from './coordination/session-fence.js';
 export {
 	decideStage,
 	type OpenStage,
@@ -392,6 +392,11 @@
 	parseAddress,
 } from './transport/address.js';
 export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
+export {
+	HeartbeatPace,
+	type PaceTiming,
+	type SelfDescription,
+} from './transport/heartbeat-pace.js';
 export {
 	type HttpAnswer,
 	type HttpError,
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -53,6 +53,11 @@
 		schema: durationMs.default(250),
 		description: 'Interval of heartbeats on a session, in milliseconds',
 	},
+	idleHeartbeatMs: {
+		schema: durationMs.default(500),
+		description:
+			'Interval of heartbeats on a session without requests, in milliseconds',
+	},
 	silenceMs: {
 		schema: durationMs.default(1200),
 		description: 'A session is dead when silent for this long, in milliseconds',
--- /dev/null
+++ b/packages/bramleystage/src/transport/__tests__/heartbeat-pace.test.ts
@@ -0,0 +1,69 @@
+import {expect, test} from 'vitest';
+import {toModelName} from '../../protocol/ids.js';
+import type {Offer} from '../../protocol/messages.js';
+import {HeartbeatPace} from '../heartbeat-pace.js';
+
+const timing = {heartbeatMs: 250, idleHeartbeatMs: 500, silenceMs: 1200};
+const load = {queued: 0, running: 0, rate: 0};
+const offers: Offer[] = [
+	{
+		kind: 'layers',
+		model: toModelName('m'),
+		version: '1',
+		fromLayer: 0,
+		toLayer: 4,
+		acceleratorKind: 'large',
+		layerTokensPerSecond: 1,
+	},
+];
+const self = {leaving: false, offers, load};
+
+const countBeats = (pace: HeartbeatPace, from: number, to: number) => {
+	let beats = 0;
+	for (let now = from; now < to; now += 250) {
+		beats += pace.createBeat(self, now) ? 1 : 0;
+	}
+
+	return beats;
+};
+
+test('an idle session beats at the idle interval, a busy one faster', () => {
+	const pace = new HeartbeatPace(timing, 0);
+	expect(countBeats(pace, 0, 5000)).toBe(10);
+	pace.recordRequestFrame(5000);
+	expect(countBeats(pace, 5000, 10_000)).toBe(20);
+});
+
+test('what the peer already has is left out', () => {
+	const pace = new HeartbeatPace(timing, 0);
+	expect(pace.createBeat(self, 0)).toMatchObject(self);
+	expect(pace.createBeat(self, 500)).toEqual({
+		type: 'heartbeat',
+		leaving: false,
+	});
+	const changed = {...self, load: {...load, queued: 3}};
+	expect(pace.createBeat(changed, 1000)).toEqual({
+		type: 'heartbeat',
+		leaving: false,
+		load: changed.load,
+	});
+});
+
+test('leaving is told at once', () => {
+	const pace = new HeartbeatPace(timing, 0);
+	expect(pace.createBeat(self, 0)).toBeDefined();
+	expect(pace.createBeat(self, 250)).toBeUndefined();
+	expect(pace.createBeat({...self, leaving: true}, 260)).toMatchObject({
+		leaving: true,
+	});
+});
+
+test('a busy session is dead after its silence, counted from its first frame', () => {
+	const pace = new HeartbeatPace(timing, 0);
+	expect(pace.findSilence(2000)).toBeUndefined();
+	pace.recordRequestFrame(2000);
+	expect(pace.findSilence(3200)).toBeUndefined();
+	expect(pace.findSilence(3201)).toBe(3201);
+	pace.recordArrival(3200);
+	expect(pace.findSilence(4000)).toBeUndefined();
+});
--- a/packages/bramleystage/src/transport/session.ts
+++ b/packages/bramleystage/src/transport/session.ts
@@ -7,7 +7,6 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import {type Observable, Subject} from 'rxjs';
 import {
-	type Heartbeat,
 	type Hello,
 	type Message,
 	protocolVersion,
@@ -16,18 +15,21 @@
 import {createFailure, type Failure} from '../protocol/result-codes.js';
 import {encodeFrame, FrameDecoder} from './framing.js';
 import {formatAddress, parseAddress} from './address.js';
+import {
+	HeartbeatPace,
+	type PaceTiming,
+	type SelfDescription,
+} from './heartbeat-pace.js';
 
 /** Timing of a session, in milliseconds. */
-export type SessionTiming = {
-	readonly heartbeatMs: number;
-	/** A session is dead when no frame arrived for this long. */
-	readonly silenceMs: number;
+export type SessionTiming = PaceTiming & {
 	/** A hello must be answered within this time. */
 	readonly handshakeMs: number;
 };
 
 export const defaultSessionTiming: SessionTiming = {
 	heartbeatMs: 250,
+	idleHeartbeatMs: 500,
 	silenceMs: 1200,
 	handshakeMs: 1000,
 };
@@ -39,14 +41,14 @@
 >;
 
 /** What a process says of itself in each heartbeat. */
-export type DescribeSelf = (peer: SessionPeer) => Omit<Heartbeat, 'type'>;
+export type DescribeSelf = (peer: SessionPeer) => SelfDescription;
 
 export class Session {
 	readonly #socket: Socket;
 	readonly #messages = new Subject<Message>();
 	readonly #closed: Promise<Failure>;
 	#resolveClosed!: (failure: Failure) => void;
-	#lastArrival = performance.now();
+	#pace: HeartbeatPace | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
@@ -86,18 +88,23 @@
 		this.#socket.on('error', (error) => {
 			this.close(createFailure('backendLost', error.message));
 		});
-		this.send({type: 'heartbeat', ...describeSelf(this.peer)});
+		const pace = new HeartbeatPace(timing, performance.now());
+		this.#pace = pace;
+		this.#beat(pace, describeSelf);
 		this.#timer = setInterval(() => {
-			this.#beat(timing, describeSelf);
+			this.#beat(pace, describeSelf);
 		}, timing.heartbeatMs);
 		this.#deliver();
 		this.#socket.resume();
 	}
 
 	send(message: Message): void {
-		if (!this.#isClosed) {
-			this.#socket.write(encodeFrame(message));
+		if (this.#isClosed) {
+			return;
 		}
+
+		this.#notePace(message);
+		this.#socket.write(encodeFrame(message));
 	}
 
 	close(reason: Failure): void {
@@ -113,7 +120,7 @@
 	}
 
 	#receive(chunk: Buffer): void {
-		this.#lastArrival = performance.now();
+		this.#pace?.recordArrival(performance.now());
 		this.decoder.append(chunk);
 		this.#deliver();
 	}
@@ -130,20 +137,31 @@
 				return;
 			}
 
+			this.#notePace(next.value);
 			this.#messages.next(next.value);
 		}
 	}
 
-	#beat(timing: SessionTiming, describeSelf: DescribeSelf): void {
-		const silence = performance.now() - this.#lastArrival;
-		if (silence > timing.silenceMs) {
+	#notePace(message: Message): void {
+		if ('request' in message) {
+			this.#pace?.recordRequestFrame(performance.now());
+		}
+	}
+
+	#beat(pace: HeartbeatPace, describeSelf: DescribeSelf): void {
+		const now = performance.now();
+		const silence = pace.findSilence(now);
+		if (silence !== undefined) {
 			this.close(
 				createFailure('backendLost', `Silent for ${Math.round(silence)} ms.`),
 			);
 			return;
 		}
 
-		this.send({type: 'heartbeat', ...describeSelf(this.peer)});
+		const beat = pace.createBeat(describeSelf(this.peer), now);
+		if (beat) {
+			this.send(beat);
+		}
 	}
 }
 
