Check random histories of plain service calls

Cause: the model check covers small sizes without time; longer histories with delays, pauses, silence and deadlines were not looked at.

The history checks and specifications are lists that take further ones.

--- /dev/null
+++ b/packages/bramleystage-check/src/__tests__/histories.test.ts
@@ -0,0 +1,24 @@
+import {expect, test} from 'vitest';
+import {checkCallHistories} from '../call-history-property.js';
+import {histories} from '../histories.js';
+import {createMechanisms} from '../request-mechanisms.js';
+
+test.each(
+	histories.flatMap(({name, check}) =>
+		[1, 2, 3].map((seed) => [name, seed, check] as const),
+	),
+)('histories of %s with seed %i keep the rules', (_name, seed, check) => {
+	expect(() => {
+		check(seed, 300);
+	}).not.toThrow();
+});
+
+test.each([
+	'run-at-most-once',
+	'not-run-means-not-run',
+	'unknown-never-repeated',
+])('histories without the mechanism of %s break a rule', (rule) => {
+	expect(() => {
+		checkCallHistories(1, 3000, createMechanisms(rule));
+	}).toThrow('Property failed');
+});
--- a/packages/bramleystage-check/src/request-agent-steps.ts
+++ b/packages/bramleystage-check/src/request-agent-steps.ts
@@ -3,7 +3,6 @@
 	type CallAnswer,
 	type CallCommand,
 	type CallEvent,
-	isForgettable,
 	createFailure,
 	type LedgerContext,
 	type Message,
@@ -13,7 +12,6 @@
 import type {RequestMechanisms} from './request-mechanisms.js';
 import {
 	addName,
-	createAgent,
 	findRequestIndex,
 	formatPlace,
 	formatRequest,
@@ -23,7 +21,6 @@
 	replaceAt,
 	replaceSession,
 	type RequestState,
-	spendFault,
 	toTarget,
 } from './request-state.js';
 
@@ -159,28 +156,8 @@
 	return {...state, agents: replaceAt(state.agents, host, agent)};
 }
 
-/** Steps that the agents, their backend servers and the platform take by themselves. */
-export function listAgentSteps(
-	mechanisms: RequestMechanisms,
-	state: RequestState,
-): RequestStep[] {
-	const steps = state.agents.flatMap((_, host) => [
-		...listQueueSteps(mechanisms, state, host),
-		...listBackendSteps(mechanisms, state, host),
-		...listForgetSteps(mechanisms, state, host),
-		...listReplacementSteps(state, host),
-	]);
-	for (const [index, request] of state.orphans.entries()) {
-		const orphans = state.orphans.filter((_, at) => at !== index);
-		const next = {...recordRun(state, request), orphans};
-		const label = `a backend server sees ${formatRequest(request)} of a dead agent`;
-		steps.push({label, next});
-	}
-
-	return steps;
-}
-
-function listQueueSteps(
+/** The first call in the queue has its turn. */
+export function listQueueSteps(
 	mechanisms: RequestMechanisms,
 	state: RequestState,
 	host: number,
@@ -207,7 +184,8 @@
 	];
 }
 
-function listBackendSteps(
+/** The backend server runs, answers or refuses a call. */
+export function listBackendSteps(
 	mechanisms: RequestMechanisms,
 	state: RequestState,
 	host: number,
@@ -249,7 +227,8 @@
 	});
 }
 
-function recordRun(state: RequestState, request: number): RequestState {
+/** A backend server has seen a call. */
+export function recordRun(state: RequestState, request: number): RequestState {
 	const {history} = state;
 	const runs = replaceAt(history.runs, request, history.runs[request]! + 1);
 	return {...state, history: {...history, runs}};
@@ -262,71 +241,3 @@
 	headers: [],
 	body: new Uint8Array(),
 });
-
-/**
- * A record goes when its time is over. The time is long enough that the entry
- * has ended the call and no frame of it is left on the newest session; an older
- * session may hold one still.
- */
-function listForgetSteps(
-	{forgetsEarly}: RequestMechanisms,
-	state: RequestState,
-	host: number,
-): RequestStep[] {
-	const {records} = state.agents[host]!;
-	return records.flatMap((record, request) => {
-		const canGo = record && isForgettable(record, Number.POSITIVE_INFINITY);
-		if (!canGo || (!forgetsEarly && isNeeded(state, host, request))) {
-			return [];
-		}
-
-		const next = replaceAgent(state, host, {
-			records: replaceAt(records, request, undefined),
-		});
-		return [{label: `h${host} forgets ${formatRequest(request)}`, next}];
-	});
-}
-
-function isNeeded(state: RequestState, host: number, request: number): boolean {
-	const {fence, records} = state.agents[host]!;
-	const isEnded =
-		!state.entryAlive ||
-		state.dispatches[request]!.phase === 'done' ||
-		records[request]?.phase === 'acknowledged';
-	const isComing = state.sessions.some(
-		({host: to, number, agentOpen, toAgent, copies}) =>
-			to === host &&
-			agentOpen &&
-			number === fence?.newest &&
-			[...toAgent, ...copies].some(
-				(message) =>
-					message.type === 'call' && message.request === formatRequest(request),
-			),
-	);
-	return !isEnded || isComing;
-}
-
-function listReplacementSteps(
-	state: RequestState,
-	host: number,
-): RequestStep[] {
-	if (state.faults.replacements === 0) {
-		return [];
-	}
-
-	const {incarnation, running, records} = state.agents[host]!;
-	const unseen = running.filter(({seen}) => !seen);
-	let next = replaceAgent(
-		spendFault(state, 'replacements'),
-		host,
-		createAgent(incarnation + 1, records.length),
-	);
-	for (let index = state.sessions.length - 1; index >= 0; index--) {
-		if (state.sessions[index]!.host === host) {
-			next = replaceSession(next, index, {agentOpen: false});
-		}
-	}
-
-	const orphans = [...state.orphans, ...unseen.map(({request}) => request)];
-	return [{label: `h${host} is replaced`, next: {...next, orphans}}];
-}
--- a/packages/bramleystage-check/src/request-specification.ts
+++ b/packages/bramleystage-check/src/request-specification.ts
@@ -3,7 +3,7 @@
  * agents' ledgers and the sessions between them, under loss, duplication, late
  * frames, replaced agents, a dead entry, cancels and full queues.
  */
-import {listAgentSteps} from './request-agent-steps.js';
+import {listAgentSteps} from './request-agent-life-steps.js';
 import {findEntrySession, listEntrySteps} from './request-entry-steps.js';
 import {createMechanisms} from './request-mechanisms.js';
 import {listNetworkSteps} from './request-network-steps.js';
