Add the overhead bench: the way through the system against direct calls

Change: bench overhead runs the same requests through entry and agents and straight at the stand-in engines and services, in turn in one process, checks every answer, and prints p50, p95 and requests/s of both.

--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,5 +1,6 @@
 /** The benches by name. Each resolves with the figures of its last line. */
 import {limitsBench} from './limits-bench.js';
+import {overheadBench} from './overhead-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
 
 /** Flags of a bench, as text; each bench reads those that it knows. */
@@ -12,6 +13,7 @@
 
 export const benches: Readonly<Record<string, Bench>> = {
 	limits: limitsBench,
+	overhead: overheadBench,
 	recovery: {
 		describe: 'Time from a fault to the callers’ next token',
 		run: runRecoveryBench,
--- /dev/null
+++ b/packages/bramleystage-bench/src/direct-pipeline.ts
@@ -0,0 +1,110 @@
+/** Runs a model's layers by calling the stand-in engines directly, as the baseline. */
+import type {Agent} from 'node:http';
+import {sendHttp} from 'bramleystage';
+import type {EnginePlace} from 'bramleystage-site';
+import {decodeToken, type StepAnswer} from 'bramleystage-stand-ins';
+
+/** An engine and the layers that it runs for this pipeline. */
+export type DirectStage = {
+	readonly address: string;
+	readonly fromLayer: number;
+	readonly toLayer: number;
+};
+
+export type DirectRequest = {
+	readonly sequence: string;
+	readonly prompt: string;
+	readonly maxTokens: number;
+};
+
+const stepTimeoutMs = 30_000;
+
+/** Builds the stages of a pipeline over the named hosts, in order of layers. */
+export function buildDirectStages(
+	places: readonly EnginePlace[],
+	hosts: readonly string[],
+	findAddress: (host: EnginePlace['host']) => string,
+): DirectStage[] {
+	let next = 0;
+	return hosts.map((name) => {
+		const place = places.find(({host}) => host === name);
+		if (!place) {
+			throw new Error(`No engine ${name}.`);
+		}
+
+		const fromLayer = next;
+		next = place.toLayer;
+		return {
+			address: findAddress(place.host),
+			fromLayer,
+			toLayer: place.toLayer,
+		};
+	});
+}
+
+/** Runs one request stage by stage; gives its text. */
+export async function runDirect(
+	stages: readonly DirectStage[],
+	request: DirectRequest,
+	agent: Agent,
+): Promise<string> {
+	let text = '';
+	let input: unknown = {kind: 'prompt', prompt: request.prompt, given: []};
+	for (let position = 0; position < request.maxTokens; position++) {
+		// eslint-disable-next-line no-await-in-loop -- each token follows from the last
+		const token = await runToken(stages, request.sequence, position, {
+			input,
+			agent,
+		});
+		text += decodeToken(token.id);
+		if (token.isEnd) {
+			break;
+		}
+
+		input = {kind: 'token', token: token.id};
+	}
+
+	await Promise.all(
+		stages.map(async ({address}) =>
+			sendHttp({
+				method: 'DELETE',
+				url: `http://${address}/v1/sequences/${request.sequence}`,
+				agent,
+				timeoutMs: stepTimeoutMs,
+			}),
+		),
+	);
+	return text;
+}
+
+async function runToken(
+	stages: readonly DirectStage[],
+	sequence: string,
+	position: number,
+	more: {input: unknown; agent: Agent},
+): Promise<{id: number; isEnd: boolean}> {
+	let {input} = more;
+	let token: StepAnswer['token'];
+	for (const {address, fromLayer, toLayer} of stages) {
+		const step = {sequence, position, fromLayer, toLayer, input};
+		// eslint-disable-next-line no-await-in-loop -- each stage feeds the next
+		const answer = await sendHttp({
+			method: 'POST',
+			url: `http://${address}/v1/steps`,
+			body: JSON.stringify({steps: [step]}),
+			agent: more.agent,
+			timeoutMs: stepTimeoutMs,
+		});
+		const output = JSON.parse(
+			answer._unsafeUnwrap().body.toString(),
+		) as StepAnswer;
+		input = {kind: 'values', values: output.values};
+		token = output.token;
+	}
+
+	if (!token) {
+		throw new Error('The last engine gave no token.');
+	}
+
+	return token;
+}
