--- a/examples/run-processes.mjs
+++ b/examples/run-processes.mjs
@@ -30,31 +30,37 @@
 const flags = process.argv.slice(2);
 const basePort = readFlag(flags, 'base-port', undefined);
 
-/** Finds ports that are free now. */
-async function findFreePorts(count) {
-	const servers = await Promise.all(
-		Array.from(
-			{length: count},
-			async () =>
-				new Promise((resolve, reject) => {
-					const server = createServer();
-					server.once('error', reject);
-					server.listen(0, '127.0.0.1', () => {
-						resolve(server);
-					});
-				}),
-		),
-	);
-	const ports = servers.map((server) => server.address().port);
-	await Promise.all(
-		servers.map(
-			async (server) =>
-				new Promise((resolve) => {
-					server.close(resolve);
-				}),
-		),
-	);
-	return ports;
+/** First port to try; ports below 32768 are not given out by the kernel. */
+const firstPort = 12_000;
+const portBlocks = 700;
+
+/** True if a port can be listened on now. */
+const hasFreePort = async (port) =>
+	new Promise((resolve) => {
+		const server = createServer();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+
+/** Finds ports in a row that are free now; runs at the same time start apart. */
+async function findFreePorts() {
+	for (let attempt = 0; attempt < portBlocks; attempt++) {
+		const block = (process.pid + attempt) % portBlocks;
+		const ports = listPorts(firstPort + block * portCount);
+		// eslint-disable-next-line no-await-in-loop -- tries one block after the other
+		const areFree = await Promise.all(ports.map((port) => hasFreePort(port)));
+		if (areFree.every(Boolean)) {
+			return ports;
+		}
+	}
+
+	throw new Error('No free ports.');
 }
 
 /** Starts a process; resolves when it says that it listens. */
@@ -163,9 +169,7 @@
 
 const {deployment, platform, processes, hosts, entries} = listProcesses(
 	readFlag(flags, 'deployment', 'kaleli'),
-	basePort === undefined
-		? await findFreePorts(portCount)
-		: listPorts(Number(basePort)),
+	basePort === undefined ? await findFreePorts() : listPorts(Number(basePort)),
 );
 const running = [];
 let areRight = false;
--- a/packages/bramleystage-entry/src/audit.ts
+++ b/packages/bramleystage-entry/src/audit.ts
@@ -17,7 +17,7 @@
 	readonly request: RequestId;
 	/** Absent when the bearer key was not known. */
 	readonly customer: CustomerId | undefined;
-	/** Name of the model or service. */
+	/** Name of the model or service in the table; else a word for the path. */
 	readonly subject: string;
 	/** Nothing when the request was answered in full. */
 	readonly failure: Failure | undefined;
@@ -71,10 +71,9 @@
 		});
 	}
 
-	recordRequest({subject, failure, attempts}: RequestRecord): void {
+	recordRequest({subject, failure}: RequestRecord): void {
 		this.#requests.inc({
-			// Paths and names that no row has would make labels without bound.
-			subject: attempts > 0 ? subject : 'none',
+			subject,
 			outcome: failure?.outcome ?? 'ran',
 			result: failure?.result ?? 'ok',
 		});
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -20,14 +20,17 @@
 	readBody,
 	recordRequest,
 	SessionPool,
+	type TableSnapshot,
 	toIncarnation,
 	toRequestId,
 	waitFor,
 	writeJson,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
-import {checkArrival} from './arrival.js';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
+import {createCallerHandler} from './caller-port.js';
+import {EntryLimits} from './entry-limits.js';
+import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
 import {
 	type ModelRouteOptions,
@@ -35,7 +38,6 @@
 	runModelRoute,
 } from './model-route.js';
 import {Network} from './network.js';
-import {rejectMessage} from './rejection.js';
 import {createRouter, chooseModelStages} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
 import {runServiceRoute} from './service-route.js';
@@ -44,9 +46,13 @@
 export type RunningEntry = {
 	/** Address of the callers' port. */
 	readonly address: string;
+	/** Address at which other entries open sessions. */
+	readonly sessionAddress: string;
 	readonly operatorAddress: string;
 	/** A record of each request as it ends. */
 	readonly records: Observable<RequestRecord>;
+	/** The table as this entry has it. */
+	readonly tables: Observable<TableSnapshot>;
 	/** Takes no new request, lets those in flight end, then stops. */
 	readonly drain: () => Promise<void>;
 	/** Ends at once. */
@@ -85,13 +91,14 @@
 		logger,
 		readClock,
 	});
+	const timing = {
+		heartbeatMs: settings.heartbeatMs,
+		silenceMs: settings.silenceMs,
+		handshakeMs: settings.silenceMs,
+	};
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
-		timing: {
-			heartbeatMs: settings.heartbeatMs,
-			silenceMs: settings.silenceMs,
-			handshakeMs: settings.silenceMs,
-		},
+		timing,
 		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
 	});
 	lifeCycle.register(() => {
@@ -108,6 +115,23 @@
 		},
 	});
 	pool.events.subscribe(tableParts.receive);
+	const peers = new EntryPeers({
+		listen: settings.sessionListen,
+		identity: {...identity, version: protocolVersion, deployment},
+		timing,
+		isLeaving: () => leaving,
+		lifeCycle,
+	});
+	const limits = new EntryLimits({
+		self: {host, incarnation},
+		platform,
+		peers,
+		lifeCycle,
+		logger,
+		readView: () => follower.table.value.view,
+		readListed: () => network.hosts.listed,
+		readClock,
+	});
 
 	const allowRetry = () => {
 		const [next, isAllowed] = decideRetry(budget);
@@ -147,88 +171,35 @@
 		audit,
 		metrics,
 		readClock,
+		limits,
 		readCreated: () => Math.floor(Date.now() / 1000),
 	};
 
-	const handle = async (message: IncomingMessage, response: ServerResponse) => {
-		const url = message.url ?? '/';
-		if (url === '/healthz' || url === '/readyz') {
-			const isOk = url === '/healthz' || isReady();
-			writeJson(response, isOk ? 200 : 503, {ok: isOk});
-			return;
-		}
-
-		const request = toRequestId(randomUUID());
-		response.setHeader('x-request-id', request);
-		const {view} = follower.table.value;
-		const {customer, deadlineMs, failure} = checkArrival(message, {
-			view,
-			leaving,
-			stale: tableParts.findStaleness(),
-			longestMs: settings.requestTimeoutMs,
-		});
-		const reject = (reason: Failure) => {
-			const [subject = ''] = url.split('?');
-			audit.recordRejected({request, customer}, subject, reason);
-			rejectMessage(message, response, reason);
-		};
-
-		if (customer === undefined || failure !== undefined) {
-			reject(failure ?? createFailure('unauthorized', ''));
-			return;
-		}
-
-		const body = await readBody(message, bounds);
-		if (body.isErr()) {
-			reject(body.error);
-			return;
-		}
-
-		budget = recordRequest(budget);
-		logger.debug('request.received', {request, customer, url});
-		const context: RouteContext = {
-			request,
-			customer,
-			view,
-			deadlineMs,
-			response,
-		};
-		routeMessage(message, context, body.value);
-	};
-
-	const routeMessage = (
-		message: IncomingMessage,
-		context: RouteContext,
-		body: Buffer,
-	) => {
-		const {response, view} = context;
-		const [path = ''] = (message.url ?? '/').split('?');
-		if (path.startsWith('/v1/services/')) {
-			runServiceRoute(
-				{desk: services, audit, readClock},
-				context,
-				message,
-				body,
-			);
-			return;
-		}
-
-		if (path === '/v1/models') {
-			const data = [...view.models.keys()].map((id) => ({
-				id,
-				object: 'model',
-				created: 0,
-				owned_by: deployment,
-			}));
-			writeJson(response, 200, {object: 'list', data});
-			audit.recordAnswered(context, path);
-		} else {
-			const kind = path === '/v1/completions' ? 'completion' : 'chat';
-			runModelRoute(modelRoute, context, kind, body.toString());
-		}
-	};
+	const handle = createCallerHandler({
+		settings,
+		isReady,
+		isLeaving: () => leaving,
+		audit,
+		logger,
+		bounds,
+		findStaleness: tableParts.findStaleness,
+		readView: () => follower.table.value.view,
+		recordRequest() {
+			budget = recordRequest(budget);
+		},
+		models: modelRoute,
+		services: {desk: services, audit, readClock, limits},
+	});
 
+	await peers.start();
+	const updatingPeers = network.listed.subscribe((listed) => {
+		peers.update(listed);
+	});
+	lifeCycle.register(() => {
+		updatingPeers.unsubscribe();
+	});
 	await network.refresh();
+	limits.start();
 	const listener = await listenHttp(settings.listen, handle, bounds);
 	lifeCycle.register(async () => listener.close());
 	tableParts.registerGauges(metrics);
@@ -260,6 +231,7 @@
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
 			routing: router.describe(readClock()),
+			limits: limits.describe(),
 		}),
 	});
 	lifeCycle.register(async () => operators.close());
@@ -267,13 +239,16 @@
 
 	return {
 		address: listener.address,
+		sessionAddress: peers.address,
 		operatorAddress: operators.address,
 		records: audit.records.asObservable(),
+		tables: follower.table.asObservable(),
 		async drain() {
 			leaving = true;
 			logger.info('entry.leaving');
 			await waitFor(leavingNoticeMs);
 			await listener.drain();
+			limits.retire();
 			await lifeCycle.stop();
 			logger.info('entry.stopped');
 		},
--- a/packages/bramleystage-site/src/site.ts
+++ b/packages/bramleystage-site/src/site.ts
@@ -225,7 +225,7 @@
 				...options.entry,
 			});
 			const entry = await startEntry(settings, logger);
-			const {address} = entry;
+			const address = entry.sessionAddress;
 			await registerHost(platform, {host, role: 'entry', dataCentre, address});
 			return entry;
 		}),
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -59,12 +59,15 @@
 	computePart,
 	computeUsablePart,
 	createLimitMembers,
+	createLimitSnapshot,
 	findConfirmedEpoch,
 	foldLimitRecord,
+	foldLimitRecords,
 	type Limit,
 	type LimitMember,
 	type LimitMembers,
 	listOwners,
+	type LogRecord,
 	maxOwners,
 	type MemberList,
 } from './coordination/limit-members.js';
@@ -190,6 +193,8 @@
 	limitKindSchema,
 	type LimitRecord,
 	limitRecordSchema,
+	type LimitSnapshot,
+	limitSnapshotSchema,
 	type PermitAnswer,
 	permitAnswerSchema,
 	type PermitAsk,
@@ -310,6 +315,13 @@
 	snapshotRowSchema,
 } from './protocol/table-snapshot-schema.js';
 export {type BucketChange, BucketMap} from './state/bucket-map.js';
+export {
+	createEditProgress,
+	decideEdit,
+	type EditCommand,
+	type EditEvent,
+	type EditProgress,
+} from './state/edit-progress.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -333,8 +345,8 @@
 	type TablePeer,
 } from './state/table-contact.js';
 export {
-	type CollectedParts,
 	addSnapshotPart,
+	type CollectedParts,
 	computeTableDigest,
 	createSnapshotParts,
 	listSnapshotRows,
@@ -436,12 +448,14 @@
 export {
 	TableFollower,
 	type TableFollowerOptions,
+	type TableSummary,
 } from './transport/table-follower.js';
 export {
 	TableLogReader,
 	type TableLogReaderOptions,
 	tableStream,
 } from './transport/table-log-reader.js';
+export {publishEdit, type PublishOptions} from './transport/table-publisher.js';
 export {TableSharing} from './transport/table-sharing.js';
 export {
 	type SnapshotTiming,
--- a/packages/bramleystage/src/transport/table-follower.ts
+++ b/packages/bramleystage/src/transport/table-follower.ts
@@ -5,7 +5,7 @@
  * entries' sessions.
  */
 import {BehaviorSubject, Subject} from 'rxjs';
-import type {DataCentreId, HostId, LogOffset} from '../protocol/ids.js';
+import type {DataCentreId, LogOffset} from '../protocol/ids.js';
 import type {Message} from '../protocol/messages.js';
 import type {TableReport} from '../protocol/table-messages.js';
 import {
@@ -44,6 +44,14 @@
 	readonly readClock: () => number;
 };
 
+/** State of the table for the dump. */
+export type TableSummary = {
+	readonly tableOffset: LogOffset;
+	readonly tableSkipped: number;
+	readonly tableStale: boolean;
+	readonly tablePeers: Readonly<Record<string, LogOffset>>;
+};
+
 /** A peer is asked again for records after this time without them. */
 const askAgainMs = 300;
 
@@ -81,6 +89,11 @@
 		return this.#hasRead;
 	}
 
+	/** Latest moment at which the table is known to have lacked no record. */
+	get provedAt(): number | undefined {
+		return this.#contact.provedAt;
+	}
+
 	/** True if this process must take no new work now. */
 	get isStale(): boolean {
 		const {dataCentre, readClock} = this.options;
@@ -88,11 +101,17 @@
 		return isTableStale(this.#contact, {next, dataCentre}, readClock());
 	}
 
-	/** Offsets of the peers as they last told them, for the dump. */
-	get peerOffsets(): Record<HostId, LogOffset> {
-		return Object.fromEntries(
-			[...this.#contact.peers].map(([host, {next}]) => [host, next]),
-		);
+	/** State for the dump; `tablePeers` are offsets as the peers last told them. */
+	get summary(): TableSummary {
+		const {next, skipped} = this.table.value;
+		return {
+			tableOffset: next,
+			tableSkipped: skipped,
+			tableStale: this.isStale,
+			tablePeers: Object.fromEntries(
+				[...this.#contact.peers].map(([host, peer]) => [host, peer.next]),
+			),
+		};
 	}
 
 	/** What the next heartbeat to a peer says of the table. */
