--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,6 +1,7 @@
 /** The benches by name. Each resolves with the figures of its last line. */
 import {tableBench} from './table-bench.js';
 import {limitsBench} from './limits-bench.js';
+import {overheadBench} from './overhead-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
 import {runThroughput} from './throughput-bench.js';
 
@@ -15,6 +16,7 @@
 export const benches: Readonly<Record<string, Bench>> = {
 	table: tableBench,
 	limits: limitsBench,
+	overhead: overheadBench,
 	recovery: {
 		describe: 'Time from a fault to the callers’ next token',
 		run: runRecoveryBench,
