--- a/packages/bramleystage-command/src/main.ts
+++ b/packages/bramleystage-command/src/main.ts
@@ -8,6 +8,7 @@
 import {siteCommand} from './site-command.js';
 import {usageExitCode} from './setting-options.js';
 import {standInCommand} from './stand-in-commands.js';
+import {tableCommand} from './table-command.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bramleystage')
@@ -17,6 +18,7 @@
 	.command(dumpCommand)
 	.command(benchCommand)
 	.command(standInCommand)
+	.command(tableCommand)
 	.demandCommand(1)
 	.strict()
 	.version('0.1.0')
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -273,6 +273,11 @@
 	type SettingDefinitions,
 	type SettingValues,
 } from './protocol/settings.js';
+export {
+	columnNames,
+	type TableColumn,
+	tableColumns,
+} from './protocol/table-columns.js';
 export {
 	type TablePart,
 	tablePartSchema,
@@ -338,6 +343,24 @@
 	type TableContact,
 	type TablePeer,
 } from './state/table-contact.js';
+export {
+	type CsvRow,
+	type CsvTable,
+	formatCsv,
+	listOrderedRows,
+	parseCsv,
+} from './state/table-csv.js';
+export {
+	type CellChange,
+	compareCells,
+	compareTables,
+	createConflict,
+	listLagging,
+	type ProcessOffset,
+	type RowConflict,
+	type TableDiff,
+} from './state/table-diff.js';
+export {foldHistory, type HistoryEntry} from './state/table-history.js';
 export {
 	type CollectedParts,
 	addSnapshotPart,
@@ -346,6 +369,12 @@
 	listSnapshotRows,
 	restoreTable,
 } from './state/table-snapshot.js';
+export {
+	formatTableError,
+	type TableError,
+	validateCells,
+	validateRowKey,
+} from './state/table-validation.js';
 export {
 	createView,
 	parseRowKey,
--- a/packages/bramleystage/src/protocol/table-schema.ts
+++ b/packages/bramleystage/src/protocol/table-schema.ts
@@ -13,11 +13,17 @@
 	serviceNameSchema,
 } from './ids.js';
 
+/** Digits with an optional point; no exponent, no grouping, no comma. */
+const numberPattern = /^-?\d{1,15}(?:\.\d{1,9})?$/v;
+
+const parseNumber = (value: string) =>
+	numberPattern.test(value) ? Number(value) : Number.NaN;
+
 const optionalNumber = (schema: z.ZodType<number, number>) =>
 	z
 		.string()
 		.trim()
-		.transform((value) => (value === '' ? undefined : Number(value)))
+		.transform((value) => (value === '' ? undefined : parseNumber(value)))
 		.pipe(schema.optional())
 		.optional();
 
--- /dev/null
+++ b/packages/bramleystage/src/state/table-diff.ts
@@ -0,0 +1,135 @@
+/**
+ * The changes that a file makes to the table, row by row and cell by cell, and
+ * the rows where somebody else was faster.
+ */
+import type {LogOffset} from '../protocol/ids.js';
+import type {RowChange, RowKey} from '../protocol/table-schema.js';
+import type {CsvTable} from './table-csv.js';
+import {findRowVersion, type TableSnapshot} from './table.js';
+import type {RowCells} from './table-view.js';
+
+/** One cell before and after a change. */
+export type CellChange = {
+	readonly column: string;
+	readonly before: string;
+	readonly after: string;
+};
+
+/** A row that was changed since its author saw it. */
+export type RowConflict = {
+	readonly row: RowKey;
+	/** Author of the row's present state; empty for a removed row. */
+	readonly theirAuthor: string;
+	/** Cells as they are now and as this author wants them. */
+	readonly cells: ReadonlyArray<{
+		readonly column: string;
+		readonly theirs: string;
+		readonly mine: string;
+	}>;
+	readonly isRemovedByThem: boolean;
+	readonly isRemovedByMe: boolean;
+};
+
+export type TableDiff = {
+	readonly changes: readonly RowChange[];
+	readonly conflicts: readonly RowConflict[];
+};
+
+/** Compares a file with the table. */
+export function compareTables(file: CsvTable, table: TableSnapshot): TableDiff {
+	const changes: RowChange[] = [];
+	const conflicts: RowConflict[] = [];
+	for (const {row, version, cells} of file.rows) {
+		const current = table.rows.get(row);
+		const cellChanges = compareCells(current?.cells ?? {}, cells);
+		if (current && cellChanges.length === 0) {
+			continue;
+		}
+
+		if (version !== undefined && version !== findRowVersion(table, row)) {
+			conflicts.push(createConflict(table, row, cells));
+		} else if (version === undefined && current) {
+			conflicts.push(createConflict(table, row, cells));
+		} else {
+			changes.push({
+				row,
+				against: findRowVersion(table, row),
+				cells: Object.fromEntries(
+					cellChanges.map(({column, after}) => [column, after]),
+				),
+			});
+		}
+	}
+
+	const removed = listRemoved(file, table);
+	return {
+		changes: [
+			...changes,
+			...removed.map((row) => ({
+				row,
+				against: findRowVersion(table, row),
+				cells: null,
+			})),
+		],
+		conflicts,
+	};
+}
+
+/** Rows that were in the table at the export, did not change, and are not in the file. */
+function listRemoved(file: CsvTable, table: TableSnapshot): RowKey[] {
+	const {exportedAt} = file;
+	if (exportedAt === undefined) {
+		return [];
+	}
+
+	const kept = new Set(file.rows.map(({row}) => row));
+	return [...table.rows]
+		.filter(([row, {version}]) => version < exportedAt && !kept.has(row))
+		.map(([row]) => row);
+}
+
+/** Lists the cells that differ; a missing cell is an empty one. */
+export function compareCells(before: RowCells, after: RowCells): CellChange[] {
+	return Object.entries(after)
+		.map(([column, value]) => ({
+			column,
+			before: before[column] ?? '',
+			after: value,
+		}))
+		.filter((change) => change.before !== change.after);
+}
+
+/** Describes a conflict of the row's present state with wanted cells; null removes the row. */
+export function createConflict(
+	table: TableSnapshot,
+	row: RowKey,
+	wanted: RowCells | null,
+): RowConflict {
+	const current = table.rows.get(row);
+	const differing = compareCells(current?.cells ?? {}, wanted ?? {});
+	return {
+		row,
+		theirAuthor: current?.author ?? '',
+		cells: differing.map(({column, before, after}) => ({
+			column,
+			theirs: before,
+			mine: after,
+		})),
+		isRemovedByThem: current === undefined,
+		isRemovedByMe: wanted === null,
+	};
+}
+
+/** A process's offset of the table, undefined where nobody heard of it. */
+export type ProcessOffset = {
+	readonly host: string;
+	readonly next: LogOffset | undefined;
+};
+
+/** Lists the processes that have not folded the record at an offset. */
+export function listLagging(
+	processes: readonly ProcessOffset[],
+	offset: LogOffset,
+): ProcessOffset[] {
+	return processes.filter(({next}) => next === undefined || next <= offset);
+}
--- /dev/null
+++ b/packages/bramleystage/src/state/table-history.ts
@@ -0,0 +1,43 @@
+/** Who changed what and when: the edits of the log with each cell before and after. */
+import type {LogOffset} from '../protocol/ids.js';
+import {editRecordSchema, type RowKey} from '../protocol/table-schema.js';
+import {foldRecord, type RefusalReason, type TableSnapshot} from './table.js';
+import {type CellChange, compareCells} from './table-diff.js';
+
+/** One row of one edit. */
+export type HistoryEntry = {
+	readonly offset: LogOffset;
+	readonly author: string;
+	/** When the author made it, as the author's clock said. */
+	readonly at: string;
+	readonly row: RowKey;
+	readonly outcome: 'changed' | 'removed' | RefusalReason;
+	readonly cells: readonly CellChange[];
+};
+
+/** Folds one record and lists what it did. */
+export function foldHistory(
+	table: TableSnapshot,
+	offset: LogOffset,
+	record: unknown,
+): {table: TableSnapshot; entries: HistoryEntry[]} {
+	const folded = foldRecord(table, offset, record);
+	const parsed = editRecordSchema.safeParse(record);
+	if (!parsed.success || !folded.result) {
+		return {table: folded.table, entries: []};
+	}
+
+	const {author, at, changes} = parsed.data;
+	const reasons = new Map(
+		folded.result.refused.map(({row, reason}) => [row, reason]),
+	);
+	const entries = changes.map(({row, cells}): HistoryEntry => ({
+		offset,
+		author,
+		at,
+		row,
+		outcome: reasons.get(row) ?? (cells ? 'changed' : 'removed'),
+		cells: compareCells(table.rows.get(row)?.cells ?? {}, cells ?? {}),
+	}));
+	return {table: folded.table, entries};
+}
