--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -81,18 +81,18 @@
 		(settings.engine ? schedulers.steps : schedulers.calls).describeLoad(
 			readClock(),
 		);
-	const follower = new TableFollower({
-		dataCentre,
-		lifeCycle,
-		logger,
-		readClock,
-	});
 	const describeSelf = (peer: SessionPeer) => ({
 		leaving,
 		offers,
 		load: describeLoad(),
 		table: follower.describe(peer),
 	});
+	const follower = new TableFollower({
+		dataCentre,
+		lifeCycle,
+		logger,
+		readClock,
+	});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -59,12 +59,15 @@
 	computePart,
 	computeUsablePart,
 	createLimitMembers,
+	createLimitSnapshot,
 	findConfirmedEpoch,
 	foldLimitRecord,
+	foldLimitRecords,
 	type Limit,
 	type LimitMember,
 	type LimitMembers,
 	listOwners,
+	type LogRecord,
 	maxOwners,
 	type MemberList,
 } from './coordination/limit-members.js';
@@ -190,6 +193,8 @@
 	limitKindSchema,
 	type LimitRecord,
 	limitRecordSchema,
+	type LimitSnapshot,
+	limitSnapshotSchema,
 	type PermitAnswer,
 	permitAnswerSchema,
 	type PermitAsk,
@@ -362,8 +367,8 @@
 } from './state/table-diff.js';
 export {foldHistory, type HistoryEntry} from './state/table-history.js';
 export {
-	type CollectedParts,
 	addSnapshotPart,
+	type CollectedParts,
 	computeTableDigest,
 	createSnapshotParts,
 	listSnapshotRows,
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -274,13 +274,13 @@
 	stageRunSchema,
 	activationSchema,
 	tokenSchema,
-	tableRequestSchema,
-	tableRecordsSchema,
-	tablePartSchema,
 	permitAskSchema,
 	permitAnswerSchema,
 	permitReleaseSchema,
 	permitHeldSchema,
+	tableRequestSchema,
+	tableRecordsSchema,
+	tablePartSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<
