--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -16,6 +16,7 @@
 	type Message,
 	type Offer,
 	protocolVersion,
+	registerTrafficCounters,
 	type Session,
 	SessionPool,
 	type SessionPeer,
@@ -26,6 +27,7 @@
 	type TableSnapshot,
 	toIncarnation,
 	toServiceName,
+	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
 import {Gauge, Registry} from 'prom-client';
@@ -95,7 +97,9 @@
 		readClock,
 	});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
+	const meter = new TrafficMeter();
 	const pool = new SessionPool({
+		meter,
 		hello: {...identity, version: protocolVersion, deployment},
 		timing,
 		describeSelf: () => ({leaving}),
@@ -264,6 +268,7 @@
 		stages?.sweep(readClock());
 	});
 	const listener = await listenForSessions({
+		meter,
 		address: settings.listen,
 		welcome: {type: 'welcome', ...identity},
 		timing,
@@ -273,6 +278,7 @@
 	});
 	lifeCycle.register(async () => listener.close());
 	const registry = createMetrics(describeLoad, () => entries.size);
+	registerTrafficCounters(registry, meter);
 	const operators = await listenForOperators(settings.operatorListen, {
 		registry,
 		isReady: () => !leaving && offers.length > 0,
--- /dev/null
+++ b/packages/bramleystage-bench/src/linear-fit.ts
@@ -0,0 +1,51 @@
+/** Straight line through measured points, by least squares. */
+
+export type Point = {readonly size: number; readonly value: number};
+
+export type LinearFit = {
+	readonly slope: number;
+	readonly intercept: number;
+	/** Share of the variance that the line explains; 1 is a perfect fit. */
+	readonly fit: number;
+	readonly points: readonly Point[];
+};
+
+/** Fits a line to three points or more. */
+export function computeFit(points: readonly Point[]): LinearFit {
+	const meanSize = computeMean(points.map(({size}) => size));
+	const meanValue = computeMean(points.map(({value}) => value));
+	let covariance = 0;
+	let variance = 0;
+	for (const {size, value} of points) {
+		covariance += (size - meanSize) * (value - meanValue);
+		variance += (size - meanSize) ** 2;
+	}
+
+	const slope = covariance / variance;
+	const intercept = meanValue - slope * meanSize;
+	return {
+		slope,
+		intercept,
+		fit: computeShare(points, slope, intercept),
+		points,
+	};
+}
+
+function computeShare(
+	points: readonly Point[],
+	slope: number,
+	intercept: number,
+): number {
+	const mean = computeMean(points.map(({value}) => value));
+	let rest = 0;
+	let total = 0;
+	for (const {size, value} of points) {
+		rest += (value - (intercept + slope * size)) ** 2;
+		total += (value - mean) ** 2;
+	}
+
+	return total === 0 ? 1 : 1 - rest / total;
+}
+
+const computeMean = (values: readonly number[]) =>
+	values.reduce((sum, value) => sum + value, 0) / values.length;
--- a/packages/bramleystage-entry/src/entry-peers.ts
+++ b/packages/bramleystage-entry/src/entry-peers.ts
@@ -15,6 +15,7 @@
 	type SessionPeer,
 	SessionPool,
 	type SessionTiming,
+	type TrafficMeter,
 } from 'bramleystage';
 import {Subject} from 'rxjs';
 
@@ -32,6 +33,7 @@
 	readonly timing: SessionTiming;
 	readonly isLeaving: () => boolean;
 	readonly lifeCycle: LifeCycle;
+	readonly meter: TrafficMeter;
 };
 
 export class EntryPeers {
@@ -41,8 +43,9 @@
 	#address = '';
 
 	constructor(private readonly options: EntryPeersOptions) {
-		const {identity, timing, isLeaving, lifeCycle} = options;
+		const {identity, timing, isLeaving, lifeCycle, meter} = options;
 		this.#pool = new SessionPool({
+			meter,
 			hello: identity,
 			timing,
 			describeSelf: () => ({leaving: isLeaving()}),
@@ -59,9 +62,11 @@
 
 	/** Listens for the other entries. */
 	async start(): Promise<void> {
-		const {listen, identity, timing, isLeaving, lifeCycle} = this.options;
+		const {listen, identity, timing, isLeaving, lifeCycle, meter} =
+			this.options;
 		const {version: _version, deployment, ...welcome} = identity;
 		const listener = await listenForSessions({
+			meter,
 			address: listen,
 			welcome: {type: 'welcome', ...welcome},
 			timing,
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -16,9 +16,11 @@
 	PlatformClient,
 	protocolVersion,
 	recordRequest,
+	registerTrafficCounters,
 	SessionPool,
 	type TableSnapshot,
 	toIncarnation,
+	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
@@ -87,7 +89,10 @@
 		silenceMs: settings.silenceMs,
 		handshakeMs: settings.silenceMs,
 	};
+	const meter = new TrafficMeter();
+	registerTrafficCounters(metrics.registry, meter);
 	const pool = new SessionPool({
+		meter,
 		hello: {...identity, version: protocolVersion, deployment},
 		timing,
 		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
@@ -109,6 +114,7 @@
 	});
 	pool.events.subscribe(tableParts.receive);
 	const peers = new EntryPeers({
+		meter,
 		listen: settings.sessionListen,
 		identity: {...identity, version: protocolVersion, deployment},
 		timing,
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -484,6 +484,7 @@
 	openSession,
 	Session,
 	type SessionListener,
+	type SessionOptions,
 	type SessionPeer,
 	type SessionTiming,
 	startServer,
@@ -511,3 +512,5 @@
 	TableSnapshotWriter,
 	type TableSnapshotWriterOptions,
 } from './transport/table-snapshot-writer.js';
+export {type TrafficCount, TrafficMeter} from './transport/traffic-meter.js';
+export {registerTrafficCounters} from './transport/traffic-metrics.js';
--- a/packages/bramleystage/src/transport/session-pool.ts
+++ b/packages/bramleystage/src/transport/session-pool.ts
@@ -7,12 +7,7 @@
 import type {Hello, Message} from '../protocol/messages.js';
 import type {Failure} from '../protocol/result-codes.js';
 import {toSessionNumber} from '../protocol/ids.js';
-import {
-	type DescribeSelf,
-	openSession,
-	type Session,
-	type SessionTiming,
-} from './session.js';
+import {openSession, type Session, type SessionOptions} from './session.js';
 
 export type PoolEvent =
 	| {
@@ -52,12 +47,10 @@
 	#lastNumber = 0;
 
 	constructor(
-		private readonly options: {
+		private readonly options: SessionOptions & {
 			readonly hello: Omit<Hello, 'session' | 'type' | 'version'> & {
 				version: number;
 			};
-			readonly timing: SessionTiming;
-			readonly describeSelf: DescribeSelf;
 		},
 	) {}
 
@@ -148,7 +141,7 @@
 			this.events.next({type: 'message', session, address, message});
 		});
 		this.events.next({type: 'opened', session, address});
-		session.start(this.options.timing, this.options.describeSelf);
+		session.start(this.options);
 		const reason = await session.closed;
 		slot.session = undefined;
 		this.events.next({type: 'closed', session, address, reason});
--- a/packages/bramleystage/src/transport/session.ts
+++ b/packages/bramleystage/src/transport/session.ts
@@ -20,6 +20,7 @@
 	type PaceTiming,
 	type SelfDescription,
 } from './heartbeat-pace.js';
+import type {TrafficMeter} from './traffic-meter.js';
 
 /** Timing of a session, in milliseconds. */
 export type SessionTiming = PaceTiming & {
@@ -43,12 +44,21 @@
 /** What a process says of itself in each heartbeat. */
 export type DescribeSelf = (peer: SessionPeer) => SelfDescription;
 
+/** How a session is kept. */
+export type SessionOptions = {
+	readonly timing: SessionTiming;
+	readonly describeSelf: DescribeSelf;
+	/** Counts what is sent. */
+	readonly meter?: TrafficMeter;
+};
+
 export class Session {
 	readonly #socket: Socket;
 	readonly #messages = new Subject<Message>();
 	readonly #closed: Promise<Failure>;
 	#resolveClosed!: (failure: Failure) => void;
 	#pace: HeartbeatPace | undefined;
+	#meter: TrafficMeter | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
@@ -78,7 +88,8 @@
 	}
 
 	/** Starts reading and heartbeats. Call once the messages are subscribed to. */
-	start(timing: SessionTiming, describeSelf: DescribeSelf): void {
+	start({timing, describeSelf, meter}: SessionOptions): void {
+		this.#meter = meter;
 		this.#socket.on('data', (chunk) => {
 			this.#receive(chunk);
 		});
@@ -104,7 +115,9 @@
 		}
 
 		this.#notePace(message);
-		this.#socket.write(encodeFrame(message));
+		const frame = encodeFrame(message);
+		this.#meter?.record(message, frame.length);
+		this.#socket.write(frame);
 	}
 
 	close(reason: Failure): void {
@@ -226,6 +239,7 @@
 	welcome: Welcome;
 	timing: SessionTiming;
 	describeSelf: DescribeSelf;
+	meter?: TrafficMeter;
 	check: CheckHello;
 	onSession: (session: Session, hello: Hello) => void;
 }): Promise<SessionListener> {
@@ -283,7 +297,7 @@
 		socket.write(encodeFrame(options.welcome));
 		const session = new Session(socket, hello, decoder);
 		options.onSession(session, hello);
-		session.start(options.timing, options.describeSelf);
+		session.start(options);
 		return session;
 	} catch {
 		socket.destroy();
