Claim idempotency keys in the log before a booking runs

Cause: an Idempotency-Key was carried but not honoured, so a caller's retry could book twice.

Repeats get the recorded answer, keyReused or keyInUse; a call that did not run releases its claim; with the log out a claimed call is told not-run. Keyed calls go to the key's home by rendezvous hash. The ledger and dispatch are cut into smaller modules.

Conclusion: keyed bookings run at most once within the key's lifetime of 15 minutes, as long as the log keeps claims for that long.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -15,6 +15,7 @@
 	type Logger,
 	type Message,
 	type Offer,
+	PlatformClient,
 	protocolVersion,
 	type Session,
 	SessionPool,
@@ -31,6 +32,7 @@
 import {Gauge, Registry} from 'prom-client';
 import type {Observable} from 'rxjs';
 import {CallDesk} from './call-desk.js';
+import {ClaimDesk} from './claim-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
 import {createSchedulers} from './schedulers.js';
@@ -151,6 +153,15 @@
 	const calls = service
 		? new CallDesk({
 				client: service,
+				claims: new ClaimDesk({
+					platform: new PlatformClient(settings.platform),
+					lifeCycle,
+					self: {host, incarnation},
+					handle(request, event) {
+						calls?.handle(request, event);
+					},
+					readClock,
+				}),
 				scheduler: schedulers.calls,
 				describeContext: () => ({incarnation, leaving}),
 				send(entry, message) {
--- a/packages/bramleystage-agent/src/call-desk.ts
+++ b/packages/bramleystage-agent/src/call-desk.ts
@@ -17,6 +17,7 @@
 	type Work,
 	type WorkScheduler,
 } from 'bramleystage';
+import type {ClaimDesk} from './claim-desk.js';
 import type {EntryKey} from './entry-sessions.js';
 import type {ServiceClient} from './service-client.js';
 
@@ -28,6 +29,12 @@
 	entry: EntryKey;
 };
 
+/** What the desk needs of the claims of idempotency keys. */
+export type ClaimCarrier = Pick<
+	ClaimDesk,
+	'claim' | 'pending' | 'recordEnd' | 'release' | 'sweep'
+>;
+
 export class CallDesk {
 	readonly #held = new Map<RequestId, Held>();
 	readonly #running = new Map<RequestId, AbortController>();
@@ -36,6 +43,7 @@
 	constructor(
 		private readonly options: {
 			readonly client: ServiceClient;
+			readonly claims: ClaimCarrier;
 			readonly scheduler: WorkScheduler<RequestId>;
 			readonly describeContext: () => Omit<LedgerContext, 'queueFull'>;
 			readonly send: (entry: EntryKey, message: Message) => void;
@@ -44,7 +52,7 @@
 	) {}
 
 	get queued(): number {
-		return this.options.scheduler.queued;
+		return this.options.scheduler.queued + this.options.claims.pending;
 	}
 
 	get running(): number {
@@ -93,6 +101,7 @@
 
 	/** Forgets ended calls that are past their retention. */
 	sweep(now: number): void {
+		this.options.claims.sweep(now);
 		for (const [request, {record}] of this.#held) {
 			if (isForgettable(record, now)) {
 				this.#held.delete(request);
@@ -101,7 +110,23 @@
 	}
 
 	#carryOut(command: CallCommand, entry: EntryKey): void {
+		const {claims} = this.options;
 		switch (command.type) {
+			case 'claim': {
+				claims.claim(command.call);
+				break;
+			}
+
+			case 'releaseClaim': {
+				claims.release(command.call);
+				break;
+			}
+
+			case 'recordClaimEnd': {
+				claims.recordEnd(command.call, command.end);
+				break;
+			}
+
 			case 'enqueue': {
 				this.options.scheduler.add(createCallWork(command.call));
 				break;
--- a/packages/bramleystage-check/src/call-history-agent.ts
+++ b/packages/bramleystage-check/src/call-history-agent.ts
@@ -134,6 +134,9 @@
 				break;
 			}
 
+			case 'claim':
+			case 'recordClaimEnd':
+			case 'releaseClaim':
 			case 'abortCall': {
 				// The backend server may go on all the same.
 				break;
--- a/packages/bramleystage-check/src/request-agent-steps.ts
+++ b/packages/bramleystage-check/src/request-agent-steps.ts
@@ -84,6 +84,10 @@
 			return recordStart(next, host, request, command.call.incarnation);
 		}
 
+		// No call of the model has a key.
+		case 'claim':
+		case 'recordClaimEnd':
+		case 'releaseClaim':
 		case 'abortCall': {
 			// An aborted call may end in any way; the backend's steps cover them.
 			return state;
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -12,6 +12,7 @@
 	defaultHttpBounds,
 	type EntrySettings,
 	type Failure,
+	isClaimed,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
@@ -35,6 +36,7 @@
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
+import {chooseHome} from './home-choice.js';
 import {
 	type ModelRouteOptions,
 	type RouteContext,
@@ -155,7 +157,14 @@
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
+			isClaimed(call)
+				? chooseHome(network.hosts, call, excluding)
+				: router.chooseTarget(
+						network.hosts,
+						call.service,
+						excluding,
+						readClock(),
+					),
 		send,
 		policy: {
 			allowRetry,
--- a/packages/bramleystage-entry/src/service-desk.ts
+++ b/packages/bramleystage-entry/src/service-desk.ts
@@ -60,13 +60,14 @@
 
 	/** Starts a call. */
 	start(request: ServiceRequest): void {
-		const {request: id, idempotent, deadlineMs} = request.call;
+		const {request: id, idempotent, idempotencyKey, deadlineMs} = request.call;
 		const timer = setTimeout(() => {
 			this.handle(id, {type: 'deadline'});
 		}, deadlineMs);
 		const state = createDispatch(
 			idempotent,
 			this.options.readClock() + deadlineMs,
+			idempotencyKey !== undefined && !idempotent,
 		);
 		this.#held.set(id, {request, timer, state});
 		this.handle(id, {type: 'started'});
--- /dev/null
+++ b/packages/bramleystage/src/coordination/call-dispatch-end.ts
@@ -0,0 +1,107 @@
+/** How a dispatch waits, gives up and ends. */
+import type {Milliseconds} from '../protocol/decision.js';
+import {
+	createFailure,
+	type Failure,
+	type Outcome,
+} from '../protocol/result-codes.js';
+import type {
+	DispatchDecision,
+	DispatchState,
+	Target,
+} from './call-dispatch-state.js';
+
+/** How long the answer to a cancel is waited for, past the caller's deadline. */
+export const cancelWaitMs = 250;
+
+/** At the deadline the agent is asked what became of the call. */
+export function decideDeadline(
+	state: DispatchState,
+	now: Milliseconds,
+): DispatchDecision {
+	const {target} = state;
+	if (!target) {
+		return rejectCall(state, createDeadlineFailure('not-run'));
+	}
+
+	const [next, commands] = startWait(
+		{...state, phase: 'cancelling'},
+		now,
+		cancelWaitMs,
+	);
+	return [next, [{type: 'sendCancel', target}, ...commands]];
+}
+
+/** Decides the end of a wait. */
+export function decideTimer(
+	state: DispatchState,
+	now: Milliseconds,
+): DispatchDecision {
+	if (state.waitUntil === undefined || now < state.waitUntil) {
+		return [state, []];
+	}
+
+	const {phase, tried} = state;
+	if (phase === 'backoff') {
+		return [
+			{...state, phase: 'choosing', waitUntil: undefined},
+			[{type: 'choose', excluding: tried}],
+		];
+	}
+
+	if (phase === 'cancelling') {
+		return rejectCall(state, createDeadlineFailure('unknown'));
+	}
+
+	const detail = 'The session to the agent did not come back.';
+	return rejectCall(state, createFailure('backendLost', detail));
+}
+
+/** Nobody waits for the answer any more. */
+export function decideCallerGone(state: DispatchState): DispatchDecision {
+	const [next, commands] = rejectCall(
+		state,
+		createFailure('cancelled', 'The caller closed the connection.'),
+	);
+	const {target} = state;
+	return [
+		next,
+		target ? [...commands, {type: 'sendCancel', target}] : commands,
+	];
+}
+
+/** Ends the call; `not-run` is said only if no agent may have run it. */
+export function rejectCall(
+	state: DispatchState,
+	failure: Failure,
+): DispatchDecision {
+	const outcome =
+		failure.outcome === 'not-run' && state.mayHaveRun
+			? 'unknown'
+			: failure.outcome;
+	return [
+		{...state, phase: 'done', waitUntil: undefined},
+		[{type: 'failCaller', failure: {...failure, outcome}}],
+	];
+}
+
+/** Starts a wait; its end comes as a `timer` event. */
+export function startWait(
+	state: DispatchState,
+	now: Milliseconds,
+	durationMs: Milliseconds,
+): DispatchDecision {
+	return [
+		{...state, waitUntil: now + durationMs},
+		[{type: 'startTimer', durationMs}],
+	];
+}
+
+/** Failure of a call whose deadline passed. */
+export const createDeadlineFailure = (outcome: Outcome): Failure =>
+	createFailure('deadlinePassed', 'The deadline passed.', {outcome});
+
+/** Tells whether two targets are one life of an agent. */
+export function isSameTarget(a: Target | undefined, b: Target): boolean {
+	return a?.host === b.host && a.incarnation === b.incarnation;
+}
--- a/packages/bramleystage/src/coordination/call-dispatch.ts
+++ b/packages/bramleystage/src/coordination/call-dispatch.ts
@@ -6,98 +6,36 @@
  * told `unknown`. An idempotent call may go on earlier, and from then on
  * `not-run` can no longer be said of it.
  */
-import type {Decision, Milliseconds} from '../protocol/decision.js';
-import type {HostId, Incarnation} from '../protocol/ids.js';
-import type {CallAnswer, Failed, Message} from '../protocol/messages.js';
+import type {Milliseconds} from '../protocol/decision.js';
+import type {CallAnswer, Failed} from '../protocol/messages.js';
 import {
 	createFailure,
-	type Failure,
 	type Outcome,
 	type ResultName,
 } from '../protocol/result-codes.js';
-
-/** An agent as a dispatch names it. */
-export type Target = {
-	readonly host: HostId;
-	readonly incarnation: Incarnation;
-};
-
-export type DispatchState = {
-	readonly idempotent: boolean;
-	readonly deadline: Milliseconds;
-	/** `cancelling`: the deadline passed and the agent was asked what became of the call. */
-	readonly phase: 'choosing' | 'backoff' | 'sent' | 'cancelling' | 'done';
-	readonly target: Target | undefined;
-	readonly tried: readonly HostId[];
-	readonly attempts: number;
-	/** An agent that was left without its word on the outcome may have run the call. */
-	readonly mayHaveRun: boolean;
-	/** When the present wait ends: a backoff, a lost session or a cancel. */
-	readonly waitUntil: Milliseconds | undefined;
-};
-
-export type DispatchEvent =
-	| {readonly type: 'started'}
-	/** The routing decision; no target when none is available. */
-	| {readonly type: 'chosen'; readonly target: Target | undefined}
-	| {
-			readonly type: 'answered';
-			readonly from: Target;
-			readonly answer: CallAnswer;
-	  }
-	| {readonly type: 'failed'; readonly from: Target; readonly message: Failed}
-	| {
-			readonly type: 'cancelled';
-			readonly from: Target;
-			readonly outcome: Outcome;
-	  }
-	/** The last session to the target ended. */
-	| {readonly type: 'sessionLost'; readonly target: Target}
-	/** A session to the target's host opened, perhaps to a new incarnation. */
-	| {readonly type: 'sessionOpened'; readonly target: Target}
-	/** The time of a `startTimer` command is over. */
-	| {readonly type: 'timer'}
-	| {readonly type: 'deadline'}
-	| {readonly type: 'callerGone'};
-
-export type DispatchCommand =
-	| {readonly type: 'choose'; readonly excluding: readonly HostId[]}
-	| {
-			readonly type: 'sendCall';
-			readonly target: Target;
-			readonly deadlineMs: Milliseconds;
-	  }
-	| {readonly type: 'sendCancel'; readonly target: Target}
-	| {readonly type: 'sendAcknowledge'; readonly target: Target}
-	/** Replaces the call's earlier timer. */
-	| {readonly type: 'startTimer'; readonly durationMs: Milliseconds}
-	| {readonly type: 'answerCaller'; readonly answer: CallAnswer}
-	| {readonly type: 'failCaller'; readonly failure: Failure};
-
-export type DispatchDecision = Decision<DispatchState, DispatchCommand>;
-
-/** Tells whether a retry may be spent now. */
-export type AllowRetry = () => boolean;
-
-/** How a dispatch retries. */
-export type DispatchPolicy = {
-	readonly allowRetry: AllowRetry;
-	/** Wait before the next attempt, by the number of attempts made. */
-	readonly computeBackoff: (attempts: number) => Milliseconds;
-};
+import {
+	createDeadlineFailure,
+	decideCallerGone,
+	decideDeadline,
+	decideTimer,
+	isSameTarget,
+	rejectCall,
+	startWait,
+} from './call-dispatch-end.js';
+import type {
+	DispatchCommand,
+	DispatchDecision,
+	DispatchEvent,
+	DispatchPolicy,
+	DispatchState,
+	Target,
+} from './call-dispatch-state.js';
+
+export type {AllowRetry} from './call-dispatch-state.js';
 
 /** How long a lost session may take to come back before the outcome is told as unknown. */
 export const reconnectWaitMs = 3000;
 
-/** How long the answer to a cancel is waited for, past the caller's deadline. */
-export const cancelWaitMs = 250;
-
-/**
- * How long after the deadline an agent's `not-run` is believed. The agent keeps
- * a record for longer than this, so it can't have forgotten that the call ran.
- */
-export const tombstoneTrustMs = 30_000;
-
 /** Results that another agent would give as well. */
 const finalResults: ReadonlySet<ResultName> = new Set([
 	'keyReused',
@@ -105,45 +43,20 @@
 	'answerTooLarge',
 ]);
 
-export function createDispatch(
-	idempotent: boolean,
-	deadline: Milliseconds,
-): DispatchState {
-	return {
-		idempotent,
-		deadline,
-		phase: 'choosing',
-		target: undefined,
-		tried: [],
-		attempts: 0,
-		mayHaveRun: false,
-		waitUntil: undefined,
-	};
-}
-
-/** Gives the dispatch event that a message from an agent is, if it is one. */
-export function toDispatchEvent(
-	message: Message,
-	from: Target,
-): DispatchEvent | undefined {
-	switch (message.type) {
-		case 'callAnswer': {
-			return {type: 'answered', from, answer: message};
-		}
-
-		case 'failed': {
-			return {type: 'failed', from, message};
-		}
-
-		case 'cancelled': {
-			return {type: 'cancelled', from, outcome: message.outcome};
-		}
+/**
+ * Results that an agent gives before it claims a key. After others the claim
+ * may stand for a while, and another agent could only refuse the call.
+ */
+const unclaimedResults: ReadonlySet<ResultName> = new Set([
+	'stopping',
+	'queueFull',
+]);
 
-		default: {
-			return undefined;
-		}
-	}
-}
+/**
+ * How long after the deadline an agent's `not-run` is believed. The agent keeps
+ * a record for longer than this, so it can't have forgotten that the call ran.
+ */
+export const tombstoneTrustMs = 30_000;
 
 /** Decides what one event does to a call's dispatch. */
 export function decideDispatch(
@@ -273,7 +186,8 @@
 		isSafe &&
 		state.phase === 'sent' &&
 		now < state.deadline &&
-		!finalResults.has(result)
+		!finalResults.has(result) &&
+		(!state.isClaimed || unclaimedResults.has(result))
 	);
 }
 
@@ -351,59 +265,6 @@
 	return rejectCall(state, createFailure('backendLost', detail));
 }
 
-function decideTimer(
-	state: DispatchState,
-	now: Milliseconds,
-): DispatchDecision {
-	if (state.waitUntil === undefined || now < state.waitUntil) {
-		return [state, []];
-	}
-
-	const {phase, tried} = state;
-	if (phase === 'backoff') {
-		return [
-			{...state, phase: 'choosing', waitUntil: undefined},
-			[{type: 'choose', excluding: tried}],
-		];
-	}
-
-	if (phase === 'cancelling') {
-		return rejectCall(state, createDeadlineFailure('unknown'));
-	}
-
-	const detail = 'The session to the agent did not come back.';
-	return rejectCall(state, createFailure('backendLost', detail));
-}
-
-function decideDeadline(
-	state: DispatchState,
-	now: Milliseconds,
-): DispatchDecision {
-	const {target} = state;
-	if (!target) {
-		return rejectCall(state, createDeadlineFailure('not-run'));
-	}
-
-	const [next, commands] = startWait(
-		{...state, phase: 'cancelling'},
-		now,
-		cancelWaitMs,
-	);
-	return [next, [{type: 'sendCancel', target}, ...commands]];
-}
-
-function decideCallerGone(state: DispatchState): DispatchDecision {
-	const [next, commands] = rejectCall(
-		state,
-		createFailure('cancelled', 'The caller closed the connection.'),
-	);
-	const {target} = state;
-	return [
-		next,
-		target ? [...commands, {type: 'sendCancel', target}] : commands,
-	];
-}
-
 /** Leaves the present agent for another one. */
 function decideElsewhere(
 	state: DispatchState,
@@ -427,33 +288,3 @@
 		? startWait({...left, phase: 'backoff'}, now, backoffMs)
 		: [left, [{type: 'choose', excluding: tried}]];
 }
-
-function startWait(
-	state: DispatchState,
-	now: Milliseconds,
-	durationMs: Milliseconds,
-): DispatchDecision {
-	return [
-		{...state, waitUntil: now + durationMs},
-		[{type: 'startTimer', durationMs}],
-	];
-}
-
-/** Ends the call; `not-run` is said only if no agent may have run it. */
-function rejectCall(state: DispatchState, failure: Failure): DispatchDecision {
-	const outcome =
-		failure.outcome === 'not-run' && state.mayHaveRun
-			? 'unknown'
-			: failure.outcome;
-	return [
-		{...state, phase: 'done', waitUntil: undefined},
-		[{type: 'failCaller', failure: {...failure, outcome}}],
-	];
-}
-
-const createDeadlineFailure = (outcome: Outcome): Failure =>
-	createFailure('deadlinePassed', 'The deadline passed.', {outcome});
-
-function isSameTarget(a: Target | undefined, b: Target): boolean {
-	return a?.host === b.host && a.incarnation === b.incarnation;
-}
--- a/packages/bramleystage/src/coordination/call-ledger.ts
+++ b/packages/bramleystage/src/coordination/call-ledger.ts
@@ -5,110 +5,31 @@
  * call and never starts a second one. A cancel puts a tombstone on the id,
  * also on an id not seen yet, so that a late call frame is refused.
  */
-import type {Decision, Milliseconds} from '../protocol/decision.js';
-import {toAttempt, type Incarnation, type RequestId} from '../protocol/ids.js';
-import type {Call, CallAnswer, Message} from '../protocol/messages.js';
+import type {Milliseconds} from '../protocol/decision.js';
+import type {RequestId} from '../protocol/ids.js';
+import type {Call, CallAnswer} from '../protocol/messages.js';
+import {createFailure, type Failure} from '../protocol/result-codes.js';
 import {
-	createFailure,
-	type Failure,
-	type Outcome,
-} from '../protocol/result-codes.js';
-
-/** What the agent knows of one call. Times are on the agent's own clock. */
-export type CallRecord =
-	| {
-			readonly phase: 'queued';
-			readonly call: Call;
-			readonly deadline: Milliseconds;
-	  }
-	| {
-			readonly phase: 'running';
-			readonly call: Call;
-			readonly deadline: Milliseconds;
-			readonly cancelled: boolean;
-	  }
-	| {
-			readonly phase: 'answered';
-			readonly answer: CallAnswer;
-			readonly forgetAt: Milliseconds;
-	  }
-	/** A tombstone too: the id never starts again. */
-	| {
-			readonly phase: 'failed';
-			readonly failure: Failure;
-			readonly forgetAt: Milliseconds;
-	  }
-	/** The entry has the end of the call; what stays refuses late frames. */
-	| {
-			readonly phase: 'acknowledged';
-			readonly outcome: Outcome;
-			readonly forgetAt: Milliseconds;
-	  };
-
-export type CallEvent =
-	| {readonly type: 'received'; readonly call: Call}
-	/** The scheduler gave the call its turn. */
-	| {readonly type: 'scheduled'}
-	| {readonly type: 'answered'; readonly answer: CallAnswer}
-	| {readonly type: 'failed'; readonly failure: Failure}
-	| {readonly type: 'cancelled'; readonly request: RequestId}
-	| {readonly type: 'acknowledged'};
-
-export type CallCommand =
-	| {readonly type: 'enqueue'; readonly call: Call}
-	| {readonly type: 'dequeue'; readonly request: RequestId}
-	| {
-			readonly type: 'startCall';
-			readonly call: Call;
-			readonly timeoutMs: Milliseconds;
-	  }
-	| {readonly type: 'abortCall'; readonly request: RequestId}
-	| {readonly type: 'send'; readonly message: Message};
-
-export type CallDecision = Decision<CallRecord | undefined, CallCommand>;
-
-/** Facts of the agent that its ledger decides by. */
-export type LedgerContext = {
-	readonly incarnation: Incarnation;
-	/** A leaving agent takes no new call. */
-	readonly leaving: boolean;
-	readonly queueFull: boolean;
-};
-
-/**
- * How long a record outlives its call's deadline or its acknowledgement, in
- * milliseconds. An entry trusts `not-run` for less than this (`tombstoneTrustMs`).
- */
-export const retentionMs = 60_000;
-
-/** Deadline assumed for a call that was cancelled before its frame was seen. */
-const unknownCallMs = 600_000;
-
-/** Tells whether nothing that the entry still does can need the record. */
-export function isForgettable(record: CallRecord, now: Milliseconds): boolean {
-	return 'forgetAt' in record && record.forgetAt <= now;
-}
-
-/** Gives the ledger event that a message from an entry is, if it is one. */
-export function toCallEvent(message: Message): CallEvent | undefined {
-	switch (message.type) {
-		case 'call': {
-			return {type: 'received', call: message};
-		}
-
-		case 'cancel': {
-			return {type: 'cancelled', request: message.request};
-		}
-
-		case 'acknowledge': {
-			return {type: 'acknowledged'};
-		}
-
-		default: {
-			return undefined;
-		}
-	}
-}
+	decideClaimAnswered,
+	decideClaimed,
+	decideClaimRefused,
+	listEnds,
+	listReleases,
+} from './call-claiming.js';
+import {
+	type CallCommand,
+	type CallDecision,
+	type CallEvent,
+	type CallRecord,
+	createCancelled,
+	createFailed,
+	createFailedRecord,
+	describeRecord,
+	type LedgerContext,
+	retentionMs,
+	unknownCallMs,
+} from './call-record.js';
+import {isClaimed} from './claims.js';
 
 /** Decides what one event does to the record of one call. */
 export function decideCall(
@@ -122,6 +43,18 @@
 			return decideReceived(record, event.call, now, context);
 		}
 
+		case 'claimed': {
+			return decideClaimed(record, event.call);
+		}
+
+		case 'claimAnswered': {
+			return decideClaimAnswered(record, event.answer);
+		}
+
+		case 'claimRefused': {
+			return decideClaimRefused(record, event.failure);
+		}
+
 		case 'scheduled': {
 			return decideScheduled(record, now);
 		}
@@ -175,10 +108,10 @@
 		];
 	}
 
-	return [
-		{phase: 'queued', call, deadline: now + call.deadlineMs},
-		[{type: 'enqueue', call}],
-	];
+	const deadline = now + call.deadlineMs;
+	return isClaimed(call)
+		? [{phase: 'claiming', call, deadline}, [{type: 'claim', call}]]
+		: [{phase: 'queued', call, deadline}, [{type: 'enqueue', call}]];
 }
 
 function findRefusal(context: LedgerContext): Failure | undefined {
@@ -208,7 +141,10 @@
 			'The deadline passed while the call was queued.',
 		);
 		const message = createFailed(call.request, failure);
-		return [createFailedRecord(failure, deadline), [{type: 'send', message}]];
+		return [
+			createFailedRecord(failure, deadline),
+			[{type: 'send', message}, ...listReleases(call)],
+		];
 	}
 
 	return [
@@ -228,7 +164,10 @@
 	const forgetAt = record.deadline + retentionMs;
 	return [
 		{phase: 'answered', answer, forgetAt},
-		[{type: 'send', message: answer}],
+		[
+			{type: 'send', message: answer},
+			...listEnds(record.call, {type: 'answered', answer}),
+		],
 	];
 }
 
@@ -240,10 +179,15 @@
 		return [record, []];
 	}
 
-	const message = createFailed(record.call.request, failure);
+	const {call, deadline} = record;
+	const message = createFailed(call.request, failure);
+	const more =
+		failure.outcome === 'not-run'
+			? listReleases(call)
+			: listEnds(call, {type: 'failed', failure});
 	return [
-		createFailedRecord(failure, record.deadline),
-		[{type: 'send', message}],
+		createFailedRecord(failure, deadline),
+		[{type: 'send', message}, ...more],
 	];
 }
 
@@ -252,7 +196,7 @@
 	request: RequestId,
 	now: Milliseconds,
 ): CallDecision {
-	if (!record || record.phase === 'queued') {
+	if (!record || record.phase === 'queued' || record.phase === 'claiming') {
 		const failure = createFailure('cancelled', 'Cancelled before it ran.', {
 			outcome: 'not-run',
 		});
@@ -261,6 +205,7 @@
 		];
 		if (record) {
 			commands.unshift({type: 'dequeue', request});
+			commands.push(...listReleases(record.call));
 		}
 
 		const deadline = record?.deadline ?? now + unknownCallMs;
@@ -315,51 +260,3 @@
 		}
 	}
 }
-
-function describeRecord(record: CallRecord, request: RequestId): Message {
-	switch (record.phase) {
-		case 'answered': {
-			return record.answer;
-		}
-
-		case 'failed': {
-			return createFailed(request, record.failure);
-		}
-
-		case 'acknowledged': {
-			const failure = createFailure(
-				'unknownRequest',
-				'The call has ended and its answer was acknowledged.',
-				{outcome: record.outcome},
-			);
-			return createFailed(request, failure);
-		}
-
-		default: {
-			return {type: 'callRunning', request};
-		}
-	}
-}
-
-function createFailedRecord(
-	failure: Failure,
-	deadline: Milliseconds,
-): CallRecord {
-	return {phase: 'failed', failure, forgetAt: deadline + retentionMs};
-}
-
-function createFailed(request: RequestId, failure: Failure): Message {
-	const {result, outcome, detail} = failure;
-	return {
-		type: 'failed',
-		request,
-		attempt: toAttempt(0),
-		result,
-		outcome,
-		detail,
-	};
-}
-
-function createCancelled(request: RequestId, outcome: Outcome): Message {
-	return {type: 'cancelled', request, outcome};
-}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -1,30 +1,32 @@
 /** The bramleystage library: state, coordination, protocol and transport. */
 export {
 	type AllowRetry,
-	cancelWaitMs,
 	createDispatch,
-	decideDispatch,
 	type DispatchCommand,
 	type DispatchDecision,
 	type DispatchEvent,
 	type DispatchPolicy,
 	type DispatchState,
-	reconnectWaitMs,
 	type Target,
 	toDispatchEvent,
+} from './coordination/call-dispatch-state.js';
+export {cancelWaitMs} from './coordination/call-dispatch-end.js';
+export {
+	decideDispatch,
+	reconnectWaitMs,
 	tombstoneTrustMs,
 } from './coordination/call-dispatch.js';
+export {decideCall} from './coordination/call-ledger.js';
 export {
 	type CallCommand,
 	type CallDecision,
 	type CallEvent,
 	type CallRecord,
-	decideCall,
 	isForgettable,
 	type LedgerContext,
 	retentionMs,
 	toCallEvent,
-} from './coordination/call-ledger.js';
+} from './coordination/call-record.js';
 export {
 	buildCandidateGroups,
 	type CandidateGroup,
@@ -35,6 +37,21 @@
 	selectCandidates,
 	type StageCandidate,
 } from './coordination/candidates.js';
+export {
+	type Claim,
+	ClaimBook,
+	type ClaimEnd,
+	type ClaimRecord,
+	claimRecordSchema,
+	claimStream,
+	type ClaimVerdict,
+	decideClaim,
+	formatClaimKey,
+	isClaimed,
+	isSameClaim,
+	keyLifetimeMs,
+	maxClaimedKeys,
+} from './coordination/claims.js';
 export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
 export {
 	type ConfirmFacts,
