--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -18,6 +18,7 @@
 	buildAnswer,
 	buildChunk,
 	buildUsageChunk,
+	formatAnswerId,
 	type ModelBody,
 	parseModelBody,
 } from './model-body.js';
@@ -58,7 +59,7 @@
 		: findProblem(context, parsed.value);
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
-		rejectRequest(options, context, body?.model ?? kind, rejected);
+		rejectRequest(options, context, body?.model ?? 'model', rejected);
 		return;
 	}
 
@@ -82,7 +83,7 @@
 	failure: Failure,
 ): void {
 	writeFailure(context.response, failure);
-	recordRejected(options, context, subject, failure);
+	options.audit.recordRejected(context, subject, failure);
 }
 
 function findProblem(
@@ -104,23 +105,6 @@
 	return undefined;
 }
 
-function recordRejected(
-	{audit}: ModelRouteOptions,
-	{request, customer}: RouteContext,
-	subject: string,
-	failure: Failure,
-): void {
-	audit.record({
-		request,
-		customer,
-		subject,
-		failure,
-		attempts: 0,
-		pipeline: '',
-		durationMs: 0,
-	});
-}
-
 function startRun(
 	options: ModelRouteOptions,
 	context: RouteContext,
@@ -130,7 +114,7 @@
 	const {request, customer, view, response, deadlineMs} = context;
 	const startedAt = options.readClock();
 	const writer = new AnswerWriter(response, {
-		id: request,
+		id: formatAnswerId(body.kind, request),
 		created: options.readCreated(),
 		body,
 	});
@@ -193,11 +177,12 @@
 	) {}
 
 	writeToken({text, finish, promptTokens}: Token): void {
-		this.#promptTokens = promptTokens ?? this.#promptTokens;
+		// Later tokens tell only what their own step read.
+		this.#promptTokens =
+			this.#tokens === 0 ? (promptTokens ?? 0) : this.#promptTokens;
 		this.#finish = finish ?? this.#finish;
 		if (this.head.body.stream) {
-			const isFirst = this.#tokens === 0;
-			this.#writeEvent(buildChunk(this.head, text, {isFirst, finish}));
+			this.#writeChunk(text);
 		} else {
 			this.#text += text;
 		}
@@ -221,6 +206,8 @@
 			return;
 		}
 
+		const reason = this.#finish;
+		this.#writeEvent(buildChunk(this.head, {type: 'finish', reason}));
 		if (this.head.body.includeUsage) {
 			this.#writeEvent(buildUsageChunk(this.head, usage));
 		}
@@ -228,6 +215,14 @@
 		this.response.end('data: [DONE]\n\n');
 	}
 
+	#writeChunk(text: string): void {
+		if (this.#tokens === 0 && this.head.body.kind === 'chat') {
+			this.#writeEvent(buildChunk(this.head, {type: 'role'}));
+		}
+
+		this.#writeEvent(buildChunk(this.head, {type: 'text', text}));
+	}
+
 	#writeEvent(event: Record<string, unknown>): void {
 		if (!this.response.headersSent) {
 			this.response.writeHead(200, {
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -115,6 +115,7 @@
 	type ModelRunEvent,
 	type ModelRunState,
 } from './coordination/model-run.js';
+export {type PeerHost, selectAgentPeers} from './coordination/peers.js';
 export {
 	choosePipeline,
 	createStages,
@@ -285,6 +286,7 @@
 } from './protocol/messages.js';
 export {createRandom, type Random} from './protocol/random.js';
 export {
+	buildErrorBody,
 	createFailure,
 	type Failure,
 	type Outcome,
