--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -9,6 +9,7 @@
 	decideRetry,
 	defaultHttpBounds,
 	type EntrySettings,
+	isClaimed,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
@@ -29,6 +30,7 @@
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
+import {chooseHome} from './home-choice.js';
 import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
 import {createRouter, chooseModelStages} from './model-routing.js';
@@ -155,7 +157,14 @@
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
+			isClaimed(call)
+				? chooseHome(network.hosts, call, excluding)
+				: router.chooseTarget(
+						network.hosts,
+						call.service,
+						excluding,
+						readClock(),
+					),
 		send,
 		policy: {
 			allowRetry,
