Admit by windows that follow each customer's own delays, add the overload bench

Cause: an entry took every request, so overload grew queues without bound. Change: each customer has a window of work in flight at each entry, which grows by weight while first tokens and gaps are in time and shrinks when they are not; past it a request is refused at once as not run, with Retry-After.

--- a/packages/bramleystage-bench/src/bench-fleet.ts
+++ b/packages/bramleystage-bench/src/bench-fleet.ts
@@ -69,3 +69,7 @@
 
 	return from === 'c' || to === 'c' ? farMs : nearMs;
 };
+
+/** Links as within one region: all data centres are near. */
+export const nearLinkTime: LinkTime = (from, to) =>
+	from === to ? ownMs : nearMs;
--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,5 +1,6 @@
 /** The benches by name. Each resolves with the figures of its last line. */
 import {limitsBench} from './limits-bench.js';
+import {runOverload} from './overload-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
 import {runThroughput} from './throughput-bench.js';
 
@@ -13,6 +14,10 @@
 
 export const benches: Readonly<Record<string, Bench>> = {
 	limits: limitsBench,
+	overload: {
+		describe: 'Goodput and delays at three times the bound',
+		run: runOverload,
+	},
 	recovery: {
 		describe: 'Time from a fault to the callers’ next token',
 		run: runRecoveryBench,
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -1,4 +1,10 @@
 /** The bramleystage library: state, coordination, protocol and transport. */
+export {
+	Admission,
+	type AdmissionRequest,
+	type AdmissionTargets,
+	defaultAdmissionTargets,
+} from './coordination/admission.js';
 export {
 	type AllowRetry,
 	createDispatch,
