Admit model requests at the entry before they are dispatched

Cause: the admission was exported, but the entry did not ask it. Change: a model request is admitted or refused at once (queueFull or deadlineUnreachable, not-run, Retry-After); its first token and gaps steer its customer's window. Two settings name the targets.

--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,4 +1,5 @@
 /** The benches by name. Each resolves with the figures of its last line. */
+import {runFairness} from './fairness-bench.js';
 import {limitsBench} from './limits-bench.js';
 import {runOverload} from './overload-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
@@ -13,6 +14,10 @@
 };
 
 export const benches: Readonly<Record<string, Bench>> = {
+	fairness: {
+		describe: 'Shares by weight under skewed and greedy demand',
+		run: runFairness,
+	},
 	limits: limitsBench,
 	overload: {
 		describe: 'Goodput and delays at three times the bound',
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -5,6 +5,7 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+	Admission,
 	createFailure,
 	createRetryBudget,
 	decideRetry,
@@ -57,6 +58,8 @@
 const leavingNoticeMs = 1000;
 const timeoutHeader = 'x-request-timeout-ms';
 
+const sweepIntervalMs = 10_000;
+
 const readClock = () => performance.now();
 
 /** Starts an entry; resolves when it listens. */
@@ -95,6 +98,13 @@
 		pool.close();
 	});
 	const router = createRouter(randomInt);
+	const admission = new Admission({
+		firstTokenMs: settings.firstTokenTargetMs,
+		gapMs: settings.tokenGapTargetMs,
+	});
+	lifeCycle.registerInterval(sweepIntervalMs, () => {
+		admission.sweep(readClock());
+	});
 	const network = new Network({
 		platform,
 		pool,
@@ -141,6 +151,7 @@
 	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
+		admission,
 		audit,
 		metrics,
 		readClock,
@@ -264,6 +275,7 @@
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
 			routing: router.describe(readClock()),
+			admission: admission.describe(),
 		}),
 	});
 	lifeCycle.register(async () => operators.close());
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -27,6 +27,7 @@
 	runModelRoute,
 } from './model-route.js';
 export {Network, type NetworkEvent} from './network.js';
+export {type AdmittedRequest, decideAdmission} from './model-admission.js';
 export {
 	createRouter,
 	measureRequest,
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -1,6 +1,7 @@
 /** `POST /v1/chat/completions` and `/v1/completions`. */
 import type {ServerResponse} from 'node:http';
 import {
+	type Admission,
 	createFailure,
 	type CustomerId,
 	type Failure,
@@ -19,12 +20,14 @@
 	type ModelBody,
 	parseModelBody,
 } from './model-body.js';
+import {type AdmittedRequest, decideAdmission} from './model-admission.js';
 import type {ModelDesk} from './model-desk.js';
 
 const msPerSecond = 1000;
 
 export type ModelRouteOptions = {
 	readonly desk: ModelDesk;
+	readonly admission: Admission;
 	readonly audit: Audit;
 	readonly metrics: EntryMetrics;
 	readonly readClock: () => number;
@@ -60,7 +63,19 @@
 		return;
 	}
 
-	startRun(options, context, body);
+	const admitted = decideAdmission(
+		options.admission,
+		context,
+		body,
+		options.readClock(),
+	);
+	if (admitted.isErr()) {
+		writeFailure(context.response, admitted.error);
+		recordRejected(options, context, body.model, admitted.error);
+		return;
+	}
+
+	startRun(options, context, body, admitted.value);
 }
 
 function findProblem(
@@ -103,6 +118,7 @@
 	options: ModelRouteOptions,
 	context: RouteContext,
 	body: ModelBody,
+	admitted: AdmittedRequest,
 ): void {
 	const {request, customer, view, response, deadlineMs} = context;
 	const startedAt = options.readClock();
@@ -124,9 +140,11 @@
 		deadlineMs,
 		giveToken(token) {
 			observe();
+			admitted.recordToken(options.readClock());
 			writer.writeToken(token);
 		},
 		finish(failure, {attempts, stages}) {
+			admitted.finish(options.readClock());
 			writer.finish(failure);
 			options.audit.record({
 				request,
--- /dev/null
+++ b/packages/bramleystage/src/coordination/__tests__/admission.test.ts
@@ -0,0 +1,101 @@
+import {describe, expect, it} from 'vitest';
+import {toCustomerId} from '../../protocol/ids.js';
+import {Admission, type AdmissionRequest} from '../admission.js';
+
+const createRequest = (
+	customer: string,
+	facts: Partial<AdmissionRequest> = {},
+): AdmissionRequest => ({
+	customer: toCustomerId(customer),
+	weight: 1,
+	work: 1000,
+	answerTokens: 20,
+	deadlineMs: 10_000,
+	...facts,
+});
+
+function countAdmitted(
+	admission: Admission,
+	request: AdmissionRequest,
+): number {
+	let count = 0;
+	while (admission.decide(request, 0).isOk()) {
+		count++;
+	}
+
+	return count;
+}
+
+const targets = {firstTokenMs: 400, gapMs: 40};
+
+describe('Admission', () => {
+	it('bounds the work in flight and refuses the rest as not run, with a time to retry', () => {
+		const admission = new Admission(targets);
+		const request = createRequest('a');
+		expect(countAdmitted(admission, request)).toBe(8);
+		const failure = admission.decide(request, 0)._unsafeUnwrapErr();
+		expect(failure.result).toBe('queueFull');
+		expect(failure.outcome).toBe('not-run');
+		expect(failure.retryAfterSeconds).toBeGreaterThan(0);
+		admission.finish(request, 0);
+		expect(admission.decide(request, 0).isOk()).toBe(true);
+	});
+
+	it('keeps a burst of one customer from the others', () => {
+		const admission = new Admission(targets);
+		countAdmitted(admission, createRequest('large'));
+		expect(admission.decide(createRequest('small'), 0).isOk()).toBe(true);
+	});
+
+	it('shrinks while first tokens are late and grows again when they are not', () => {
+		const admission = new Admission(targets);
+		const request = createRequest('a', {work: 500});
+		const before = countAdmitted(admission, request);
+		for (let now = 0; now < 5000; now += 250) {
+			admission.recordFirstToken(request, 900, now);
+		}
+
+		for (let index = 0; index < before; index++) {
+			admission.finish(request, 5000);
+		}
+
+		const late = countAdmitted(admission, request);
+		expect(late).toBeLessThan(before);
+		expect(late).toBeGreaterThan(0);
+		for (let index = 0; index < 500; index++) {
+			admission.recordFirstToken(request, 50, 6000);
+		}
+
+		for (let index = 0; index < late; index++) {
+			admission.finish(request, 6000);
+		}
+
+		expect(countAdmitted(admission, request)).toBeGreaterThan(late);
+	});
+
+	it('refuses early what cannot meet its deadline, and lets one in to measure', () => {
+		const admission = new Admission(targets);
+		const request = createRequest('a', {work: 100, deadlineMs: 300});
+		expect(admission.decide(request, 0).isOk()).toBe(true);
+		for (let index = 0; index < 20; index++) {
+			admission.recordFirstToken(request, 390, 0);
+		}
+
+		const failure = admission.decide(request, 0)._unsafeUnwrapErr();
+		expect(failure.result).toBe('deadlineUnreachable');
+		expect(failure.outcome).toBe('not-run');
+		admission.finish(request, 0);
+		expect(admission.decide(request, 0).isOk()).toBe(true);
+	});
+
+	it('forgets customers that are idle', () => {
+		const admission = new Admission(targets);
+		const request = createRequest('a');
+		admission.decide(request, 0);
+		admission.sweep(100_000);
+		expect(admission.size).toBe(1);
+		admission.finish(request, 100_000);
+		admission.sweep(200_000);
+		expect(admission.size).toBe(0);
+	});
+});
--- a/packages/bramleystage/src/coordination/admission.ts
+++ b/packages/bramleystage/src/coordination/admission.ts
@@ -47,8 +47,8 @@
 };
 
 /** Window of a customer that nothing is known of, in tokens. */
-const firstWindow = 4000;
-const leastWindow = 200;
+const firstWindow = 8000;
+const leastWindow = 1000;
 const largestWindow = 10_000_000;
 /** Growth for each window of work that ended well, in tokens for each weight. */
 const growth = 300;
@@ -197,7 +197,8 @@
 }
 
 function updateWindow(known: CustomerWindow, now: Milliseconds): void {
-	if (now - known.shrunkAt >= shrinkIntervalMs) {
+	const isUsed = known.inFlight * 2 > known.window;
+	if (isUsed && now - known.shrunkAt >= shrinkIntervalMs) {
 		known.window = Math.max(leastWindow, known.window * shrinkFactor);
 		known.shrunkAt = now;
 	}
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -69,6 +69,16 @@
 		schema: durationMs.default(120_000),
 		description: 'Deadline of a request that names none, in milliseconds',
 	},
+	firstTokenTargetMs: {
+		schema: durationMs.default(450),
+		description:
+			'Time to the first token above which a customer’s work in flight is cut, in milliseconds',
+	},
+	tokenGapTargetMs: {
+		schema: durationMs.default(40),
+		description:
+			'Time between tokens above which a customer’s work in flight is cut, in milliseconds',
+	},
 	maxBodyBytes: {
 		schema: z.coerce.number().int().positive().max(1e8).default(4_194_304),
 		description: "Largest body of a caller's request, in bytes",
