--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,5 +1,6 @@
 /** The benches by name. Each resolves with the figures of its last line. */
 import {runFairness} from './fairness-bench.js';
+import {tableBench} from './table-bench.js';
 import {limitsBench} from './limits-bench.js';
 import {runOverload} from './overload-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
@@ -18,6 +19,7 @@
 		describe: 'Shares by weight under skewed and greedy demand',
 		run: runFairness,
 	},
+	table: tableBench,
 	limits: limitsBench,
 	overload: {
 		describe: 'Goodput and delays at three times the bound',
--- a/packages/bramleystage-entry/src/entry-table.ts
+++ b/packages/bramleystage-entry/src/entry-table.ts
@@ -77,7 +77,10 @@
 		registerGauges(metrics) {
 			registerTableGauges(follower, metrics);
 		},
-		describe: () => describeTable(follower),
+		describe: () => ({
+			...follower.summary,
+			tableRows: Object.fromEntries(follower.table.value.rows),
+		}),
 	};
 }
 
@@ -99,15 +102,3 @@
 		() => Number(follower.isStale),
 	);
 }
-
-function describeTable(follower: TableFollower): Record<string, unknown> {
-	const {next, rows, skipped} = follower.table.value;
-	return {
-		tableOffset: next,
-		tableSkipped: skipped,
-		tableStale: follower.isStale,
-		/** Offsets of the agents as they last told them. */
-		tablePeers: follower.peerOffsets,
-		tableRows: Object.fromEntries(rows),
-	};
-}
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -3,51 +3,46 @@
  * requests and service calls to their desks.
  */
 import {randomInt, randomUUID} from 'node:crypto';
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	Admission,
-	createFailure,
+	computeBackoff,
 	createRetryBudget,
 	decideRetry,
-	defaultHttpBounds,
 	type EntrySettings,
-	type Failure,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
 	type Logger,
 	PlatformClient,
 	protocolVersion,
-	readBody,
 	recordRequest,
 	SessionPool,
+	type TableSnapshot,
 	toIncarnation,
-	toRequestId,
 	waitFor,
-	writeJson,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
-import {writeFailure} from './answers.js';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
-import {findCustomer} from './authentication.js';
+import {createCallerHandler, selectBounds} from './caller-port.js';
+import {EntryLimits} from './entry-limits.js';
+import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
-import {
-	type ModelRouteOptions,
-	type RouteContext,
-	runModelRoute,
-} from './model-route.js';
+import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
 import {createRouter, chooseModelStages} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
-import {runServiceRoute} from './service-route.js';
 import {startTable} from './entry-table.js';
 
 export type RunningEntry = {
 	/** Address of the callers' port. */
 	readonly address: string;
+	/** Address at which other entries open sessions. */
+	readonly sessionAddress: string;
 	readonly operatorAddress: string;
 	/** A record of each request as it ends. */
 	readonly records: Observable<RequestRecord>;
+	/** The table as this entry has it. */
+	readonly tables: Observable<TableSnapshot>;
 	/** Takes no new request, lets those in flight end, then stops. */
 	readonly drain: () => Promise<void>;
 	/** Ends at once. */
@@ -56,7 +51,6 @@
 
 /** How long the ready check fails before new connections are refused. */
 const leavingNoticeMs = 1000;
-const timeoutHeader = 'x-request-timeout-ms';
 
 const sweepIntervalMs = 10_000;
 
@@ -74,7 +68,6 @@
 	const platform = new PlatformClient(settings.platform);
 	const metrics = new EntryMetrics();
 	const audit = new Audit(logger, metrics);
-	const bounds = {...defaultHttpBounds, maxBodyBytes: settings.maxBodyBytes};
 	let leaving = false;
 	let budget = createRetryBudget();
 
@@ -85,13 +78,14 @@
 		logger,
 		readClock,
 	});
+	const timing = {
+		heartbeatMs: settings.heartbeatMs,
+		silenceMs: settings.silenceMs,
+		handshakeMs: settings.silenceMs,
+	};
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
-		timing: {
-			heartbeatMs: settings.heartbeatMs,
-			silenceMs: settings.silenceMs,
-			handshakeMs: settings.silenceMs,
-		},
+		timing,
 		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
 	});
 	lifeCycle.register(() => {
@@ -110,11 +104,30 @@
 		pool,
 		lifeCycle,
 		readClock,
+		self: host,
+		maxAgentSessions: settings.maxAgentSessions,
 		onReport(reported) {
 			router.recordReport(reported, readClock());
 		},
 	});
 	pool.events.subscribe(tableParts.receive);
+	const peers = new EntryPeers({
+		listen: settings.sessionListen,
+		identity: {...identity, version: protocolVersion, deployment},
+		timing,
+		isLeaving: () => leaving,
+		lifeCycle,
+	});
+	const limits = new EntryLimits({
+		self: {host, incarnation},
+		platform,
+		peers,
+		lifeCycle,
+		logger,
+		readView: () => follower.table.value.view,
+		readListed: () => network.hosts.listed,
+		readClock,
+	});
 
 	const allowRetry = () => {
 		const [next, isAllowed] = decideRetry(budget);
@@ -141,7 +154,10 @@
 		choose: ({call}, excluding) =>
 			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
 		send,
-		allowRetry,
+		policy: {
+			allowRetry,
+			computeBackoff: (attempts) => computeBackoff(attempts, Math.random),
+		},
 		readClock,
 	});
 	network.events.subscribe((event) => {
@@ -155,96 +171,41 @@
 		audit,
 		metrics,
 		readClock,
+		limits,
 		readCreated: () => Math.floor(Date.now() / 1000),
 	};
 
-	const handle = async (message: IncomingMessage, response: ServerResponse) => {
-		const url = message.url ?? '/';
-		if (url === '/healthz' || url === '/readyz') {
-			const isOk = url === '/healthz' || isReady();
-			writeJson(response, isOk ? 200 : 503, {ok: isOk});
-			return;
-		}
-
-		const request = toRequestId(randomUUID());
-		response.setHeader('x-request-id', request);
-		const {view} = follower.table.value;
-		const customer = findCustomer(message.headers.authorization, view);
-		if (customer.isErr()) {
-			rejectMessage(message, response, customer.error);
-			return;
-		}
-
-		if (leaving) {
-			const failure = createFailure('stopping', 'The entry is stopping.', {
-				retryAfterSeconds: 1,
-			});
-			rejectMessage(message, response, failure);
-			return;
-		}
-
-		const stale = tableParts.findStaleness();
-		if (stale) {
-			rejectMessage(message, response, stale);
-			return;
-		}
-
-		const body = await readBody(message, bounds);
-		if (body.isErr()) {
-			rejectMessage(message, response, body.error);
-			return;
-		}
-
-		budget = recordRequest(budget);
-		const context: RouteContext = {
-			request,
-			customer: customer.value,
-			view,
-			deadlineMs: parseTimeout(message, settings.requestTimeoutMs),
-			response,
-		};
-		routeMessage(message, context, body.value);
-	};
-
-	const routeMessage = (
-		message: IncomingMessage,
-		context: RouteContext,
-		body: Buffer,
-	) => {
-		const {response, view} = context;
-		const [path = ''] = (message.url ?? '/').split('?');
-		if (path.startsWith('/v1/services/')) {
-			runServiceRoute(
-				{desk: services, audit, readClock},
-				context,
-				message,
-				body,
-			);
-			return;
-		}
-
-		const method = pathMethods.get(path);
-		if (method === undefined) {
-			writeFailure(response, createFailure('unknownPath', `No path ${path}.`));
-		} else if (method !== message.method) {
-			const failure = createFailure('methodNotAllowed', `Use ${method}.`);
-			writeFailure(response, failure);
-		} else if (path === '/v1/models') {
-			const data = [...view.models.keys()].map((id) => ({
-				id,
-				object: 'model',
-				created: 0,
-				owned_by: deployment,
-			}));
-			writeJson(response, 200, {object: 'list', data});
-		} else {
-			const kind = path === '/v1/completions' ? 'completion' : 'chat';
-			runModelRoute(modelRoute, context, kind, body.toString());
-		}
-	};
+	const handle = createCallerHandler({
+		settings,
+		logger,
+		audit,
+		isReady,
+		readArrivalContext: () => ({
+			view: follower.table.value.view,
+			leaving,
+			stale: tableParts.findStaleness(),
+		}),
+		recordRequest() {
+			budget = recordRequest(budget);
+		},
+		models: modelRoute,
+		services: {desk: services, audit, readClock, limits},
+	});
 
+	await peers.start();
+	const updatingPeers = network.listed.subscribe((listed) => {
+		peers.update(listed);
+	});
+	lifeCycle.register(() => {
+		updatingPeers.unsubscribe();
+	});
 	await network.refresh();
-	const listener = await listenHttp(settings.listen, handle, bounds);
+	limits.start();
+	const listener = await listenHttp(
+		settings.listen,
+		handle,
+		selectBounds(settings),
+	);
 	lifeCycle.register(async () => listener.close());
 	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
@@ -276,6 +237,7 @@
 			retryBudget: budget,
 			routing: router.describe(readClock()),
 			admission: admission.describe(),
+			limits: limits.describe(),
 		}),
 	});
 	lifeCycle.register(async () => operators.close());
@@ -283,13 +245,16 @@
 
 	return {
 		address: listener.address,
+		sessionAddress: peers.address,
 		operatorAddress: operators.address,
 		records: audit.records.asObservable(),
+		tables: follower.table.asObservable(),
 		async drain() {
 			leaving = true;
 			logger.info('entry.leaving');
 			await waitFor(leavingNoticeMs);
 			await listener.drain();
+			limits.retire();
 			await lifeCycle.stop();
 			logger.info('entry.stopped');
 		},
@@ -298,27 +263,3 @@
 		},
 	};
 }
-
-const pathMethods = new Map([
-	['/v1/models', 'GET'],
-	['/v1/chat/completions', 'POST'],
-	['/v1/completions', 'POST'],
-]);
-
-/** Answers a request that is not taken; the rest of its body is not read. */
-function rejectMessage(
-	message: IncomingMessage,
-	response: ServerResponse,
-	failure: Failure,
-): void {
-	if (!message.complete) {
-		response.setHeader('connection', 'close');
-	}
-
-	writeFailure(response, failure);
-}
-
-function parseTimeout(message: IncomingMessage, longestMs: number): number {
-	const asked = Number(message.headers[timeoutHeader] ?? longestMs);
-	return asked > 0 ? Math.min(asked, longestMs) : longestMs;
-}
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry process that takes callers' requests. */
-export {buildErrorBody, writeFailure} from './answers.js';
+export {registerCallerGone, writeFailure} from './answers.js';
+export {type Arrival, type ArrivalContext, checkArrival} from './arrival.js';
 export {
 	Audit,
 	EntryMetrics,
@@ -7,6 +8,25 @@
 	type RequestRecord,
 } from './audit.js';
 export {computeKeyDigest, findCustomer} from './authentication.js';
+export {type CallerPortOptions, createCallerHandler} from './caller-port.js';
+export {
+	type AcquirePermits,
+	EntryLimits,
+	type EntryLimitsOptions,
+	findLimit,
+	type LimitedWork,
+	type ReleasePermits,
+} from './entry-limits.js';
+export {
+	EntryPeers,
+	type EntryPeersOptions,
+	type PeerMessage,
+} from './entry-peers.js';
+export {
+	type EntryTable,
+	type EntryTableOptions,
+	startTable,
+} from './entry-table.js';
 export {type RunningEntry, startEntry} from './entry.js';
 export {selectAnswerHeaders, selectRequestHeaders} from './headers.js';
 export {
@@ -15,6 +35,8 @@
 	buildChunk,
 	buildUsageChunk,
 	type ChatMessages,
+	type ChunkPart,
+	formatAnswerId,
 	formatChatPrompt,
 	type ModelBody,
 	parseModelBody,
@@ -26,14 +48,18 @@
 	type RouteContext,
 	runModelRoute,
 } from './model-route.js';
-export {Network, type NetworkEvent} from './network.js';
 export {type AdmittedRequest, decideAdmission} from './model-admission.js';
 export {
+	chooseModelStages,
 	createRouter,
 	measureRequest,
-	chooseModelStages,
+	type ModelChoice,
 } from './model-routing.js';
-export {type RouteRequest, Router, type RouterOptions} from './routing.js';
+export {Network, type NetworkEvent} from './network.js';
+export {rejectMessage} from './rejection.js';
+export {parseTimeout, timeoutHeader} from './request-timeout.js';
+export {checkRoute} from './route-check.js';
+export {Router, type RouteRequest, type RouterOptions} from './routing.js';
 export {
 	type ChooseTarget,
 	ServiceDesk,
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -3,6 +3,7 @@
 import {
 	type Admission,
 	createFailure,
+	computePromptCost,
 	type CustomerId,
 	type Failure,
 	type RequestId,
@@ -10,13 +11,15 @@
 	type Token,
 	writeJson,
 } from 'bramleystage';
-import {writeFailure} from './answers.js';
+import {registerCallerGone, writeFailure} from './answers.js';
 import {type Audit, type EntryMetrics, formatPipeline} from './audit.js';
+import type {AcquirePermits, ReleasePermits} from './entry-limits.js';
 import {
 	type AnswerHead,
 	buildAnswer,
 	buildChunk,
 	buildUsageChunk,
+	formatAnswerId,
 	type ModelBody,
 	parseModelBody,
 } from './model-body.js';
@@ -31,6 +34,7 @@
 	readonly audit: Audit;
 	readonly metrics: EntryMetrics;
 	readonly readClock: () => number;
+	readonly limits: AcquirePermits;
 	/** Seconds since 1970, for the `created` field alone. */
 	readonly readCreated: () => number;
 };
@@ -45,12 +49,12 @@
 };
 
 /** Runs one model request to its end. */
-export function runModelRoute(
+export async function runModelRoute(
 	options: ModelRouteOptions,
 	context: RouteContext,
 	kind: ModelBody['kind'],
 	text: string,
-): void {
+): Promise<void> {
 	const parsed = parseModelBody(kind, text);
 	const body = parsed.unwrapOr(undefined);
 	const failure = parsed.isErr()
@@ -58,24 +62,41 @@
 		: findProblem(context, parsed.value);
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
-		writeFailure(context.response, rejected);
-		recordRejected(options, context, body?.model ?? kind, rejected);
+		rejectRequest(options, context, body?.model ?? 'model', rejected);
 		return;
 	}
 
-	const admitted = decideAdmission(
-		options.admission,
-		context,
-		body,
-		options.readClock(),
-	);
-	if (admitted.isErr()) {
-		writeFailure(context.response, admitted.error);
-		recordRejected(options, context, body.model, admitted.error);
+	const permits = await options.limits.acquire({
+		customer: context.customer,
+		subject: {kind: 'model', name: body.model},
+		tokens: computePromptCost(body.prompt) + body.maxTokens,
+	});
+	if (permits.isErr()) {
+		rejectRequest(options, context, body.model, permits.error);
 		return;
 	}
 
-	startRun(options, context, body, admitted.value);
+	const release = permits.value;
+	const now = options.readClock();
+	decideAdmission(options.admission, context, body, now).match(
+		(admitted) => {
+			startRun(options, context, body, {...admitted, release});
+		},
+		(failure) => {
+			release();
+			rejectRequest(options, context, body.model, failure);
+		},
+	);
+}
+
+function rejectRequest(
+	options: ModelRouteOptions,
+	context: RouteContext,
+	subject: string,
+	failure: Failure,
+): void {
+	writeFailure(context.response, failure);
+	options.audit.recordRejected(context, subject, failure);
 }
 
 function findProblem(
@@ -97,40 +118,20 @@
 	return undefined;
 }
 
-function recordRejected(
-	{audit}: ModelRouteOptions,
-	{request, customer}: RouteContext,
-	subject: string,
-	failure: Failure,
-): void {
-	audit.record({
-		request,
-		customer,
-		subject,
-		failure,
-		attempts: 0,
-		pipeline: '',
-		durationMs: 0,
-	});
-}
-
 function startRun(
 	options: ModelRouteOptions,
 	context: RouteContext,
 	body: ModelBody,
-	admitted: AdmittedRequest,
+	admitted: AdmittedRequest & {readonly release: ReleasePermits},
 ): void {
 	const {request, customer, view, response, deadlineMs} = context;
 	const startedAt = options.readClock();
 	const writer = new AnswerWriter(response, {
-		id: request,
+		id: formatAnswerId(body.kind, request),
 		created: options.readCreated(),
 		body,
 	});
 	const observe = createTokenObserver(options, body.model, startedAt);
-	response.once('close', () => {
-		options.desk.handle(request, {type: 'callerGone'});
-	});
 	options.desk.start({
 		request,
 		customer,
@@ -145,6 +146,7 @@
 		},
 		finish(failure, {attempts, stages}) {
 			admitted.finish(options.readClock());
+			admitted.release();
 			writer.finish(failure);
 			options.audit.record({
 				request,
@@ -157,6 +159,9 @@
 			});
 		},
 	});
+	registerCallerGone(response, () => {
+		options.desk.handle(request, {type: 'callerGone'});
+	});
 }
 
 function createTokenObserver(
@@ -187,11 +192,12 @@
 	) {}
 
 	writeToken({text, finish, promptTokens}: Token): void {
-		this.#promptTokens = promptTokens ?? this.#promptTokens;
+		// Later tokens tell only what their own step read.
+		this.#promptTokens =
+			this.#tokens === 0 ? (promptTokens ?? 0) : this.#promptTokens;
 		this.#finish = finish ?? this.#finish;
 		if (this.head.body.stream) {
-			const isFirst = this.#tokens === 0;
-			this.#writeEvent(buildChunk(this.head, text, {isFirst, finish}));
+			this.#writeChunk(text);
 		} else {
 			this.#text += text;
 		}
@@ -215,6 +221,8 @@
 			return;
 		}
 
+		const reason = this.#finish;
+		this.#writeEvent(buildChunk(this.head, {type: 'finish', reason}));
 		if (this.head.body.includeUsage) {
 			this.#writeEvent(buildUsageChunk(this.head, usage));
 		}
@@ -222,6 +230,14 @@
 		this.response.end('data: [DONE]\n\n');
 	}
 
+	#writeChunk(text: string): void {
+		if (this.#tokens === 0 && this.head.body.kind === 'chat') {
+			this.#writeEvent(buildChunk(this.head, {type: 'role'}));
+		}
+
+		this.#writeEvent(buildChunk(this.head, {type: 'text', text}));
+	}
+
 	#writeEvent(event: Record<string, unknown>): void {
 		if (!this.response.headersSent) {
 			this.response.writeHead(200, {
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -7,13 +7,18 @@
 } from './coordination/admission.js';
 export {
 	type AllowRetry,
+	cancelWaitMs,
 	createDispatch,
 	decideDispatch,
 	type DispatchCommand,
 	type DispatchDecision,
 	type DispatchEvent,
+	type DispatchPolicy,
 	type DispatchState,
+	reconnectWaitMs,
 	type Target,
+	toDispatchEvent,
+	tombstoneTrustMs,
 } from './coordination/call-dispatch.js';
 export {
 	type CallCommand,
@@ -21,7 +26,10 @@
 	type CallEvent,
 	type CallRecord,
 	decideCall,
+	isForgettable,
 	type LedgerContext,
+	retentionMs,
+	toCallEvent,
 } from './coordination/call-ledger.js';
 export {
 	buildCandidateGroups,
@@ -65,12 +73,15 @@
 	computePart,
 	computeUsablePart,
 	createLimitMembers,
+	createLimitSnapshot,
 	findConfirmedEpoch,
 	foldLimitRecord,
+	foldLimitRecords,
 	type Limit,
 	type LimitMember,
 	type LimitMembers,
 	listOwners,
+	type LogRecord,
 	maxOwners,
 	type MemberList,
 } from './coordination/limit-members.js';
@@ -93,6 +104,7 @@
 	type ModelRunEvent,
 	type ModelRunState,
 } from './coordination/model-run.js';
+export {type PeerHost, selectAgentPeers} from './coordination/peers.js';
 export {
 	choosePipeline,
 	createStages,
@@ -108,11 +120,17 @@
 export {RateMeter} from './coordination/rate-meter.js';
 export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
+	computeBackoff,
 	createRetryBudget,
 	decideRetry,
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
+export {
+	isCurrentSession,
+	type SessionFence,
+	updateFence,
+} from './coordination/session-fence.js';
 export {
 	computeStageWork,
 	createRouteCosts,
@@ -196,6 +214,8 @@
 	limitKindSchema,
 	type LimitRecord,
 	limitRecordSchema,
+	type LimitSnapshot,
+	limitSnapshotSchema,
 	type PermitAnswer,
 	permitAnswerSchema,
 	type PermitAsk,
@@ -255,6 +275,7 @@
 } from './protocol/messages.js';
 export {createRandom, type Random} from './protocol/random.js';
 export {
+	buildErrorBody,
 	createFailure,
 	type Failure,
 	type Outcome,
@@ -315,6 +336,13 @@
 	snapshotRowSchema,
 } from './protocol/table-snapshot-schema.js';
 export {type BucketChange, BucketMap} from './state/bucket-map.js';
+export {
+	createEditProgress,
+	decideEdit,
+	type EditCommand,
+	type EditEvent,
+	type EditProgress,
+} from './state/edit-progress.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -338,8 +366,8 @@
 	type TablePeer,
 } from './state/table-contact.js';
 export {
-	type CollectedParts,
 	addSnapshotPart,
+	type CollectedParts,
 	computeTableDigest,
 	createSnapshotParts,
 	listSnapshotRows,
@@ -441,12 +469,14 @@
 export {
 	TableFollower,
 	type TableFollowerOptions,
+	type TableSummary,
 } from './transport/table-follower.js';
 export {
 	TableLogReader,
 	type TableLogReaderOptions,
 	tableStream,
 } from './transport/table-log-reader.js';
+export {publishEdit, type PublishOptions} from './transport/table-publisher.js';
 export {TableSharing} from './transport/table-sharing.js';
 export {
 	type SnapshotTiming,
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -65,6 +65,14 @@
 		schema: address.default('127.0.0.1:0'),
 		description: "Address of the callers' HTTP port, host:port",
 	},
+	sessionListen: {
+		schema: address.default('127.0.0.1:0'),
+		description: 'Address for sessions of other entries, host:port',
+	},
+	maxAgentSessions: {
+		schema: z.coerce.number().int().positive().max(10_000).default(256),
+		description: 'Most agents that the entry keeps sessions to',
+	},
 	requestTimeoutMs: {
 		schema: durationMs.default(120_000),
 		description: 'Deadline of a request that names none, in milliseconds',
@@ -83,6 +91,11 @@
 		schema: z.coerce.number().int().positive().max(1e8).default(4_194_304),
 		description: "Largest body of a caller's request, in bytes",
 	},
+	bodyTimeoutMs: {
+		schema: durationMs.default(15_000),
+		description:
+			"A caller's headers and body must each arrive within this time, in milliseconds",
+	},
 	snapshotIntervalMs: {
 		schema: durationMs.default(600_000),
 		description:
