--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,7 +1,9 @@
 /** The benches by name. Each resolves with the figures of its last line. */
+import {runFairness} from './fairness-bench.js';
 import {tableBench} from './table-bench.js';
 import {limitsBench} from './limits-bench.js';
 import {overheadBench} from './overhead-bench.js';
+import {runOverload} from './overload-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
 import {runThroughput} from './throughput-bench.js';
 
@@ -14,9 +16,17 @@
 };
 
 export const benches: Readonly<Record<string, Bench>> = {
+	fairness: {
+		describe: 'Shares by weight under skewed and greedy demand',
+		run: runFairness,
+	},
 	table: tableBench,
 	limits: limitsBench,
 	overhead: overheadBench,
+	overload: {
+		describe: 'Goodput and delays at three times the bound',
+		run: runOverload,
+	},
 	recovery: {
 		describe: 'Time from a fault to the callers’ next token',
 		run: runRecoveryBench,
--- a/packages/bramleystage-bench/src/capacity-state.ts
+++ b/packages/bramleystage-bench/src/capacity-state.ts
@@ -1,6 +1,7 @@
 /** Bytes that each kind of state takes in the heap, at three sizes. */
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
+import process from 'node:process';
 import {
 	type ConnectedHost,
 	createHosts,
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -4,6 +4,7 @@
  */
 import {randomInt, randomUUID} from 'node:crypto';
 import {
+	Admission,
 	computeBackoff,
 	createRetryBudget,
 	decideRetry,
@@ -56,6 +57,8 @@
 /** How long the ready check fails before new connections are refused. */
 const leavingNoticeMs = 1000;
 
+const sweepIntervalMs = 10_000;
+
 const readClock = () => performance.now();
 
 /** Starts an entry; resolves when it listens. */
@@ -103,6 +106,13 @@
 		pool.close();
 	});
 	const router = createRouter(randomInt);
+	const admission = new Admission({
+		firstTokenMs: settings.firstTokenTargetMs,
+		gapMs: settings.tokenGapTargetMs,
+	});
+	lifeCycle.registerInterval(sweepIntervalMs, () => {
+		admission.sweep(readClock());
+	});
 	const network = new Network({
 		platform,
 		pool,
@@ -179,6 +189,7 @@
 	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
+		admission,
 		audit,
 		metrics,
 		readClock,
@@ -242,6 +253,7 @@
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
 			routing: router.describe(readClock()),
+			admission: admission.describe(),
 			limits: limits.describe(),
 		}),
 	});
