Keep the newest life of a host and start a joining one slowly

Cause: any late heartbeat could bring back a replaced or leaving incarnation, a host dropped by the lagging list lost its session with work in flight, and a joining host took its whole share at once. Calls of plain services weigh their load by it; pipelines do not use it yet.

--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -3,20 +3,21 @@
  * sessions to agents, and folds what the sessions say into the hosts snapshot.
  */
 import {
+	applyHeartbeat,
 	applyHostList,
+	applySessionLost,
 	type ConnectedHost,
 	createHosts,
 	type Heartbeat,
 	type HostId,
 	type HostsSnapshot,
 	type LifeCycle,
+	listSessionAddresses,
 	type ListedHost,
 	type Message,
 	type PlatformClient,
-	removeConnectedHost,
 	type Session,
 	type SessionPool,
-	updateConnectedHost,
 } from 'bramleystage';
 import {Subject} from 'rxjs';
 
@@ -72,7 +73,9 @@
 		}
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
-		this.options.pool.update(listAgentAddresses(listed.value));
+		this.options.pool.update(
+			listSessionAddresses(this.#hosts, listAgentAddresses(listed.value)),
+		);
 		this.listed.next(listed.value);
 	}
 
@@ -98,19 +101,18 @@
 	#update(session: Session, address: string, heartbeat: Heartbeat): void {
 		const {host, dataCentre, incarnation} = session.peer;
 		const known = this.#hosts.connected.get(host);
+		const now = this.options.readClock();
+		this.#hosts = applyHeartbeat(
+			this.#hosts,
+			{host, address, dataCentre, incarnation, now},
+			heartbeat,
+		);
+		const connected = this.#hosts.connected.get(host);
+		if (connected?.incarnation !== incarnation) {
+			return;
+		}
+
 		const isNew = known?.incarnation !== incarnation;
-		const connected: ConnectedHost = {
-			host,
-			address,
-			dataCentre,
-			incarnation,
-			leaving: heartbeat.leaving,
-			offers: heartbeat.offers ?? known?.offers ?? [],
-			load: heartbeat.load ?? known?.load ?? {queued: 0, running: 0, rate: 0},
-			reportedAt: this.options.readClock(),
-			roundTripMs: 0,
-		};
-		this.#hosts = updateConnectedHost(this.#hosts, connected);
 		this.options.onReport?.(connected);
 		if (isNew) {
 			this.events.next({type: 'opened', host: connected});
@@ -120,7 +122,12 @@
 	#forget(session: Session): void {
 		const {host, incarnation} = session.peer;
 		const known = this.#hosts.connected.get(host);
-		this.#hosts = removeConnectedHost(this.#hosts, host, incarnation);
+		this.#hosts = applySessionLost(
+			this.#hosts,
+			host,
+			incarnation,
+			this.options.readClock(),
+		);
 		if (known?.incarnation === incarnation) {
 			this.events.next({type: 'lost', host: known});
 		}
--- a/packages/bramleystage-entry/src/routing.ts
+++ b/packages/bramleystage-entry/src/routing.ts
@@ -136,8 +136,8 @@
 					(offer) => offer.kind === 'service' && offer.service === service,
 				),
 		);
-		const measureLoad = ({host}: ConnectedHost) =>
-			this.loads.estimate(host, 1, now).backlog;
+		const measureLoad = ({host, share = 1}: ConnectedHost) =>
+			(1 + this.loads.estimate(host, 1, now).backlog) / share;
 		const offset = this.options.drawIndex(Math.max(1, candidates.length));
 		const [least] = [
 			...candidates.slice(offset),
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -327,9 +327,22 @@
 	type EditProgress,
 } from './state/edit-progress.js';
 export {
+	computeShare,
+	firstShare,
+	type HostPast,
+	type HostPasts,
+	listSessionAddresses,
+	recordHeartbeat,
+	recordSessionLost,
+	slowStartMs,
+} from './state/host-membership.js';
+export {
+	applyHeartbeat,
 	applyHostList,
+	applySessionLost,
 	type ConnectedHost,
 	createHosts,
+	type HeartbeatContext,
 	type HostsSnapshot,
 	listAvailableHosts,
 	type ListedHost,
