--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -76,7 +76,7 @@
 	let leaving = false;
 	let offers: Offer[] = [];
 
-	const schedulers = createSchedulers(settings);
+	const schedulers = createSchedulers(settings, () => offers);
 	const describeLoad = (): LoadReport =>
 		(settings.engine ? schedulers.steps : schedulers.calls).describeLoad(
 			readClock(),
@@ -174,11 +174,7 @@
 	const receive = (message: Message, entry: EntryKey | undefined) => {
 		switch (message.type) {
 			case 'call': {
-				calls?.handle(
-					message.request,
-					{type: 'received', call: message},
-					entry,
-				);
+				calls?.receive(message, entry);
 				break;
 			}
 
@@ -210,13 +206,13 @@
 
 			case 'cancel': {
 				const {request} = message;
-				calls?.handle(request, {type: 'cancelled', request}, entry);
+				calls?.receive(message, entry);
 				stages?.handle(request, {type: 'cancelled', message}, entry);
 				break;
 			}
 
 			case 'acknowledge': {
-				calls?.handle(message.request, {type: 'acknowledged'});
+				calls?.receive(message, entry);
 				break;
 			}
 
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -3,46 +3,33 @@
  * requests and service calls to their desks.
  */
 import {randomInt, randomUUID} from 'node:crypto';
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	createFailure,
+	computeBackoff,
 	createRetryBudget,
 	decideRetry,
-	defaultHttpBounds,
 	type EntrySettings,
-	type Failure,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
 	type Logger,
 	PlatformClient,
 	protocolVersion,
-	readBody,
 	recordRequest,
 	SessionPool,
 	type TableSnapshot,
 	toIncarnation,
-	toRequestId,
 	waitFor,
-	writeJson,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
-import {writeFailure} from './answers.js';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
-import {findCustomer} from './authentication.js';
-import {createCallerHandler} from './caller-port.js';
+import {createCallerHandler, selectBounds} from './caller-port.js';
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
-import {
-	type ModelRouteOptions,
-	type RouteContext,
-	runModelRoute,
-} from './model-route.js';
+import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
 import {createRouter, chooseModelStages} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
-import {runServiceRoute} from './service-route.js';
 import {startTable} from './entry-table.js';
 
 export type RunningEntry = {
@@ -78,7 +65,6 @@
 	const platform = new PlatformClient(settings.platform);
 	const metrics = new EntryMetrics();
 	const audit = new Audit(logger, metrics);
-	const bounds = {...defaultHttpBounds, maxBodyBytes: settings.maxBodyBytes};
 	let leaving = false;
 	let budget = createRetryBudget();
 
@@ -108,6 +94,8 @@
 		pool,
 		lifeCycle,
 		readClock,
+		self: host,
+		maxAgentSessions: settings.maxAgentSessions,
 		onReport(reported) {
 			router.recordReport(reported, readClock());
 		},
@@ -156,7 +144,10 @@
 		choose: ({call}, excluding) =>
 			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
 		send,
-		allowRetry,
+		policy: {
+			allowRetry,
+			computeBackoff: (attempts) => computeBackoff(attempts, Math.random),
+		},
 		readClock,
 	});
 	network.events.subscribe((event) => {
@@ -175,10 +166,14 @@
 
 	const handle = createCallerHandler({
 		settings,
+		logger,
+		audit,
 		isReady,
-		isLeaving: () => leaving,
-		findStaleness: tableParts.findStaleness,
-		readView: () => follower.table.value.view,
+		readArrivalContext: () => ({
+			view: follower.table.value.view,
+			leaving,
+			stale: tableParts.findStaleness(),
+		}),
 		recordRequest() {
 			budget = recordRequest(budget);
 		},
@@ -195,7 +190,11 @@
 	});
 	await network.refresh();
 	limits.start();
-	const listener = await listenHttp(settings.listen, handle, bounds);
+	const listener = await listenHttp(
+		settings.listen,
+		handle,
+		selectBounds(settings),
+	);
 	lifeCycle.register(async () => listener.close());
 	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry process that takes callers' requests. */
-export {buildErrorBody, registerCallerGone, writeFailure} from './answers.js';
+export {registerCallerGone, writeFailure} from './answers.js';
+export {type Arrival, type ArrivalContext, checkArrival} from './arrival.js';
 export {
 	Audit,
 	EntryMetrics,
@@ -34,6 +35,8 @@
 	buildChunk,
 	buildUsageChunk,
 	type ChatMessages,
+	type ChunkPart,
+	formatAnswerId,
 	formatChatPrompt,
 	type ModelBody,
 	parseModelBody,
@@ -52,6 +55,9 @@
 	type ModelChoice,
 } from './model-routing.js';
 export {Network, type NetworkEvent} from './network.js';
+export {rejectMessage} from './rejection.js';
+export {parseTimeout, timeoutHeader} from './request-timeout.js';
+export {checkRoute} from './route-check.js';
 export {Router, type RouteRequest, type RouterOptions} from './routing.js';
 export {
 	type ChooseTarget,
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -11,11 +11,13 @@
 	type Heartbeat,
 	type HostId,
 	type HostsSnapshot,
+	type Incarnation,
 	type LifeCycle,
 	listSessionAddresses,
 	type ListedHost,
 	type Message,
 	type PlatformClient,
+	selectAgentPeers,
 	type Session,
 	type SessionPool,
 } from 'bramleystage';
@@ -27,6 +29,7 @@
 	| {
 			readonly type: 'message';
 			readonly from: HostId;
+			readonly incarnation: Incarnation;
 			readonly message: Message;
 	  };
 
@@ -37,6 +40,8 @@
 	/** The platform's list, each time it was read. */
 	readonly listed = new Subject<readonly ListedHost[]>();
 	#hosts = createHosts();
+	#selectedFor = '';
+	#selected: ReadonlySet<string> = new Set();
 
 	constructor(
 		private readonly options: {
@@ -44,6 +49,9 @@
 			readonly pool: SessionPool;
 			readonly lifeCycle: LifeCycle;
 			readonly readClock: () => number;
+			readonly self: HostId;
+			/** Most agents that this entry keeps sessions to. */
+			readonly maxAgentSessions: number;
 			/** Called with each load report. */
 			readonly onReport?: (host: ConnectedHost) => void;
 		},
@@ -74,7 +82,7 @@
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
 		this.options.pool.update(
-			listSessionAddresses(this.#hosts, listAgentAddresses(listed.value)),
+			listSessionAddresses(this.#hosts, this.#selectAddresses(listed.value)),
 		);
 		this.listed.next(listed.value);
 	}
@@ -89,12 +97,37 @@
 		}
 	}
 
+	/** Selects again only when the list changed, since that takes long at a large site. */
+	#selectAddresses(listed: readonly ListedHost[]): ReadonlySet<string> {
+		const key = listed
+			.map(({host, address}) => `${host} ${address}`)
+			.join('\n');
+		if (key !== this.#selectedFor) {
+			this.#selectedFor = key;
+			this.#selected = this.#selectAgents(listed);
+		}
+
+		return this.#selected;
+	}
+
+	#selectAgents(listed: readonly ListedHost[]): Set<string> {
+		const entries = listed.filter(({role}) => role === 'entry');
+		const agents = listed.filter(({role}) => role === 'agent');
+		const {self, maxAgentSessions} = this.options;
+		const selected = new Set(
+			selectAgentPeers(self, entries, agents, maxAgentSessions),
+		);
+		return new Set(
+			agents.filter(({host}) => selected.has(host)).map(({address}) => address),
+		);
+	}
+
 	#receive(session: Session, address: string, message: Message): void {
 		if (message.type === 'heartbeat') {
 			this.#update(session, address, message);
 		} else {
-			const from = session.peer.host;
-			this.events.next({type: 'message', from, message});
+			const {host: from, incarnation} = session.peer;
+			this.events.next({type: 'message', from, incarnation, message});
 		}
 	}
 
@@ -133,9 +166,3 @@
 		}
 	}
 }
-
-function listAgentAddresses(hosts: readonly ListedHost[]): Set<string> {
-	return new Set(
-		hosts.filter(({role}) => role === 'agent').map(({address}) => address),
-	);
-}
--- a/packages/bramleystage/src/coordination/fence.ts
+++ b/packages/bramleystage/src/coordination/fence.ts
@@ -6,7 +6,7 @@
  * and gives the newest order again until the server is as ordered.
  */
 import type {Decision} from '../protocol/decision.js';
-import type {FencingNumber} from '../protocol/ids.js';
+import {type FencingNumber, toFencingNumber} from '../protocol/ids.js';
 import type {ResultName} from '../protocol/result-codes.js';
 
 /** An order as its sender numbers it: orders of one lease count up. */
@@ -49,7 +49,7 @@
 	| {readonly type: 'confirm'; readonly ordered: NumberedOrder<Order>};
 
 /** Lowest number, for a log that has granted no lease yet. */
-const noNumber = 0 as FencingNumber;
+const noNumber = toFencingNumber(0);
 
 export const createFence = <Order>(): FenceState<Order> => ({
 	highest: undefined,
@@ -66,7 +66,7 @@
 		case 'learned': {
 			const known = state.highest ?? noNumber;
 			const learned = event.highest ?? noNumber;
-			const highest = Math.max(learned, known);
+			const highest = toFencingNumber(Math.max(learned, known));
 			return [{...state, highest}, []];
 		}
 
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -1,13 +1,18 @@
 /** The bramleystage library: state, coordination, protocol and transport. */
 export {
 	type AllowRetry,
+	cancelWaitMs,
 	createDispatch,
 	decideDispatch,
 	type DispatchCommand,
 	type DispatchDecision,
 	type DispatchEvent,
+	type DispatchPolicy,
 	type DispatchState,
+	reconnectWaitMs,
 	type Target,
+	toDispatchEvent,
+	tombstoneTrustMs,
 } from './coordination/call-dispatch.js';
 export {
 	type CallCommand,
@@ -15,7 +20,10 @@
 	type CallEvent,
 	type CallRecord,
 	decideCall,
+	isForgettable,
 	type LedgerContext,
+	retentionMs,
+	toCallEvent,
 } from './coordination/call-ledger.js';
 export {
 	buildCandidateGroups,
@@ -111,6 +119,7 @@
 	type ModelRunEvent,
 	type ModelRunState,
 } from './coordination/model-run.js';
+export {type PeerHost, selectAgentPeers} from './coordination/peers.js';
 export {
 	choosePipeline,
 	createStages,
@@ -126,11 +135,17 @@
 export {RateMeter} from './coordination/rate-meter.js';
 export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
+	computeBackoff,
 	createRetryBudget,
 	decideRetry,
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
+export {
+	isCurrentSession,
+	type SessionFence,
+	updateFence,
+} from './coordination/session-fence.js';
 export {
 	computeStageWork,
 	createRouteCosts,
@@ -275,6 +290,7 @@
 } from './protocol/messages.js';
 export {createRandom, type Random} from './protocol/random.js';
 export {
+	buildErrorBody,
 	createFailure,
 	type Failure,
 	type Outcome,
