--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -112,6 +112,27 @@
 	type LimitOwnerOptions,
 	type PermitResult,
 } from './coordination/limit-owner.js';
+export {
+	createFence,
+	decideFence,
+	type FenceCommand,
+	type FenceEvent,
+	type FenceState,
+	type NumberedOrder,
+} from './coordination/fence.js';
+export {
+	createLease,
+	decideLease,
+	findHeldNumber,
+	foldLease,
+	type LeaseCommand,
+	type LeaseEvent,
+	type LeaseGrant,
+	type LeaseOptions,
+	type LeaseRecord,
+	leaseRecordSchema,
+	type LeaseState,
+} from './coordination/leases.js';
 export {
 	createModelRun,
 	decideModelRun,
@@ -366,9 +387,22 @@
 	type EditProgress,
 } from './state/edit-progress.js';
 export {
+	computeShare,
+	firstShare,
+	type HostPast,
+	type HostPasts,
+	listSessionAddresses,
+	recordHeartbeat,
+	recordSessionLost,
+	slowStartMs,
+} from './state/host-membership.js';
+export {
+	applyHeartbeat,
 	applyHostList,
+	applySessionLost,
 	type ConnectedHost,
 	createHosts,
+	type HeartbeatContext,
 	type HostsSnapshot,
 	listAvailableHosts,
 	type ListedHost,
