--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,4 +1,5 @@
 /** The benches by name. Each resolves with the figures of its last line. */
+import {capacityBench} from './capacity-bench.js';
 import {runFairness} from './fairness-bench.js';
 import {tableBench} from './table-bench.js';
 import {limitsBench} from './limits-bench.js';
@@ -16,6 +17,7 @@
 };
 
 export const benches: Readonly<Record<string, Bench>> = {
+	capacity: capacityBench,
 	fairness: {
 		describe: 'Shares by weight under skewed and greedy demand',
 		run: runFairness,
--- a/packages/bramleystage-bench/src/index.ts
+++ b/packages/bramleystage-bench/src/index.ts
@@ -1,11 +1,93 @@
 /** Benches: each prints one JSON object on its last line. */
+export {
+	benchLayers,
+	createFleet,
+	fleetLinkTime,
+	nearLinkTime,
+} from './bench-fleet.js';
 export {type Bench, benches, type BenchFlags} from './benches.js';
+export {capacityBench} from './capacity-bench.js';
+export {
+	buildHosts,
+	buildTable,
+	createConnectedHost,
+	createStages,
+	measureState,
+} from './capacity-state.js';
+export {
+	measureControlTraffic,
+	measureMeterAccuracy,
+} from './capacity-traffic.js';
+export {measureFrames, measureWork, sampleFrames} from './capacity-work.js';
+export {type RunningChild, startChild} from './child-process.js';
+export {
+	type Demand,
+	type DemandOptions,
+	findPercentile,
+	type Seen,
+	type Shape,
+	startDemand,
+} from './demand.js';
+export {
+	buildDirectStages,
+	type DirectRequest,
+	type DirectStage,
+	runDirect,
+} from './direct-pipeline.js';
+export {computeTokenBound, type RatedRange} from './engine-bound.js';
+export {runFairness} from './fairness-bench.js';
 export {LimitAudit} from './limit-audit.js';
 export {LimitWorld, type Observer, type WorldEntry} from './limit-world.js';
 export {
 	limitsBench,
 	measureControl,
-	runFaults,
 	measureOneEntry,
+	runFaults,
 } from './limits-bench.js';
+export {computeFit, type LinearFit, type Point} from './linear-fit.js';
+export {overheadBench} from './overhead-bench.js';
+export {
+	computeFleetBound,
+	overloadShapes,
+	runOverload,
+} from './overload-bench.js';
+export {runRecoveryBench} from './recovery-bench.js';
+export {
+	type RecoveryHost,
+	RecoverySite,
+	type StartEntry,
+} from './recovery-site.js';
+export {Relay} from './relay.js';
+export {
+	type ActiveStream,
+	StreamCallers,
+	type StreamCounts,
+	type StreamOptions,
+} from './stream-caller.js';
+export {tableBench} from './table-bench.js';
+export {
+	type CuttableLink,
+	openCuttableLink,
+	type OutageWindow,
+	runFaults,
+} from './table-faults.js';
+export {measureFold, publishTable} from './table-import.js';
+export {
+	formatRow,
+	type OperatorOptions,
+	type OperatorResult,
+	type PublishedEdit,
+	runOperator,
+} from './table-operators.js';
+export {TableWatch} from './table-watch.js';
+export {createDraw, runThroughput} from './throughput-bench.js';
+export {TimedEngine, type TimedStep} from './timed-engine.js';
+export {
+	benchModel,
+	type EngineFacts,
+	type LinkTime,
+	TimedAgent,
+	type TimedRequest,
+	TimedSite,
+} from './timed-site.js';
 export {VirtualTime} from './virtual-time.js';
