--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -22,6 +22,7 @@
 	type Stage,
 	type StageOpen,
 	toIncarnation,
+	toPosition,
 	toServiceName,
 	waitFor,
 } from 'bramleystage';
@@ -43,6 +44,8 @@
 };
 
 const offerIntervalMs = 1000;
+/** A host that does not answer a hello for this long cannot be reached. */
+const handshakeMs = 800;
 const sweepIntervalMs = 10_000;
 const drainStepMs = 50;
 /** A leaving agent says so in heartbeats for at least this long. */
@@ -62,7 +65,7 @@
 	const timing: SessionTiming = {
 		heartbeatMs: settings.heartbeatMs,
 		silenceMs: settings.silenceMs,
-		handshakeMs: settings.silenceMs,
+		handshakeMs: Math.min(settings.silenceMs, handshakeMs),
 	};
 	const entries = new EntrySessions();
 	const {host, dataCentre, deployment} = settings;
@@ -86,22 +89,19 @@
 	});
 
 	const sendToStage = (stage: Stage, message: Message) => {
-		const session = pool.findSession(stage.address);
-		if (session) {
-			session.send(message);
-			return;
-		}
-
-		// The first frame to a stage may come before the session to it is open.
+		// Without a session, the stage sends again once there is one.
 		pool.open(stage.address);
-		const sending = pool.events.subscribe((event) => {
-			if (event.type === 'opened' && event.address === stage.address) {
-				sending.unsubscribe();
-				event.session.send(message);
-			}
-		});
+		pool.findSession(stage.address)?.send(message);
 	};
 
+	pool.events.subscribe((event) => {
+		if (event.type === 'opened') {
+			stages?.updatePeer('peerReturned', event.address);
+		} else if (event.type === 'refused') {
+			stages?.updatePeer('peerLost', event.address);
+		}
+	});
+
 	const engine = settings.engine
 		? new EngineClient(settings.engine)
 		: undefined;
@@ -178,6 +178,11 @@
 				break;
 			}
 
+			case 'stageResume': {
+				stages?.handle(message.request, {type: 'resumed', message});
+				break;
+			}
+
 			case 'activation': {
 				stages?.handle(message.request, {type: 'activation', message});
 				break;
@@ -197,6 +202,10 @@
 
 			case 'acknowledge': {
 				calls?.handle(message.request, {type: 'acknowledged'});
+				stages?.handle(message.request, {
+					type: 'acknowledged',
+					position: message.position ?? toPosition(0),
+				});
 				break;
 			}
 
@@ -215,6 +224,9 @@
 		});
 		logger.debug('session.opened', {peer: hello.host, role: hello.role});
 		void forgetSession(session, entry);
+		if (entry) {
+			stages?.resendTo(entry);
+		}
 	};
 
 	const forgetSession = async (
--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -1,41 +1,34 @@
 /**
- * Steps of sequences at the model engine, over HTTP. Steps that are ready at
- * the same time travel in one request; each output comes back as a line of its
- * own as soon as the engine has it. A step is safe to send again: the engine
- * gives its recorded output.
+ * The model engine over HTTP. Steps that are ready at the same time travel in
+ * one request; each output comes back as a line of its own as soon as the
+ * engine has it. A step whose output does not come in the time that the engine
+ * should need is asked for again on a new connection, since the old one may be
+ * silent for good: the engine gives its recorded output.
  */
 import http from 'node:http';
 import readline from 'node:readline';
 import {
 	createFailure,
-	type Failure,
 	type HttpError,
 	modelNameSchema,
+	type Offer,
 	openHttp,
 	parseJson,
 	sendHttp,
-	type StageOpen,
-	type StepInput,
-	type StepOutput,
-	positionSchema,
-	type Offer,
-	type Position,
 } from 'bramleystage';
-import {err, ok, type Result} from 'neverthrow';
+import {err} from 'neverthrow';
 import {z} from 'zod';
+import {
+	countLayerTokens,
+	describeStep,
+	type EngineStep,
+	formatSequence,
+	formatStepKey,
+	parseOutput,
+	type SequenceName,
+	type StepResult,
+} from './engine-steps.js';
 
-const outputSchema = z.union([
-	z.object({
-		sequence: z.string(),
-		position: positionSchema,
-		values: z.array(z.number()),
-		token: z
-			.object({id: z.int(), text: z.string(), isEnd: z.boolean()})
-			.optional(),
-		promptTokens: z.int().optional(),
-	}),
-	z.object({sequence: z.string(), position: positionSchema, error: z.string()}),
-]);
 const engineSchema = z.object({
 	model: modelNameSchema,
 	version: z.string(),
@@ -45,34 +38,43 @@
 	layerTokensPerSecond: z.number(),
 });
 
-/** One step as the agent asks for it. */
-export type EngineStep = {
-	readonly open: StageOpen;
-	readonly position: Position;
-	readonly input: StepInput;
-};
-
-export type StepResult = Result<StepOutput, Failure>;
+/** Steps of one request to the engine, with how often each had been asked for. */
+type Batch = ReadonlyArray<{
+	readonly pending: PendingStep;
+	readonly asked: number;
+}>;
 
 type PendingStep = {
 	readonly step: EngineStep;
 	readonly resolve: (result: StepResult) => void;
+	/** Requests that asked for the step. */
+	asked: number;
 };
 
-const stepTimeoutMs = 30_000;
-const orderTimeoutMs = 2000;
-
-/** Names the engine's sequence of one attempt of a request. */
-export const formatSequence = ({request, attempt}: StageOpen) =>
-	`${request}.${attempt}`;
+const headTimeoutMs = 30_000;
+const orderTimeoutMs = 1000;
+const idleConnectionMs = 15_000;
+/** Least time before a step is asked for again, in milliseconds. */
+const minStepTimeoutMs = 400;
+/** A step may take this many times what the engine's own rate says. */
+const stepTimeFactor = 4;
+/** A step is asked for at most this often; the wait doubles each time. */
+const maxAsks = 3;
+/** An answer that is late is still read for this long, in milliseconds. */
+const lateAnswerMs = 5000;
+const msPerSecond = 1000;
+
+const createConnections = (keepAlive: boolean) =>
+	new http.Agent({keepAlive, noDelay: true, timeout: idleConnectionMs});
 
 export class EngineClient {
-	readonly #agent = new http.Agent({
-		keepAlive: true,
-		noDelay: true,
-	});
-
+	/** Connections for steps; replaced when one of them seems silent. */
+	#connections = createConnections(true);
+	readonly #orders = createConnections(false);
+	readonly #pending = new Map<string, PendingStep>();
 	#ready: PendingStep[] = [];
+	#pendingLayerTokens = 0;
+	#layerTokensPerSecond = Infinity;
 
 	constructor(private readonly url: string) {}
 
@@ -81,7 +83,7 @@
 		const answer = await sendHttp({
 			method: 'GET',
 			url: `${this.url}/v1/engine`,
-			agent: this.#agent,
+			agent: this.#orders,
 			timeoutMs: orderTimeoutMs,
 		});
 		if (answer.isErr()) {
@@ -91,117 +93,146 @@
 		const engine = engineSchema.safeParse(
 			parseJson(answer.value.body.toString()),
 		);
-		return engine.success ? {kind: 'layers', ...engine.data} : undefined;
+		if (!engine.success) {
+			return undefined;
+		}
+
+		this.#layerTokensPerSecond = engine.data.layerTokensPerSecond;
+		return {kind: 'layers', ...engine.data};
 	}
 
 	/** Runs one step; steps asked for in the same turn of the loop share a request. */
 	async runStep(step: EngineStep): Promise<StepResult> {
-		return new Promise((resolve) => {
-			this.#ready.push({step, resolve});
-			if (this.#ready.length === 1) {
-				setImmediate(() => {
-					void this.#sendReady();
-				});
-			}
+		this.#pendingLayerTokens += countLayerTokens(step);
+		const result = await new Promise<StepResult>((resolve) => {
+			this.#ask({step, resolve, asked: 0});
 		});
+		this.#pendingLayerTokens -= countLayerTokens(step);
+		return result;
 	}
 
 	/** Drops a sequence's state at the engine. */
-	async closeSequence(open: StageOpen): Promise<void> {
-		const name = encodeURIComponent(formatSequence(open));
-		await sendHttp({
+	async closeSequence(closed: SequenceName): Promise<void> {
+		const name = encodeURIComponent(formatSequence(closed));
+		const order = {
 			method: 'DELETE',
 			url: `${this.url}/v1/sequences/${name}`,
-			agent: this.#agent,
 			timeoutMs: orderTimeoutMs,
-		});
+		};
+		const answer = await sendHttp({...order, agent: this.#connections});
+		if (answer.isErr()) {
+			await sendHttp({...order, agent: this.#orders});
+		}
 	}
 
 	close(): void {
-		this.#agent.destroy();
+		this.#connections.destroy();
+		this.#orders.destroy();
+	}
+
+	#ask(pending: PendingStep): void {
+		pending.asked++;
+		this.#pending.set(formatStepKey(pending.step), pending);
+		this.#ready.push(pending);
+		if (this.#ready.length === 1) {
+			setImmediate(() => {
+				void this.#sendReady();
+			});
+		}
 	}
 
 	async #sendReady(): Promise<void> {
-		const pending = new Map(
-			this.#ready.map((entry) => [formatStepKey(entry.step), entry]),
-		);
+		const batch: Batch = this.#ready.map((pending) => ({
+			pending,
+			asked: pending.asked,
+		}));
 		this.#ready = [];
-		const steps = [...pending.values()].map(({step}) => describeStep(step));
+		const asks = Math.max(...batch.map(({asked}) => asked));
+		const ending = new AbortController();
+		let timer = setTimeout(() => {
+			this.#connections = createConnections(true);
+			this.#askAgain(batch, createTimeout());
+			timer = setTimeout(() => {
+				ending.abort();
+			}, lateAnswerMs);
+		}, this.#computeTimeout(asks));
+		const error = await this.#readOutputs(batch, ending);
+		clearTimeout(timer);
+		this.#askAgain(batch, error);
+	}
+
+	/** Reads outputs until the answer ends; gives why steps may lack one. */
+	async #readOutputs(
+		batch: Batch,
+		ending: AbortController,
+	): Promise<HttpError> {
+		const steps = batch.map(({pending}) => describeStep(pending.step));
 		const opened = await openHttp({
 			method: 'POST',
 			url: `${this.url}/v1/steps`,
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify({steps}),
-			agent: this.#agent,
-			timeoutMs: stepTimeoutMs,
+			agent: this.#connections,
+			timeoutMs: headTimeoutMs,
+			signal: ending.signal,
 		});
 		if (opened.isErr()) {
-			rejectPending(pending, opened.error);
-			return;
+			return opened.error;
 		}
 
 		const {response, fail} = opened.value;
 		try {
 			for await (const line of readline.createInterface({input: response})) {
-				resolveLine(pending, line);
+				this.#resolveLine(line);
 			}
 
-			rejectPending(pending, fail(new Error('The engine gave no output.')));
+			return fail(new Error('The engine gave no output.'));
 		} catch (error) {
-			rejectPending(pending, fail(error as Error));
+			return fail(error as Error);
 		}
 	}
-}
 
-function describeStep({
-	open,
-	position,
-	input,
-}: EngineStep): Record<string, unknown> {
-	const stage = open.stages[open.index];
-	return {
-		sequence: formatSequence(open),
-		position,
-		fromLayer: stage?.fromLayer,
-		toLayer: stage?.toLayer,
-		priority: open.priority,
-		input,
-	};
-}
+	#resolveLine(line: string): void {
+		const output = parseOutput(line);
+		if (output) {
+			const pending = this.#pending.get(output.key);
+			this.#pending.delete(output.key);
+			pending?.resolve(output.result);
+		}
+	}
 
-const formatStepKey = ({open, position}: EngineStep) =>
-	`${formatSequence(open)}/${position}`;
+	/** Asks again for the steps of a batch that have no output, if they may be. */
+	#askAgain(batch: Batch, error: HttpError): void {
+		for (const {pending, asked} of batch) {
+			const key = formatStepKey(pending.step);
+			const isOpen = this.#pending.get(key) === pending;
+			if (!isOpen || pending.asked !== asked) {
+				continue;
+			}
 
-function resolveLine(pending: Map<string, PendingStep>, line: string): void {
-	const output = outputSchema.safeParse(parseJson(line));
-	if (!output.success) {
-		return;
+			if (error.kind !== 'connect' && pending.asked < maxAsks) {
+				this.#ask(pending);
+			} else {
+				this.#pending.delete(key);
+				pending.resolve(err(describeFailure(error)));
+			}
+		}
 	}
 
-	const key = `${output.data.sequence}/${output.data.position}`;
-	const entry = pending.get(key);
-	pending.delete(key);
-	entry?.resolve(
-		'error' in output.data
-			? err(createFailure('outOfOrder', output.data.error))
-			: ok(output.data),
-	);
+	#computeTimeout(asks: number): number {
+		const neededMs =
+			(this.#pendingLayerTokens * msPerSecond) / this.#layerTokensPerSecond;
+		return (minStepTimeoutMs + neededMs * stepTimeFactor) * 2 ** (asks - 1);
+	}
 }
 
-function rejectPending(
-	pending: Map<string, PendingStep>,
-	error: HttpError,
-): void {
-	const failure = createFailure(
-		'backendLost',
-		`${error.kind}: ${error.detail}`,
-		{
-			outcome: error.sent ? 'unknown' : 'not-run',
-		},
-	);
-	for (const {resolve} of pending.values()) {
-		resolve(err(failure));
-	}
+const createTimeout = (): HttpError => ({
+	kind: 'timeout',
+	sent: true,
+	detail: 'The engine gave no output in time.',
+});
 
-	pending.clear();
-}
+const describeFailure = (error: HttpError) =>
+	createFailure('backendLost', `${error.kind}: ${error.detail}`, {
+		outcome: error.sent ? 'unknown' : 'not-run',
+	});
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -13,27 +13,40 @@
 	type StageOpen,
 	type StageRecord,
 } from 'bramleystage';
-import type {EngineClient, EngineStep} from './engine-client.js';
+import type {EngineClient} from './engine-client.js';
+import {
+	type EngineStep,
+	formatSequence,
+	type SequenceName,
+} from './engine-steps.js';
 import type {EntryKey} from './entry-sessions.js';
 
 /** How long the record of an ended stage is kept, in milliseconds. */
 const retentionMs = 600_000;
 
+/** Memory for retained activations of all requests, in bytes. */
+const maxRetainedBytes = 64 * 1024 * 1024;
+/** An open stage is closed this long after its deadline, in milliseconds. */
+const deadlineGraceMs = 5000;
+
 type Held = {
-	record: StageRecord | undefined;
-	entry: EntryKey;
+	readonly record: StageRecord;
+	readonly entry: EntryKey;
+	/** Time when the stage is closed if nothing else closed it. */
+	readonly until: number;
 };
 
 export class StageDesk {
 	readonly #held = new Map<RequestId, Held>();
 	readonly #waiting: EngineStep[] = [];
 	#running = 0;
+	#retainedBytes = 0;
 
 	constructor(
 		private readonly options: {
 			readonly client: EngineClient;
 			readonly slots: number;
-			readonly describeContext: () => StageContext;
+			readonly describeContext: () => Omit<StageContext, 'mayRetain'>;
 			readonly sendToEntry: (entry: EntryKey, message: Message) => void;
 			readonly sendToStage: (stage: Stage, message: Message) => void;
 			readonly readClock: () => number;
@@ -50,7 +63,7 @@
 
 	get open(): number {
 		return [...this.#held.values()].filter(
-			({record}) => record?.phase === 'open',
+			({record}) => record.phase === 'open',
 		).length;
 	}
 
@@ -66,14 +79,19 @@
 			return;
 		}
 
-		const [record, commands] = decideStage(
-			held?.record,
-			event,
-			this.options.readClock(),
-			this.options.describeContext(),
-		);
+		const now = this.options.readClock();
+		const [record, commands] = decideStage(held?.record, event, now, {
+			...this.options.describeContext(),
+			mayRetain: (bytes) => this.#retainedBytes + bytes <= maxRetainedBytes,
+		});
 		if (record) {
-			this.#held.set(request, {record, entry: owner});
+			this.#retainedBytes +=
+				countRetained(record) - countRetained(held?.record);
+			const until =
+				event.type === 'opened'
+					? now + event.open.deadlineMs + deadlineGraceMs
+					: (held?.until ?? now);
+			this.#held.set(request, {record, entry: owner, until});
 		}
 
 		for (const command of commands) {
@@ -84,7 +102,7 @@
 	/** Cancels every open stage of an entry that is gone. */
 	cancelAll(entry: EntryKey): void {
 		for (const [request, held] of this.#held) {
-			if (held.entry === entry && held.record?.phase === 'open') {
+			if (held.entry === entry && held.record.phase === 'open') {
 				this.handle(request, {
 					type: 'cancelled',
 					message: {type: 'cancel', request},
@@ -93,24 +111,38 @@
 		}
 	}
 
-	/** Forgets ended stages that are past their retention. */
+	/** Sends an entry again what its last session may have lost. */
+	resendTo(entry: EntryKey): void {
+		for (const [request, held] of this.#held) {
+			if (held.entry === entry) {
+				this.handle(request, {type: 'entryReturned'});
+			}
+		}
+	}
+
+	/** Tells every stage that an address was reached again, or can't be. */
+	updatePeer(type: 'peerReturned' | 'peerLost', address: string): void {
+		for (const request of this.#held.keys()) {
+			this.handle(request, {type, address});
+		}
+	}
+
+	/** Closes stages past their deadline; forgets ended ones past their retention. */
 	sweep(now: number): void {
-		for (const [request, {record}] of this.#held) {
-			if (record?.phase === 'closed' && now - record.at > retentionMs) {
+		for (const [request, {record, until}] of this.#held) {
+			if (record.phase === 'closed' && now - record.at > retentionMs) {
 				this.#held.delete(request);
+			} else if (record.phase === 'open' && now > until) {
+				const message = {type: 'cancel', request} as const;
+				this.handle(request, {type: 'cancelled', message});
 			}
 		}
 	}
 
 	#carryOut(command: StageCommand, entry: EntryKey): void {
 		switch (command.type) {
-			case 'openSequence': {
-				// The engine makes the sequence at its first step.
-				break;
-			}
-
 			case 'closeSequence': {
-				void this.options.client.closeSequence(command.open);
+				this.#closeSequence(command);
 				break;
 			}
 
@@ -141,6 +173,15 @@
 		}
 	}
 
+	#closeSequence(closed: SequenceName): void {
+		const name = formatSequence(closed);
+		const waiting = this.#waiting.filter(
+			(step) => formatSequence(step) !== name,
+		);
+		this.#waiting.splice(0, Infinity, ...waiting);
+		void this.options.client.closeSequence(closed);
+	}
+
 	#runWaiting(): void {
 		while (this.#running < this.options.slots) {
 			const step = this.#waiting.shift();
@@ -157,9 +198,11 @@
 		const result = await this.options.client.runStep(step);
 		this.#running--;
 		this.#runWaiting();
-		const {request, attempt} = step.open;
+		const {request} = step.open;
 		const record = this.#held.get(request)?.record;
-		if (record?.phase !== 'open' || record.open.attempt !== attempt) {
+		if (record?.phase !== 'open' || record.sequence !== step.sequence) {
+			// The step may have made the sequence anew after it was closed.
+			void this.options.client.closeSequence(step);
 			return;
 		}
 
@@ -172,3 +215,6 @@
 		);
 	}
 }
+
+const countRetained = (record: StageRecord | undefined) =>
+	record?.phase === 'open' ? record.retainedBytes : 0;
--- a/packages/bramleystage-bench/src/recovery-bench.ts
+++ b/packages/bramleystage-bench/src/recovery-bench.ts
@@ -3,6 +3,7 @@
  * silent, to the callers' next token. A sample is that of the slowest stream
  * of one fault. The baseline entry starts an answer over on another pipeline.
  */
+import process from 'node:process';
 import {type RunningEntry, startEntry} from 'bramleystage-entry';
 import {waitFor} from 'bramleystage';
 import {formatSampleKey} from 'bramleystage-site';
@@ -72,6 +73,9 @@
 	try {
 		await site.start();
 		return await measureSite(site, flags);
+	} catch (error) {
+		process.stderr.write(`${(error as Error).message}\n`);
+		throw error;
 	} finally {
 		await site.stop();
 	}
@@ -138,6 +142,9 @@
 			byFault.set(fault.name, [...(byFault.get(fault.name) ?? []), sample]);
 		}
 
+		process.stderr.write(
+			`time=${Math.round(performance.now())} host=${host.host} fault=${index + 1} kind="${fault.name}" ms=${Math.round(sample ?? -1)} lost=${callers.counts.lost} failures=${JSON.stringify([...callers.counts.failures])}\n`,
+		);
 		await site.restore(host);
 		await site.waitForReady(entry);
 	}
@@ -174,7 +181,15 @@
 		await waitFor(watchStepMs);
 	}
 
-	return Math.max(0, ...streams.map(({longest}) => longest.to - at));
+	// A stream that has had no token by now has waited until now at least.
+	return Math.max(
+		0,
+		...streams.map((stream) =>
+			isRecovered(stream)
+				? stream.longest.to - at
+				: performance.now() - at,
+		),
+	);
 }
 
 function describeSamples(
--- a/packages/bramleystage-bench/src/recovery-site.ts
+++ b/packages/bramleystage-bench/src/recovery-site.ts
@@ -118,7 +118,10 @@
 			await waitFor(readyStepMs);
 		}
 
-		throw new Error('The site did not become ready.');
+		const dump = await readDump(entry.operatorAddress);
+		throw new Error(
+			`The site did not become ready: ${JSON.stringify(dump.hosts)}`,
+		);
 	}
 
 	/** Lists the hosts that have a stage open now. */
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -20,6 +20,7 @@
 	protocolVersion,
 	readBody,
 	recordRequest,
+	type Recovery,
 	SessionPool,
 	toIncarnation,
 	toRequestId,
@@ -37,7 +38,7 @@
 	runModelRoute,
 } from './model-route.js';
 import {Network} from './network.js';
-import {chooseStages, chooseTarget} from './routing.js';
+import {chooseStages, chooseTarget, replaceModelStage} from './routing.js';
 import {ServiceDesk} from './service-desk.js';
 import {runServiceRoute} from './service-route.js';
 import {TableFollower} from './table-follower.js';
@@ -56,6 +57,8 @@
 
 /** How long the ready check fails before new connections are refused. */
 const leavingNoticeMs = 1000;
+/** A host that does not answer a hello for this long cannot be reached. */
+const handshakeMs = 800;
 const timeoutHeader = 'x-request-timeout-ms';
 
 const readClock = () => performance.now();
@@ -64,6 +67,7 @@
 export async function startEntry(
 	settings: EntrySettings,
 	logger: Logger,
+	recovery: Recovery = 'replace',
 ): Promise<RunningEntry> {
 	const lifeCycle = new LifeCycle();
 	const incarnation = toIncarnation(randomUUID());
@@ -81,7 +85,7 @@
 		timing: {
 			heartbeatMs: settings.heartbeatMs,
 			silenceMs: settings.silenceMs,
-			handshakeMs: settings.silenceMs,
+			handshakeMs: Math.min(settings.silenceMs, handshakeMs),
 		},
 		describeSelf: () => ({leaving}),
 	});
@@ -106,8 +110,11 @@
 	const models = new ModelDesk({
 		choose: (request, excluding) =>
 			chooseStages(network.hosts, request, excluding, countInFlight),
+		replace: (request, lost) =>
+			replaceModelStage(network.hosts, request, lost, countInFlight),
 		send,
 		allowRetry,
+		recovery,
 		readClock,
 	});
 	const services = new ServiceDesk({
--- a/packages/bramleystage-entry/src/model-desk.ts
+++ b/packages/bramleystage-entry/src/model-desk.ts
@@ -1,23 +1,23 @@
 /** Carries out the decisions of model requests: one run for each request. */
 import {
-	type Attempt,
 	type AllowRetry,
 	createModelRun,
 	type CustomerCells,
 	type CustomerId,
 	decideModelRun,
 	type Failure,
-	findNextPosition,
 	type HostId,
 	type Message,
 	type ModelCells,
 	type ModelRunCommand,
 	type ModelRunEvent,
 	type ModelRunState,
+	type Recovery,
 	type RequestId,
 	type Stage,
 	type Token,
 } from 'bramleystage';
+import {CancelOutbox} from './cancel-outbox.js';
 import type {ModelBody} from './model-body.js';
 import type {NetworkEvent} from './network.js';
 
@@ -43,9 +43,23 @@
 	excluding: readonly HostId[],
 ) => readonly Stage[] | undefined;
 
+/** A stage to replace, among the stages of its pipeline. */
+export type LostStage = {
+	readonly stages: readonly Stage[];
+	readonly index: number;
+	readonly excluding: readonly HostId[];
+};
+
+/** Routing decision: the pipeline with its lost stage replaced, or none. */
+export type ReplaceStage = (
+	request: ModelRequest,
+	lost: LostStage,
+) => readonly Stage[] | undefined;
+
 type Held = {
 	readonly request: ModelRequest;
 	readonly timer: NodeJS.Timeout;
+	chooseTimer: NodeJS.Timeout | undefined;
 	state: ModelRunState;
 };
 
@@ -54,15 +68,20 @@
 
 export class ModelDesk {
 	readonly #held = new Map<RequestId, Held>();
+	readonly #cancels: CancelOutbox;
 
 	constructor(
 		private readonly options: {
 			readonly choose: ChooseStages;
+			readonly replace: ReplaceStage;
 			readonly send: (host: HostId, message: Message) => void;
 			readonly allowRetry: AllowRetry;
+			readonly recovery: Recovery;
 			readonly readClock: () => number;
 		},
-	) {}
+	) {
+		this.#cancels = new CancelOutbox(options.send);
+	}
 
 	get size(): number {
 		return this.#held.size;
@@ -75,7 +94,12 @@
 			this.handle(request.request, {type: 'deadline'});
 		}, request.deadlineMs);
 		const state = createModelRun(now + request.deadlineMs);
-		this.#held.set(request.request, {request, timer, state});
+		this.#held.set(request.request, {
+			request,
+			timer,
+			chooseTimer: undefined,
+			state,
+		});
 		this.handle(request.request, {type: 'started'});
 	}
 
@@ -90,7 +114,7 @@
 			held.state,
 			event,
 			this.options.readClock(),
-			this.options.allowRetry,
+			this.options,
 		);
 		held.state = state;
 		for (const command of commands) {
@@ -100,13 +124,34 @@
 
 	/** Takes what the network says. */
 	receive(event: NetworkEvent): void {
-		if (event.type === 'lost') {
-			const {host, incarnation} = event.host;
-			for (const id of this.#held.keys()) {
-				this.handle(id, {type: 'sessionLost', host, incarnation});
+		switch (event.type) {
+			case 'message': {
+				this.#receiveMessage(event.from, event.message);
+				break;
+			}
+
+			case 'opened': {
+				this.#cancels.resend(event.host.host);
+				this.#handleAll({type: 'hostReturned', ...event.host});
+				break;
+			}
+
+			case 'gone': {
+				this.#cancels.forget(event.host.host);
+				this.#handleAll({type: 'hostLost', ...event.host});
+				break;
+			}
+
+			case 'lost': {
+				// The session is being opened again.
+				break;
 			}
-		} else if (event.type === 'message') {
-			this.#receiveMessage(event.from, event.message);
+		}
+	}
+
+	#handleAll(event: ModelRunEvent): void {
+		for (const id of this.#held.keys()) {
+			this.handle(id, event);
 		}
 	}
 
@@ -114,20 +159,21 @@
 		switch (message.type) {
 			case 'token': {
 				this.handle(message.request, {type: 'token', token: message});
-
 				break;
 			}
 
 			case 'stageOpened': {
-				const {request, attempt, index} = message;
-				this.handle(request, {type: 'stageOpened', attempt, index});
-
+				this.handle(message.request, {type: 'stageOpened', message});
 				break;
 			}
 
 			case 'failed': {
 				this.handle(message.request, {type: 'failed', host, message});
+				break;
+			}
 
+			case 'cancelled': {
+				this.#cancels.settle(host, message.request);
 				break;
 			}
 			// No default
@@ -136,31 +182,69 @@
 
 	#carryOut(held: Held, command: ModelRunCommand): void {
 		const {request} = held;
+		const id = request.request;
 		switch (command.type) {
 			case 'choose': {
 				const stages = this.options.choose(request, command.excluding);
-				this.handle(request.request, {type: 'chosen', stages});
+				this.handle(id, {type: 'chosen', stages});
+				break;
+			}
+
+			case 'chooseReplacement': {
+				const stages = this.options.replace(request, command);
+				this.handle(id, {type: 'replaced', stages});
 				break;
 			}
 
-			case 'openStages': {
-				this.#openStages(held, command);
+			case 'chooseLater': {
+				held.chooseTimer = setTimeout(() => {
+					this.handle(id, {type: 'chooseAgain'});
+				}, command.delayMs);
+				break;
+			}
+
+			case 'openStage': {
+				this.#openStage(request, command);
 				break;
 			}
 
 			case 'runFirst': {
+				const {attempt, given} = command;
 				this.options.send(command.stage.host, {
 					type: 'stageRun',
-					request: request.request,
-					attempt: command.attempt,
+					request: id,
+					attempt,
 					prompt: request.body.prompt,
-					given: [...command.given],
+					given: [...given],
+				});
+				break;
+			}
+
+			case 'resumeStage': {
+				const {attempt, replay, stage} = command;
+				this.options.send(stage.host, {
+					type: 'stageResume',
+					request: id,
+					attempt,
+					replay,
 				});
 				break;
 			}
 
+			case 'acknowledge': {
+				const {position} = command;
+				for (const {host} of command.stages) {
+					this.options.send(host, {type: 'acknowledge', request: id, position});
+				}
+
+				break;
+			}
+
 			case 'cancelStages': {
-				this.#cancelStages(request.request, command.stages, command.upTo);
+				for (const {host} of command.stages) {
+					this.#cancels.add(host, id, command.upTo);
+				}
+
 				break;
 			}
 
@@ -181,46 +265,39 @@
 		}
 	}
 
-	#openStages(
-		{request, state}: Held,
-		{
-			attempt,
-			stages,
-			deadlineMs,
-		}: Extract<ModelRunCommand, {type: 'openStages'}>,
+	#openStage(
+		{request, customer, cells, model, body}: ModelRequest,
+		command: Extract<ModelRunCommand, {type: 'openStage'}>,
 	): void {
-		for (const [index, stage] of stages.entries()) {
-			this.options.send(stage.host, {
-				type: 'stageOpen',
-				request: request.request,
-				attempt,
-				model: request.body.model,
-				version: request.model.version,
-				customer: request.customer,
-				weight: request.cells.weight ?? defaultWeight,
-				priority: request.cells.priority ?? defaultPriority,
-				stages: [...stages],
-				index,
-				fromPosition: findNextPosition(state),
-				maxTokens: request.body.maxTokens,
-				deadlineMs,
-			});
+		const {index, stages, attempt, lineage, keeps} = command;
+		const stage = stages[index];
+		if (!stage) {
+			return;
 		}
-	}
 
-	#cancelStages(
-		request: RequestId,
-		stages: readonly Stage[],
-		upTo: Attempt,
-	): void {
-		for (const {host} of stages) {
-			this.options.send(host, {type: 'cancel', request, upTo});
-		}
+		this.options.send(stage.host, {
+			type: 'stageOpen',
+			request,
+			attempt,
+			lineage,
+			keeps,
+			model: body.model,
+			version: model.version,
+			customer,
+			weight: cells.weight ?? defaultWeight,
+			priority: cells.priority ?? defaultPriority,
+			stages: [...stages],
+			index,
+			fromPosition: command.fromPosition,
+			maxTokens: body.maxTokens,
+			deadlineMs: command.deadlineMs,
+		});
 	}
 
 	#finish(held: Held, failure: Failure | undefined): void {
-		const {request, state, timer} = held;
+		const {request, state, timer, chooseTimer} = held;
 		clearTimeout(timer);
+		clearTimeout(chooseTimer);
 		this.#held.delete(request.request);
 		const {attempt, stages} = state;
 		request.finish(failure, {attempts: attempt, stages});
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -22,7 +22,10 @@
 
 export type NetworkEvent =
 	| {readonly type: 'opened'; readonly host: ConnectedHost}
+	/** The session ended; the host may be reached again. */
 	| {readonly type: 'lost'; readonly host: ConnectedHost}
+	/** The host can't be reached, or another incarnation took its place. */
+	| {readonly type: 'gone'; readonly host: ConnectedHost}
 	| {
 			readonly type: 'message';
 			readonly from: HostId;
@@ -34,6 +37,8 @@
 export class Network {
 	readonly events = new Subject<NetworkEvent>();
 	#hosts = createHosts();
+	/** Hosts whose session ended and is being opened again, by address. */
+	readonly #reopening = new Map<string, ConnectedHost>();
 
 	constructor(
 		private readonly options: {
@@ -45,10 +50,25 @@
 	) {
 		const {pool, lifeCycle} = options;
 		pool.events.subscribe((event) => {
-			if (event.type === 'message') {
-				this.#receive(event.session, event.address, event.message);
-			} else if (event.type === 'closed') {
-				this.#forget(event.session);
+			switch (event.type) {
+				case 'message': {
+					this.#receive(event.session, event.address, event.message);
+
+					break;
+				}
+
+				case 'closed': {
+					this.#forget(event.session);
+
+					break;
+				}
+
+				case 'refused': {
+					this.#giveUp(event.address);
+
+					break;
+				}
+				// No default
 			}
 		});
 		lifeCycle.registerInterval(hostListIntervalMs, () => {
@@ -68,7 +88,7 @@
 		}
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
-		this.options.pool.update(listAgentAddresses(listed.value));
+		this.options.pool.update(this.#listWanted(listed.value));
 	}
 
 	/** Sends to a host, if there is a session to it. */
@@ -81,6 +101,25 @@
 		}
 	}
 
+	/** What the host list names, and what has a session though it is not listed. */
+	#listWanted(listed: readonly ListedHost[]): Set<string> {
+		return new Set([
+			...listed
+				.filter(({role}) => role === 'agent')
+				.map(({address}) => address),
+			...[...this.#hosts.connected.values()].map(({address}) => address),
+			...this.#reopening.keys(),
+		]);
+	}
+
+	#giveUp(address: string): void {
+		const host = this.#reopening.get(address);
+		if (host) {
+			this.#reopening.delete(address);
+			this.events.next({type: 'gone', host});
+		}
+	}
+
 	#receive(session: Session, address: string, message: Message): void {
 		if (message.type === 'heartbeat') {
 			this.#update(session, address, message);
@@ -106,7 +145,12 @@
 			roundTripMs: 0,
 		};
 		this.#hosts = updateConnectedHost(this.#hosts, connected);
+		if (this.#reopening.get(address)?.incarnation === incarnation) {
+			this.#reopening.delete(address);
+		}
+
 		if (isNew) {
+			this.#giveUp(address);
 			this.events.next({type: 'opened', host: connected});
 		}
 	}
@@ -116,13 +160,8 @@
 		const known = this.#hosts.connected.get(host);
 		this.#hosts = removeConnectedHost(this.#hosts, host, incarnation);
 		if (known?.incarnation === incarnation) {
+			this.#reopening.set(known.address, known);
 			this.events.next({type: 'lost', host: known});
 		}
 	}
 }
-
-function listAgentAddresses(hosts: readonly ListedHost[]): Set<string> {
-	return new Set(
-		hosts.filter(({role}) => role === 'agent').map(({address}) => address),
-	);
-}
--- a/packages/bramleystage-entry/src/routing.ts
+++ b/packages/bramleystage-entry/src/routing.ts
@@ -6,12 +6,13 @@
 	type HostsSnapshot,
 	listAvailableHosts,
 	listCandidates,
+	replaceStage,
 	type ServiceName,
 	type Stage,
 	type StageCandidate,
 	type Target,
 } from 'bramleystage';
-import type {ModelRequest} from './model-desk.js';
+import type {LostStage, ModelRequest} from './model-desk.js';
 
 /** Work that this entry has at a host now, in requests. */
 export type CountInFlight = (host: HostId) => number;
@@ -45,6 +46,26 @@
 	return choosePipeline(candidates, layers, {stageCost, linkCost});
 }
 
+/** Chooses the pipeline with its lost stage replaced; the others stay. */
+export function replaceModelStage(
+	hosts: HostsSnapshot,
+	request: ModelRequest,
+	lost: LostStage,
+	countInFlight: CountInFlight,
+): readonly Stage[] | undefined {
+	const {version} = request.model;
+	return replaceStage({...lost, version}, hosts, (gap) => {
+		const {layers, version} = gap;
+		const model = {...request.model, layers, version};
+		return chooseStages(
+			gap.hosts,
+			{...request, model},
+			gap.excluding,
+			countInFlight,
+		);
+	});
+}
+
 /** Chooses the least loaded agent that offers a service. */
 export function chooseTarget(
 	hosts: HostsSnapshot,
--- a/packages/bramleystage/src/coordination/model-run.ts
+++ b/packages/bramleystage/src/coordination/model-run.ts
@@ -1,96 +1,42 @@
 /**
  * The entry's side of one model request. It opens every stage of a pipeline,
  * starts the first once all are open, and gives the caller each position of
- * the answer once, whatever attempts ran. When a stage is lost the request is
- * resumed on another pipeline from the prompt and the tokens already given.
+ * the answer once, whatever attempts ran. When a stage is lost it alone is
+ * replaced, under a new attempt number that fences the old one; where that
+ * can't be, a new pipeline resumes from the prompt and the tokens given.
  */
-import type {Decision, Milliseconds} from '../protocol/decision.js';
-import {
-	type Attempt,
-	type HostId,
-	toAttempt,
-	toPosition,
-} from '../protocol/ids.js';
-import type {Failed, Stage, Token} from '../protocol/messages.js';
+import type {Milliseconds} from '../protocol/decision.js';
+import {type HostId, toPosition} from '../protocol/ids.js';
+import type {Failed, Stage, StageOpened, Token} from '../protocol/messages.js';
 import {createFailure, type Failure} from '../protocol/result-codes.js';
-import type {AllowRetry} from './call-dispatch.js';
-
-export type ModelRunState = {
-	readonly phase: 'choosing' | 'opening' | 'running' | 'done';
-	readonly deadline: Milliseconds;
-	readonly attempt: Attempt;
-	readonly stages: readonly Stage[];
-	/** Indexes of stages that are open in this attempt. */
-	readonly opened: ReadonlySet<number>;
-	/** Tokens given to the caller, by position. */
-	readonly given: readonly number[];
-	/** Hosts that failed in an earlier attempt. */
-	readonly avoided: readonly HostId[];
-};
-
-export type ModelRunEvent =
-	| {readonly type: 'started'}
-	/** The routing decision; no stages when no pipeline covers the model. */
-	| {readonly type: 'chosen'; readonly stages: readonly Stage[] | undefined}
-	| {
-			readonly type: 'stageOpened';
-			readonly attempt: Attempt;
-			readonly index: number;
-	  }
-	| {readonly type: 'token'; readonly token: Token}
-	| {readonly type: 'failed'; readonly host: HostId; readonly message: Failed}
-	| {
-			readonly type: 'sessionLost';
-			readonly host: HostId;
-			readonly incarnation: Stage['incarnation'];
-	  }
-	| {readonly type: 'deadline'}
-	| {readonly type: 'callerGone'};
-
-export type ModelRunCommand =
-	| {readonly type: 'choose'; readonly excluding: readonly HostId[]}
-	| {
-			readonly type: 'openStages';
-			readonly attempt: Attempt;
-			readonly stages: readonly Stage[];
-			readonly given: readonly number[];
-			readonly deadlineMs: Milliseconds;
-	  }
-	| {
-			readonly type: 'runFirst';
-			readonly attempt: Attempt;
-			readonly stage: Stage;
-			readonly given: readonly number[];
-	  }
-	| {
-			readonly type: 'cancelStages';
-			readonly stages: readonly Stage[];
-			readonly upTo: Attempt;
-	  }
-	| {readonly type: 'giveToken'; readonly token: Token}
-	| {readonly type: 'finish'}
-	| {readonly type: 'failCaller'; readonly failure: Failure};
-
-export type ModelRunDecision = Decision<ModelRunState, ModelRunCommand>;
-
-export function createModelRun(deadline: Milliseconds): ModelRunState {
-	return {
-		phase: 'choosing',
-		deadline,
-		attempt: toAttempt(0),
-		stages: [],
-		opened: new Set(),
-		given: [],
-		avoided: [],
-	};
-}
+import {appendItem} from '../state/append-list.js';
+import type {ModelRunState} from '../state/model-run-state.js';
+import {
+	createOpenStage,
+	decideNewLineage,
+	decideNextAttempt,
+	isContinuable,
+	listStageStarts,
+	listStarts,
+} from './model-run-opening.js';
+import type {
+	ModelRunCommand,
+	ModelRunContext,
+	ModelRunDecision,
+	ModelRunEvent,
+} from './model-run-protocol.js';
+
+/** Tokens are acknowledged to the stages after this many. */
+const acknowledgeEvery = 32;
+/** Wait before a pipeline is looked for again, in milliseconds. */
+const chooseDelayMs = 100;
 
 /** Decides what one event does to a model request. */
 export function decideModelRun(
 	state: ModelRunState,
 	event: ModelRunEvent,
 	now: Milliseconds,
-	allowRetry: AllowRetry,
+	context: ModelRunContext,
 ): ModelRunDecision {
 	if (state.phase === 'done') {
 		return [state, []];
@@ -102,11 +48,23 @@
 		}
 
 		case 'chosen': {
-			return decideChosen(state, event.stages, now);
+			return state.phase === 'choosing'
+				? decideChosen(state, event.stages, now, context)
+				: [state, []];
+		}
+
+		case 'replaced': {
+			return decideReplaced(state, event.stages, now);
+		}
+
+		case 'chooseAgain': {
+			return state.phase === 'choosing'
+				? [state, [{type: 'choose', excluding: state.avoided}]]
+				: [state, []];
 		}
 
 		case 'stageOpened': {
-			return decideStageOpened(state, event.attempt, event.index);
+			return decideStageOpened(state, event.message);
 		}
 
 		case 'token': {
@@ -115,18 +73,20 @@
 
 		case 'failed': {
 			return event.message.attempt === state.attempt
-				? decideStageLost(state, event.host, allowRetry, event.message)
+				? decideFailed(state, event.host, event.message, context)
 				: [state, []];
 		}
 
-		case 'sessionLost': {
+		case 'hostLost': {
 			const isOurs = state.stages.some(
 				(stage) =>
 					stage.host === event.host && stage.incarnation === event.incarnation,
 			);
-			return isOurs
-				? decideStageLost(state, event.host, allowRetry)
-				: [state, []];
+			return isOurs ? decideStageLost(state, event.host, context) : [state, []];
+		}
+
+		case 'hostReturned': {
+			return decideHostReturned(state, event, now, context);
 		}
 
 		case 'deadline': {
@@ -151,55 +111,71 @@
 	state: ModelRunState,
 	stages: readonly Stage[] | undefined,
 	now: Milliseconds,
+	{recovery}: ModelRunContext,
+): ModelRunDecision {
+	if (stages) {
+		return decideNewLineage(state, stages, recovery, now);
+	}
+
+	if (state.attempt > 0) {
+		// Hosts may come back before the deadline.
+		return [
+			{...state, avoided: []},
+			[{type: 'chooseLater', delayMs: chooseDelayMs}],
+		];
+	}
+
+	return decideGiveUp(
+		state,
+		createFailure('noPipeline', 'No live engines cover all layers.', {
+			outcome: 'not-run',
+			retryAfterSeconds: 1,
+		}),
+	);
+}
+
+function decideReplaced(
+	state: ModelRunState,
+	stages: readonly Stage[] | undefined,
+	now: Milliseconds,
 ): ModelRunDecision {
 	if (state.phase !== 'choosing') {
 		return [state, []];
 	}
 
-	if (!stages) {
-		return decideGiveUp(
-			state,
-			createFailure('noPipeline', 'No live engines cover all layers.', {
-				outcome: state.attempt > 0 ? 'unknown' : 'not-run',
-				retryAfterSeconds: 1,
-			}),
-		);
-	}
+	return stages
+		? decideNextAttempt(state, stages, now)
+		: decideNewPipeline(state);
+}
 
-	const attempt = toAttempt(state.attempt + 1);
+/** Gives the present stages up and asks for a whole new pipeline. */
+function decideNewPipeline(state: ModelRunState): ModelRunDecision {
 	return [
-		{...state, phase: 'opening', attempt, stages, opened: new Set()},
+		{...state, phase: 'choosing', stages: []},
 		[
-			{
-				type: 'openStages',
-				attempt,
-				stages,
-				given: state.given,
-				deadlineMs: state.deadline - now,
-			},
+			{type: 'cancelStages', stages: state.stages, upTo: state.attempt},
+			{type: 'choose', excluding: state.avoided},
 		],
 	];
 }
 
 function decideStageOpened(
 	state: ModelRunState,
-	attempt: Attempt,
-	index: number,
+	message: StageOpened,
 ): ModelRunDecision {
-	if (state.phase !== 'opening' || attempt !== state.attempt) {
+	if (state.phase !== 'opening' || message.attempt !== state.attempt) {
 		return [state, []];
 	}
 
-	const opened = new Set(state.opened).add(index);
-	const [stage] = state.stages;
-	if (opened.size < state.stages.length || !stage) {
-		return [{...state, opened}, []];
+	const opened = new Map(state.opened).set(message.index, message);
+	const next: ModelRunState = {...state, opened};
+	if (opened.size < state.stages.length) {
+		return [next, []];
 	}
 
-	return [
-		{...state, phase: 'running', opened},
-		[{type: 'runFirst', attempt, stage, given: state.given}],
-	];
+	return isContinuable(next)
+		? [{...next, phase: 'running'}, listStarts(next)]
+		: decideNewPipeline(next);
 }
 
 function decideToken(state: ModelRunState, token: Token): ModelRunDecision {
@@ -211,54 +187,118 @@
 		return [state, []];
 	}
 
-	const given = [...state.given, token.token];
+	const next: ModelRunState = {
+		...state,
+		given: appendItem(state.given, token.token),
+	};
+	const give: ModelRunCommand = {type: 'giveToken', token};
 	if (!token.finish) {
-		return [{...state, given}, [{type: 'giveToken', token}]];
+		const [acknowledged, commands] = decideAcknowledge(next);
+		return [acknowledged, [give, ...commands]];
 	}
 
 	return [
-		{...state, given, phase: 'done'},
+		{...next, phase: 'done'},
 		[
-			{type: 'giveToken', token},
+			give,
 			{type: 'finish'},
-			{
-				type: 'cancelStages',
-				stages: state.stages,
-				upTo: state.attempt,
-			},
+			{type: 'cancelStages', stages: state.stages, upTo: state.attempt},
 		],
 	];
 }
 
+function decideAcknowledge(state: ModelRunState): ModelRunDecision {
+	const position = toPosition(state.given.length);
+	if (position - state.acknowledged < acknowledgeEvery) {
+		return [state, []];
+	}
+
+	// The first and the last stage each keep tokens for the entry.
+	const stages = state.stages.filter(
+		(_, index) => index === 0 || index + 1 === state.stages.length,
+	);
+	return [
+		{...state, acknowledged: position},
+		[{type: 'acknowledge', stages, position}],
+	];
+}
+
+function decideFailed(
+	state: ModelRunState,
+	from: HostId,
+	message: Failed,
+	context: ModelRunContext,
+): ModelRunDecision {
+	const host = message.lost ?? from;
+	const avoided = [...new Set([...state.avoided, host])];
+	// Work of a lost backend server moves; no other host is asked to repeat it.
+	const isMoved = message.result === 'backendLost';
+	const isRetried = isMoved || context.allowRetry();
+	return isRetried
+		? decideStageLost({...state, avoided}, host, context)
+		: decideGiveUp(
+				state,
+				createFailure(message.result, message.detail, {
+					outcome: state.given.length > 0 ? 'unknown' : message.outcome,
+				}),
+			);
+}
+
 function decideStageLost(
 	state: ModelRunState,
 	host: HostId,
-	allowRetry: AllowRetry,
-	message?: Failed,
+	{recovery}: ModelRunContext,
 ): ModelRunDecision {
-	if (!allowRetry()) {
-		const failure = message
-			? createFailure(message.result, message.detail, {
-					outcome: state.given.length > 0 ? 'unknown' : message.outcome,
-				})
-			: createFailure('retriesExhausted', 'A stage was lost.');
-		return decideGiveUp(state, failure);
+	const index = state.stages.findIndex((stage) => stage.host === host);
+	const lost = state.stages[index];
+	if (!lost) {
+		return [state, []];
+	}
+
+	if (recovery !== 'replace') {
+		return decideNewPipeline(state);
 	}
 
-	const avoided = [...state.avoided, host];
 	return [
-		{...state, phase: 'choosing', stages: [], avoided},
+		{...state, phase: 'choosing'},
 		[
+			{type: 'cancelStages', stages: [lost], upTo: state.attempt},
 			{
-				type: 'cancelStages',
+				type: 'chooseReplacement',
 				stages: state.stages,
-				upTo: state.attempt,
+				index,
+				excluding: [...state.avoided, host],
 			},
-			{type: 'choose', excluding: avoided},
 		],
 	];
 }
 
+function decideHostReturned(
+	state: ModelRunState,
+	{host, incarnation}: Extract<ModelRunEvent, {type: 'hostReturned'}>,
+	now: Milliseconds,
+	context: ModelRunContext,
+): ModelRunDecision {
+	const index = state.stages.findIndex((stage) => stage.host === host);
+	const stage = state.stages[index];
+	if (!stage) {
+		return [state, []];
+	}
+
+	if (stage.incarnation !== incarnation) {
+		return decideStageLost(state, host, context);
+	}
+
+	if (state.phase === 'opening' && !state.opened.has(index)) {
+		return [state, [createOpenStage(state, index, now)]];
+	}
+
+	return [
+		state,
+		state.phase === 'running' ? listStageStarts(state, index) : [],
+	];
+}
+
 function decideGiveUp(
 	state: ModelRunState,
 	failure: Failure,
@@ -267,15 +307,7 @@
 		{...state, phase: 'done'},
 		[
 			{type: 'failCaller', failure},
-			{
-				type: 'cancelStages',
-				stages: state.stages,
-				upTo: state.attempt,
-			},
+			{type: 'cancelStages', stages: state.stages, upTo: state.attempt},
 		],
 	];
 }
-
-/** Position that the answer continues from. */
-export const findNextPosition = (state: ModelRunState) =>
-	toPosition(state.given.length);
--- /dev/null
+++ b/packages/bramleystage/src/coordination/stage-step.ts
@@ -0,0 +1,261 @@
+/**
+ * Steps of one stage. An input is taken only if it is of the present attempt
+ * and holds the position that the stage runs next. A stage without state may
+ * catch up: its first step covers every position that its predecessor sent.
+ */
+import {type Position, toPosition} from '../protocol/ids.js';
+import type {
+	Activation,
+	Failed,
+	StageOpen,
+	Token,
+} from '../protocol/messages.js';
+import {createFailure, type Failure} from '../protocol/result-codes.js';
+import {appendItem} from '../state/append-list.js';
+import type {OpenStage, StageInput} from '../state/stage-record.js';
+import type {
+	StageCommand,
+	StageContext,
+	StageDecision,
+	StepInput,
+	StepOutput,
+} from './stage-protocol.js';
+
+/** Memory that one retained value takes, in bytes. */
+export const bytesPerValue = 8;
+
+type PlannedStep = {
+	readonly first: Position;
+	readonly position: Position;
+	readonly input: StepInput;
+};
+
+/** Takes the input of a position, or keeps it until the present step has ended. */
+export function decideInput(
+	record: OpenStage,
+	input: StageInput,
+): StageDecision {
+	if (input.message.attempt !== record.open.attempt) {
+		return [record, []];
+	}
+
+	if (record.running) {
+		return [{...record, early: selectLater(record.early, input)}, []];
+	}
+
+	const step = planStep(record, input);
+	if (!step) {
+		return [record, []];
+	}
+
+	const {open, sequence} = record;
+	const {first, position} = step;
+	return [
+		{
+			...record,
+			running: {first, position},
+			unacknowledged:
+				input.type === 'token' && !isLast(open)
+					? [...record.unacknowledged, input.message]
+					: record.unacknowledged,
+		},
+		[{type: 'runStep', open, sequence, position, input: step.input}],
+	];
+}
+
+export const isLast = ({index, stages}: StageOpen) =>
+	index + 1 === stages.length;
+
+const findPosition = (input: StageInput): number => {
+	switch (input.type) {
+		case 'run': {
+			return input.message.given.length;
+		}
+
+		case 'activation': {
+			return input.message.position;
+		}
+
+		case 'token': {
+			return input.message.position + 1;
+		}
+	}
+};
+
+function selectLater(
+	known: StageInput | undefined,
+	input: StageInput,
+): StageInput {
+	return known && findPosition(known) >= findPosition(input) ? known : input;
+}
+
+function planStep(
+	record: OpenStage,
+	input: StageInput,
+): PlannedStep | undefined {
+	const {next} = record;
+	const start = record.open.fromPosition;
+	const position = toPosition(findPosition(input));
+	switch (input.type) {
+		case 'run': {
+			const {prompt, given} = input.message;
+			return next === start && position >= start
+				? {first: start, position, input: {kind: 'prompt', prompt, given}}
+				: undefined;
+		}
+
+		case 'activation': {
+			return planActivation(record, input.message);
+		}
+
+		case 'token': {
+			const {token} = input.message;
+			return next === position && next > start
+				? {first: next, position, input: {kind: 'token', token}}
+				: undefined;
+		}
+	}
+}
+
+function planActivation(
+	{next, open}: OpenStage,
+	{first, position, values}: Activation,
+): PlannedStep | undefined {
+	if (next === open.fromPosition) {
+		return first === next && position >= next
+			? {first, position, input: {kind: 'values', values}}
+			: undefined;
+	}
+
+	// The earlier values are of positions that this stage has run.
+	return position === next && first <= next
+		? {
+				first: next,
+				position,
+				input: {kind: 'values', values: values.slice(-1)},
+			}
+		: undefined;
+}
+
+/** Takes the output of the step that runs, and sends it on. */
+export function decideStepped(
+	record: OpenStage,
+	output: StepOutput,
+	context: StageContext,
+): StageDecision {
+	const {running, open} = record;
+	if (running?.position !== output.position) {
+		return [record, []];
+	}
+
+	const advanced: OpenStage = {
+		...record,
+		running: undefined,
+		early: undefined,
+		next: toPosition(running.position + 1),
+		// The first step's inputs are the prompt and the tokens given before it.
+		promptTokens:
+			record.promptTokens ??
+			(output.promptTokens === undefined
+				? undefined
+				: output.promptTokens - running.position),
+	};
+	const [sent, commands] = isLast(open)
+		? decideToken(advanced, output)
+		: decideForward(advanced, running.first, output, context);
+	if (!record.early || sent?.phase !== 'open') {
+		return [sent, commands];
+	}
+
+	const [next, more] = decideInput(sent, record.early);
+	return [next, [...commands, ...more]];
+}
+
+function decideForward(
+	record: OpenStage,
+	first: Position,
+	{position, values}: StepOutput,
+	{mayRetain}: StageContext,
+): StageDecision {
+	const {open, retained, retainedBytes} = record;
+	const {request, attempt} = open;
+	const bytes = values.length * bytesPerValue;
+	const isRetained = retained !== undefined && mayRetain(bytes);
+	const sent: Activation = {
+		type: 'activation',
+		request,
+		attempt,
+		index: open.index + 1,
+		first,
+		position,
+		values: [...values],
+	};
+	return [
+		{
+			...record,
+			sent,
+			retained: isRetained ? appendItem(retained, values) : undefined,
+			retainedBytes: isRetained ? retainedBytes + bytes : 0,
+		},
+		[{type: 'sendToStage', index: sent.index, open, message: sent}],
+	];
+}
+
+function decideToken(record: OpenStage, output: StepOutput): StageDecision {
+	const {open, promptTokens} = record;
+	const {position, token} = output;
+	if (!token) {
+		const failure = createFailure(
+			'backendRefused',
+			'The engine gave no token at the last layer.',
+		);
+		return [
+			record,
+			[{type: 'sendToEntry', message: createStageFailed(open, failure)}],
+		];
+	}
+
+	const sent: Token = {
+		type: 'token',
+		request: open.request,
+		attempt: open.attempt,
+		position,
+		token: token.id,
+		text: token.text,
+		finish: findFinish(open, position, token.isEnd),
+		promptTokens,
+	};
+	const commands: StageCommand[] = [{type: 'sendToEntry', message: sent}];
+	if (!sent.finish) {
+		commands.push({type: 'sendToStage', index: 0, open, message: sent});
+	}
+
+	return [
+		{...record, sent, unacknowledged: [...record.unacknowledged, sent]},
+		commands,
+	];
+}
+
+function findFinish(
+	open: StageOpen,
+	position: Position,
+	isEnd: boolean,
+): Token['finish'] {
+	if (isEnd) {
+		return 'stop';
+	}
+
+	return position + 1 >= open.maxTokens ? 'length' : undefined;
+}
+
+/** Builds the message that tells the entry of a stage's failure. */
+export function createStageFailed(open: StageOpen, failure: Failure): Failed {
+	return {
+		type: 'failed',
+		request: open.request,
+		attempt: open.attempt,
+		result: failure.result,
+		outcome: failure.outcome,
+		detail: failure.detail,
+	};
+}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -18,14 +18,13 @@
 	type LedgerContext,
 } from './coordination/call-ledger.js';
 export {
-	createModelRun,
-	decideModelRun,
-	findNextPosition,
 	type ModelRunCommand,
+	type ModelRunContext,
 	type ModelRunDecision,
 	type ModelRunEvent,
-	type ModelRunState,
-} from './coordination/model-run.js';
+	type Recovery,
+} from './coordination/model-run-protocol.js';
+export {decideModelRun} from './coordination/model-run.js';
 export {
 	choosePipeline,
 	type LinkCost,
@@ -42,16 +41,20 @@
 	type RetryBudget,
 } from './coordination/retry-budget.js';
 export {
-	decideStage,
-	type OpenStage,
 	type StageCommand,
 	type StageContext,
 	type StageDecision,
 	type StageEvent,
-	type StageRecord,
 	type StepInput,
 	type StepOutput,
-} from './coordination/stage.js';
+} from './coordination/stage-protocol.js';
+export {
+	type ChooseForGap,
+	type Gap,
+	replaceStage,
+} from './coordination/stage-replacement.js';
+export {bytesPerValue} from './coordination/stage-step.js';
+export {decideStage} from './coordination/stage.js';
 export {
 	type Decide,
 	type Decision,
@@ -136,8 +139,11 @@
 	roleSchema,
 	type Stage,
 	type StageOpen,
+	type StageOpened,
 	stageOpenedSchema,
 	stageOpenSchema,
+	type StageResume,
+	stageResumeSchema,
 	type StageRun,
 	stageRunSchema,
 	stageSchema,
@@ -186,6 +192,12 @@
 	type ServiceCells,
 	serviceCellsSchema,
 } from './protocol/table-schema.js';
+export {
+	appendItem,
+	type AppendList,
+	createAppendList,
+	listItems,
+} from './state/append-list.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -196,6 +208,18 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {
+	createModelRun,
+	findNextPosition,
+	type ModelRunState,
+} from './state/model-run-state.js';
+export {
+	type ClosedStage,
+	type OpenStage,
+	type RunningStep,
+	type StageInput,
+	type StageRecord,
+} from './state/stage-record.js';
 export {
 	createTable,
 	type EditResult,
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -132,6 +132,8 @@
 	result: resultNameSchema,
 	outcome: outcomeSchema,
 	detail: z.string().max(1000),
+	/** Host that the sender could not reach, if that is why it failed. */
+	lost: hostIdSchema.optional(),
 });
 export type Failed = z.infer<typeof failedSchema>;
 
@@ -180,6 +182,10 @@
 	type: z.literal('stageOpen'),
 	request: requestIdSchema,
 	attempt: attemptSchema,
+	/** First attempt of those whose stages share their state. */
+	lineage: attemptSchema,
+	/** This stage goes on with the state that it has of the lineage. */
+	keeps: z.boolean(),
 	model: modelNameSchema,
 	version: z.string().max(100),
 	customer: customerIdSchema,
@@ -187,7 +193,7 @@
 	priority: z.int(),
 	stages: z.array(stageSchema).min(1).max(64),
 	index: count,
-	/** Position of the first token of this attempt: the tokens already given. */
+	/** Position of the first token of the lineage: the tokens given before it. */
 	fromPosition: positionSchema,
 	maxTokens: count,
 	deadlineMs: amount,
@@ -199,7 +205,12 @@
 	request: requestIdSchema,
 	attempt: attemptSchema,
 	index: count,
+	/** Position that the stage runs next. */
+	next: positionSchema,
+	/** The stage still has every activation of the lineage that it sent. */
+	retains: z.boolean(),
 });
+export type StageOpened = z.infer<typeof stageOpenedSchema>;
 
 /** Sent to the first stage once every stage is open. */
 export const stageRunSchema = z.object({
@@ -212,13 +223,26 @@
 });
 export type StageRun = z.infer<typeof stageRunSchema>;
 
-/** What one stage passes to the next for one token; several values at prefill. */
+/** Sent to a stage that keeps its state, once every stage of the attempt is open. */
+export const stageResumeSchema = z.object({
+	type: z.literal('stageResume'),
+	request: requestIdSchema,
+	attempt: attemptSchema,
+	/** Send every retained activation, since the next stage starts without state. */
+	replay: z.boolean(),
+});
+export type StageResume = z.infer<typeof stageResumeSchema>;
+
+/** What one stage passes to the next: a value for each input of the positions. */
 export const activationSchema = z.object({
 	type: z.literal('activation'),
 	request: requestIdSchema,
 	attempt: attemptSchema,
 	/** Index of the stage that is to run it. */
 	index: count,
+	/** First position that the values cover. */
+	first: positionSchema,
+	/** Last position that the values cover. */
 	position: positionSchema,
 	values: z.array(count),
 });
@@ -252,6 +276,7 @@
 	stageOpenSchema,
 	stageOpenedSchema,
 	stageRunSchema,
+	stageResumeSchema,
 	activationSchema,
 	tokenSchema,
 ]);
--- a/packages/bramleystage/src/transport/session-pool.ts
+++ b/packages/bramleystage/src/transport/session-pool.ts
@@ -39,6 +39,8 @@
 	  };
 
 const minBackoffMs = 50;
+/** A session that lasted this long is opened again at once. */
+const stableMs = 500;
 const maxBackoffMs = 1000;
 
 type Slot = {
@@ -114,8 +116,12 @@
 		/* eslint-disable no-await-in-loop -- one session at a time to an address */
 		while (slot.isWanted) {
 			try {
+				const startedAt = performance.now();
 				await this.#runSession(address, slot);
 				backoffMs = minBackoffMs;
+				if (performance.now() - startedAt > stableMs) {
+					continue;
+				}
 			} catch (error) {
 				const reason = (error as Error).message;
 				this.events.next({type: 'refused', address, reason});
