Send a lost replay again and tell a returned entry of a failure

Cause: histories under virtual time found three stalls: a replay lost with its session was followed by its last position alone; a step's failure told on a lost session was never told again; a pool in backoff kept a stage waiting. Change: the stage before a new one repeats the whole replay until it has proof that it arrived; a closed stage keeps its failure; opening a stage ends a backoff.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -166,7 +166,7 @@
 				stages?.handle(message.request, {type: 'opened', open: message}, entry);
 				for (const stage of message.stages) {
 					if (stage.host !== host) {
-						pool.open(stage.address);
+						pool.reopen(stage.address);
 					}
 				}
 
@@ -277,6 +277,7 @@
 			load: describeLoad(),
 			entrySessions: entries.size,
 			openStages: stages?.open ?? 0,
+			stages: stages?.describe() ?? [],
 			stageRecords: stages?.records ?? 0,
 			callRecords: calls?.records ?? 0,
 		}),
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -71,6 +71,30 @@
 		return this.#held.size;
 	}
 
+	/** Describes the open stages, for the dump. */
+	describe(): Array<Record<string, unknown>> {
+		return [...this.#held].flatMap(([request, {record}]) => {
+			if (record.phase !== 'open') {
+				return [];
+			}
+
+			const {open, next, running, sent, unacknowledged} = record;
+			const {attempt, index, fromPosition} = open;
+			return [
+				{
+					request,
+					attempt,
+					index,
+					fromPosition,
+					next,
+					running: running?.position,
+					sent: sent?.position,
+					unacknowledged: unacknowledged.length,
+				},
+			];
+		});
+	}
+
 	/** Decides an event of a request and carries out what follows. */
 	handle(request: RequestId, event: StageEvent, entry?: EntryKey): void {
 		const held = this.#held.get(request);
--- a/packages/bramleystage-bench/src/recovery-bench.ts
+++ b/packages/bramleystage-bench/src/recovery-bench.ts
@@ -21,7 +21,7 @@
 const minWatchMs = 250;
 /** A stream has recovered when its last token is younger than this. */
 const recoveredMs = 150;
-const maxWatchMs = 20_000;
+const maxWatchMs = 10_000;
 const settleMs = 100;
 const watchStepMs = 5;
 const maxTokens = 200;
@@ -137,6 +137,10 @@
 		}
 
 		const sample = await measureFault(callers, () => fault.start(host));
+		if (sample !== undefined && sample > 5000) {
+			process.stderr.write(await site.describe(entry));
+		}
+
 		if (sample !== undefined) {
 			samples[fault.kind].push(sample);
 			byFault.set(fault.name, [...(byFault.get(fault.name) ?? []), sample]);
--- a/packages/bramleystage-bench/src/recovery-site.ts
+++ b/packages/bramleystage-bench/src/recovery-site.ts
@@ -135,6 +135,19 @@
 		return this.hosts.filter((_, index) => busy[index]);
 	}
 
+	/** Describes the runs and stages, to explain a stall. */
+	async describe(entry: RunningEntry): Promise<string> {
+		const {modelRuns} = await readDump(entry.operatorAddress);
+		const lines = [JSON.stringify(modelRuns)];
+		for (const {host, agent} of this.hosts) {
+			// eslint-disable-next-line no-await-in-loop -- one after another
+			const dump = agent ? await readDump(agent.operatorAddress) : {};
+			lines.push(`${host} ${JSON.stringify(dump.stages)}`);
+		}
+
+		return `${lines.join('\n')}\n`;
+	}
+
 	async stop(): Promise<void> {
 		await this.#lifeCycle.stop();
 		for (const {agent, engine, agentRelay, engineRelay} of this.hosts) {
--- /dev/null
+++ b/packages/bramleystage-check/src/__tests__/stage-history.test.ts
@@ -0,0 +1,75 @@
+import fc from 'fast-check';
+import {computeReference} from 'bramleystage-stand-ins';
+import {expect, test} from 'vitest';
+import {
+	simulatedLayers,
+	type StageFault,
+	StageSimulation,
+} from '../stage-simulation.js';
+
+const prompt = 'which gate opens first';
+const maxTokens = 60;
+const reference = computeReference(prompt, simulatedLayers, maxTokens);
+
+const kinds = [
+	'agentCrash',
+	'engineCrash',
+	'pause',
+	'entrySessionLost',
+	'peerSessionsLost',
+] as const;
+
+function runPlan(faults: readonly StageFault[], seed: number) {
+	let state = seed;
+	const drawDelay = () => {
+		state = (Math.imul(state, 1_103_515_245) + 12_345) & 0x7f_ff_ff_ff;
+		return (state >>> 8) % 12;
+	};
+
+	return new StageSimulation({prompt, maxTokens, faults, drawDelay}).run();
+}
+
+test('an answer without faults equals the reference', () => {
+	const history = runPlan([], 1);
+	expect(history).toMatchObject({
+		outcome: 'whole',
+		tokens: reference.tokens,
+		attempts: 1,
+	});
+});
+
+for (const kind of kinds) {
+	test(`each stage may have the fault ${kind} at any time`, () => {
+		for (let host = 0; host < 3; host++) {
+			for (let at = 0; at < 1500; at += 7) {
+				const history = runPlan([{kind, at, host}], at + 1);
+				expect({at, host, ...history}).toMatchObject({
+					outcome: 'whole',
+					tokens: reference.tokens,
+				});
+			}
+		}
+	});
+}
+
+test('several faults, together and one after another', () => {
+	const fault = fc.record({
+		kind: fc.constantFrom(...kinds),
+		at: fc.integer({min: 0, max: 3000}),
+		host: fc.integer({min: 0, max: 8}),
+	});
+	fc.assert(
+		fc.property(
+			fc.array(fault, {minLength: 1, maxLength: 6}),
+			fc.nat({max: 1_000_000}),
+			(faults, seed) => {
+				const history = runPlan(faults, seed);
+				expect(history).toMatchObject({
+					outcome: 'whole',
+					tokens: reference.tokens,
+				});
+			},
+		),
+		{seed: 4, numRuns: 2000},
+	);
+});
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -245,6 +245,7 @@
 			hosts: [...network.hosts.connected.values()],
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
+			modelRuns: models.describe(),
 		}),
 	});
 	lifeCycle.register(async () => operators.close());
--- a/packages/bramleystage-entry/src/model-desk.ts
+++ b/packages/bramleystage-entry/src/model-desk.ts
@@ -87,6 +87,22 @@
 		return this.#held.size;
 	}
 
+	/** Describes the runs, for the dump. */
+	describe(): Array<Record<string, unknown>> {
+		return [...this.#held].map(([request, {state}]) => ({
+			request,
+			phase: state.phase,
+			attempt: state.attempt,
+			lineage: state.lineage,
+			start: state.start,
+			given: state.given.length,
+			stages: state.stages.map(({host}) => host),
+			opened: [...state.opened.values()].map(({index, next}) => [index, next]),
+			kept: [...state.kept],
+			avoided: state.avoided,
+		}));
+	}
+
 	/** Starts a request. */
 	start(request: ModelRequest): void {
 		const now = this.options.readClock();
--- a/packages/bramleystage/src/coordination/stage-open.ts
+++ b/packages/bramleystage/src/coordination/stage-open.ts
@@ -64,6 +64,7 @@
 		early: undefined,
 		promptTokens: undefined,
 		sent: undefined,
+		replayed: undefined,
 		retained: createAppendList(),
 		retainedBytes: 0,
 		unacknowledged: [],
@@ -77,6 +78,7 @@
 		...record,
 		open,
 		early: undefined,
+		replayed: undefined,
 		sent: record.sent && renewSent(record.sent, open),
 		unacknowledged: record.unacknowledged.map((token) => ({
 			...token,
--- a/packages/bramleystage/src/coordination/stage.ts
+++ b/packages/bramleystage/src/coordination/stage.ts
@@ -56,6 +56,10 @@
 			return decideCancelled(record, event.message, now);
 		}
 
+		case 'entryReturned': {
+			return [record, record ? listUntold(record) : []];
+		}
+
 		default: {
 			return record?.phase === 'open'
 				? decideOpenStage(record, event, now, context)
@@ -64,7 +68,10 @@
 	}
 }
 
-type OpenStageEvent = Exclude<StageEvent, {type: 'opened' | 'cancelled'}>;
+type OpenStageEvent = Exclude<
+	StageEvent,
+	{type: 'opened' | 'cancelled' | 'entryReturned'}
+>;
 
 function decideOpenStage(
 	record: OpenStage,
@@ -80,7 +87,7 @@
 		}
 
 		case 'resumed': {
-			return [record, listResumed(record, event.message)];
+			return decideResumed(record, event.message);
 		}
 
 		case 'stepped': {
@@ -98,10 +105,6 @@
 			return [{...record, unacknowledged}, []];
 		}
 
-		case 'entryReturned': {
-			return [record, [...sendUnacknowledged(record), createOpened(record)]];
-		}
-
 		case 'peerReturned': {
 			const isReceiver = findReceiver(record.open)?.address === event.address;
 			return [record, isReceiver ? sendAgain(record) : []];
@@ -116,48 +119,75 @@
 	}
 }
 
+/** Lists what the entry may not have been told, when its session was lost. */
+function listUntold(record: StageRecord): StageCommand[] {
+	if (record.phase === 'open') {
+		return [...sendUnacknowledged(record), createOpened(record)];
+	}
+
+	const {failed} = record;
+	return failed ? [{type: 'sendToEntry', message: failed}] : [];
+}
+
 function decideStepFailed(
 	{open, sequence}: OpenStage,
 	failure: Failure,
 	now: Milliseconds,
 ): StageDecision {
+	const failed = createStageFailed(open, failure);
 	return [
-		{phase: 'closed', attempt: open.attempt, ran: true, at: now},
+		{phase: 'closed', attempt: open.attempt, ran: true, failed, at: now},
 		[
 			{type: 'closeSequence', open, sequence},
-			{type: 'sendToEntry', message: createStageFailed(open, failure)},
+			{type: 'sendToEntry', message: failed},
 		],
 	];
 }
 
-function listResumed(
+function decideResumed(
 	record: OpenStage,
 	{attempt, replay}: StageResume,
-): StageCommand[] {
-	const {open, sent, retained} = record;
-	if (attempt !== open.attempt) {
-		return [];
-	}
-
-	if (!replay || sent?.type !== 'activation' || !retained) {
-		return sendAgain(record);
+): StageDecision {
+	if (attempt !== record.open.attempt) {
+		return [record, []];
 	}
 
-	const message: Activation = {
-		...sent,
-		first: open.fromPosition,
-		values: listItems(retained).flat(),
-	};
-	return [{type: 'sendToStage', index: message.index, open, message}];
+	const replayed = replay ? record.sent?.position : record.replayed;
+	const resumed: OpenStage = {...record, replayed};
+	return [resumed, sendAgain(resumed)];
 }
 
-function sendAgain({open, sent}: OpenStage): StageCommand[] {
+/** Sends the last output again, and all before it that the receiver may lack. */
+function sendAgain(record: OpenStage): StageCommand[] {
+	const {open, sent} = record;
 	if (!sent || (sent.type === 'token' && sent.finish)) {
 		return [];
 	}
 
-	const index = sent.type === 'token' ? 0 : sent.index;
-	return [{type: 'sendToStage', index, open, message: sent}];
+	return sent.type === 'token'
+		? [{type: 'sendToStage', index: 0, open, message: sent}]
+		: [
+				{
+					type: 'sendToStage',
+					index: sent.index,
+					open,
+					message: extendActivation(record, sent),
+				},
+			];
+}
+
+/** A stage gets its second input after a replay only once the next has the replay. */
+function extendActivation(
+	{open, retained, replayed}: OpenStage,
+	sent: Activation,
+): Activation {
+	return retained && replayed !== undefined && sent.position <= replayed + 1
+		? {
+				...sent,
+				first: open.fromPosition,
+				values: listItems(retained).flat(),
+			}
+		: sent;
 }
 
 /** Finds the stage that this one sends to: the last sends to the first. */
@@ -200,6 +230,7 @@
 			phase: 'closed',
 			attempt: toAttempt(Math.max(known, attempt)),
 			ran,
+			failed: undefined,
 			at: now,
 		},
 		commands,
--- a/packages/bramleystage/src/state/stage-record.ts
+++ b/packages/bramleystage/src/state/stage-record.ts
@@ -7,6 +7,7 @@
 import type {Attempt, Position} from '../protocol/ids.js';
 import type {
 	Activation,
+	Failed,
 	StageOpen,
 	StageRun,
 	Token,
@@ -40,6 +41,8 @@
 	readonly promptTokens: number | undefined;
 	/** Last message sent to the next stage, or to the first one by the last. */
 	readonly sent: Activation | Token | undefined;
+	/** Last position of the latest replay to a next stage without state. */
+	readonly replayed: Position | undefined;
 	/** Values sent since the lineage began; absent once past the memory bound. */
 	readonly retained: AppendList<readonly number[]> | undefined;
 	/** Size of the retained values, in bytes. */
@@ -53,6 +56,8 @@
 	readonly phase: 'closed';
 	readonly attempt: Attempt;
 	readonly ran: boolean;
+	/** Failure that ended the stage; told again to an entry that may lack it. */
+	readonly failed: Failed | undefined;
 	readonly at: Milliseconds;
 };
 
--- a/packages/bramleystage/src/transport/session-pool.ts
+++ b/packages/bramleystage/src/transport/session-pool.ts
@@ -46,6 +46,8 @@
 type Slot = {
 	session: Session | undefined;
 	isWanted: boolean;
+	/** Ends the present backoff. */
+	wake: () => void;
 };
 
 export class SessionPool {
@@ -82,11 +84,17 @@
 			return;
 		}
 
-		const slot: Slot = {session: undefined, isWanted: true};
+		const slot: Slot = {session: undefined, isWanted: true, wake() {}};
 		this.#slots.set(address, slot);
 		void this.#run(address, slot);
 	}
 
+	/** Wants a session to an address now: ends a backoff that is under way. */
+	reopen(address: string): void {
+		this.open(address);
+		this.#slots.get(address)?.wake();
+	}
+
 	/** Gives the live session to an address, if there is one. */
 	findSession(address: string): Session | undefined {
 		return this.#slots.get(address)?.session;
@@ -128,7 +136,7 @@
 				backoffMs = Math.min(backoffMs * 2, maxBackoffMs);
 			}
 
-			await waitFor(backoffMs);
+			await waitForWake(slot, backoffMs);
 		}
 		/* eslint-enable no-await-in-loop */
 	}
@@ -161,6 +169,17 @@
 	}
 }
 
+/** Resolves after a time in milliseconds, or when the slot is woken. */
+async function waitForWake(slot: Slot, durationMs: number): Promise<void> {
+	return new Promise((resolve) => {
+		const timer = setTimeout(resolve, durationMs);
+		slot.wake = () => {
+			clearTimeout(timer);
+			resolve();
+		};
+	});
+}
+
 /** Resolves after a time in milliseconds. */
 export async function waitFor(durationMs: number): Promise<void> {
 	return new Promise((resolve) => {
