--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -124,6 +124,9 @@
 					entries.send(entry, message);
 				},
 				sendToStage,
+				onEngineLost() {
+					void refreshOffers();
+				},
 				readClock,
 			})
 		: undefined;
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -49,6 +49,8 @@
 			readonly describeContext: () => Omit<StageContext, 'mayRetain'>;
 			readonly sendToEntry: (entry: EntryKey, message: Message) => void;
 			readonly sendToStage: (stage: Stage, message: Message) => void;
+			/** Called when the engine did not run a step that it was asked for. */
+			readonly onEngineLost: () => void;
 			readonly readClock: () => number;
 		},
 	) {}
@@ -221,6 +223,10 @@
 		this.#running++;
 		const result = await this.options.client.runStep(step);
 		this.#running--;
+		if (result.isErr()) {
+			this.options.onEngineLost();
+		}
+
 		this.#runWaiting();
 		const {request} = step.open;
 		const record = this.#held.get(request)?.record;
--- a/packages/bramleystage-bench/src/recovery-bench.ts
+++ b/packages/bramleystage-bench/src/recovery-bench.ts
@@ -5,7 +5,7 @@
  */
 import process from 'node:process';
 import {type RunningEntry, startEntry} from 'bramleystage-entry';
-import {waitFor} from 'bramleystage';
+import {type Recovery, waitFor} from 'bramleystage';
 import {formatSampleKey} from 'bramleystage-site';
 import {type BenchFlags} from './benches.js';
 import {type RecoveryHost, RecoverySite} from './recovery-site.js';
@@ -15,6 +15,8 @@
 type Fault = {
 	readonly name: string;
 	readonly kind: 'death' | 'silence';
+	/** Only the last stage's connection carries tokens to the entry. */
+	readonly needsLast?: boolean;
 	readonly start: (host: RecoveryHost) => boolean;
 };
 
@@ -40,6 +42,7 @@
 	{
 		name: 'entry to agent silent',
 		kind: 'silence',
+		needsLast: true,
 		start: ({agentRelay}) => agentRelay.silence(isFromEntry) > 0,
 	},
 	{
@@ -94,10 +97,14 @@
 		callers,
 		faults: chosen,
 	});
+	const baseline = await measureRecovery(site, flags, 'startOver');
+	const resume = await measureRecovery(site, flags, 'resume');
 	const {counts, samples} = measured;
 	return {
 		...describeSamples('death', samples.death),
 		...describeSamples('silence', samples.silence),
+		...describeSamples('baseline', baseline),
+		...describeSamples('resume', resume),
 		faults: samples.death.length + samples.silence.length,
 		lost: counts.lost,
 		doubled: counts.doubled,
@@ -110,6 +117,24 @@
 	};
 }
 
+/** Measures deaths with an entry that recovers in another way. */
+async function measureRecovery(
+	site: RecoverySite,
+	flags: BenchFlags,
+	recovery: Recovery,
+): Promise<readonly number[]> {
+	const entry = await site.startEntry(
+		`entry-${recovery}`,
+		async (settings, logger) => startEntry(settings, logger, recovery),
+	);
+	const {samples} = await measureFaults(site, entry, {
+		count: Number(flags.baseline ?? 20),
+		callers: Number(flags.callers ?? 8),
+		faults: faults.filter(({kind}) => kind === 'death'),
+	});
+	return samples.death;
+}
+
 async function measureFaults(
 	site: RecoverySite,
 	entry: RunningEntry,
@@ -130,7 +155,9 @@
 	for (let index = 0; index < plan.count; index++) {
 		await waitFor(settleMs);
 		const fault = plan.faults[index % plan.faults.length];
-		const busy = await site.listBusyHosts();
+		const busy = (await site.listBusyHosts()).filter(
+			(each) => !fault?.needsLast || each.toLayer === deployment.layers,
+		);
 		const host = busy[Math.floor(index / plan.faults.length) % busy.length];
 		if (!fault || !host) {
 			continue;
@@ -189,9 +216,7 @@
 	return Math.max(
 		0,
 		...streams.map((stream) =>
-			isRecovered(stream)
-				? stream.longest.to - at
-				: performance.now() - at,
+			isRecovered(stream) ? stream.longest.to - at : performance.now() - at,
 		),
 	);
 }
--- a/packages/bramleystage-bench/src/recovery-site.ts
+++ b/packages/bramleystage-bench/src/recovery-site.ts
@@ -40,6 +40,8 @@
 
 const rangeLayers = 8;
 const replicas = 2;
+/** Silent connections are closed by their ends before the next fault. */
+const maxSilentMs = 3000;
 const readyStepMs = 20;
 const readyTimeoutMs = 20_000;
 const logger = createLogger('error', {role: 'bench'});
@@ -100,6 +102,11 @@
 		host.engineRelay.update(host.engine.address);
 		host.agent ??= await this.#startAgent(host);
 		host.agentRelay.update(host.agent.address);
+		const until = performance.now() + maxSilentMs;
+		while (host.agentRelay.isSilent && performance.now() < until) {
+			// eslint-disable-next-line no-await-in-loop -- polls until closed
+			await waitFor(readyStepMs);
+		}
 	}
 
 	/** Resolves when the entry reaches every host and each offers layers. */
--- a/packages/bramleystage-bench/src/relay.ts
+++ b/packages/bramleystage-bench/src/relay.ts
@@ -32,6 +32,11 @@
 		await startServer(this.#server, '127.0.0.1:0');
 	}
 
+	/** Whether a silent connection is still open at both ends. */
+	get isSilent(): boolean {
+		return [...this.#links].some((link) => link.isSilent);
+	}
+
 	/** Sends new connections to this address. */
 	update(target: string): void {
 		this.#target = target;
--- a/packages/bramleystage-check/src/virtual-clock.ts
+++ b/packages/bramleystage-check/src/virtual-clock.ts
@@ -14,10 +14,12 @@
 	/** Runs an action after a delay in milliseconds. */
 	schedule(delayMs: number, act: () => void): void {
 		this.#order++;
-		const entry = {at: this.now + Math.max(0, delayMs), order: this.#order, act};
-		const index = this.#entries.findLastIndex(
-			(each) => each.at <= entry.at,
-		);
+		const entry = {
+			at: this.now + Math.max(0, delayMs),
+			order: this.#order,
+			act,
+		};
+		const index = this.#entries.findLastIndex((each) => each.at <= entry.at);
 		this.#entries.splice(index + 1, 0, entry);
 	}
 
--- a/packages/bramleystage/src/coordination/stage-replacement.ts
+++ b/packages/bramleystage/src/coordination/stage-replacement.ts
@@ -12,7 +12,7 @@
 	readonly hosts: HostsSnapshot;
 	readonly layers: number;
 	readonly version: string;
-	/** Hosts that can't be used: lost ones and those of the other stages. */
+	/** Hosts that are not to be used: failed ones and those of the stages. */
 	readonly excluding: readonly HostId[];
 };
 
@@ -56,12 +56,15 @@
 	const connected = new Map(
 		[...hosts.connected].map(([id, host]) => [id, cutHost(host)]),
 	);
-	const chosen = choose({
+	const used = stages.map(({host}) => host);
+	const gap: Gap = {
 		hosts: {...hosts, connected},
 		layers: toLayer - fromLayer,
 		version: gapVersion,
-		excluding: [...excluding, ...stages.map(({host}) => host)],
-	});
+		excluding: [...excluding, ...used],
+	};
+	// A host that failed earlier may have come back.
+	const chosen = choose(gap) ?? choose({...gap, excluding: used});
 	return (
 		chosen && [
 			...stages.slice(0, index),
