--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -18,18 +18,23 @@
 	protocolVersion,
 	type Session,
 	SessionPool,
+	type SessionPeer,
 	type SessionTiming,
 	type Stage,
 	type StageOpen,
+	TableFollower,
+	type TableSnapshot,
 	toIncarnation,
 	toPosition,
 	toServiceName,
 	waitFor,
 } from 'bramleystage';
 import {Gauge, Registry} from 'prom-client';
+import type {Observable} from 'rxjs';
 import {CallDesk} from './call-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
+import {createSchedulers} from './schedulers.js';
 import {ServiceClient} from './service-client.js';
 import {StageDesk} from './stage-desk.js';
 
@@ -37,6 +42,8 @@
 	/** Address for sessions. */
 	readonly address: string;
 	readonly operatorAddress: string;
+	/** The table as this agent has it. */
+	readonly tables: Observable<TableSnapshot>;
 	/** Takes no new work, lets the work in flight end, then stops. */
 	readonly drain: () => Promise<void>;
 	/** Ends at once. */
@@ -64,6 +71,7 @@
 	const incarnation = toIncarnation(randomUUID());
 	const timing: SessionTiming = {
 		heartbeatMs: settings.heartbeatMs,
+		idleHeartbeatMs: settings.idleHeartbeatMs,
 		silenceMs: settings.silenceMs,
 		handshakeMs: Math.min(settings.silenceMs, handshakeMs),
 	};
@@ -72,12 +80,23 @@
 	let leaving = false;
 	let offers: Offer[] = [];
 
-	const describeLoad = (): LoadReport => ({
-		queued: (stages?.queued ?? 0) + (calls?.queued ?? 0),
-		running: (stages?.running ?? 0) + (calls?.running ?? 0),
-		rate: 0,
+	const schedulers = createSchedulers(settings, () => offers);
+	const describeLoad = (): LoadReport =>
+		(settings.engine ? schedulers.steps : schedulers.calls).describeLoad(
+			readClock(),
+		);
+	const describeSelf = (peer: SessionPeer) => ({
+		leaving,
+		offers,
+		load: describeLoad(),
+		table: follower.describe(peer),
+	});
+	const follower = new TableFollower({
+		dataCentre,
+		lifeCycle,
+		logger,
+		readClock,
 	});
-	const describeSelf = () => ({leaving, offers, load: describeLoad()});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
@@ -115,10 +134,13 @@
 	const stages = engine
 		? new StageDesk({
 				client: engine,
-				slots: settings.slots,
+				scheduler: schedulers.steps,
 				describeContext: () => ({
 					leaving,
-					findMismatch: (open) => findMismatch(offers, open),
+					findMismatch: (open) =>
+						schedulers.steps.isFull
+							? 'The queue is full.'
+							: findMismatch(offers, open),
 				}),
 				sendToEntry(entry, message) {
 					entries.send(entry, message);
@@ -133,8 +155,7 @@
 	const calls = service
 		? new CallDesk({
 				client: service,
-				slots: settings.slots,
-				maxQueued: settings.maxQueued,
+				scheduler: schedulers.calls,
 				describeContext: () => ({incarnation, leaving}),
 				send(entry, message) {
 					entries.send(entry, message);
@@ -157,11 +178,7 @@
 	const receive = (message: Message, entry: EntryKey | undefined) => {
 		switch (message.type) {
 			case 'call': {
-				calls?.handle(
-					message.request,
-					{type: 'received', call: message},
-					entry,
-				);
+				calls?.receive(message, entry);
 				break;
 			}
 
@@ -198,13 +215,13 @@
 
 			case 'cancel': {
 				const {request} = message;
-				calls?.handle(request, {type: 'cancelled', request}, entry);
+				calls?.receive(message, entry);
 				stages?.handle(request, {type: 'cancelled', message}, entry);
 				break;
 			}
 
 			case 'acknowledge': {
-				calls?.handle(message.request, {type: 'acknowledged'});
+				calls?.receive(message, entry);
 				stages?.handle(message.request, {
 					type: 'acknowledged',
 					position: message.position ?? toPosition(0),
@@ -221,6 +238,9 @@
 		const entry =
 			hello.role === 'entry' ? entries.register(session, hello) : undefined;
 		session.messages.subscribe((message) => {
+			follower.receive(hello, message, (answer) => {
+				session.send(answer);
+			});
 			if (!entry || entries.isNewest(entry, session)) {
 				receive(message, entry);
 			}
@@ -278,6 +298,7 @@
 			leaving,
 			offers,
 			load: describeLoad(),
+			...follower.summary,
 			entrySessions: entries.size,
 			openStages: stages?.open ?? 0,
 			stages: stages?.describe() ?? [],
@@ -293,6 +314,7 @@
 	return {
 		address: listener.address,
 		operatorAddress: operators.address,
+		tables: follower.table.asObservable(),
 		async drain() {
 			leaving = true;
 			logger.info('agent.leaving');
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -6,12 +6,14 @@
 	decideStage,
 	type Message,
 	type RequestId,
+	type RunningWork,
 	type Stage,
 	type StageCommand,
 	type StageContext,
 	type StageEvent,
 	type StageOpen,
 	type StageRecord,
+	type WorkScheduler,
 } from 'bramleystage';
 import type {EngineClient} from './engine-client.js';
 import {
@@ -20,6 +22,7 @@
 	type SequenceName,
 } from './engine-steps.js';
 import type {EntryKey} from './entry-sessions.js';
+import {createStepWork} from './step-work.js';
 
 /** How long the record of an ended stage is kept, in milliseconds. */
 const retentionMs = 600_000;
@@ -38,14 +41,12 @@
 
 export class StageDesk {
 	readonly #held = new Map<RequestId, Held>();
-	readonly #waiting: EngineStep[] = [];
-	#running = 0;
 	#retainedBytes = 0;
 
 	constructor(
 		private readonly options: {
 			readonly client: EngineClient;
-			readonly slots: number;
+			readonly scheduler: WorkScheduler<EngineStep>;
 			readonly describeContext: () => Omit<StageContext, 'mayRetain'>;
 			readonly sendToEntry: (entry: EntryKey, message: Message) => void;
 			readonly sendToStage: (stage: Stage, message: Message) => void;
@@ -56,11 +57,11 @@
 	) {}
 
 	get queued(): number {
-		return this.#waiting.length;
+		return this.options.scheduler.queued;
 	}
 
 	get running(): number {
-		return this.#running;
+		return this.options.scheduler.running;
 	}
 
 	get open(): number {
@@ -118,6 +119,7 @@
 					? now + event.open.deadlineMs + deadlineGraceMs
 					: (held?.until ?? now);
 			this.#held.set(request, {record, entry: owner, until});
+			this.#reserve(record, held?.record);
 		}
 
 		for (const command of commands) {
@@ -173,7 +175,10 @@
 			}
 
 			case 'runStep': {
-				this.#waiting.push(command);
+				this.options.scheduler.add(
+					createStepWork(command),
+					formatSequence(command),
+				);
 				this.#runWaiting();
 				break;
 			}
@@ -199,30 +204,42 @@
 		}
 	}
 
+	/** Tells the scheduler what a stage that was opened anew will bring. */
+	#reserve(record: StageRecord, before: StageRecord | undefined): void {
+		if (record.phase !== 'open') {
+			return;
+		}
+
+		const known = before?.phase === 'open' ? before.sequence : undefined;
+		if (record.sequence !== known) {
+			const {open} = record;
+			this.options.scheduler.reserve(formatSequence(record), open.work ?? 0);
+		}
+	}
+
 	#closeSequence(closed: SequenceName): void {
 		const name = formatSequence(closed);
-		const waiting = this.#waiting.filter(
-			(step) => formatSequence(step) !== name,
-		);
-		this.#waiting.splice(0, Infinity, ...waiting);
+		this.options.scheduler.release(name);
+		this.options.scheduler.remove((step) => formatSequence(step) === name);
 		void this.options.client.closeSequence(closed);
 	}
 
 	#runWaiting(): void {
-		while (this.#running < this.options.slots) {
-			const step = this.#waiting.shift();
-			if (!step) {
+		const {scheduler, readClock} = this.options;
+		for (;;) {
+			const work = scheduler.take(readClock());
+			if (!work) {
 				return;
 			}
 
-			void this.#runStep(step);
+			void this.#runStep(work);
 		}
 	}
 
-	async #runStep(step: EngineStep): Promise<void> {
-		this.#running++;
+	async #runStep(running: RunningWork<EngineStep>): Promise<void> {
+		const step = running.work.value;
 		const result = await this.options.client.runStep(step);
-		this.#running--;
+		this.options.scheduler.finish(running, this.options.readClock());
 		if (result.isErr()) {
 			this.options.onEngineLost();
 		}
--- a/packages/bramleystage-bench/src/recovery-bench.ts
+++ b/packages/bramleystage-bench/src/recovery-bench.ts
@@ -155,7 +155,8 @@
 	for (let index = 0; index < plan.count; index++) {
 		await waitFor(settleMs);
 		const fault = plan.faults[index % plan.faults.length];
-		const busy = (await site.listBusyHosts()).filter(
+		const open = await site.listBusyHosts();
+		const busy = open.filter(
 			(each) => !fault?.needsLast || each.toLayer === deployment.layers,
 		);
 		const host = busy[Math.floor(index / plan.faults.length) % busy.length];
--- a/packages/bramleystage-check/src/__tests__/stage-history.test.ts
+++ b/packages/bramleystage-check/src/__tests__/stage-history.test.ts
@@ -1,4 +1,6 @@
 import fc from 'fast-check';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {computeReference} from 'bramleystage-stand-ins';
 import {expect, test} from 'vitest';
 import {
@@ -20,11 +22,8 @@
 ] as const;
 
 function runPlan(faults: readonly StageFault[], seed: number) {
-	let state = seed;
-	const drawDelay = () => {
-		state = (Math.imul(state, 1_103_515_245) + 12_345) & 0x7f_ff_ff_ff;
-		return (state >>> 8) % 12;
-	};
+	const generator = xoroshiro128plus(seed);
+	const drawDelay = () => uniformInt(generator, 0, 11);
 
 	return new StageSimulation({prompt, maxTokens, faults, drawDelay}).run();
 }
--- a/packages/bramleystage-check/src/stage-simulation.ts
+++ b/packages/bramleystage-check/src/stage-simulation.ts
@@ -33,7 +33,7 @@
 	toDataCentreId,
 } from 'bramleystage';
 import {drawToken, encodeText, LayerRange} from 'bramleystage-stand-ins';
-import {VirtualClock} from './virtual-clock.js';
+import {VirtualTime} from './virtual-time.js';
 
 /** One fault, at a time in milliseconds, of the host with an index. */
 export type StageFault = {
@@ -91,7 +91,7 @@
 const model = toModelName('model');
 
 export class StageSimulation {
-	readonly #clock = new VirtualClock();
+	readonly #clock = new VirtualTime();
 	readonly #hosts: SimulatedHost[];
 	/** Number of the session between two ends; frames of an older one are lost. */
 	readonly #sessions = new Map<string, number>();
--- a/packages/bramleystage-command/src/daemon-commands.ts
+++ b/packages/bramleystage-command/src/daemon-commands.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {
 	agentSettings,
+	checkAgentSettings,
 	createLogger,
 	entrySettings,
 	sendHttp,
@@ -29,7 +30,7 @@
 		const logger = createLogger(settings.logLevel, {role: 'entry', host});
 		const entry = await startEntry(settings, logger);
 		process.stdout.write(
-			`listening ${entry.address} operators ${entry.operatorAddress}\n`,
+			`listening ${entry.address} operators ${entry.operatorAddress} sessions ${entry.sessionAddress}\n`,
 		);
 		await waitForStop(entry);
 	},
@@ -44,7 +45,7 @@
 			'An agent beside a model engine',
 		),
 	async handler(flags) {
-		const settings = readSettings(agentSettings, flags);
+		const settings = readSettings(agentSettings, flags, checkAgentSettings);
 		const host = toHostId(settings.host);
 		const logger = createLogger(settings.logLevel, {role: 'agent', host});
 		const agent = await startAgent(settings, logger);
--- a/packages/bramleystage-entry/src/audit.ts
+++ b/packages/bramleystage-entry/src/audit.ts
@@ -15,8 +15,9 @@
 
 export type RequestRecord = {
 	readonly request: RequestId;
-	readonly customer: CustomerId;
-	/** Name of the model or service. */
+	/** Absent when the bearer key was not known. */
+	readonly customer: CustomerId | undefined;
+	/** Name of the model or service in the table; else a word for the path. */
 	readonly subject: string;
 	/** Nothing when the request was answered in full. */
 	readonly failure: Failure | undefined;
@@ -88,6 +89,23 @@
 		private readonly metrics: EntryMetrics,
 	) {}
 
+	/** Records a request that was rejected before anything was sent on. */
+	recordRejected(
+		{request, customer}: Pick<RequestRecord, 'request' | 'customer'>,
+		subject: string,
+		failure: Failure,
+	): void {
+		this.#recordLocal({request, customer, subject, failure});
+	}
+
+	/** Records a request that the entry answered by itself. */
+	recordAnswered(
+		{request, customer}: Pick<RequestRecord, 'request' | 'customer'>,
+		subject: string,
+	): void {
+		this.#recordLocal({request, customer, subject, failure: undefined});
+	}
+
 	record(record: RequestRecord): void {
 		const {request, customer, subject, failure, attempts, pipeline} = record;
 		const result = failure?.result ?? 'ok';
@@ -106,4 +124,10 @@
 		});
 		this.records.next(record);
 	}
+
+	#recordLocal(
+		facts: Pick<RequestRecord, 'request' | 'customer' | 'subject' | 'failure'>,
+	): void {
+		this.record({...facts, attempts: 0, pipeline: '', durationMs: 0});
+	}
 }
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -2,53 +2,48 @@
  * The entry: takes callers' HTTP requests, finds the customer, and hands model
  * requests and service calls to their desks.
  */
-import {randomUUID} from 'node:crypto';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {randomInt, randomUUID} from 'node:crypto';
 import {
-	createFailure,
+	computeBackoff,
 	createRetryBudget,
 	decideRetry,
 	defaultHttpBounds,
 	type EntrySettings,
-	type Failure,
-	type HostId,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
 	type Logger,
 	PlatformClient,
 	protocolVersion,
-	readBody,
 	recordRequest,
 	type Recovery,
 	SessionPool,
+	type TableSnapshot,
 	toIncarnation,
-	toRequestId,
 	waitFor,
-	writeJson,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
-import {writeFailure} from './answers.js';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
-import {findCustomer} from './authentication.js';
+import {createCallerHandler} from './caller-port.js';
+import {EntryLimits} from './entry-limits.js';
+import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
-import {
-	type ModelRouteOptions,
-	type RouteContext,
-	runModelRoute,
-} from './model-route.js';
+import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
-import {chooseStages, chooseTarget, replaceModelStage} from './routing.js';
+import {createRouter, chooseModelStages, replaceModelStage} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
-import {runServiceRoute} from './service-route.js';
-import {TableFollower} from './table-follower.js';
+import {startTable} from './entry-table.js';
 
 export type RunningEntry = {
 	/** Address of the callers' port. */
 	readonly address: string;
+	/** Address at which other entries open sessions. */
+	readonly sessionAddress: string;
 	readonly operatorAddress: string;
 	/** A record of each request as it ends. */
 	readonly records: Observable<RequestRecord>;
+	/** The table as this entry has it. */
+	readonly tables: Observable<TableSnapshot>;
 	/** Takes no new request, lets those in flight end, then stops. */
 	readonly drain: () => Promise<void>;
 	/** Ends at once. */
@@ -59,7 +54,6 @@
 const leavingNoticeMs = 1000;
 /** A host that does not answer a hello for this long cannot be reached. */
 const handshakeMs = 800;
-const timeoutHeader = 'x-request-timeout-ms';
 
 const readClock = () => performance.now();
 
@@ -76,26 +70,65 @@
 	const platform = new PlatformClient(settings.platform);
 	const metrics = new EntryMetrics();
 	const audit = new Audit(logger, metrics);
-	const bounds = {...defaultHttpBounds, maxBodyBytes: settings.maxBodyBytes};
 	let leaving = false;
 	let budget = createRetryBudget();
+	const bounds = {
+		...defaultHttpBounds,
+		maxBodyBytes: settings.maxBodyBytes,
+		bodyTimeoutMs: settings.bodyTimeoutMs,
+	};
 
+	const {follower, ...tableParts} = startTable({
+		platform,
+		settings,
+		lifeCycle,
+		logger,
+		readClock,
+	});
+	const timing = {
+		heartbeatMs: settings.heartbeatMs,
+		idleHeartbeatMs: settings.idleHeartbeatMs,
+		silenceMs: settings.silenceMs,
+		handshakeMs: Math.min(settings.silenceMs, handshakeMs),
+	};
 	const pool = new SessionPool({
 		hello: {...identity, version: protocolVersion, deployment},
-		timing: {
-			heartbeatMs: settings.heartbeatMs,
-			silenceMs: settings.silenceMs,
-			handshakeMs: Math.min(settings.silenceMs, handshakeMs),
-		},
-		describeSelf: () => ({leaving}),
+		timing,
+		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
 	});
 	lifeCycle.register(() => {
 		pool.close();
 	});
-	const network = new Network({platform, pool, lifeCycle, readClock});
-	const follower = new TableFollower(platform, lifeCycle, logger);
-	const inFlight = new Map<HostId, number>();
-	const countInFlight = (id: HostId) => inFlight.get(id) ?? 0;
+	const router = createRouter(randomInt);
+	const network = new Network({
+		platform,
+		pool,
+		lifeCycle,
+		readClock,
+		self: host,
+		maxAgentSessions: settings.maxAgentSessions,
+		onReport(reported) {
+			router.recordReport(reported, readClock());
+		},
+	});
+	pool.events.subscribe(tableParts.receive);
+	const peers = new EntryPeers({
+		listen: settings.sessionListen,
+		identity: {...identity, version: protocolVersion, deployment},
+		timing,
+		isLeaving: () => leaving,
+		lifeCycle,
+	});
+	const limits = new EntryLimits({
+		self: {host, incarnation},
+		platform,
+		peers,
+		lifeCycle,
+		logger,
+		readView: () => follower.table.value.view,
+		readListed: () => network.hosts.listed,
+		readClock,
+	});
 
 	const allowRetry = () => {
 		const [next, isAllowed] = decideRetry(budget);
@@ -109,9 +142,17 @@
 
 	const models = new ModelDesk({
 		choose: (request, excluding) =>
-			chooseStages(network.hosts, request, excluding, countInFlight),
+			chooseModelStages(
+				router,
+				{request, hosts: network.hosts, excluding},
+				readClock(),
+			),
 		replace: (request, lost) =>
-			replaceModelStage(network.hosts, request, lost, countInFlight),
+			replaceModelStage(
+				router,
+				{request, lost, hosts: network.hosts},
+				readClock(),
+			),
 		send,
 		allowRetry,
 		recovery,
@@ -119,114 +160,66 @@
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			chooseTarget(network.hosts, call.service, excluding, countInFlight),
+			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
 		send,
-		allowRetry,
+		policy: {
+			allowRetry,
+			computeBackoff: (attempts) => computeBackoff(attempts, Math.random),
+		},
 		readClock,
 	});
 	network.events.subscribe((event) => {
 		models.receive(event);
 		services.receive(event);
 	});
-	const isReady = () => !leaving && follower.hasRead;
+	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
 		audit,
 		metrics,
 		readClock,
+		limits,
 		readCreated: () => Math.floor(Date.now() / 1000),
 	};
 
-	const handle = async (message: IncomingMessage, response: ServerResponse) => {
-		const url = message.url ?? '/';
-		if (url === '/healthz' || url === '/readyz') {
-			const isOk = url === '/healthz' || isReady();
-			writeJson(response, isOk ? 200 : 503, {ok: isOk});
-			return;
-		}
-
-		const request = toRequestId(randomUUID());
-		response.setHeader('x-request-id', request);
-		const {view} = follower.table.value;
-		const customer = findCustomer(message.headers.authorization, view);
-		if (customer.isErr()) {
-			rejectMessage(message, response, customer.error);
-			return;
-		}
-
-		if (leaving) {
-			const failure = createFailure('stopping', 'The entry is stopping.', {
-				retryAfterSeconds: 1,
-			});
-			rejectMessage(message, response, failure);
-			return;
-		}
-
-		const body = await readBody(message, bounds);
-		if (body.isErr()) {
-			rejectMessage(message, response, body.error);
-			return;
-		}
-
-		budget = recordRequest(budget);
-		const context: RouteContext = {
-			request,
-			customer: customer.value,
-			view,
-			deadlineMs: parseTimeout(message, settings.requestTimeoutMs),
-			response,
-		};
-		routeMessage(message, context, body.value);
-	};
-
-	const routeMessage = (
-		message: IncomingMessage,
-		context: RouteContext,
-		body: Buffer,
-	) => {
-		const {response, view} = context;
-		const [path = ''] = (message.url ?? '/').split('?');
-		if (path.startsWith('/v1/services/')) {
-			runServiceRoute(
-				{desk: services, audit, readClock},
-				context,
-				message,
-				body,
-			);
-			return;
-		}
-
-		const method = pathMethods.get(path);
-		if (method === undefined) {
-			writeFailure(response, createFailure('unknownPath', `No path ${path}.`));
-		} else if (method !== message.method) {
-			const failure = createFailure('methodNotAllowed', `Use ${method}.`);
-			writeFailure(response, failure);
-		} else if (path === '/v1/models') {
-			const data = [...view.models.keys()].map((id) => ({
-				id,
-				object: 'model',
-				created: 0,
-				owned_by: deployment,
-			}));
-			writeJson(response, 200, {object: 'list', data});
-		} else {
-			const kind = path === '/v1/completions' ? 'completion' : 'chat';
-			runModelRoute(modelRoute, context, kind, body.toString());
-		}
-	};
+	const handle = createCallerHandler({
+		settings,
+		isReady,
+		isLeaving: () => leaving,
+		audit,
+		logger,
+		bounds,
+		findStaleness: tableParts.findStaleness,
+		readView: () => follower.table.value.view,
+		recordRequest() {
+			budget = recordRequest(budget);
+		},
+		models: modelRoute,
+		services: {desk: services, audit, readClock, limits},
+	});
 
+	await peers.start();
+	const updatingPeers = network.listed.subscribe((listed) => {
+		peers.update(listed);
+	});
+	lifeCycle.register(() => {
+		updatingPeers.unsubscribe();
+	});
 	await network.refresh();
+	limits.start();
 	const listener = await listenHttp(settings.listen, handle, bounds);
 	lifeCycle.register(async () => listener.close());
-	metrics.registerGauge('table_offset', 'Next offset of the table', () =>
-		Number(follower.table.value.next),
-	);
+	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
 		'connected_hosts',
 		'Agents with a live session',
 		() => network.hosts.connected.size,
 	);
+	metrics.registerGauge(
+		'uncovered_layer_choices',
+		'Choices of a pipeline that found layers that no live engine holds',
+		() => router.uncovered,
+	);
 	metrics.registerGauge(
 		'requests_in_flight',
 		'Requests that have no whole answer yet',
@@ -240,12 +233,13 @@
 			deployment,
 			address: listener.address,
 			leaving,
-			tableOffset: follower.table.value.next,
-			tableRows: Object.fromEntries(follower.table.value.rows),
+			...tableParts.describe(),
 			hosts: [...network.hosts.connected.values()],
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
 			modelRuns: models.describe(),
+			routing: router.describe(readClock()),
+			limits: limits.describe(),
 		}),
 	});
 	lifeCycle.register(async () => operators.close());
@@ -253,13 +247,16 @@
 
 	return {
 		address: listener.address,
+		sessionAddress: peers.address,
 		operatorAddress: operators.address,
 		records: audit.records.asObservable(),
+		tables: follower.table.asObservable(),
 		async drain() {
 			leaving = true;
 			logger.info('entry.leaving');
 			await waitFor(leavingNoticeMs);
 			await listener.drain();
+			limits.retire();
 			await lifeCycle.stop();
 			logger.info('entry.stopped');
 		},
@@ -268,27 +265,3 @@
 		},
 	};
 }
-
-const pathMethods = new Map([
-	['/v1/models', 'GET'],
-	['/v1/chat/completions', 'POST'],
-	['/v1/completions', 'POST'],
-]);
-
-/** Answers a request that is not taken; the rest of its body is not read. */
-function rejectMessage(
-	message: IncomingMessage,
-	response: ServerResponse,
-	failure: Failure,
-): void {
-	if (!message.complete) {
-		response.setHeader('connection', 'close');
-	}
-
-	writeFailure(response, failure);
-}
-
-function parseTimeout(message: IncomingMessage, longestMs: number): number {
-	const asked = Number(message.headers[timeoutHeader] ?? longestMs);
-	return asked > 0 ? Math.min(asked, longestMs) : longestMs;
-}
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry process that takes callers' requests. */
-export {buildErrorBody, writeFailure} from './answers.js';
+export {registerCallerGone, writeFailure} from './answers.js';
+export {type Arrival, type ArrivalContext, checkArrival} from './arrival.js';
 export {
 	Audit,
 	EntryMetrics,
@@ -7,6 +8,25 @@
 	type RequestRecord,
 } from './audit.js';
 export {computeKeyDigest, findCustomer} from './authentication.js';
+export {type CallerPortOptions, createCallerHandler} from './caller-port.js';
+export {
+	type AcquirePermits,
+	EntryLimits,
+	type EntryLimitsOptions,
+	findLimit,
+	type LimitedWork,
+	type ReleasePermits,
+} from './entry-limits.js';
+export {
+	EntryPeers,
+	type EntryPeersOptions,
+	type PeerMessage,
+} from './entry-peers.js';
+export {
+	type EntryTable,
+	type EntryTableOptions,
+	startTable,
+} from './entry-table.js';
 export {type RunningEntry, startEntry} from './entry.js';
 export {selectAnswerHeaders, selectRequestHeaders} from './headers.js';
 export {
@@ -15,6 +35,8 @@
 	buildChunk,
 	buildUsageChunk,
 	type ChatMessages,
+	type ChunkPart,
+	formatAnswerId,
 	formatChatPrompt,
 	type ModelBody,
 	parseModelBody,
@@ -26,8 +48,17 @@
 	type RouteContext,
 	runModelRoute,
 } from './model-route.js';
+export {
+	chooseModelStages,
+	createRouter,
+	measureRequest,
+	type ModelChoice,
+} from './model-routing.js';
 export {Network, type NetworkEvent} from './network.js';
-export {chooseStages, chooseTarget, type CountInFlight} from './routing.js';
+export {rejectMessage} from './rejection.js';
+export {parseTimeout, timeoutHeader} from './request-timeout.js';
+export {checkRoute} from './route-check.js';
+export {Router, type RouteRequest, type RouterOptions} from './routing.js';
 export {
 	type ChooseTarget,
 	ServiceDesk,
@@ -39,4 +70,3 @@
 	runServiceRoute,
 	type ServiceRouteOptions,
 } from './service-route.js';
-export {TableFollower, tableStream} from './table-follower.js';
--- a/packages/bramleystage-entry/src/model-desk.ts
+++ b/packages/bramleystage-entry/src/model-desk.ts
@@ -1,6 +1,7 @@
 /** Carries out the decisions of model requests: one run for each request. */
 import {
 	type AllowRetry,
+	computeStageWork,
 	createModelRun,
 	type CustomerCells,
 	type CustomerId,
@@ -17,8 +18,10 @@
 	type Stage,
 	type Token,
 } from 'bramleystage';
+import type {Result} from 'neverthrow';
 import {CancelOutbox} from './cancel-outbox.js';
 import type {ModelBody} from './model-body.js';
+import {measureRequest} from './model-routing.js';
 import type {NetworkEvent} from './network.js';
 
 /** One request as the desk runs it. */
@@ -37,11 +40,11 @@
 	) => void;
 };
 
-/** Routing decision: the stages for a request, or none. */
+/** Routing decision: the stages for a request, or why there are none. */
 export type ChooseStages = (
 	request: ModelRequest,
 	excluding: readonly HostId[],
-) => readonly Stage[] | undefined;
+) => Result<readonly Stage[], Failure>;
 
 /** A stage to replace, among the stages of its pipeline. */
 export type LostStage = {
@@ -202,7 +205,13 @@
 		switch (command.type) {
 			case 'choose': {
 				const stages = this.options.choose(request, command.excluding);
-				this.handle(id, {type: 'chosen', stages});
+				this.handle(
+					id,
+					stages.match<ModelRunEvent>(
+						(chosen) => ({type: 'chosen', stages: chosen}),
+						(failure) => ({type: 'chosen', stages: undefined, failure}),
+					),
+				);
 				break;
 			}
 
@@ -282,9 +291,10 @@
 	}
 
 	#openStage(
-		{request, customer, cells, model, body}: ModelRequest,
+		modelRequest: ModelRequest,
 		command: Extract<ModelRunCommand, {type: 'openStage'}>,
 	): void {
+		const {request, customer, cells, model, body} = modelRequest;
 		const {index, stages, attempt, lineage, keeps} = command;
 		const stage = stages[index];
 		if (!stage) {
@@ -306,6 +316,10 @@
 			index,
 			fromPosition: command.fromPosition,
 			maxTokens: body.maxTokens,
+			work: computeStageWork(
+				measureRequest(modelRequest),
+				stage.toLayer - stage.fromLayer,
+			),
 			deadlineMs: command.deadlineMs,
 		});
 	}
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import {
 	createFailure,
+	computePromptCost,
 	type CustomerId,
 	type Failure,
 	type RequestId,
@@ -9,13 +10,15 @@
 	type Token,
 	writeJson,
 } from 'bramleystage';
-import {writeFailure} from './answers.js';
+import {registerCallerGone, writeFailure} from './answers.js';
 import {type Audit, type EntryMetrics, formatPipeline} from './audit.js';
+import type {AcquirePermits, ReleasePermits} from './entry-limits.js';
 import {
 	type AnswerHead,
 	buildAnswer,
 	buildChunk,
 	buildUsageChunk,
+	formatAnswerId,
 	type ModelBody,
 	parseModelBody,
 } from './model-body.js';
@@ -28,6 +31,7 @@
 	readonly audit: Audit;
 	readonly metrics: EntryMetrics;
 	readonly readClock: () => number;
+	readonly limits: AcquirePermits;
 	/** Seconds since 1970, for the `created` field alone. */
 	readonly readCreated: () => number;
 };
@@ -42,12 +46,12 @@
 };
 
 /** Runs one model request to its end. */
-export function runModelRoute(
+export async function runModelRoute(
 	options: ModelRouteOptions,
 	context: RouteContext,
 	kind: ModelBody['kind'],
 	text: string,
-): void {
+): Promise<void> {
 	const parsed = parseModelBody(kind, text);
 	const body = parsed.unwrapOr(undefined);
 	const failure = parsed.isErr()
@@ -55,12 +59,33 @@
 		: findProblem(context, parsed.value);
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
-		writeFailure(context.response, rejected);
-		recordRejected(options, context, body?.model ?? kind, rejected);
+		const isKnown = body !== undefined && context.view.models.has(body.model);
+		const subject = isKnown ? body.model : undefined;
+		rejectRequest(options, context, subject ?? kind, rejected);
 		return;
 	}
 
-	startRun(options, context, body);
+	const permits = await options.limits.acquire({
+		customer: context.customer,
+		subject: {kind: 'model', name: body.model},
+		tokens: computePromptCost(body.prompt) + body.maxTokens,
+	});
+	if (permits.isErr()) {
+		rejectRequest(options, context, body.model, permits.error);
+		return;
+	}
+
+	startRun(options, context, body, permits.value);
+}
+
+function rejectRequest(
+	options: ModelRouteOptions,
+	context: RouteContext,
+	subject: string,
+	failure: Failure,
+): void {
+	writeFailure(context.response, failure);
+	options.audit.recordRejected(context, subject, failure);
 }
 
 function findProblem(
@@ -82,39 +107,20 @@
 	return undefined;
 }
 
-function recordRejected(
-	{audit}: ModelRouteOptions,
-	{request, customer}: RouteContext,
-	subject: string,
-	failure: Failure,
-): void {
-	audit.record({
-		request,
-		customer,
-		subject,
-		failure,
-		attempts: 0,
-		pipeline: '',
-		durationMs: 0,
-	});
-}
-
 function startRun(
 	options: ModelRouteOptions,
 	context: RouteContext,
 	body: ModelBody,
+	release: ReleasePermits,
 ): void {
 	const {request, customer, view, response, deadlineMs} = context;
 	const startedAt = options.readClock();
 	const writer = new AnswerWriter(response, {
-		id: request,
+		id: formatAnswerId(body.kind, request),
 		created: options.readCreated(),
 		body,
 	});
 	const observe = createTokenObserver(options, body.model, startedAt);
-	response.once('close', () => {
-		options.desk.handle(request, {type: 'callerGone'});
-	});
 	options.desk.start({
 		request,
 		customer,
@@ -127,6 +133,7 @@
 			writer.writeToken(token);
 		},
 		finish(failure, {attempts, stages}) {
+			release();
 			writer.finish(failure);
 			options.audit.record({
 				request,
@@ -139,6 +146,9 @@
 			});
 		},
 	});
+	registerCallerGone(response, () => {
+		options.desk.handle(request, {type: 'callerGone'});
+	});
 }
 
 function createTokenObserver(
@@ -169,11 +179,12 @@
 	) {}
 
 	writeToken({text, finish, promptTokens}: Token): void {
-		this.#promptTokens = promptTokens ?? this.#promptTokens;
+		// Later tokens tell only what their own step read.
+		this.#promptTokens =
+			this.#tokens === 0 ? (promptTokens ?? 0) : this.#promptTokens;
 		this.#finish = finish ?? this.#finish;
 		if (this.head.body.stream) {
-			const isFirst = this.#tokens === 0;
-			this.#writeEvent(buildChunk(this.head, text, {isFirst, finish}));
+			this.#writeChunk(text);
 		} else {
 			this.#text += text;
 		}
@@ -197,6 +208,8 @@
 			return;
 		}
 
+		const reason = this.#finish;
+		this.#writeEvent(buildChunk(this.head, {type: 'finish', reason}));
 		if (this.head.body.includeUsage) {
 			this.#writeEvent(buildUsageChunk(this.head, usage));
 		}
@@ -204,6 +217,14 @@
 		this.response.end('data: [DONE]\n\n');
 	}
 
+	#writeChunk(text: string): void {
+		if (this.#tokens === 0 && this.head.body.kind === 'chat') {
+			this.#writeEvent(buildChunk(this.head, {type: 'role'}));
+		}
+
+		this.#writeEvent(buildChunk(this.head, {type: 'text', text}));
+	}
+
 	#writeEvent(event: Record<string, unknown>): void {
 		if (!this.response.headersSent) {
 			this.response.writeHead(200, {
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -6,14 +6,17 @@
 	applyHostList,
 	type ConnectedHost,
 	createHosts,
+	type Failure,
 	type Heartbeat,
 	type HostId,
 	type HostsSnapshot,
+	type Incarnation,
 	type LifeCycle,
 	type ListedHost,
 	type Message,
 	type PlatformClient,
 	removeConnectedHost,
+	selectAgentPeers,
 	type Session,
 	type SessionPool,
 	updateConnectedHost,
@@ -29,6 +32,7 @@
 	| {
 			readonly type: 'message';
 			readonly from: HostId;
+			readonly incarnation: Incarnation;
 			readonly message: Message;
 	  };
 
@@ -36,9 +40,13 @@
 
 export class Network {
 	readonly events = new Subject<NetworkEvent>();
+	/** The platform's list, each time it was read. */
+	readonly listed = new Subject<readonly ListedHost[]>();
 	#hosts = createHosts();
 	/** Hosts whose session ended and is being opened again, by address. */
 	readonly #reopening = new Map<string, ConnectedHost>();
+	#selectedFor = '';
+	#selected: ReadonlySet<string> = new Set();
 
 	constructor(
 		private readonly options: {
@@ -46,29 +54,21 @@
 			readonly pool: SessionPool;
 			readonly lifeCycle: LifeCycle;
 			readonly readClock: () => number;
+			readonly self: HostId;
+			/** Most agents that this entry keeps sessions to. */
+			readonly maxAgentSessions: number;
+			/** Called with each load report. */
+			readonly onReport?: (host: ConnectedHost) => void;
 		},
 	) {
 		const {pool, lifeCycle} = options;
 		pool.events.subscribe((event) => {
-			switch (event.type) {
-				case 'message': {
-					this.#receive(event.session, event.address, event.message);
-
-					break;
-				}
-
-				case 'closed': {
-					this.#forget(event.session);
-
-					break;
-				}
-
-				case 'refused': {
-					this.#giveUp(event.address);
-
-					break;
-				}
-				// No default
+			if (event.type === 'message') {
+				this.#receive(event.session, event.address, event.message);
+			} else if (event.type === 'closed') {
+				this.#forget(event.session, event.reason);
+			} else if (event.type === 'refused') {
+				this.#giveUp(event.address);
 			}
 		});
 		lifeCycle.registerInterval(hostListIntervalMs, () => {
@@ -89,6 +89,7 @@
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
 		this.options.pool.update(this.#listWanted(listed.value));
+		this.listed.next(listed.value);
 	}
 
 	/** Sends to a host, if there is a session to it. */
@@ -103,11 +104,13 @@
 
 	/** What the host list names, and what has a session though it is not listed. */
 	#listWanted(listed: readonly ListedHost[]): Set<string> {
+		const names = new Set(listed.map(({host}) => host));
+		const unlisted = [...this.#hosts.connected.values()].filter(
+			({host}) => !names.has(host),
+		);
 		return new Set([
-			...listed
-				.filter(({role}) => role === 'agent')
-				.map(({address}) => address),
-			...[...this.#hosts.connected.values()].map(({address}) => address),
+			...this.#selectAddresses(listed),
+			...unlisted.map(({address}) => address),
 			...this.#reopening.keys(),
 		]);
 	}
@@ -120,12 +123,37 @@
 		}
 	}
 
+	/** Selects again only when the list changed, since that takes long at a large site. */
+	#selectAddresses(listed: readonly ListedHost[]): ReadonlySet<string> {
+		const key = listed
+			.map(({host, address}) => `${host} ${address}`)
+			.join('\n');
+		if (key !== this.#selectedFor) {
+			this.#selectedFor = key;
+			this.#selected = this.#selectAgents(listed);
+		}
+
+		return this.#selected;
+	}
+
+	#selectAgents(listed: readonly ListedHost[]): Set<string> {
+		const entries = listed.filter(({role}) => role === 'entry');
+		const agents = listed.filter(({role}) => role === 'agent');
+		const {self, maxAgentSessions} = this.options;
+		const selected = new Set(
+			selectAgentPeers(self, entries, agents, maxAgentSessions),
+		);
+		return new Set(
+			agents.filter(({host}) => selected.has(host)).map(({address}) => address),
+		);
+	}
+
 	#receive(session: Session, address: string, message: Message): void {
 		if (message.type === 'heartbeat') {
 			this.#update(session, address, message);
 		} else {
-			const from = session.peer.host;
-			this.events.next({type: 'message', from, message});
+			const {host: from, incarnation} = session.peer;
+			this.events.next({type: 'message', from, incarnation, message});
 		}
 	}
 
@@ -145,6 +173,7 @@
 			roundTripMs: 0,
 		};
 		this.#hosts = updateConnectedHost(this.#hosts, connected);
+		this.options.onReport?.(connected);
 		if (this.#reopening.get(address)?.incarnation === incarnation) {
 			this.#reopening.delete(address);
 		}
@@ -155,12 +184,17 @@
 		}
 	}
 
-	#forget(session: Session): void {
+	#forget(session: Session, reason: Failure): void {
 		const {host, incarnation} = session.peer;
 		const known = this.#hosts.connected.get(host);
 		this.#hosts = removeConnectedHost(this.#hosts, host, incarnation);
 		if (known?.incarnation === incarnation) {
 			this.#reopening.set(known.address, known);
+			// This process ended the session, so it will not be opened again.
+			if (reason.result === 'stopping') {
+				this.#giveUp(known.address);
+			}
+
 			this.events.next({type: 'lost', host: known});
 		}
 	}
--- a/packages/bramleystage/src/coordination/model-run-protocol.ts
+++ b/packages/bramleystage/src/coordination/model-run-protocol.ts
@@ -9,7 +9,12 @@
 export type ModelRunEvent =
 	| {readonly type: 'started'}
 	/** The routing decision; no stages when no pipeline covers the model. */
-	| {readonly type: 'chosen'; readonly stages: readonly Stage[] | undefined}
+	| {
+			readonly type: 'chosen';
+			readonly stages: readonly Stage[] | undefined;
+			/** Why there are no stages. */
+			readonly failure?: Failure;
+	  }
 	/** The pipeline with its lost stage replaced; no stages when none can be. */
 	| {readonly type: 'replaced'; readonly stages: readonly Stage[] | undefined}
 	/** Time to look for a pipeline again. */
--- a/packages/bramleystage/src/coordination/model-run.ts
+++ b/packages/bramleystage/src/coordination/model-run.ts
@@ -49,7 +49,7 @@
 
 		case 'chosen': {
 			return state.phase === 'choosing'
-				? decideChosen(state, event.stages, now, context)
+				? decideChosen(state, event, now, context)
 				: [state, []];
 		}
 
@@ -109,7 +109,7 @@
 
 function decideChosen(
 	state: ModelRunState,
-	stages: readonly Stage[] | undefined,
+	{stages, failure}: Extract<ModelRunEvent, {type: 'chosen'}>,
 	now: Milliseconds,
 	{recovery}: ModelRunContext,
 ): ModelRunDecision {
@@ -125,13 +125,12 @@
 		];
 	}
 
-	return decideGiveUp(
-		state,
+	const known =
+		failure ??
 		createFailure('noPipeline', 'No live engines cover all layers.', {
-			outcome: 'not-run',
 			retryAfterSeconds: 1,
-		}),
-	);
+		});
+	return decideGiveUp(state, {...known, outcome: 'not-run'});
 }
 
 function decideReplaced(
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -1,13 +1,18 @@
 /** The bramleystage library: state, coordination, protocol and transport. */
 export {
 	type AllowRetry,
+	cancelWaitMs,
 	createDispatch,
 	decideDispatch,
 	type DispatchCommand,
 	type DispatchDecision,
 	type DispatchEvent,
+	type DispatchPolicy,
 	type DispatchState,
+	reconnectWaitMs,
 	type Target,
+	toDispatchEvent,
+	tombstoneTrustMs,
 } from './coordination/call-dispatch.js';
 export {
 	type CallCommand,
@@ -15,8 +20,75 @@
 	type CallEvent,
 	type CallRecord,
 	decideCall,
+	isForgettable,
 	type LedgerContext,
+	retentionMs,
+	toCallEvent,
 } from './coordination/call-ledger.js';
+export {
+	buildCandidateGroups,
+	type CandidateGroup,
+	type DrawIndex,
+	type FindUsable,
+	listCandidates,
+	type PipelineRequest,
+	selectCandidates,
+	type StageCandidate,
+} from './coordination/candidates.js';
+export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
+export {
+	type ConfirmFacts,
+	decideConfirm,
+	goneSettleMs,
+	listRemoved,
+} from './coordination/limit-confirm.js';
+export {
+	type AcquireResult,
+	LimitDesk,
+	type LimitDeskOptions,
+	type Permit,
+} from './coordination/limit-desk.js';
+export {
+	createLimitLedger,
+	decidePermit,
+	formatHolder,
+	type Holder,
+	type LimitLedger,
+	measureCharged,
+	measureHeld,
+	type PermitDecision,
+	type PermitRequest,
+	permitValidityMs,
+	releaseIncarnation,
+	releasePermit,
+	releaseUnheld,
+} from './coordination/limit-ledger.js';
+export {
+	computePart,
+	computeUsablePart,
+	createLimitMembers,
+	createLimitSnapshot,
+	findConfirmedEpoch,
+	foldLimitRecord,
+	foldLimitRecords,
+	type Limit,
+	type LimitMember,
+	type LimitMembers,
+	listOwners,
+	type LogRecord,
+	maxOwners,
+	type MemberList,
+} from './coordination/limit-members.js';
+export {
+	type DescribeUse,
+	LimitMembership,
+	type LimitMembershipOptions,
+} from './coordination/limit-membership.js';
+export {
+	LimitOwner,
+	type LimitOwnerOptions,
+	type PermitResult,
+} from './coordination/limit-owner.js';
 export {
 	type ModelRunCommand,
 	type ModelRunContext,
@@ -25,21 +97,46 @@
 	type Recovery,
 } from './coordination/model-run-protocol.js';
 export {decideModelRun} from './coordination/model-run.js';
+export {type PeerHost, selectAgentPeers} from './coordination/peers.js';
 export {
 	choosePipeline,
+	createStages,
+	findMissingLayers,
+	formatLayers,
+	type LayerSpan,
 	type LinkCost,
-	listCandidates,
+	type Pipeline,
 	type PipelineCosts,
-	type PipelineRequest,
-	type StageCandidate,
+	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
+export {RateMeter} from './coordination/rate-meter.js';
+export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
+	computeBackoff,
 	createRetryBudget,
 	decideRetry,
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
+export {
+	computeStageWork,
+	createRouteCosts,
+	type EstimateCached,
+	type EstimateLoad,
+	type RequestShape,
+	type RouteCostOptions,
+} from './coordination/route-cost.js';
+export {
+	type RunningWork,
+	type SchedulerOptions,
+	WorkScheduler,
+} from './coordination/scheduler.js';
+export {
+	isCurrentSession,
+	type SessionFence,
+	updateFence,
+} from './coordination/session-fence.js';
 export {
 	type StageCommand,
 	type StageContext,
@@ -55,6 +152,7 @@
 } from './coordination/stage-replacement.js';
 export {bytesPerValue} from './coordination/stage-step.js';
 export {decideStage} from './coordination/stage.js';
+export {computePromptCost} from './coordination/work-cost.js';
 export {
 	type Decide,
 	type Decision,
@@ -106,6 +204,29 @@
 	InvariantError,
 	invariants,
 } from './protocol/invariant.js';
+export {
+	type LimitKey,
+	limitKeySchema,
+	type LimitKind,
+	limitKindSchema,
+	type LimitRecord,
+	limitRecordSchema,
+	type LimitSnapshot,
+	limitSnapshotSchema,
+	type PermitAnswer,
+	permitAnswerSchema,
+	type PermitAsk,
+	permitAskSchema,
+	type PermitHeld,
+	permitHeldSchema,
+	type PermitMessage,
+	type PermitNumber,
+	permitNumberSchema,
+	type PermitRelease,
+	permitReleaseSchema,
+	toLimitKey,
+	toPermitNumber,
+} from './protocol/limits.js';
 export {
 	acknowledgeSchema,
 	type Activation,
@@ -152,7 +273,9 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
+export {createRandom, type Random} from './protocol/random.js';
 export {
+	buildErrorBody,
 	createFailure,
 	type Failure,
 	type Outcome,
@@ -165,8 +288,11 @@
 export {
 	agentSettings,
 	type AgentSettings,
+	checkAgentSettings,
+	type CheckTogether,
 	entrySettings,
 	type EntrySettings,
+	formatDefault,
 	formatFlag,
 	formatVariable,
 	parseSettings,
@@ -174,6 +300,21 @@
 	type SettingDefinitions,
 	type SettingValues,
 } from './protocol/settings.js';
+export {
+	columnNames,
+	type TableColumn,
+	tableColumns,
+} from './protocol/table-columns.js';
+export {
+	type TablePart,
+	tablePartSchema,
+	type TableRecords,
+	tableRecordsSchema,
+	type TableReport,
+	tableReportSchema,
+	type TableRequest,
+	tableRequestSchema,
+} from './protocol/table-messages.js';
 export {
 	cellSchemas,
 	type CustomerCells,
@@ -198,6 +339,21 @@
 	createAppendList,
 	listItems,
 } from './state/append-list.js';
+export {
+	type SnapshotPart,
+	snapshotPartRows,
+	snapshotPartSchema,
+	type SnapshotRow,
+	snapshotRowSchema,
+} from './protocol/table-snapshot-schema.js';
+export {type BucketChange, BucketMap} from './state/bucket-map.js';
+export {
+	createEditProgress,
+	decideEdit,
+	type EditCommand,
+	type EditEvent,
+	type EditProgress,
+} from './state/edit-progress.js';
 export {
 	applyHostList,
 	type ConnectedHost,
@@ -208,6 +364,58 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {LoadBook, type LoadEstimate} from './state/load.js';
+export {
+	createTableContact,
+	createTableReport,
+	isTableStale,
+	recordLogRead,
+	recordPeerReport,
+	removePeer,
+	staleAfterMs,
+	type TableContact,
+	type TablePeer,
+} from './state/table-contact.js';
+export {
+	type CsvRow,
+	type CsvTable,
+	formatCsv,
+	listOrderedRows,
+	parseCsv,
+} from './state/table-csv.js';
+export {
+	type CellChange,
+	compareCells,
+	compareTables,
+	createConflict,
+	listLagging,
+	type ProcessOffset,
+	type RowConflict,
+	type TableDiff,
+} from './state/table-diff.js';
+export {foldHistory, type HistoryEntry} from './state/table-history.js';
+export {
+	addSnapshotPart,
+	type CollectedParts,
+	computeTableDigest,
+	createSnapshotParts,
+	listSnapshotRows,
+	restoreTable,
+} from './state/table-snapshot.js';
+export {
+	formatTableError,
+	type TableError,
+	validateCells,
+	validateRowKey,
+} from './state/table-validation.js';
+export {
+	createView,
+	parseRowKey,
+	type RowCells,
+	type TableView,
+	type UpdatableView,
+	updateView,
+} from './state/table-view.js';
 export {
 	createModelRun,
 	findNextPosition,
@@ -223,11 +431,13 @@
 export {
 	createTable,
 	type EditResult,
+	findRowVersion,
 	foldRecord,
-	parseRowKey,
+	type RefusalReason,
+	type RefusedRow,
+	repeatWindow,
 	type TableRow,
 	type TableSnapshot,
-	type TableView,
 } from './state/table.js';
 export {
 	type Address,
@@ -235,6 +445,11 @@
 	parseAddress,
 } from './transport/address.js';
 export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
+export {
+	HeartbeatPace,
+	type PaceTiming,
+	type SelfDescription,
+} from './transport/heartbeat-pace.js';
 export {
 	type HttpAnswer,
 	type HttpError,
@@ -275,6 +490,7 @@
 export {
 	type LogEvent,
 	type LogRecords,
+	maxReadRecords,
 	PlatformClient,
 	type PlatformError,
 } from './transport/platform-client.js';
@@ -296,3 +512,26 @@
 	type SessionTiming,
 	startServer,
 } from './transport/session.js';
+export {
+	appendSnapshot,
+	type FoundSnapshot,
+	readSnapshot,
+	tableSnapshotStream,
+} from './transport/table-bootstrap.js';
+export {
+	TableFollower,
+	type TableFollowerOptions,
+	type TableSummary,
+} from './transport/table-follower.js';
+export {
+	TableLogReader,
+	type TableLogReaderOptions,
+	tableStream,
+} from './transport/table-log-reader.js';
+export {publishEdit, type PublishOptions} from './transport/table-publisher.js';
+export {TableSharing} from './transport/table-sharing.js';
+export {
+	type SnapshotTiming,
+	TableSnapshotWriter,
+	type TableSnapshotWriterOptions,
+} from './transport/table-snapshot-writer.js';
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -17,7 +17,19 @@
 	serviceNameSchema,
 	sessionNumberSchema,
 } from './ids.js';
+import {
+	permitAnswerSchema,
+	permitAskSchema,
+	permitHeldSchema,
+	permitReleaseSchema,
+} from './limits.js';
 import {outcomeSchema, resultNameSchema} from './result-codes.js';
+import {
+	tablePartSchema,
+	tableRecordsSchema,
+	tableReportSchema,
+	tableRequestSchema,
+} from './table-messages.js';
 
 /** A peer with another version is refused at the hello. */
 export const protocolVersion = 1;
@@ -49,11 +61,16 @@
 
 /** Load of a backend server as its agent last saw it. */
 export const loadReportSchema = z.object({
-	/** Work waiting at the agent, in layer-tokens for engines, in calls for services. */
+	/**
+	 * Work that waits or that open stages are expected to bring, in layer-tokens
+	 * for engines, in calls for services.
+	 */
 	queued: amount,
 	running: amount,
-	/** Work finished a second, smoothed. */
+	/** Work finished a second while work waited, smoothed; 0 is unknown. */
 	rate: amount,
+	/** Smoothed time of one step or call at the backend server, in milliseconds. */
+	stepMs: amount.optional(),
 });
 export type LoadReport = z.infer<typeof loadReportSchema>;
 
@@ -92,6 +109,7 @@
 	leaving: z.boolean(),
 	offers: z.array(offerSchema).max(100).optional(),
 	load: loadReportSchema.optional(),
+	table: tableReportSchema.optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
@@ -196,6 +214,8 @@
 	/** Position of the first token of the lineage: the tokens given before it. */
 	fromPosition: positionSchema,
 	maxTokens: count,
+	/** Layer-tokens that the stage is expected to run. */
+	work: amount.optional(),
 	deadlineMs: amount,
 });
 export type StageOpen = z.infer<typeof stageOpenSchema>;
@@ -279,6 +299,13 @@
 	stageResumeSchema,
 	activationSchema,
 	tokenSchema,
+	permitAskSchema,
+	permitAnswerSchema,
+	permitReleaseSchema,
+	permitHeldSchema,
+	tableRequestSchema,
+	tableRecordsSchema,
+	tablePartSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -11,6 +11,8 @@
 export type SettingDefinition = {
 	readonly schema: z.ZodType;
 	readonly description: string;
+	/** True for a flag that stands without a value. */
+	readonly isSwitch?: boolean;
 };
 
 export type SettingDefinitions = Readonly<Record<string, SettingDefinition>>;
@@ -51,6 +53,11 @@
 		schema: durationMs.default(250),
 		description: 'Interval of heartbeats on a session, in milliseconds',
 	},
+	idleHeartbeatMs: {
+		schema: durationMs.default(500),
+		description:
+			'Interval of heartbeats on a session without requests, in milliseconds',
+	},
 	silenceMs: {
 		schema: durationMs.default(1200),
 		description: 'A session is dead when silent for this long, in milliseconds',
@@ -63,6 +70,14 @@
 		schema: address.default('127.0.0.1:0'),
 		description: "Address of the callers' HTTP port, host:port",
 	},
+	sessionListen: {
+		schema: address.default('127.0.0.1:0'),
+		description: 'Address for sessions of other entries, host:port',
+	},
+	maxAgentSessions: {
+		schema: z.coerce.number().int().positive().max(10_000).default(256),
+		description: 'Most agents that the entry keeps sessions to',
+	},
 	requestTimeoutMs: {
 		schema: durationMs.default(120_000),
 		description: 'Deadline of a request that names none, in milliseconds',
@@ -71,6 +86,21 @@
 		schema: z.coerce.number().int().positive().max(1e8).default(4_194_304),
 		description: "Largest body of a caller's request, in bytes",
 	},
+	bodyTimeoutMs: {
+		schema: durationMs.default(15_000),
+		description:
+			"A caller's headers and body must each arrive within this time, in milliseconds",
+	},
+	snapshotIntervalMs: {
+		schema: durationMs.default(600_000),
+		description:
+			'A snapshot of the table is appended this often, in milliseconds; well under the retention of the log',
+	},
+	snapshotRecords: {
+		schema: z.coerce.number().int().positive().max(1e6).default(2000),
+		description:
+			'A snapshot of the table is appended after this many records at the latest',
+	},
 } as const satisfies SettingDefinitions;
 export type EntrySettings = SettingValues<typeof entrySettings>;
 
@@ -103,22 +133,66 @@
 } as const satisfies SettingDefinitions;
 export type AgentSettings = SettingValues<typeof agentSettings>;
 
+/** Checks settings that depend on one another; gives an error for each broken rule. */
+export type CheckTogether = (
+	values: Readonly<Record<string, unknown>>,
+) => readonly string[];
+
+/** An agent fronts one engine, or one plain service that has a name. */
+export const checkAgentSettings: CheckTogether = ({
+	engine,
+	service,
+	serviceName,
+}) => {
+	const errors: string[] = [];
+	if ((engine === undefined) === (service === undefined)) {
+		errors.push('--engine, --service: exactly one of them must be set');
+	}
+
+	if ((service === undefined) !== (serviceName === undefined)) {
+		errors.push('--service, --service-name: must be set together');
+	}
+
+	return errors;
+};
+
 /** Checks all settings; gives every error, one text each. */
 export function parseSettings<Definitions extends SettingDefinitions>(
 	definitions: Definitions,
 	values: Readonly<Record<string, unknown>>,
+	checkTogether: CheckTogether = () => [],
 ): Result<SettingValues<Definitions>, string[]> {
 	const shape = Object.fromEntries(
 		Object.entries(definitions).map(([name, {schema}]) => [name, schema]),
 	);
 	const parsed = z.object(shape).safeParse(values);
-	return parsed.success
+	const issues = parsed.success ? [] : parsed.error.issues;
+	const errors = [
+		...issues.map(({path, message}) =>
+			formatSettingError(String(path[0]), message, values),
+		),
+		...checkTogether(values),
+	];
+	return errors.length === 0
 		? ok(parsed.data as SettingValues<Definitions>)
-		: err(
-				parsed.error.issues.map(
-					(issue) => `--${formatFlag(String(issue.path[0]))}: ${issue.message}`,
-				),
-			);
+		: err(errors);
+}
+
+function formatSettingError(
+	name: string,
+	message: string,
+	values: Readonly<Record<string, unknown>>,
+): string {
+	const reason = values[name] === undefined ? 'is not set' : message;
+	return `--${formatFlag(name)} (${formatVariable(name)}): ${reason}`;
+}
+
+/** Formats the value that a setting has when it is not given; nothing if it must be. */
+export function formatDefault({schema}: SettingDefinition): string | undefined {
+	const parsed = schema.safeParse(undefined);
+	return parsed.success
+		? `${(parsed.data as string | undefined) ?? ''}`
+		: undefined;
 }
 
 /** Formats a setting's name as a flag: `dataCentre` is `data-centre`. */
--- a/packages/bramleystage/src/transport/session-pool.ts
+++ b/packages/bramleystage/src/transport/session-pool.ts
@@ -47,7 +47,7 @@
 	session: Session | undefined;
 	isWanted: boolean;
 	/** Ends the present backoff. */
-	wake: () => void;
+	wake: (() => void) | undefined;
 };
 
 export class SessionPool {
@@ -84,7 +84,7 @@
 			return;
 		}
 
-		const slot: Slot = {session: undefined, isWanted: true, wake() {}};
+		const slot: Slot = {session: undefined, isWanted: true, wake: undefined};
 		this.#slots.set(address, slot);
 		void this.#run(address, slot);
 	}
@@ -92,7 +92,7 @@
 	/** Wants a session to an address now: ends a backoff that is under way. */
 	reopen(address: string): void {
 		this.open(address);
-		this.#slots.get(address)?.wake();
+		this.#slots.get(address)?.wake?.();
 	}
 
 	/** Gives the live session to an address, if there is one. */
