--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -25,7 +25,6 @@
 	TableFollower,
 	type TableSnapshot,
 	toIncarnation,
-	toPosition,
 	toServiceName,
 	waitFor,
 } from 'bramleystage';
@@ -176,61 +175,17 @@
 	};
 
 	const receive = (message: Message, entry: EntryKey | undefined) => {
-		switch (message.type) {
-			case 'call': {
-				calls?.receive(message, entry);
-				break;
-			}
+		if ('request' in message) {
+			calls?.receive(message, entry);
+		}
 
-			case 'stageOpen': {
-				stages?.handle(message.request, {type: 'opened', open: message}, entry);
-				for (const stage of message.stages) {
-					if (stage.host !== host) {
-						pool.reopen(stage.address);
-					}
+		stages?.receive(message, entry);
+		if (message.type === 'stageOpen') {
+			for (const stage of message.stages) {
+				if (stage.host !== host) {
+					pool.reopen(stage.address);
 				}
-
-				break;
-			}
-
-			case 'stageRun': {
-				stages?.handle(message.request, {type: 'run', message});
-				break;
-			}
-
-			case 'stageResume': {
-				stages?.handle(message.request, {type: 'resumed', message});
-				break;
-			}
-
-			case 'activation': {
-				stages?.handle(message.request, {type: 'activation', message});
-				break;
-			}
-
-			case 'token': {
-				stages?.handle(message.request, {type: 'token', message});
-				break;
-			}
-
-			case 'cancel': {
-				const {request} = message;
-				calls?.receive(message, entry);
-				stages?.handle(request, {type: 'cancelled', message}, entry);
-				break;
-			}
-
-			case 'acknowledge': {
-				calls?.receive(message, entry);
-				stages?.handle(message.request, {
-					type: 'acknowledged',
-					position: message.position ?? toPosition(0),
-				});
-				break;
 			}
-
-			default:
-			// Heartbeats and handshakes need no answer here.
 		}
 	};
 
--- a/packages/bramleystage-agent/src/stage-desk.ts
+++ b/packages/bramleystage-agent/src/stage-desk.ts
@@ -3,6 +3,7 @@
  * stage here, runs steps at the engine, and sends frames on.
  */
 import {
+	createStageEvent,
 	decideStage,
 	type Message,
 	type RequestId,
@@ -98,6 +99,15 @@
 		});
 	}
 
+	/** Takes a message of an entry or of another agent. */
+	receive(message: Message, entry: EntryKey | undefined): void {
+		const event = createStageEvent(message);
+		if (event && 'request' in message) {
+			const isOwned = message.type === 'stageOpen' || message.type === 'cancel';
+			this.handle(message.request, event, isOwned ? entry : undefined);
+		}
+	}
+
 	/** Decides an event of a request and carries out what follows. */
 	handle(request: RequestId, event: StageEvent, entry?: EntryKey): void {
 		const held = this.#held.get(request);
--- a/packages/bramleystage-check/src/stage-simulation.ts
+++ b/packages/bramleystage-check/src/stage-simulation.ts
@@ -6,6 +6,7 @@
  */
 import {
 	createModelRun,
+	createStageEvent,
 	decideModelRun,
 	decideStage,
 	encodeFrame,
@@ -24,7 +25,6 @@
 	toHostId,
 	toIncarnation,
 	toModelName,
-	toPosition,
 	toRequestId,
 	createFailure,
 	createHosts,
@@ -447,9 +447,7 @@
 	}
 
 	#sendToHost(stage: Stage | undefined, message: Message): void {
-		const host = this.#hosts.find(
-			(each) => stage && formatHost(each) === stage.host,
-		);
+		const host = this.#hosts.find((each) => formatHost(each) === stage?.host);
 		if (host) {
 			this.#send(formatSession(host, 'entry'), 'in', message, (arrived) => {
 				this.#receive(host, arrived);
@@ -496,7 +494,7 @@
 			return;
 		}
 
-		const event = describeEvent(message);
+		const event = createStageEvent(message);
 		if (event && host.isUp) {
 			this.#step(host, event);
 		}
@@ -635,43 +633,6 @@
 		: [host.index, other.index].toSorted((a, b) => a - b).join(' ');
 }
 
-function describeEvent(message: Message): StageEvent | undefined {
-	switch (message.type) {
-		case 'stageOpen': {
-			return {type: 'opened', open: message};
-		}
-
-		case 'stageRun': {
-			return {type: 'run', message};
-		}
-
-		case 'stageResume': {
-			return {type: 'resumed', message};
-		}
-
-		case 'activation': {
-			return {type: 'activation', message};
-		}
-
-		case 'token': {
-			return {type: 'token', message};
-		}
-
-		case 'acknowledge': {
-			const position = message.position ?? toPosition(0);
-			return {type: 'acknowledged', position};
-		}
-
-		case 'cancel': {
-			return {type: 'cancelled', message};
-		}
-
-		default: {
-			return undefined;
-		}
-	}
-}
-
 /** Runs a step as the stand-in engine does; nothing for a sequence it lost. */
 function runAtEngine(
 	host: SimulatedHost,
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -30,7 +30,11 @@
 import {ModelDesk} from './model-desk.js';
 import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
-import {createRouter, chooseModelStages, replaceModelStage} from './model-routing.js';
+import {
+	createRouter,
+	chooseModelStages,
+	replaceModelStage,
+} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
 import {startTable} from './entry-table.js';
 
--- a/packages/bramleystage-entry/src/model-routing.ts
+++ b/packages/bramleystage-entry/src/model-routing.ts
@@ -80,7 +80,11 @@
 		};
 		return chooseModelStages(
 			router,
-			{request: {...request, model}, hosts: gap.hosts, excluding: gap.excluding},
+			{
+				request: {...request, model},
+				hosts: gap.hosts,
+				excluding: gap.excluding,
+			},
 			now,
 		).unwrapOr(undefined);
 	});
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -63,12 +63,25 @@
 	) {
 		const {pool, lifeCycle} = options;
 		pool.events.subscribe((event) => {
-			if (event.type === 'message') {
-				this.#receive(event.session, event.address, event.message);
-			} else if (event.type === 'closed') {
-				this.#forget(event.session, event.reason);
-			} else if (event.type === 'refused') {
-				this.#giveUp(event.address);
+			switch (event.type) {
+				case 'message': {
+					this.#receive(event.session, event.address, event.message);
+
+					break;
+				}
+
+				case 'closed': {
+					this.#forget(event.session, event.reason);
+
+					break;
+				}
+
+				case 'refused': {
+					this.#giveUp(event.address);
+
+					break;
+				}
+				// No default
 			}
 		});
 		lifeCycle.registerInterval(hostListIntervalMs, () => {
--- a/packages/bramleystage/src/coordination/stage-protocol.ts
+++ b/packages/bramleystage/src/coordination/stage-protocol.ts
@@ -1,6 +1,6 @@
 /** Events and commands of the stage decisions, and what they decide by. */
 import type {Decision} from '../protocol/decision.js';
-import type {Attempt, Position} from '../protocol/ids.js';
+import {type Attempt, type Position, toPosition} from '../protocol/ids.js';
 import type {
 	Cancel,
 	Message,
@@ -80,3 +80,41 @@
 	/** Whether this many more bytes of activations may be retained. */
 	readonly mayRetain: (bytes: number) => boolean;
 };
+
+/** Gives the event that a message is to a stage, if it is one. */
+export function createStageEvent(message: Message): StageEvent | undefined {
+	switch (message.type) {
+		case 'stageOpen': {
+			return {type: 'opened', open: message};
+		}
+
+		case 'stageRun': {
+			return {type: 'run', message};
+		}
+
+		case 'stageResume': {
+			return {type: 'resumed', message};
+		}
+
+		case 'activation': {
+			return {type: 'activation', message};
+		}
+
+		case 'token': {
+			return {type: 'token', message};
+		}
+
+		case 'acknowledge': {
+			const position = message.position ?? toPosition(0);
+			return {type: 'acknowledged', position};
+		}
+
+		case 'cancel': {
+			return {type: 'cancelled', message};
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -138,6 +138,7 @@
 	updateFence,
 } from './coordination/session-fence.js';
 export {
+	createStageEvent,
 	type StageCommand,
 	type StageContext,
 	type StageDecision,
