--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -54,6 +54,8 @@
 };
 
 const offerIntervalMs = 1000;
+/** A host that does not answer a hello for this long cannot be reached. */
+const handshakeMs = 800;
 const sweepIntervalMs = 10_000;
 const drainStepMs = 50;
 /** A leaving agent says so in heartbeats for at least this long. */
@@ -74,7 +76,7 @@
 		heartbeatMs: settings.heartbeatMs,
 		idleHeartbeatMs: settings.idleHeartbeatMs,
 		silenceMs: settings.silenceMs,
-		handshakeMs: settings.silenceMs,
+		handshakeMs: Math.min(settings.silenceMs, handshakeMs),
 	};
 	const entries = new EntrySessions();
 	const {host, dataCentre, deployment} = settings;
@@ -111,22 +113,19 @@
 	});
 
 	const sendToStage = (stage: Stage, message: Message) => {
-		const session = pool.findSession(stage.address);
-		if (session) {
-			session.send(message);
-			return;
-		}
-
-		// The first frame to a stage may come before the session to it is open.
+		// Without a session, the stage sends again once there is one.
 		pool.open(stage.address);
-		const sending = pool.events.subscribe((event) => {
-			if (event.type === 'opened' && event.address === stage.address) {
-				sending.unsubscribe();
-				event.session.send(message);
-			}
-		});
+		pool.findSession(stage.address)?.send(message);
 	};
 
+	pool.events.subscribe((event) => {
+		if (event.type === 'opened') {
+			stages?.updatePeer('peerReturned', event.address);
+		} else if (event.type === 'refused') {
+			stages?.updatePeer('peerLost', event.address);
+		}
+	});
+
 	const engine = settings.engine
 		? new EngineClient(settings.engine)
 		: undefined;
@@ -152,6 +151,9 @@
 					entries.send(entry, message);
 				},
 				sendToStage,
+				onEngineLost() {
+					void refreshOffers();
+				},
 				readClock,
 			})
 		: undefined;
@@ -188,52 +190,17 @@
 	};
 
 	const receive = (message: Message, entry: EntryKey | undefined) => {
-		switch (message.type) {
-			case 'call': {
-				calls?.receive(message, entry);
-				break;
-			}
+		if ('request' in message) {
+			calls?.receive(message, entry);
+		}
 
-			case 'stageOpen': {
-				stages?.handle(message.request, {type: 'opened', open: message}, entry);
-				for (const stage of message.stages) {
-					if (stage.host !== host) {
-						pool.open(stage.address);
-					}
+		stages?.receive(message, entry);
+		if (message.type === 'stageOpen') {
+			for (const stage of message.stages) {
+				if (stage.host !== host) {
+					pool.reopen(stage.address);
 				}
-
-				break;
 			}
-
-			case 'stageRun': {
-				stages?.handle(message.request, {type: 'run', message});
-				break;
-			}
-
-			case 'activation': {
-				stages?.handle(message.request, {type: 'activation', message});
-				break;
-			}
-
-			case 'token': {
-				stages?.handle(message.request, {type: 'token', message});
-				break;
-			}
-
-			case 'cancel': {
-				const {request} = message;
-				calls?.receive(message, entry);
-				stages?.handle(request, {type: 'cancelled', message}, entry);
-				break;
-			}
-
-			case 'acknowledge': {
-				calls?.receive(message, entry);
-				break;
-			}
-
-			default:
-			// Heartbeats and handshakes need no answer here.
 		}
 	};
 
@@ -250,6 +217,9 @@
 		});
 		logger.debug('session.opened', {peer: hello.host, role: hello.role});
 		void forgetSession(session, entry);
+		if (entry) {
+			stages?.resendTo(entry);
+		}
 	};
 
 	const forgetSession = async (
@@ -303,6 +273,7 @@
 			...follower.summary,
 			entrySessions: entries.size,
 			openStages: stages?.open ?? 0,
+			stages: stages?.describe() ?? [],
 			stageRecords: stages?.records ?? 0,
 			callRecords: calls?.records ?? 0,
 		}),
--- a/packages/bramleystage-agent/src/schedulers.ts
+++ b/packages/bramleystage-agent/src/schedulers.ts
@@ -5,7 +5,7 @@
 	type RequestId,
 	WorkScheduler,
 } from 'bramleystage';
-import type {EngineStep} from './engine-client.js';
+import type {EngineStep} from './engine-steps.js';
 
 /** Layer-tokens that one step of priority may borrow. */
 const stepPriorityCost = 500;
--- a/packages/bramleystage-agent/src/step-work.ts
+++ b/packages/bramleystage-agent/src/step-work.ts
@@ -5,7 +5,7 @@
 	type StepInput,
 	type Work,
 } from 'bramleystage';
-import type {EngineStep} from './engine-client.js';
+import type {EngineStep} from './engine-steps.js';
 
 /** Added to the priority of an answer under way, so that its tokens keep coming. */
 const continuationPriority = 10;
--- a/packages/bramleystage-bench/src/__tests__/limits.test.ts
+++ b/packages/bramleystage-bench/src/__tests__/limits.test.ts
@@ -1,10 +1,10 @@
 import {type Limit, toLimitKey} from 'bramleystage';
 import {expect, test} from 'vitest';
 import {LimitAudit} from '../limit-audit.js';
-import {measureOneEntry, runFaults} from '../limits-bench.js';
+import {measureOneEntry, runLimitFaults} from '../limits-bench.js';
 
 test.each([1, 2])('no limit is ever passed under faults, seed %i', (seed) => {
-	const {maxOver, faults} = runFaults(seed, 90_000);
+	const {maxOver, faults} = runLimitFaults(seed, 90_000);
 	expect(faults).toBeGreaterThan(10);
 	expect(maxOver).toBe(0);
 });
--- a/packages/bramleystage-bench/src/capacity-state.ts
+++ b/packages/bramleystage-bench/src/capacity-state.ts
@@ -128,21 +128,33 @@
 const stagesPerRequest = 8;
 const tokensPerAnswer = 400;
 
+const runContext = {allowRetry: () => true, recovery: 'replace'} as const;
+
 /** Builds a run that has given its tokens. */
 function buildRun(index: number): ModelRunState {
-	const allow = () => true;
+	const request = toRequestId(`request-${index}`);
 	let [state] = decideModelRun(
 		createModelRun(60_000),
 		{type: 'chosen', stages: createStages(stagesPerRequest)},
 		0,
-		allow,
+		runContext,
 	);
 	for (let stage = 0; stage < stagesPerRequest; stage++) {
 		[state] = decideModelRun(
 			state,
-			{type: 'stageOpened', attempt: state.attempt, index: stage},
+			{
+				type: 'stageOpened',
+				message: {
+					type: 'stageOpened',
+					request,
+					attempt: state.attempt,
+					index: stage,
+					next: toPosition(0),
+					retains: false,
+				},
+			},
 			0,
-			allow,
+			runContext,
 		);
 	}
 
@@ -153,7 +165,7 @@
 				type: 'token',
 				token: {
 					type: 'token',
-					request: toRequestId(`request-${index}`),
+					request,
 					attempt: toAttempt(state.attempt),
 					position: toPosition(position),
 					token: position,
@@ -161,7 +173,7 @@
 				},
 			},
 			0,
-			allow,
+			runContext,
 		);
 	}
 
--- a/packages/bramleystage-bench/src/index.ts
+++ b/packages/bramleystage-bench/src/index.ts
@@ -42,7 +42,7 @@
 	limitsBench,
 	measureControl,
 	measureOneEntry,
-	runFaults,
+	runLimitFaults,
 } from './limits-bench.js';
 export {computeFit, type LinearFit, type Point} from './linear-fit.js';
 export {overheadBench} from './overhead-bench.js';
--- a/packages/bramleystage-bench/src/limits-bench.ts
+++ b/packages/bramleystage-bench/src/limits-bench.ts
@@ -69,7 +69,7 @@
 }
 
 /** Runs demand at random entries under random faults; gives the most over a limit. */
-export function runFaults(
+export function runLimitFaults(
 	seed: number,
 	durationMs: number,
 ): {maxOver: number; faults: number} {
@@ -219,7 +219,7 @@
 		let maxOver = 0;
 		let faults = 0;
 		for (let seed = 1; seed <= runs; seed++) {
-			const result = runFaults(seed, durationMs);
+			const result = runLimitFaults(seed, durationMs);
 			maxOver = Math.max(maxOver, result.maxOver);
 			faults += result.faults;
 		}
--- a/packages/bramleystage-bench/src/recovery-bench.ts
+++ b/packages/bramleystage-bench/src/recovery-bench.ts
@@ -3,8 +3,9 @@
  * silent, to the callers' next token. A sample is that of the slowest stream
  * of one fault. The baseline entry starts an answer over on another pipeline.
  */
+import process from 'node:process';
 import {type RunningEntry, startEntry} from 'bramleystage-entry';
-import {waitFor} from 'bramleystage';
+import {type Recovery, waitFor} from 'bramleystage';
 import {formatSampleKey} from 'bramleystage-site';
 import {type BenchFlags} from './benches.js';
 import {type RecoveryHost, RecoverySite} from './recovery-site.js';
@@ -14,13 +15,15 @@
 type Fault = {
 	readonly name: string;
 	readonly kind: 'death' | 'silence';
+	/** Only the last stage's connection carries tokens to the entry. */
+	readonly needsLast?: boolean;
 	readonly start: (host: RecoveryHost) => boolean;
 };
 
 const minWatchMs = 250;
 /** A stream has recovered when its last token is younger than this. */
 const recoveredMs = 150;
-const maxWatchMs = 20_000;
+const maxWatchMs = 10_000;
 const settleMs = 100;
 const watchStepMs = 5;
 const maxTokens = 200;
@@ -39,6 +42,7 @@
 	{
 		name: 'entry to agent silent',
 		kind: 'silence',
+		needsLast: true,
 		start: ({agentRelay}) => agentRelay.silence(isFromEntry) > 0,
 	},
 	{
@@ -72,6 +76,9 @@
 	try {
 		await site.start();
 		return await measureSite(site, flags);
+	} catch (error) {
+		process.stderr.write(`${(error as Error).message}\n`);
+		throw error;
 	} finally {
 		await site.stop();
 	}
@@ -90,10 +97,14 @@
 		callers,
 		faults: chosen,
 	});
+	const baseline = await measureRecovery(site, flags, 'startOver');
+	const resume = await measureRecovery(site, flags, 'resume');
 	const {counts, samples} = measured;
 	return {
 		...describeSamples('death', samples.death),
 		...describeSamples('silence', samples.silence),
+		...describeSamples('baseline', baseline),
+		...describeSamples('resume', resume),
 		faults: samples.death.length + samples.silence.length,
 		lost: counts.lost,
 		doubled: counts.doubled,
@@ -106,6 +117,24 @@
 	};
 }
 
+/** Measures deaths with an entry that recovers in another way. */
+async function measureRecovery(
+	site: RecoverySite,
+	flags: BenchFlags,
+	recovery: Recovery,
+): Promise<readonly number[]> {
+	const entry = await site.startEntry(
+		`entry-${recovery}`,
+		async (settings, logger) => startEntry(settings, logger, recovery),
+	);
+	const {samples} = await measureFaults(site, entry, {
+		count: Number(flags.baseline ?? 20),
+		callers: Number(flags.callers ?? 8),
+		faults: faults.filter(({kind}) => kind === 'death'),
+	});
+	return samples.death;
+}
+
 async function measureFaults(
 	site: RecoverySite,
 	entry: RunningEntry,
@@ -126,18 +155,28 @@
 	for (let index = 0; index < plan.count; index++) {
 		await waitFor(settleMs);
 		const fault = plan.faults[index % plan.faults.length];
-		const busy = await site.listBusyHosts();
+		const open = await site.listBusyHosts();
+		const busy = open.filter(
+			(each) => !fault?.needsLast || each.toLayer === deployment.layers,
+		);
 		const host = busy[Math.floor(index / plan.faults.length) % busy.length];
 		if (!fault || !host) {
 			continue;
 		}
 
 		const sample = await measureFault(callers, () => fault.start(host));
+		if (sample !== undefined && sample > 5000) {
+			process.stderr.write(await site.describe(entry));
+		}
+
 		if (sample !== undefined) {
 			samples[fault.kind].push(sample);
 			byFault.set(fault.name, [...(byFault.get(fault.name) ?? []), sample]);
 		}
 
+		process.stderr.write(
+			`time=${Math.round(performance.now())} host=${host.host} fault=${index + 1} kind="${fault.name}" ms=${Math.round(sample ?? -1)} lost=${callers.counts.lost} failures=${JSON.stringify([...callers.counts.failures])}\n`,
+		);
 		await site.restore(host);
 		await site.waitForReady(entry);
 	}
@@ -174,7 +213,13 @@
 		await waitFor(watchStepMs);
 	}
 
-	return Math.max(0, ...streams.map(({longest}) => longest.to - at));
+	// A stream that has had no token by now has waited until now at least.
+	return Math.max(
+		0,
+		...streams.map((stream) =>
+			isRecovered(stream) ? stream.longest.to - at : performance.now() - at,
+		),
+	);
 }
 
 function describeSamples(
--- a/packages/bramleystage-bench/src/recovery-site.ts
+++ b/packages/bramleystage-bench/src/recovery-site.ts
@@ -40,6 +40,8 @@
 
 const rangeLayers = 8;
 const replicas = 2;
+/** Silent connections are closed by their ends before the next fault. */
+const maxSilentMs = 3000;
 const readyStepMs = 20;
 const readyTimeoutMs = 20_000;
 const logger = createLogger('error', {role: 'bench'});
@@ -100,6 +102,11 @@
 		host.engineRelay.update(host.engine.address);
 		host.agent ??= await this.#startAgent(host);
 		host.agentRelay.update(host.agent.address);
+		const until = performance.now() + maxSilentMs;
+		while (host.agentRelay.isSilent && performance.now() < until) {
+			// eslint-disable-next-line no-await-in-loop -- polls until closed
+			await waitFor(readyStepMs);
+		}
 	}
 
 	/** Resolves when the entry reaches every host and each offers layers. */
@@ -118,7 +125,10 @@
 			await waitFor(readyStepMs);
 		}
 
-		throw new Error('The site did not become ready.');
+		const dump = await readDump(entry.operatorAddress);
+		throw new Error(
+			`The site did not become ready: ${JSON.stringify(dump.hosts)}`,
+		);
 	}
 
 	/** Lists the hosts that have a stage open now. */
@@ -132,6 +142,19 @@
 		return this.hosts.filter((_, index) => busy[index]);
 	}
 
+	/** Describes the runs and stages, to explain a stall. */
+	async describe(entry: RunningEntry): Promise<string> {
+		const {modelRuns} = await readDump(entry.operatorAddress);
+		const lines = [JSON.stringify(modelRuns)];
+		for (const {host, agent} of this.hosts) {
+			// eslint-disable-next-line no-await-in-loop -- one after another
+			const dump = agent ? await readDump(agent.operatorAddress) : {};
+			lines.push(`${host} ${JSON.stringify(dump.stages)}`);
+		}
+
+		return `${lines.join('\n')}\n`;
+	}
+
 	async stop(): Promise<void> {
 		await this.#lifeCycle.stop();
 		for (const {agent, engine, agentRelay, engineRelay} of this.hosts) {
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -19,6 +19,7 @@
 	protocolVersion,
 	recordRequest,
 	registerTrafficCounters,
+	type Recovery,
 	SessionPool,
 	type TableSnapshot,
 	toIncarnation,
@@ -34,7 +35,11 @@
 import {chooseHome} from './home-choice.js';
 import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
-import {createRouter, chooseModelStages} from './model-routing.js';
+import {
+	createRouter,
+	chooseModelStages,
+	replaceModelStage,
+} from './model-routing.js';
 import {ServiceDesk} from './service-desk.js';
 import {startTable} from './entry-table.js';
 
@@ -56,6 +61,8 @@
 
 /** How long the ready check fails before new connections are refused. */
 const leavingNoticeMs = 1000;
+/** A host that does not answer a hello for this long cannot be reached. */
+const handshakeMs = 800;
 
 const sweepIntervalMs = 10_000;
 
@@ -65,6 +72,7 @@
 export async function startEntry(
 	settings: EntrySettings,
 	logger: Logger,
+	recovery: Recovery = 'replace',
 ): Promise<RunningEntry> {
 	const lifeCycle = new LifeCycle();
 	const incarnation = toIncarnation(randomUUID());
@@ -92,7 +100,7 @@
 		heartbeatMs: settings.heartbeatMs,
 		idleHeartbeatMs: settings.idleHeartbeatMs,
 		silenceMs: settings.silenceMs,
-		handshakeMs: settings.silenceMs,
+		handshakeMs: Math.min(settings.silenceMs, handshakeMs),
 	};
 	const meter = new TrafficMeter();
 	registerTrafficCounters(metrics.registry, meter);
@@ -161,8 +169,15 @@
 				{request, hosts: network.hosts, excluding},
 				readClock(),
 			),
+		replace: (request, lost) =>
+			replaceModelStage(
+				router,
+				{request, lost, hosts: network.hosts},
+				readClock(),
+			),
 		send,
 		allowRetry,
+		recovery,
 		readClock,
 	});
 	const services = new ServiceDesk({
@@ -252,6 +267,7 @@
 			hosts: [...network.hosts.connected.values()],
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
+			modelRuns: models.describe(),
 			routing: router.describe(readClock()),
 			admission: admission.describe(),
 			limits: limits.describe(),
--- a/packages/bramleystage-entry/src/model-routing.ts
+++ b/packages/bramleystage-entry/src/model-routing.ts
@@ -6,11 +6,12 @@
 	type HostId,
 	type HostsSnapshot,
 	type Milliseconds,
+	replaceStage,
 	type RequestShape,
 	type Stage,
 } from 'bramleystage';
 import {err, type Result} from 'neverthrow';
-import type {ModelRequest} from './model-desk.js';
+import type {LostStage, ModelRequest} from './model-desk.js';
 import {Router} from './routing.js';
 
 /** Hosts of each range that a decision weighs. */
@@ -58,3 +59,33 @@
 		now,
 	);
 }
+
+/** Chooses the pipeline with its lost stage replaced; the others stay. */
+export function replaceModelStage(
+	router: Router,
+	choice: {
+		readonly request: ModelRequest;
+		readonly lost: LostStage;
+		readonly hosts: HostsSnapshot;
+	},
+	now: Milliseconds,
+): readonly Stage[] | undefined {
+	const {request, lost, hosts} = choice;
+	const {version} = request.model;
+	return replaceStage({...lost, version}, hosts, (gap) => {
+		const model = {
+			...request.model,
+			layers: gap.layers,
+			version: gap.version,
+		};
+		return chooseModelStages(
+			router,
+			{
+				request: {...request, model},
+				hosts: gap.hosts,
+				excluding: gap.excluding,
+			},
+			now,
+		).unwrapOr(undefined);
+	});
+}
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -8,6 +8,7 @@
 	applySessionLost,
 	type ConnectedHost,
 	createHosts,
+	type Failure,
 	type Heartbeat,
 	type HostId,
 	type HostsSnapshot,
@@ -25,7 +26,10 @@
 
 export type NetworkEvent =
 	| {readonly type: 'opened'; readonly host: ConnectedHost}
+	/** The session ended; the host may be reached again. */
 	| {readonly type: 'lost'; readonly host: ConnectedHost}
+	/** The host can't be reached, or another incarnation took its place. */
+	| {readonly type: 'gone'; readonly host: ConnectedHost}
 	| {
 			readonly type: 'message';
 			readonly from: HostId;
@@ -40,6 +44,8 @@
 	/** The platform's list, each time it was read. */
 	readonly listed = new Subject<readonly ListedHost[]>();
 	#hosts = createHosts();
+	/** Hosts whose session ended and is being opened again, by address. */
+	readonly #reopening = new Map<string, ConnectedHost>();
 	#selectedFor = '';
 	#selected: ReadonlySet<string> = new Set();
 
@@ -58,10 +64,25 @@
 	) {
 		const {pool, lifeCycle} = options;
 		pool.events.subscribe((event) => {
-			if (event.type === 'message') {
-				this.#receive(event.session, event.address, event.message);
-			} else if (event.type === 'closed') {
-				this.#forget(event.session);
+			switch (event.type) {
+				case 'message': {
+					this.#receive(event.session, event.address, event.message);
+
+					break;
+				}
+
+				case 'closed': {
+					this.#forget(event.session, event.reason);
+
+					break;
+				}
+
+				case 'refused': {
+					this.#giveUp(event.address);
+
+					break;
+				}
+				// No default
 			}
 		});
 		lifeCycle.registerInterval(hostListIntervalMs, () => {
@@ -81,9 +102,7 @@
 		}
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
-		this.options.pool.update(
-			listSessionAddresses(this.#hosts, this.#selectAddresses(listed.value)),
-		);
+		this.options.pool.update(this.#listWanted(listed.value));
 		this.listed.next(listed.value);
 	}
 
@@ -97,6 +116,23 @@
 		}
 	}
 
+	/** What the host list names, what has a session, and what is being reopened. */
+	#listWanted(listed: readonly ListedHost[]): Set<string> {
+		const wanted = new Set([
+			...this.#selectAddresses(listed),
+			...this.#reopening.keys(),
+		]);
+		return listSessionAddresses(this.#hosts, wanted);
+	}
+
+	#giveUp(address: string): void {
+		const host = this.#reopening.get(address);
+		if (host) {
+			this.#reopening.delete(address);
+			this.events.next({type: 'gone', host});
+		}
+	}
+
 	/** Selects again only when the list changed, since that takes long at a large site. */
 	#selectAddresses(listed: readonly ListedHost[]): ReadonlySet<string> {
 		const key = listed
@@ -147,12 +183,17 @@
 
 		const isNew = known?.incarnation !== incarnation;
 		this.options.onReport?.(connected);
+		if (this.#reopening.get(address)?.incarnation === incarnation) {
+			this.#reopening.delete(address);
+		}
+
 		if (isNew) {
+			this.#giveUp(address);
 			this.events.next({type: 'opened', host: connected});
 		}
 	}
 
-	#forget(session: Session): void {
+	#forget(session: Session, reason: Failure): void {
 		const {host, incarnation} = session.peer;
 		const known = this.#hosts.connected.get(host);
 		this.#hosts = applySessionLost(
@@ -162,6 +203,12 @@
 			this.options.readClock(),
 		);
 		if (known?.incarnation === incarnation) {
+			this.#reopening.set(known.address, known);
+			// This process ended the session, so it will not be opened again.
+			if (reason.result === 'stopping') {
+				this.#giveUp(known.address);
+			}
+
 			this.events.next({type: 'lost', host: known});
 		}
 	}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -5,6 +5,23 @@
 	type AdmissionTargets,
 	defaultAdmissionTargets,
 } from './coordination/admission.js';
+export {
+	decideClaimAnswered,
+	decideClaimed,
+	decideClaimRefused,
+	listEnds,
+	listReleases,
+} from './coordination/call-claiming.js';
+export {
+	cancelWaitMs,
+	createDeadlineFailure,
+	decideCallerGone,
+	decideDeadline,
+	decideTimer,
+	isSameTarget,
+	rejectCall,
+	startWait,
+} from './coordination/call-dispatch-end.js';
 export {
 	type AllowRetry,
 	createDispatch,
@@ -16,7 +33,6 @@
 	type Target,
 	toDispatchEvent,
 } from './coordination/call-dispatch-state.js';
-export {cancelWaitMs} from './coordination/call-dispatch-end.js';
 export {
 	decideDispatch,
 	reconnectWaitMs,
@@ -28,10 +44,15 @@
 	type CallDecision,
 	type CallEvent,
 	type CallRecord,
+	createCancelled,
+	createFailed,
+	createFailedRecord,
+	describeRecord,
 	isForgettable,
 	type LedgerContext,
 	retentionMs,
 	toCallEvent,
+	unknownCallMs,
 } from './coordination/call-record.js';
 export {
 	buildCandidateGroups,
@@ -49,6 +70,7 @@
 	type ClaimEnd,
 	type ClaimRecord,
 	claimRecordSchema,
+	claimSchema,
 	claimStream,
 	type ClaimVerdict,
 	decideClaim,
@@ -59,6 +81,27 @@
 	maxClaimedKeys,
 } from './coordination/claims.js';
 export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
+export {
+	createFence,
+	decideFence,
+	type FenceCommand,
+	type FenceEvent,
+	type FenceState,
+	type NumberedOrder,
+} from './coordination/fence.js';
+export {
+	createLease,
+	decideLease,
+	findHeldNumber,
+	foldLease,
+	type LeaseCommand,
+	type LeaseEvent,
+	type LeaseGrant,
+	type LeaseOptions,
+	type LeaseRecord,
+	leaseRecordSchema,
+	type LeaseState,
+} from './coordination/leases.js';
 export {
 	type ConfirmFacts,
 	decideConfirm,
@@ -113,35 +156,21 @@
 	type PermitResult,
 } from './coordination/limit-owner.js';
 export {
-	createFence,
-	decideFence,
-	type FenceCommand,
-	type FenceEvent,
-	type FenceState,
-	type NumberedOrder,
-} from './coordination/fence.js';
-export {
-	createLease,
-	decideLease,
-	findHeldNumber,
-	foldLease,
-	type LeaseCommand,
-	type LeaseEvent,
-	type LeaseGrant,
-	type LeaseOptions,
-	type LeaseRecord,
-	leaseRecordSchema,
-	type LeaseState,
-} from './coordination/leases.js';
+	createOpenStage,
+	decideNewLineage,
+	decideNextAttempt,
+	isContinuable,
+	listStageStarts,
+	listStarts,
+} from './coordination/model-run-opening.js';
 export {
-	createModelRun,
-	decideModelRun,
-	findNextPosition,
 	type ModelRunCommand,
+	type ModelRunContext,
 	type ModelRunDecision,
 	type ModelRunEvent,
-	type ModelRunState,
-} from './coordination/model-run.js';
+	type Recovery,
+} from './coordination/model-run-protocol.js';
+export {decideModelRun} from './coordination/model-run.js';
 export {type PeerHost, selectAgentPeers} from './coordination/peers.js';
 export {
 	choosePipeline,
@@ -183,16 +212,33 @@
 	updateFence,
 } from './coordination/session-fence.js';
 export {
-	decideStage,
-	type OpenStage,
+	createClose,
+	createOpened,
+	decideOpened,
+	sendUnacknowledged,
+} from './coordination/stage-open.js';
+export {
+	createStageEvent,
 	type StageCommand,
 	type StageContext,
 	type StageDecision,
 	type StageEvent,
-	type StageRecord,
 	type StepInput,
 	type StepOutput,
-} from './coordination/stage.js';
+} from './coordination/stage-protocol.js';
+export {
+	type ChooseForGap,
+	type Gap,
+	replaceStage,
+} from './coordination/stage-replacement.js';
+export {
+	bytesPerValue,
+	createStageFailed,
+	decideInput,
+	decideStepped,
+	isLast,
+} from './coordination/stage-step.js';
+export {decideStage} from './coordination/stage.js';
 export {computePromptCost} from './coordination/work-cost.js';
 export {
 	type Decide,
@@ -301,8 +347,11 @@
 	roleSchema,
 	type Stage,
 	type StageOpen,
+	type StageOpened,
 	stageOpenedSchema,
 	stageOpenSchema,
+	type StageResume,
+	stageResumeSchema,
 	type StageRun,
 	stageRunSchema,
 	stageSchema,
@@ -378,6 +427,12 @@
 	type SnapshotRow,
 	snapshotRowSchema,
 } from './protocol/table-snapshot-schema.js';
+export {
+	appendItem,
+	type AppendList,
+	createAppendList,
+	listItems,
+} from './state/append-list.js';
 export {type BucketChange, BucketMap} from './state/bucket-map.js';
 export {
 	createEditProgress,
@@ -410,6 +465,18 @@
 	updateConnectedHost,
 } from './state/hosts.js';
 export {LoadBook, type LoadEstimate} from './state/load.js';
+export {
+	createModelRun,
+	findNextPosition,
+	type ModelRunState,
+} from './state/model-run-state.js';
+export {
+	type ClosedStage,
+	type OpenStage,
+	type RunningStep,
+	type StageInput,
+	type StageRecord,
+} from './state/stage-record.js';
 export {
 	createTableContact,
 	createTableReport,
--- a/packages/bramleystage/src/transport/session-pool.ts
+++ b/packages/bramleystage/src/transport/session-pool.ts
@@ -34,11 +34,15 @@
 	  };
 
 const minBackoffMs = 50;
+/** A session that lasted this long is opened again at once. */
+const stableMs = 500;
 const maxBackoffMs = 1000;
 
 type Slot = {
 	session: Session | undefined;
 	isWanted: boolean;
+	/** Ends the present backoff. */
+	wake: (() => void) | undefined;
 };
 
 export class SessionPool {
@@ -73,11 +77,17 @@
 			return;
 		}
 
-		const slot: Slot = {session: undefined, isWanted: true};
+		const slot: Slot = {session: undefined, isWanted: true, wake: undefined};
 		this.#slots.set(address, slot);
 		void this.#run(address, slot);
 	}
 
+	/** Wants a session to an address now: ends a backoff that is under way. */
+	reopen(address: string): void {
+		this.open(address);
+		this.#slots.get(address)?.wake?.();
+	}
+
 	/** Gives the live session to an address, if there is one. */
 	findSession(address: string): Session | undefined {
 		return this.#slots.get(address)?.session;
@@ -107,15 +117,19 @@
 		/* eslint-disable no-await-in-loop -- one session at a time to an address */
 		while (slot.isWanted) {
 			try {
+				const startedAt = performance.now();
 				await this.#runSession(address, slot);
 				backoffMs = minBackoffMs;
+				if (performance.now() - startedAt > stableMs) {
+					continue;
+				}
 			} catch (error) {
 				const reason = (error as Error).message;
 				this.events.next({type: 'refused', address, reason});
 				backoffMs = Math.min(backoffMs * 2, maxBackoffMs);
 			}
 
-			await waitFor(backoffMs);
+			await waitForWake(slot, backoffMs);
 		}
 		/* eslint-enable no-await-in-loop */
 	}
@@ -148,6 +162,17 @@
 	}
 }
 
+/** Resolves after a time in milliseconds, or when the slot is woken. */
+async function waitForWake(slot: Slot, durationMs: number): Promise<void> {
+	return new Promise((resolve) => {
+		const timer = setTimeout(resolve, durationMs);
+		slot.wake = () => {
+			clearTimeout(timer);
+			resolve();
+		};
+	});
+}
+
 /** Resolves after a time in milliseconds. */
 export async function waitFor(durationMs: number): Promise<void> {
 	return new Promise((resolve) => {
