--- a/packages/bramleystage-entry/src/audit.ts
+++ b/packages/bramleystage-entry/src/audit.ts
@@ -27,6 +27,8 @@
 	readonly durationMs: number;
 };
 
+const msPerSecond = 1000;
+
 /** Formats a pipeline as `host[from-to)>host[from-to)`. */
 export const formatPipeline = (stages: readonly Stage[]) =>
 	stages
@@ -52,6 +54,14 @@
 		registers: [this.registry],
 	});
 
+	readonly #durations = new Histogram({
+		name: 'bramleystage_request_duration_seconds',
+		help: 'Time from a request to its whole answer or its failure',
+		labelNames: ['subject', 'outcome'],
+		buckets: [0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 120],
+		registers: [this.registry],
+	});
+
 	readonly #requests = new Counter({
 		name: 'bramleystage_requests_total',
 		help: 'Requests by what became of them',
@@ -71,12 +81,11 @@
 		});
 	}
 
-	recordRequest({subject, failure}: RequestRecord): void {
-		this.#requests.inc({
-			subject,
-			outcome: failure?.outcome ?? 'ran',
-			result: failure?.result ?? 'ok',
-		});
+	recordRequest({subject, failure, durationMs}: RequestRecord): void {
+		const outcome = failure?.outcome ?? 'ran';
+		const result = failure?.result ?? 'ok';
+		this.#requests.inc({subject, outcome, result});
+		this.#durations.observe({subject, outcome}, durationMs / msPerSecond);
 	}
 }
 
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -60,8 +60,7 @@
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
 		const isKnown = body !== undefined && context.view.models.has(body.model);
-		const subject = isKnown ? body.model : undefined;
-		rejectRequest(options, context, subject ?? kind, rejected);
+		rejectRequest(options, context, isKnown ? body.model : 'model', rejected);
 		return;
 	}
 
--- a/packages/bramleystage/src/transport/session.ts
+++ b/packages/bramleystage/src/transport/session.ts
@@ -16,6 +16,7 @@
 import {createFailure, type Failure} from '../protocol/result-codes.js';
 import {encodeFrame, FrameDecoder} from './framing.js';
 import {formatAddress, parseAddress} from './address.js';
+import {SilenceCounter} from './silence.js';
 
 /** Timing of a session, in milliseconds. */
 export type SessionTiming = {
@@ -46,7 +47,7 @@
 	readonly #messages = new Subject<Message>();
 	readonly #closed: Promise<Failure>;
 	#resolveClosed!: (failure: Failure) => void;
-	#lastArrival = performance.now();
+	#silence: SilenceCounter | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
@@ -86,6 +87,7 @@
 		this.#socket.on('error', (error) => {
 			this.close(createFailure('backendLost', error.message));
 		});
+		this.#silence = new SilenceCounter(timing.heartbeatMs);
 		this.send({type: 'heartbeat', ...describeSelf(this.peer)});
 		this.#timer = setInterval(() => {
 			this.#beat(timing, describeSelf);
@@ -113,7 +115,7 @@
 	}
 
 	#receive(chunk: Buffer): void {
-		this.#lastArrival = performance.now();
+		this.#silence?.recordArrival();
 		this.decoder.append(chunk);
 		this.#deliver();
 	}
@@ -135,11 +137,9 @@
 	}
 
 	#beat(timing: SessionTiming, describeSelf: DescribeSelf): void {
-		const silence = performance.now() - this.#lastArrival;
+		const silence = this.#silence?.countBeat() ?? 0;
 		if (silence > timing.silenceMs) {
-			this.close(
-				createFailure('backendLost', `Silent for ${Math.round(silence)} ms.`),
-			);
+			this.close(createFailure('backendLost', `Silent for ${silence} ms.`));
 			return;
 		}
 
