--- a/examples/commands.mjs
+++ b/examples/commands.mjs
@@ -111,30 +111,41 @@
 }
 
 function createAgent({hostName, dataCentre, agentFlags}, common, takeAddress) {
-	const facts = {role: 'agent', hostName, dataCentre, phase: 2};
-	return createDaemon(facts, {...common, ...agentFlags}, takeAddress);
+	const address = takeAddress();
+	const facts = {role: 'agent', hostName, dataCentre, phase: 2, address};
+	return createDaemon(
+		{...facts, sessionAddress: address},
+		{...common, ...agentFlags},
+		takeAddress,
+	);
 }
 
 function createEntry(deployment, index, common, takeAddress) {
-	const hostName = `entry-${index + 1}`;
-	const dataCentre = deployment.dataCentres[index];
-	const facts = {role: 'entry', hostName, dataCentre, phase: 3};
-	return createDaemon(facts, common, takeAddress);
+	const sessionAddress = takeAddress();
+	return createDaemon(
+		{
+			role: 'entry',
+			hostName: `entry-${index + 1}`,
+			dataCentre: deployment.dataCentres[index],
+			phase: 3,
+			address: takeAddress(),
+			sessionAddress,
+		},
+		{...common, 'session-listen': sessionAddress},
+		takeAddress,
+	);
 }
 
-function createDaemon({role, hostName, dataCentre, phase}, more, takeAddress) {
-	const address = takeAddress();
+/** `sessionAddress` is the one that other processes of the system use. */
+function createDaemon(facts, more, takeAddress) {
+	const {role, hostName, dataCentre, phase, address, sessionAddress} = facts;
 	const operatorAddress = takeAddress();
-	const sessionAddress = role === 'entry' ? takeAddress() : address;
-	const sessionFlags =
-		role === 'entry' ? {'session-listen': sessionAddress} : {};
 	const flags = formatFlags({
 		host: hostName,
 		'data-centre': dataCentre,
 		...more,
 		listen: address,
 		'operator-listen': operatorAddress,
-		...sessionFlags,
 	});
 	return {
 		name: hostName,
--- a/packages/bramleystage/src/transport/session.ts
+++ b/packages/bramleystage/src/transport/session.ts
@@ -15,6 +15,7 @@
 import {createFailure, type Failure} from '../protocol/result-codes.js';
 import {encodeFrame, FrameDecoder} from './framing.js';
 import {formatAddress, parseAddress} from './address.js';
+import {AwakeClock} from './awake-clock.js';
 import {
 	HeartbeatPace,
 	type PaceTiming,
@@ -57,6 +58,7 @@
 	readonly #messages = new Subject<Message>();
 	readonly #closed: Promise<Failure>;
 	#resolveClosed!: (failure: Failure) => void;
+	#clock: AwakeClock | undefined;
 	#pace: HeartbeatPace | undefined;
 	#meter: TrafficMeter | undefined;
 	#timer: NodeJS.Timeout | undefined;
@@ -99,7 +101,9 @@
 		this.#socket.on('error', (error) => {
 			this.close(createFailure('backendLost', error.message));
 		});
-		const pace = new HeartbeatPace(timing, performance.now());
+		const clock = new AwakeClock(timing.heartbeatMs, performance.now());
+		const pace = new HeartbeatPace(timing, clock.advance(performance.now()));
+		this.#clock = clock;
 		this.#pace = pace;
 		this.#beat(pace, describeSelf);
 		this.#timer = setInterval(() => {
@@ -133,7 +137,7 @@
 	}
 
 	#receive(chunk: Buffer): void {
-		this.#pace?.recordArrival(performance.now());
+		this.#pace?.recordArrival(this.#readClock());
 		this.decoder.append(chunk);
 		this.#deliver();
 	}
@@ -157,12 +161,16 @@
 
 	#notePace(message: Message): void {
 		if ('request' in message) {
-			this.#pace?.recordRequestFrame(performance.now());
+			this.#pace?.recordRequestFrame(this.#readClock());
 		}
 	}
 
+	#readClock(): number {
+		return this.#clock?.read(performance.now()) ?? 0;
+	}
+
 	#beat(pace: HeartbeatPace, describeSelf: DescribeSelf): void {
-		const now = performance.now();
+		const now = this.#clock?.advance(performance.now()) ?? 0;
 		const silence = pace.findSilence(now);
 		if (silence !== undefined) {
 			this.close(
--- a/packages/bramleystage/src/transport/traffic-metrics.ts
+++ b/packages/bramleystage/src/transport/traffic-metrics.ts
@@ -7,38 +7,24 @@
 	registry: Registry,
 	meter: TrafficMeter,
 ): void {
-	registerCounter(
-		registry,
-		'bramleystage_session_sent_bytes_total',
-		'Bytes sent on sessions, by control and data',
-		meter,
-		({bytes}) => bytes,
-	);
-	registerCounter(
-		registry,
-		'bramleystage_session_sent_frames_total',
-		'Frames sent on sessions, by control and data',
-		meter,
-		({frames}) => frames,
-	);
-}
+	const register = (
+		name: string,
+		help: string,
+		select: (count: TrafficCount) => number,
+	) => {
+		const counter: Counter = new Counter({
+			name: `bramleystage_session_sent_${name}_total`,
+			help,
+			labelNames: ['kind'],
+			registers: [registry],
+			collect() {
+				counter.reset();
+				counter.inc({kind: 'control'}, select(meter.control));
+				counter.inc({kind: 'data'}, select(meter.data));
+			},
+		});
+	};
 
-function registerCounter(
-	registry: Registry,
-	name: string,
-	help: string,
-	meter: TrafficMeter,
-	select: (count: TrafficCount) => number,
-): void {
-	const counter: Counter = new Counter({
-		name,
-		help,
-		labelNames: ['kind'],
-		registers: [registry],
-		collect() {
-			counter.reset();
-			counter.inc({kind: 'control'}, select(meter.control));
-			counter.inc({kind: 'data'}, select(meter.data));
-		},
-	});
+	register('bytes', 'Bytes sent on sessions', ({bytes}) => bytes);
+	register('frames', 'Frames sent on sessions', ({frames}) => frames);
 }
