--- a/packages/bramleystage/src/coordination/pipeline.ts
+++ b/packages/bramleystage/src/coordination/pipeline.ts
@@ -144,17 +144,39 @@
 	}
 
 	const before = previous?.cost ?? 0;
+	const {dataCentre} = candidate.host;
 	for (const toLayer of boundaries) {
 		if (toLayer <= fromLayer || toLayer > offer.toLayer) {
 			continue;
 		}
 
 		const cost = before + costs.stageCost(candidate, toLayer - fromLayer);
-		const path = previous?.path;
-		recordPath(reached, {fromLayer, toLayer, cost, candidate, previous: path});
+		const paths = findReached(reached, toLayer);
+		const known = paths.get(dataCentre);
+		if (known === undefined || cost < known.cost) {
+			const path = previous?.path;
+			paths.set(dataCentre, {
+				fromLayer,
+				toLayer,
+				cost,
+				candidate,
+				previous: path,
+			});
+		}
 	}
 }
 
+function findReached(reached: Map<number, Reached>, layer: number): Reached {
+	const known = reached.get(layer);
+	if (known) {
+		return known;
+	}
+
+	const created: Reached = new Map();
+	reached.set(layer, created);
+	return created;
+}
+
 function findPrevious(
 	paths: Reached | undefined,
 	candidate: StageCandidate,
@@ -186,16 +208,6 @@
 	return false;
 }
 
-function recordPath(reached: Map<number, Reached>, path: Path): void {
-	const {dataCentre} = path.candidate.host;
-	const paths = reached.get(path.toLayer) ?? new Map<DataCentreId, Path>();
-	reached.set(path.toLayer, paths);
-	const known = paths.get(dataCentre);
-	if (!known || path.cost < known.cost) {
-		paths.set(dataCentre, path);
-	}
-}
-
 function findCheapest(paths: Reached | undefined): Path | undefined {
 	let best: Path | undefined;
 	for (const path of paths?.values() ?? []) {
--- a/packages/bramleystage/src/coordination/route-cost.ts
+++ b/packages/bramleystage/src/coordination/route-cost.ts
@@ -34,6 +34,9 @@
 	readonly estimateCached?: EstimateCached;
 };
 
+/** Costs of a candidate in milliseconds: for each layer, and for being a stage. */
+type StagePrice = {readonly layerMs: number; readonly stageMs: number};
+
 const msPerSecond = 1000;
 /**
  * Cost in milliseconds of a layer-token for each millisecond of backlog. It is
@@ -59,29 +62,37 @@
 	now: Milliseconds,
 ): PipelineCosts {
 	const steps = Math.max(1, shape.answerTokens);
-	const loads = new Map<HostId, LoadEstimate>();
-	const findLoad = ({host, offer}: StageCandidate): LoadEstimate => {
-		const known = loads.get(host.host);
+	const prices = new Map<StageCandidate, StagePrice>();
+	const computePrice = ({host, offer}: StageCandidate): StagePrice => {
+		const {layerTokensPerSecond} = offer;
+		const load = estimateLoad(host.host, layerTokensPerSecond, now);
+		const {backlog, rate, stepMs} = load;
+		const cached = estimateCached?.(host.host) ?? 0;
+		const promptTokens = Math.max(1, shape.promptTokens - cached);
+		const backlogMs = (backlog * msPerSecond) / rate;
+		const tokenMs = msPerSecond / rate + backlogMs * congestionPrice;
+		const slowMs = Math.max(0, stepMs - ordinaryStepMs);
+		return {
+			layerMs: computeStageWork({...shape, promptTokens}, 1) * tokenMs,
+			stageMs: steps * (leastStepMs + slowMs),
+		};
+	};
+
+	const findPrice = (candidate: StageCandidate): StagePrice => {
+		const known = prices.get(candidate);
 		if (known) {
 			return known;
 		}
 
-		const load = estimateLoad(host.host, offer.layerTokensPerSecond, now);
-		loads.set(host.host, load);
-		return load;
+		const price = computePrice(candidate);
+		prices.set(candidate, price);
+		return price;
 	};
 
 	return {
 		stageCost(candidate, layers) {
-			const {backlog, rate, stepMs} = findLoad(candidate);
-			const cached = estimateCached?.(candidate.host.host) ?? 0;
-			const promptTokens = Math.max(1, shape.promptTokens - cached);
-			const work = computeStageWork({...shape, promptTokens}, layers);
-			const serviceMs = (work * msPerSecond) / rate;
-			const backlogMs = (backlog * msPerSecond) / rate;
-			const congestionMs = work * backlogMs * congestionPrice;
-			const slowMs = Math.max(0, stepMs - ordinaryStepMs);
-			return serviceMs + congestionMs + steps * (leastStepMs + slowMs);
+			const {layerMs, stageMs} = findPrice(candidate);
+			return layers * layerMs + stageMs;
 		},
 		linkCost: (from, to) => steps * linkMs(from, to),
 	};
