--- /dev/null
+++ b/packages/bramleystage-bench/src/site-throughput.ts
@@ -0,0 +1,156 @@
+/**
+ * Throughput of a whole small site over real sockets, beside timed engines of
+ * the same kinds, ranges and concurrency. It shows what the timed engines leave
+ * out: sockets, parsing and the engines' own computing, all in one process.
+ */
+import {createLogger, sendHttp, waitFor} from 'bramleystage';
+import {
+	type Deployment,
+	deployments,
+	formatSampleKey,
+	startSite,
+} from 'bramleystage-site';
+import {findPercentile} from './demand.js';
+import type {EngineFacts} from './timed-site.js';
+
+export type SiteLoad = {
+	readonly concurrent: number;
+	readonly promptTokens: number;
+	readonly answerTokens: number;
+};
+
+export type SiteFigures = {
+	readonly tokens_per_second: number;
+	readonly answers: number;
+	readonly refused: number;
+	readonly failed: number;
+	readonly refusal_ms_p95: number;
+};
+
+const warmUpMs = 2000;
+const measuredMs = 6000;
+const msPerSecond = 1000;
+const requestTimeoutMs = 30_000;
+/** How long a refused caller waits before it asks again, in milliseconds. */
+const retryMs = 500;
+const statusOk = 200;
+const statusRefused = 503;
+
+export const siteDeployment = deployments.kaleli;
+
+/** Engines of the sample site, for timed engines. */
+export const listSiteEngines = (): EngineFacts[] =>
+	siteDeployment.engines.map(
+		({dataCentre, acceleratorKind, fromLayer, toLayer}) => ({
+			dataCentre,
+			kind: acceleratorKind,
+			fromLayer,
+			toLayer,
+		}),
+	);
+
+/** Runs closed-loop callers against a site of real sockets. */
+export async function measureSite(load: SiteLoad): Promise<SiteFigures> {
+	const site = await startSite(
+		siteDeployment,
+		createLogger('error', {role: 'bench'}),
+	);
+	const callers = new Callers(
+		siteDeployment,
+		site.entries.map(({address}) => address),
+		load,
+	);
+	const startedAt = performance.now();
+	await callers.run(startedAt + warmUpMs, startedAt + warmUpMs + measuredMs);
+	await site.stop();
+	return callers.describe();
+}
+
+class Callers {
+	#tokens = 0;
+	#answers = 0;
+	#failed = 0;
+	readonly #refusalMs: number[] = [];
+
+	constructor(
+		private readonly deployment: Deployment,
+		private readonly entries: readonly string[],
+		private readonly load: SiteLoad,
+	) {}
+
+	async run(countFrom: number, until: number): Promise<void> {
+		const {concurrent} = this.load;
+		await Promise.all(
+			Array.from({length: concurrent}, async (_, caller) => {
+				while (performance.now() < until) {
+					// eslint-disable-next-line no-await-in-loop -- one request at a time
+					const isRefused = await this.#send(caller, countFrom, until);
+					// eslint-disable-next-line no-await-in-loop -- a refused caller waits
+					await waitFor(isRefused ? retryMs : 0);
+				}
+			}),
+		);
+	}
+
+	describe(): SiteFigures {
+		return {
+			tokens_per_second: Math.round((this.#tokens * msPerSecond) / measuredMs),
+			answers: this.#answers,
+			refused: this.#refusalMs.length,
+			failed: this.#failed,
+			refusal_ms_p95: Math.round(findPercentile(this.#refusalMs, 0.95)),
+		};
+	}
+
+	async #send(
+		caller: number,
+		countFrom: number,
+		until: number,
+	): Promise<boolean> {
+		const {deployment, entries, load} = this;
+		const {customers, model} = deployment;
+		const startedAt = performance.now();
+		const answer = await sendHttp({
+			method: 'POST',
+			url: `http://${entries[caller % entries.length]}/v1/completions`,
+			headers: {
+				authorization: `Bearer ${formatSampleKey(customers[caller % customers.length]!)}`,
+				'content-type': 'application/json',
+			},
+			body: JSON.stringify({
+				model,
+				prompt: Array.from(
+					{length: load.promptTokens},
+					(_, word) => `w${caller}x${word}`,
+				).join(' '),
+				max_tokens: load.answerTokens,
+			}),
+			timeoutMs: requestTimeoutMs,
+		});
+		const now = performance.now();
+		const isRefused = answer.isOk() && answer.value.status === statusRefused;
+		if (now < countFrom || now > until) {
+			return isRefused;
+		}
+
+		if (answer.isErr()) {
+			this.#failed++;
+		} else if (answer.value.status === statusOk) {
+			this.#answers++;
+			this.#tokens += countTokens(answer.value.body);
+		} else if (isRefused) {
+			this.#refusalMs.push(now - startedAt);
+		} else {
+			this.#failed++;
+		}
+
+		return isRefused;
+	}
+}
+
+function countTokens(body: Buffer): number {
+	const {usage} = JSON.parse(body.toString()) as {
+		usage: {prompt_tokens: number; completion_tokens: number};
+	};
+	return usage.prompt_tokens + usage.completion_tokens;
+}
--- a/packages/bramleystage-bench/src/throughput-bench.ts
+++ b/packages/bramleystage-bench/src/throughput-bench.ts
@@ -15,13 +15,18 @@
 import {benchLayers, createFleet, fleetLinkTime} from './bench-fleet.js';
 import type {BenchFlags} from './benches.js';
 import {computeTokenBound} from './engine-bound.js';
-import {benchModel, TimedSite} from './timed-site.js';
+import {
+	listSiteEngines,
+	measureSite,
+	siteDeployment,
+} from './site-throughput.js';
+import {benchModel, type EngineFacts, TimedSite} from './timed-site.js';
 import {VirtualTime} from './virtual-time.js';
 
 type Shape = {readonly promptTokens: number; readonly answerTokens: number};
 type Choose = (shape: Shape, now: number) => readonly Stage[];
 
-const shapes: readonly Shape[] = [
+const mixedShapes: readonly Shape[] = [
 	{promptTokens: 16, answerTokens: 32},
 	{promptTokens: 64, answerTokens: 64},
 	{promptTokens: 200, answerTokens: 32},
@@ -47,8 +52,15 @@
 } as const;
 type Policy = keyof typeof policies;
 
-/** Runs the bench; `concurrent` and `seed` are its flags. */
+/** Runs the bench; `concurrent`, `engines`, `seed`, `site` and, with it, `answer` are its flags. */
 export async function runThroughput(flags: BenchFlags): Promise<object> {
+	if (flags.site !== undefined) {
+		return compareSite(
+			Number(flags.concurrent ?? 32),
+			Number(flags.answer ?? 24),
+		);
+	}
+
 	const concurrent = Number(flags.concurrent ?? 4000);
 	const seed = Number(flags.seed ?? 5);
 	const engines = createFleet(Number(flags.engines ?? 40));
@@ -75,26 +87,56 @@
 	};
 }
 
+/** Compares a small site over real sockets with timed engines of the same kind. */
+async function compareSite(
+	concurrent: number,
+	answerTokens: number,
+): Promise<object> {
+	const {layers} = siteDeployment;
+	const shape = {promptTokens: 40, answerTokens};
+	const engines = listSiteEngines();
+	const timed = measurePolicy('cost', {
+		concurrent,
+		seed: 5,
+		engines,
+		layers,
+		shapes: [shape],
+	});
+	const site = await measureSite({concurrent, ...shape});
+	return {
+		concurrent,
+		site,
+		timed_tokens_per_second: Math.round(timed),
+		site_ratio_to_timed: round(site.tokens_per_second / timed),
+	};
+}
+
 const round = (value: number) => Math.round(value * 1000) / 1000;
 
+type MeasureOptions = {
+	readonly concurrent: number;
+	readonly seed: number;
+	readonly engines: readonly EngineFacts[];
+	readonly layers?: number;
+	readonly shapes?: readonly Shape[];
+};
+
 function measurePolicy(
 	policy: Policy,
 	{
 		concurrent,
 		seed,
 		engines,
-	}: {
-		readonly concurrent: number;
-		readonly seed: number;
-		readonly engines: ReturnType<typeof createFleet>;
-	},
+		layers = benchLayers,
+		shapes = mixedShapes,
+	}: MeasureOptions,
 ): number {
 	const time = new VirtualTime();
 	const site = new TimedSite(time, engines, fleetLinkTime);
 	const draw = createDraw(seed);
 	const entries = Array.from({length: entryCount}, (_, index) =>
 		policy === 'cost'
-			? createRouterChoice(site, draw, index)
+			? createRouterChoice(site, {draw, layers}, index)
 			: createSimpleChoice(policy, site.hosts, draw),
 	);
 	const send = (index: number) => {
@@ -137,7 +179,7 @@
 
 function createRouterChoice(
 	site: TimedSite,
-	draw: DrawIndex,
+	{draw, layers}: {readonly draw: DrawIndex; readonly layers: number},
 	index: number,
 ): MakeChoice {
 	const router = new Router({drawIndex: draw, choices: 4});
@@ -148,7 +190,7 @@
 			router.recordReport(host, host.reportedAt);
 		},
 	);
-	const model = {model: benchModel, version: '1', layers: benchLayers};
+	const model = {model: benchModel, version: '1', layers};
 	return (shape, now) => ({
 		stages: router
 			.chooseStages(site.hosts, {...model, ...shape}, [], now)
