--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -4,6 +4,7 @@
 import {tableBench} from './table-bench.js';
 import {limitsBench} from './limits-bench.js';
 import {runOverload} from './overload-bench.js';
+import {overheadBench} from './overhead-bench.js';
 import {runRecoveryBench} from './recovery-bench.js';
 import {runThroughput} from './throughput-bench.js';
 
@@ -30,6 +31,7 @@
 		describe: 'Goodput and delays at three times the bound',
 		run: runOverload,
 	},
+	overhead: overheadBench,
 	recovery: {
 		describe: 'Time from a fault to the callers’ next token',
 		run: runRecoveryBench,
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -8,6 +8,7 @@
 	computeBackoff,
 	createRetryBudget,
 	decideRetry,
+	defaultHttpBounds,
 	type EntrySettings,
 	LifeCycle,
 	listenForOperators,
@@ -23,7 +24,7 @@
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
-import {createCallerHandler, selectBounds} from './caller-port.js';
+import {createCallerHandler} from './caller-port.js';
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
@@ -70,6 +71,11 @@
 	const audit = new Audit(logger, metrics);
 	let leaving = false;
 	let budget = createRetryBudget();
+	const bounds = {
+		...defaultHttpBounds,
+		maxBodyBytes: settings.maxBodyBytes,
+		bodyTimeoutMs: settings.bodyTimeoutMs,
+	};
 
 	const {follower, ...tableParts} = startTable({
 		platform,
@@ -80,6 +86,7 @@
 	});
 	const timing = {
 		heartbeatMs: settings.heartbeatMs,
+		idleHeartbeatMs: settings.idleHeartbeatMs,
 		silenceMs: settings.silenceMs,
 		handshakeMs: settings.silenceMs,
 	};
@@ -177,14 +184,13 @@
 
 	const handle = createCallerHandler({
 		settings,
-		logger,
-		audit,
 		isReady,
-		readArrivalContext: () => ({
-			view: follower.table.value.view,
-			leaving,
-			stale: tableParts.findStaleness(),
-		}),
+		isLeaving: () => leaving,
+		audit,
+		logger,
+		bounds,
+		findStaleness: tableParts.findStaleness,
+		readView: () => follower.table.value.view,
 		recordRequest() {
 			budget = recordRequest(budget);
 		},
@@ -201,11 +207,7 @@
 	});
 	await network.refresh();
 	limits.start();
-	const listener = await listenHttp(
-		settings.listen,
-		handle,
-		selectBounds(settings),
-	);
+	const listener = await listenHttp(settings.listen, handle, bounds);
 	lifeCycle.register(async () => listener.close());
 	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
