Lay only load to load in the admission; forget the load of lost hosts

Cause: a customer with long prompts, or one whose pipelines cross slow links, had its window cut to the least although nothing was overloaded; the load of hosts that were replaced was kept for ever. Change: the first-token target grows with the prompt, the gap target with the least gap of late; a lost host's load is removed.

--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -168,6 +168,7 @@
 		readClock,
 	});
 	network.events.subscribe((event) => {
+		router.receive(event);
 		models.receive(event);
 		services.receive(event);
 	});
--- a/packages/bramleystage-entry/src/routing.ts
+++ b/packages/bramleystage-entry/src/routing.ts
@@ -27,6 +27,7 @@
 	type Target,
 } from 'bramleystage';
 import type {Result} from 'neverthrow';
+import type {NetworkEvent} from './network.js';
 
 /** What a model request asks of the routing. */
 export type RouteRequest = RequestShape & {
@@ -82,6 +83,13 @@
 		this.loads.recordReport(host, load, findClaimedRate(offers), now);
 	}
 
+	/** Forgets the load of a host that is lost. */
+	receive(event: NetworkEvent): void {
+		if (event.type === 'lost') {
+			this.loads.remove(event.host.host);
+		}
+	}
+
 	/** Chooses a pipeline among the hosts that were not excluded. */
 	chooseStages(
 		hosts: HostsSnapshot,
--- a/packages/bramleystage/src/coordination/__tests__/admission.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/admission.test.ts
@@ -73,6 +73,52 @@
 		expect(countAdmitted(admission, request)).toBeGreaterThan(late);
 	});
 
+	it('does not shrink for the time that a long prompt takes by itself', () => {
+		const admission = new Admission(targets);
+		const request = createRequest('a', {work: 2020});
+		const before = countAdmitted(admission, request);
+		for (let now = 0; now < 5000; now += 250) {
+			admission.recordFirstToken(request, 1200, now);
+		}
+
+		for (let index = 0; index < before; index++) {
+			admission.finish(request, 5000);
+		}
+
+		expect(countAdmitted(admission, request)).toBeGreaterThanOrEqual(before);
+	});
+
+	it('does not shrink for gaps that slow links alone account for', () => {
+		const admission = new Admission(targets);
+		const request = createRequest('a', {work: 500});
+		const before = countAdmitted(admission, request);
+		for (let now = 0; now < 5000; now += 50) {
+			admission.recordGap(request.customer, 60 + (now % 100) / 10, now);
+		}
+
+		for (let index = 0; index < before; index++) {
+			admission.finish(request, 5000);
+		}
+
+		expect(countAdmitted(admission, request)).toBe(before);
+	});
+
+	it('shrinks when gaps rise above those that were seen before', () => {
+		const admission = new Admission(targets);
+		const request = createRequest('a', {work: 500});
+		const before = countAdmitted(admission, request);
+		admission.recordGap(request.customer, 5, 0);
+		for (let now = 50; now < 5000; now += 50) {
+			admission.recordGap(request.customer, 60, now);
+		}
+
+		for (let index = 0; index < before; index++) {
+			admission.finish(request, 5000);
+		}
+
+		expect(countAdmitted(admission, request)).toBeLessThan(before);
+	});
+
 	it('refuses early what cannot meet its deadline, and lets one in to measure', () => {
 		const admission = new Admission(targets);
 		const request = createRequest('a', {work: 100, deadlineMs: 300});
--- a/packages/bramleystage/src/coordination/admission.ts
+++ b/packages/bramleystage/src/coordination/admission.ts
@@ -41,6 +41,11 @@
 	usedAt: Milliseconds;
 };
 
+type FirstTokenFacts = Pick<
+	AdmissionRequest,
+	'customer' | 'work' | 'answerTokens'
+>;
+
 export const defaultAdmissionTargets: AdmissionTargets = {
 	firstTokenMs: 450,
 	gapMs: 40,
@@ -56,12 +61,21 @@
 /** A window shrinks at most once in this time, in milliseconds. */
 const shrinkIntervalMs = 250;
 const smoothing = 0.2;
+/** Time that each token of a prompt may add to the first token, in milliseconds. */
+const promptTokenMs = 0.5;
+/** Gaps of up to this many times the least one are not laid to load. */
+const ordinaryGapFactor = 1.5;
+/** Rise of the least gap while none as short is seen, for each millisecond. */
+const leastGapRisePerMs = 0.0005;
 /** A window that was not used for this long is forgotten, in milliseconds. */
 const idleMs = 60_000;
 const msPerSecond = 1000;
 
 export class Admission {
 	readonly #customers = new Map<CustomerId, CustomerWindow>();
+	/** Least gap seen of late, which links and layers alone account for. */
+	#leastGapMs = Infinity;
+	#leastGapAt: Milliseconds = 0;
 
 	constructor(private readonly targets: AdmissionTargets) {}
 
@@ -102,13 +116,14 @@
 
 	/** Takes the time that a customer's request had to wait for its first token. */
 	recordFirstToken(
-		{customer, work}: Pick<AdmissionRequest, 'customer' | 'work'>,
+		{customer, work, answerTokens}: FirstTokenFacts,
 		tookMs: Milliseconds,
 		now: Milliseconds,
 	): void {
 		const known = this.#findWindow(customer, now);
 		known.firstTokenMs = smooth(known.firstTokenMs, tookMs);
-		if (tookMs > this.targets.firstTokenMs) {
+		const ownMs = Math.max(0, work - answerTokens) * promptTokenMs;
+		if (tookMs > this.targets.firstTokenMs + ownMs) {
 			updateWindow(known, now);
 		} else {
 			this.#grow(known, work);
@@ -123,7 +138,8 @@
 	): void {
 		const known = this.#findWindow(customer, now);
 		known.gapMs = smooth(known.gapMs, gapMs);
-		if (known.gapMs > this.targets.gapMs) {
+		this.#updateLeastGap(gapMs, now);
+		if (known.gapMs > this.#gapTarget) {
 			updateWindow(known, now);
 		}
 	}
@@ -157,6 +173,22 @@
 		);
 	}
 
+	/** Links that are slow by themselves raise the target, since load is not the cause. */
+	get #gapTarget(): Milliseconds {
+		const {gapMs} = this.targets;
+		const isMeasured = Number.isFinite(this.#leastGapMs);
+		return isMeasured
+			? Math.max(gapMs, this.#leastGapMs * ordinaryGapFactor)
+			: gapMs;
+	}
+
+	#updateLeastGap(gapMs: Milliseconds, now: Milliseconds): void {
+		const risen =
+			this.#leastGapMs + (now - this.#leastGapAt) * leastGapRisePerMs;
+		this.#leastGapMs = Math.min(gapMs, risen);
+		this.#leastGapAt = now;
+	}
+
 	#accept(
 		known: CustomerWindow,
 		{work}: AdmissionRequest,
@@ -168,7 +200,7 @@
 
 	#grow(known: CustomerWindow, work: number): void {
 		const isUsed = known.inFlight * 2 > known.window;
-		if (isUsed && known.gapMs <= this.targets.gapMs) {
+		if (isUsed && known.gapMs <= this.#gapTarget) {
 			const grown =
 				known.window + (growth * known.weight * work) / known.window;
 			known.window = Math.min(largestWindow, grown);
