--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -10,6 +10,7 @@
 	decideRetry,
 	defaultHttpBounds,
 	type EntrySettings,
+	isClaimed,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
@@ -17,9 +18,11 @@
 	PlatformClient,
 	protocolVersion,
 	recordRequest,
+	registerTrafficCounters,
 	SessionPool,
 	type TableSnapshot,
 	toIncarnation,
+	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
@@ -28,6 +31,7 @@
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
+import {chooseHome} from './home-choice.js';
 import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
 import {createRouter, chooseModelStages} from './model-routing.js';
@@ -90,7 +94,10 @@
 		silenceMs: settings.silenceMs,
 		handshakeMs: settings.silenceMs,
 	};
+	const meter = new TrafficMeter();
+	registerTrafficCounters(metrics.registry, meter);
 	const pool = new SessionPool({
+		meter,
 		hello: {...identity, version: protocolVersion, deployment},
 		timing,
 		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
@@ -119,6 +126,7 @@
 	});
 	pool.events.subscribe(tableParts.receive);
 	const peers = new EntryPeers({
+		meter,
 		listen: settings.sessionListen,
 		identity: {...identity, version: protocolVersion, deployment},
 		timing,
@@ -159,7 +167,14 @@
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
+			isClaimed(call)
+				? chooseHome(network.hosts, call, excluding)
+				: router.chooseTarget(
+						network.hosts,
+						call.service,
+						excluding,
+						readClock(),
+					),
 		send,
 		policy: {
 			allowRetry,
