--- a/packages/bramleystage-agent/src/call-desk.ts
+++ b/packages/bramleystage-agent/src/call-desk.ts
@@ -24,6 +24,11 @@
 /** Every call counts alike. */
 const callCost = 1;
 
+/** Calls that are remembered, running or ended; about 500 bytes each. */
+const maxRecords = 100_000;
+/** Bodies of answers that no entry has acknowledged yet, in bytes. */
+const maxAnswerBytes = 256 * 1024 * 1024;
+
 type Held = {
 	record: CallRecord;
 	entry: EntryKey;
@@ -37,6 +42,7 @@
 
 export class CallDesk {
 	readonly #held = new Map<RequestId, Held>();
+	#answerBytes = 0;
 	readonly #running = new Map<RequestId, AbortController>();
 	readonly #taken = new Map<RequestId, RunningWork<RequestId>>();
 
@@ -63,6 +69,11 @@
 		return this.#held.size;
 	}
 
+	/** A full ledger takes no new call: what it holds may still be needed. */
+	get #isLedgerFull(): boolean {
+		return this.#held.size >= maxRecords || this.#answerBytes >= maxAnswerBytes;
+	}
+
 	/** Takes a frame of an entry's newest session. */
 	receive(
 		message: Extract<Message, {request: RequestId}>,
@@ -84,10 +95,11 @@
 
 		const context: LedgerContext = {
 			...this.options.describeContext(),
-			queueFull: this.options.scheduler.isFull,
+			queueFull: this.options.scheduler.isFull || this.#isLedgerFull,
 		};
 		const now = this.options.readClock();
 		const [record, commands] = decideCall(held?.record, event, now, context);
+		this.#answerBytes += measureAnswer(record) - measureAnswer(held?.record);
 		if (record) {
 			this.#held.set(request, {record, entry: owner});
 		}
@@ -104,6 +116,7 @@
 		this.options.claims.sweep(now);
 		for (const [request, {record}] of this.#held) {
 			if (isForgettable(record, now)) {
+				this.#answerBytes -= measureAnswer(record);
 				this.#held.delete(request);
 			}
 		}
@@ -211,3 +224,6 @@
 		value: call.request,
 	};
 }
+
+const measureAnswer = (record: CallRecord | undefined): number =>
+	record?.phase === 'answered' ? record.answer.body.length : 0;
--- a/packages/bramleystage-check/src/request-agent-steps.ts
+++ b/packages/bramleystage-check/src/request-agent-steps.ts
@@ -24,26 +24,32 @@
 	toTarget,
 } from './request-state.js';
 
+/** An event of one call at one agent. */
+export type AgentEvent = {
+	readonly host: number;
+	readonly request: number;
+	readonly event: CallEvent;
+	readonly queueFull?: boolean;
+	readonly now?: number;
+};
+
 /** Decides an event of a call at an agent and carries out what follows. */
 export function carryOutCall(
 	{decideCall}: RequestMechanisms,
 	state: RequestState,
-	host: number,
-	request: number,
-	event: CallEvent,
-	more: {queueFull?: boolean; now?: number} = {},
+	{host, request, event, queueFull = false, now = 0}: AgentEvent,
 ): RequestState {
 	const agent = state.agents[host]!;
 	const target = toTarget(host, agent.incarnation);
 	const context: LedgerContext = {
 		incarnation: target.incarnation,
 		leaving: false,
-		queueFull: more.queueFull ?? false,
+		queueFull,
 	};
 	const [record, commands] = decideCall(
 		agent.records[request],
 		event,
-		more.now ?? 0,
+		now,
 		context,
 	);
 	const records = replaceAt(agent.records, request, record);
@@ -177,11 +183,14 @@
 	return [
 		{
 			label: `${name} has its turn`,
-			next: carryOutCall(mechanisms, taken, host, request, event),
+			next: carryOutCall(mechanisms, taken, {host, request, event}),
 		},
 		{
 			label: `${name} has its turn past its deadline`,
-			next: carryOutCall(mechanisms, taken, host, request, event, {
+			next: carryOutCall(mechanisms, taken, {
+				host,
+				request,
+				event,
 				now: modelDeadline,
 			}),
 		},
@@ -203,9 +212,7 @@
 			next: carryOutCall(
 				mechanisms,
 				replaceAgent(state, host, {running: others}),
-				host,
-				request,
-				event,
+				{host, request, event},
 			),
 		});
 
--- a/packages/bramleystage-check/src/request-entry-steps.ts
+++ b/packages/bramleystage-check/src/request-entry-steps.ts
@@ -12,6 +12,7 @@
 import type {RequestMechanisms} from './request-mechanisms.js';
 import {
 	addName,
+	findEntrySession,
 	findHostIndex,
 	formatPlace,
 	formatRequest,
@@ -29,18 +30,24 @@
 /** A step of the model of the request protocol. */
 export type RequestStep = Step<RequestState>;
 
+/** An event of one request's dispatch. */
+export type EntryEvent = {
+	readonly request: number;
+	readonly event: DispatchEvent;
+	readonly label: string;
+	readonly now?: number;
+};
+
 /** Decides an event of a dispatch; both ways if the retry budget matters. */
 export function listDispatchSteps(
 	mechanisms: RequestMechanisms,
 	state: RequestState,
-	request: number,
-	event: DispatchEvent,
-	label: string,
-	now = 0,
+	step: EntryEvent,
 ): RequestStep[] {
+	const {label} = step;
 	let asked = false;
 	const decide = (isAllowed: boolean) =>
-		carryOutDispatch(mechanisms, state, request, event, now, () => {
+		carryOutDispatch(mechanisms, state, step, () => {
 			asked = true;
 			return isAllowed;
 		});
@@ -55,9 +62,7 @@
 function carryOutDispatch(
 	{decideDispatch}: RequestMechanisms,
 	state: RequestState,
-	request: number,
-	event: DispatchEvent,
-	now: number,
+	{request, event, now = 0}: EntryEvent,
 	allowRetry: () => boolean,
 ): RequestState {
 	const dispatch = state.dispatches[request]!;
@@ -156,14 +161,6 @@
 		: state;
 }
 
-/** The entry's own open session to a host; -1 if there is none. */
-export function findEntrySession(
-	{sessions}: RequestState,
-	host: number,
-): number {
-	return sessions.findIndex((each) => each.entryOpen && each.host === host);
-}
-
 function recordSent(
 	state: RequestState,
 	request: number,
@@ -235,7 +232,7 @@
 	const add = (from: RequestState, event: DispatchEvent, now = 0) => {
 		const label = `${name}: ${formatEvent(event)}`;
 		steps.push(
-			...listDispatchSteps(mechanisms, from, request, event, label, now),
+			...listDispatchSteps(mechanisms, from, {request, event, label, now}),
 		);
 	};
 
--- a/packages/bramleystage-check/src/request-network-steps.ts
+++ b/packages/bramleystage-check/src/request-network-steps.ts
@@ -1,5 +1,6 @@
 /** Steps of the sessions in the model of the request protocol. */
 import {
+	type DispatchEvent,
 	type Message,
 	toCallEvent,
 	toDispatchEvent,
@@ -8,13 +9,13 @@
 } from 'bramleystage';
 import {carryOutCall, replaceAgent} from './request-agent-steps.js';
 import {
-	findEntrySession,
 	listDispatchSteps,
 	type RequestStep,
 } from './request-entry-steps.js';
 import type {RequestMechanisms} from './request-mechanisms.js';
 import {
 	createSession,
+	findEntrySession,
 	findRequestIndex,
 	type ModelSession,
 	recordBroken,
@@ -61,7 +62,12 @@
 	const [first, ...rest] = toAgent;
 	if (first) {
 		const taken = replaceSession(state, index, {toAgent: rest});
-		steps.push(...listArrivals(mechanisms, taken, session, first, 'takes'));
+		steps.push(
+			...listArrivals(mechanisms, taken, session, {
+				message: first,
+				verb: 'takes',
+			}),
+		);
 	}
 
 	if (first && state.faults.copies > 0) {
@@ -75,7 +81,10 @@
 		const others = copies.filter((_, other) => other !== at);
 		const taken = replaceSession(state, index, {copies: others});
 		steps.push(
-			...listArrivals(mechanisms, taken, session, copy, 'takes a late'),
+			...listArrivals(mechanisms, taken, session, {
+				message: copy,
+				verb: 'takes a late',
+			}),
 		);
 	}
 
@@ -91,8 +100,7 @@
 	mechanisms: RequestMechanisms,
 	state: RequestState,
 	session: ModelSession,
-	message: Message,
-	verb: string,
+	{message, verb}: {message: Message; verb: string},
 ): RequestStep[] {
 	const {host, number} = session;
 	const {fence} = state.agents[host]!;
@@ -109,19 +117,17 @@
 	const isOlder = fence !== undefined && number < fence.newest;
 	const from = isOlder ? recordBroken(state, 'older-session-fenced') : state;
 	const request = findRequestIndex(message.request);
-	const next = carryOutCall(mechanisms, from, host, request, event);
+	const next = carryOutCall(mechanisms, from, {host, request, event});
 	if (message.type !== 'call' || state.faults.fullQueues === 0) {
 		return [{label, next}];
 	}
 
-	const full = carryOutCall(
-		mechanisms,
-		spendFault(from, 'fullQueues'),
+	const full = carryOutCall(mechanisms, spendFault(from, 'fullQueues'), {
 		host,
 		request,
 		event,
-		{queueFull: true},
-	);
+		queueFull: true,
+	});
 	return [
 		{label, next},
 		{label: `${label}, queue full`, next: full},
@@ -186,7 +192,7 @@
 
 	const {findDispatch} = mechanisms;
 	const request = findDispatch(message, state.dispatches.length);
-	return listDispatchSteps(mechanisms, state, request, event, label);
+	return listDispatchSteps(mechanisms, state, {request, event, label});
 }
 
 /** Decides an event for every request, one after another. */
@@ -194,12 +200,16 @@
 	mechanisms: RequestMechanisms,
 	state: RequestState,
 	label: string,
-	event: Parameters<typeof listDispatchSteps>[3],
+	event: DispatchEvent,
 ): RequestStep[] {
 	let steps: RequestStep[] = [{label, next: state}];
 	for (const request of state.dispatches.keys()) {
 		steps = steps.flatMap((step) =>
-			listDispatchSteps(mechanisms, step.next, request, event, step.label),
+			listDispatchSteps(mechanisms, step.next, {
+				request,
+				event,
+				label: step.label,
+			}),
 		);
 	}
 
--- a/packages/bramleystage-check/src/request-specification.ts
+++ b/packages/bramleystage-check/src/request-specification.ts
@@ -4,11 +4,12 @@
  * frames, replaced agents, a dead entry, cancels and full queues.
  */
 import {listAgentSteps} from './request-agent-life-steps.js';
-import {findEntrySession, listEntrySteps} from './request-entry-steps.js';
+import {listEntrySteps} from './request-entry-steps.js';
 import {createMechanisms} from './request-mechanisms.js';
 import {listNetworkSteps} from './request-network-steps.js';
 import {
 	createRequestState,
+	findEntrySession,
 	findHostIndex,
 	formatRequest,
 	formatState,
--- a/packages/bramleystage-check/src/request-state.ts
+++ b/packages/bramleystage-check/src/request-state.ts
@@ -243,3 +243,11 @@
 		formatPart(history),
 	].join('|');
 }
+
+/** The entry's own open session to a host; -1 if there is none. */
+export function findEntrySession(
+	{sessions}: RequestState,
+	host: number,
+): number {
+	return sessions.findIndex((each) => each.entryOpen && each.host === host);
+}
