--- a/examples/run-processes.mjs
+++ b/examples/run-processes.mjs
@@ -30,31 +30,13 @@
 const flags = process.argv.slice(2);
 const basePort = readFlag(flags, 'base-port', undefined);
 
-/**
- * Ports below those that systems give to outgoing connections, so that none is
- * taken between the look and the start.
- */
+/** First port to try; ports below 32768 are not given out by the kernel. */
 const firstPort = 12_000;
-const lastPort = 30_000;
-
-/** Finds ports that are free now, starting at a place of this process's own. */
-async function findFreePorts(count) {
-	const ports = [];
-	let port = firstPort + ((process.pid * count) % (lastPort - firstPort));
-	while (ports.length < count) {
-		// eslint-disable-next-line no-await-in-loop -- until enough are found
-		if (await isFree(port)) {
-			ports.push(port);
-		}
+const portBlocks = 700;
 
-		port = port >= lastPort ? firstPort : port + 1;
-	}
-
-	return ports;
-}
-
-async function isFree(port) {
-	return new Promise((resolve) => {
+/** True if a port can be listened on now. */
+const hasFreePort = async (port) =>
+	new Promise((resolve) => {
 		const server = createServer();
 		server.once('error', () => {
 			resolve(false);
@@ -65,6 +47,20 @@
 			});
 		});
 	});
+
+/** Finds ports in a row that are free now; runs at the same time start apart. */
+async function findFreePorts() {
+	for (let attempt = 0; attempt < portBlocks; attempt++) {
+		const block = (process.pid + attempt) % portBlocks;
+		const ports = listPorts(firstPort + block * portCount);
+		// eslint-disable-next-line no-await-in-loop -- tries one block after the other
+		const areFree = await Promise.all(ports.map((port) => hasFreePort(port)));
+		if (areFree.every(Boolean)) {
+			return ports;
+		}
+	}
+
+	throw new Error('No free ports.');
 }
 
 /** Starts a process; resolves when it says that it listens. */
@@ -173,9 +169,7 @@
 
 const {deployment, platform, processes, hosts, entries} = listProcesses(
 	readFlag(flags, 'deployment', 'kaleli'),
-	basePort === undefined
-		? await findFreePorts(portCount)
-		: listPorts(Number(basePort)),
+	basePort === undefined ? await findFreePorts() : listPorts(Number(basePort)),
 );
 const running = [];
 let areRight = false;
--- a/packages/bramleystage-command/src/__tests__/examples.test.ts
+++ b/packages/bramleystage-command/src/__tests__/examples.test.ts
@@ -10,14 +10,14 @@
 		new URL(`../../../../examples/${name}`, import.meta.url),
 	);
 	const child = spawn(process.execPath, [path, ...words]);
-	let output = '';
-	child.stdout.on('data', (chunk) => {
-		output += String(chunk);
-	});
+	const chunks: string[] = [];
+	const take = (chunk: unknown) => chunks.push(String(chunk));
+	child.stdout.on('data', take);
+	child.stderr.on('data', take);
 	const code = await new Promise<number | null>((resolve) => {
 		child.once('close', resolve);
 	});
-	return {code, output};
+	return {code, output: chunks.join('')};
 }
 
 test.each(deploymentNames)(
@@ -28,7 +28,7 @@
 			name,
 		]);
 		expect(output).not.toContain('WRONG');
-		expect(output.match(/: right: /gv)).toHaveLength(8);
+		expect(output.match(/: right: /gv), output).toHaveLength(8);
 		expect(code).toBe(0);
 	},
 );
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -59,7 +59,9 @@
 		: findProblem(context, parsed.value);
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
-		rejectRequest(options, context, body?.model ?? 'model', rejected);
+		const isKnown = body !== undefined && context.view.models.has(body.model);
+		const subject = isKnown ? body.model : undefined;
+		rejectRequest(options, context, subject ?? kind, rejected);
 		return;
 	}
 
