--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -1,4 +1,10 @@
 /** The bramleystage library: state, coordination, protocol and transport. */
+export {
+	Admission,
+	type AdmissionRequest,
+	type AdmissionTargets,
+	defaultAdmissionTargets,
+} from './coordination/admission.js';
 export {
 	type AllowRetry,
 	createDispatch,
@@ -106,6 +112,27 @@
 	type LimitOwnerOptions,
 	type PermitResult,
 } from './coordination/limit-owner.js';
+export {
+	createFence,
+	decideFence,
+	type FenceCommand,
+	type FenceEvent,
+	type FenceState,
+	type NumberedOrder,
+} from './coordination/fence.js';
+export {
+	createLease,
+	decideLease,
+	findHeldNumber,
+	foldLease,
+	type LeaseCommand,
+	type LeaseEvent,
+	type LeaseGrant,
+	type LeaseOptions,
+	type LeaseRecord,
+	leaseRecordSchema,
+	type LeaseState,
+} from './coordination/leases.js';
 export {
 	createModelRun,
 	decideModelRun,
@@ -360,9 +387,22 @@
 	type EditProgress,
 } from './state/edit-progress.js';
 export {
+	computeShare,
+	firstShare,
+	type HostPast,
+	type HostPasts,
+	listSessionAddresses,
+	recordHeartbeat,
+	recordSessionLost,
+	slowStartMs,
+} from './state/host-membership.js';
+export {
+	applyHeartbeat,
 	applyHostList,
+	applySessionLost,
 	type ConnectedHost,
 	createHosts,
+	type HeartbeatContext,
 	type HostsSnapshot,
 	listAvailableHosts,
 	type ListedHost,
@@ -501,6 +541,7 @@
 	openSession,
 	Session,
 	type SessionListener,
+	type SessionOptions,
 	type SessionPeer,
 	type SessionTiming,
 	startServer,
@@ -528,3 +569,5 @@
 	TableSnapshotWriter,
 	type TableSnapshotWriterOptions,
 } from './transport/table-snapshot-writer.js';
+export {type TrafficCount, TrafficMeter} from './transport/traffic-meter.js';
+export {registerTrafficCounters} from './transport/traffic-metrics.js';
