--- a/packages/bramleystage-check/src/specifications.ts
+++ b/packages/bramleystage-check/src/specifications.ts
@@ -3,9 +3,11 @@
  * that exports a `Specification`, and a line here.
  */
 import {createExplorer} from './explorer.js';
+import {fenceSpecification} from './fence-specification.js';
 import {requestSpecification} from './request-specification.js';
 import type {AnySpecification} from './specification.js';
 
 export const specifications: readonly AnySpecification[] = [
 	createExplorer(requestSpecification),
+	createExplorer(fenceSpecification),
 ];
--- a/packages/bramleystage/src/coordination/__tests__/fence.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/fence.test.ts
@@ -69,9 +69,10 @@
 		{type: 'inspected', isAsOrdered: true} as const,
 		ordered(5),
 	];
-	expect(run(inEffect).last).toEqual([
-		{type: 'confirm', ordered: createOrder(5)},
-	]);
+	expect(run(inEffect).last).toEqual([{type: 'inspect'}]);
+	expect(
+		run([...inEffect, {type: 'inspected', isAsOrdered: false}]).last,
+	).toEqual([{type: 'give', ordered: createOrder(5)}]);
 });
 
 test('a late effect of an older order is undone by the newest', () => {
--- a/packages/bramleystage/src/coordination/fence.ts
+++ b/packages/bramleystage/src/coordination/fence.ts
@@ -24,8 +24,6 @@
 	readonly newest: NumberedOrder<Order> | undefined;
 	/** The order that the server is carrying out. */
 	readonly running: NumberedOrder<Order> | undefined;
-	/** True once the server was seen as the newest order wants it. */
-	readonly isInEffect: boolean;
 };
 
 export type FenceEvent<Order> =
@@ -55,7 +53,6 @@
 	highest: undefined,
 	newest: undefined,
 	running: undefined,
-	isInEffect: false,
 });
 
 export function decideFence<Order>(
@@ -88,7 +85,7 @@
 	state: FenceState<Order>,
 	ordered: NumberedOrder<Order>,
 ): Decision<FenceState<Order>, FenceCommand<Order>> {
-	const {highest, newest, running, isInEffect} = state;
+	const {highest, newest, running} = state;
 	if (highest === undefined) {
 		return [state, [{type: 'refuse', ordered, result: 'fenceUnknown'}]];
 	}
@@ -99,14 +96,14 @@
 	}
 
 	if (order === 0) {
-		return [state, isInEffect ? [{type: 'confirm', ordered}] : []];
+		// A late effect may have come since the server was last looked at.
+		return [state, running ? [] : [{type: 'inspect'}]];
 	}
 
 	const taken = {
 		...state,
 		highest: ordered.number,
 		newest: ordered,
-		isInEffect: false,
 	};
 	return running
 		? [taken, []]
@@ -123,11 +120,8 @@
 	}
 
 	return isAsOrdered
-		? [{...state, isInEffect: true}, [{type: 'confirm', ordered: newest}]]
-		: [
-				{...state, running: newest, isInEffect: false},
-				[{type: 'give', ordered: newest}],
-			];
+		? [state, [{type: 'confirm', ordered: newest}]]
+		: [{...state, running: newest}, [{type: 'give', ordered: newest}]];
 }
 
 /** Orders by fencing number, then by index. */
