Explore the lease

Cause: the lease had no specification. Change: two processes, late, lost and reordered appends, lagging reads; three rules, each breakable.

--- a/packages/bramleystage-check/src/specifications.ts
+++ b/packages/bramleystage-check/src/specifications.ts
@@ -4,10 +4,12 @@
  */
 import {createExplorer} from './explorer.js';
 import {fenceSpecification} from './fence-specification.js';
+import {leaseSpecification} from './lease-specification.js';
 import {requestSpecification} from './request-specification.js';
 import type {AnySpecification} from './specification.js';
 
 export const specifications: readonly AnySpecification[] = [
 	createExplorer(requestSpecification),
 	createExplorer(fenceSpecification),
+	createExplorer(leaseSpecification),
 ];
