--- a/packages/bramleystage-check/src/specifications.ts
+++ b/packages/bramleystage-check/src/specifications.ts
@@ -4,6 +4,7 @@
  */
 import {createExplorer} from './explorer.js';
 import {fenceSpecification} from './fence-specification.js';
+import {foldSpecification} from './fold-specification.js';
 import {leaseSpecification} from './lease-specification.js';
 import {requestSpecification} from './request-specification.js';
 import type {AnySpecification} from './specification.js';
@@ -11,5 +12,6 @@
 export const specifications: readonly AnySpecification[] = [
 	createExplorer(requestSpecification),
 	createExplorer(fenceSpecification),
+	createExplorer(foldSpecification),
 	createExplorer(leaseSpecification),
 ];
