--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -15,7 +15,9 @@
 	type Logger,
 	type Message,
 	type Offer,
+	PlatformClient,
 	protocolVersion,
+	registerTrafficCounters,
 	type Session,
 	SessionPool,
 	type SessionPeer,
@@ -26,11 +28,13 @@
 	type TableSnapshot,
 	toIncarnation,
 	toServiceName,
+	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
 import {Gauge, Registry} from 'prom-client';
 import type {Observable} from 'rxjs';
 import {CallDesk} from './call-desk.js';
+import {ClaimDesk} from './claim-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
 import {createSchedulers} from './schedulers.js';
@@ -68,6 +72,7 @@
 	const incarnation = toIncarnation(randomUUID());
 	const timing: SessionTiming = {
 		heartbeatMs: settings.heartbeatMs,
+		idleHeartbeatMs: settings.idleHeartbeatMs,
 		silenceMs: settings.silenceMs,
 		handshakeMs: settings.silenceMs,
 	};
@@ -94,7 +99,9 @@
 		readClock,
 	});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
+	const meter = new TrafficMeter();
 	const pool = new SessionPool({
+		meter,
 		hello: {...identity, version: protocolVersion, deployment},
 		timing,
 		describeSelf: () => ({leaving}),
@@ -151,6 +158,15 @@
 	const calls = service
 		? new CallDesk({
 				client: service,
+				claims: new ClaimDesk({
+					platform: new PlatformClient(settings.platform),
+					lifeCycle,
+					self: {host, incarnation},
+					handle(request, event) {
+						calls?.handle(request, event);
+					},
+					readClock,
+				}),
 				scheduler: schedulers.calls,
 				describeContext: () => ({incarnation, leaving}),
 				send(entry, message) {
@@ -263,6 +279,7 @@
 		stages?.sweep(readClock());
 	});
 	const listener = await listenForSessions({
+		meter,
 		address: settings.listen,
 		welcome: {type: 'welcome', ...identity},
 		timing,
@@ -272,6 +289,7 @@
 	});
 	lifeCycle.register(async () => listener.close());
 	const registry = createMetrics(describeLoad, () => entries.size);
+	registerTrafficCounters(registry, meter);
 	const operators = await listenForOperators(settings.operatorListen, {
 		registry,
 		isReady: () => !leaving && offers.length > 0,
--- a/packages/bramleystage-entry/src/caller-port.ts
+++ b/packages/bramleystage-entry/src/caller-port.ts
@@ -1,14 +1,14 @@
 /**
- * The callers' port: checks each request as it arrives, reads its body within
- * the bounds and hands it to its route. Every request ends in one audit record.
+ * The callers' port: finds the customer of each request, refuses what can't be
+ * taken, reads the body within its bounds and hands the request to its route.
  */
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
 import {
 	createFailure,
-	defaultHttpBounds,
 	type EntrySettings,
 	type Failure,
+	type HttpBounds,
 	type HttpHandler,
 	type Logger,
 	readBody,
@@ -16,7 +16,7 @@
 	toRequestId,
 	writeJson,
 } from 'bramleystage';
-import {type ArrivalContext, checkArrival} from './arrival.js';
+import {checkArrival} from './arrival.js';
 import type {Audit} from './audit.js';
 import {
 	type ModelRouteOptions,
@@ -27,52 +27,44 @@
 import {runServiceRoute, type ServiceRouteOptions} from './service-route.js';
 
 export type CallerPortOptions = {
-	readonly settings: Pick<
-		EntrySettings,
-		'bodyTimeoutMs' | 'deployment' | 'maxBodyBytes' | 'requestTimeoutMs'
-	>;
-	readonly logger: Logger;
+	readonly settings: Pick<EntrySettings, 'deployment' | 'requestTimeoutMs'>;
+	readonly bounds: HttpBounds;
 	readonly audit: Audit;
+	readonly logger: Logger;
 	readonly isReady: () => boolean;
-	/** What is known when a request arrives, but for the longest deadline. */
-	readonly readArrivalContext: () => Omit<ArrivalContext, 'longestMs'>;
+	readonly isLeaving: () => boolean;
+	/** Gives the failure for new work while the table is too old. */
+	readonly findStaleness: () => Failure | undefined;
+	readonly readView: () => TableView;
 	/** Counts a request that is taken. */
 	readonly recordRequest: () => void;
 	readonly models: ModelRouteOptions;
 	readonly services: ServiceRouteOptions;
 };
 
-/** Gives the bounds of callers' requests. */
-export const selectBounds = ({
-	maxBodyBytes,
-	bodyTimeoutMs,
-}: CallerPortOptions['settings']) => ({
-	...defaultHttpBounds,
-	maxBodyBytes,
-	bodyTimeoutMs,
-});
+/** Subject of requests that were not taken to a route. */
+const noSubject = 'none';
 
 /** Creates the handler of every request that callers send. */
 export function createCallerHandler(options: CallerPortOptions): HttpHandler {
-	const {settings, audit, logger} = options;
-	const bounds = selectBounds(settings);
 	return async (message, response) => {
-		const url = message.url ?? '/';
-		if (url === '/healthz' || url === '/readyz') {
-			const isOk = url === '/healthz' || options.isReady();
+		if (message.url === '/healthz' || message.url === '/readyz') {
+			const isOk = message.url === '/healthz' || options.isReady();
 			writeJson(response, isOk ? 200 : 503, {ok: isOk});
 			return;
 		}
 
 		const request = toRequestId(randomUUID());
 		response.setHeader('x-request-id', request);
-		const known = options.readArrivalContext();
-		const longestMs = settings.requestTimeoutMs;
-		const arrival = checkArrival(message, {...known, longestMs});
-		const {customer, deadlineMs, failure} = arrival;
+		const view = options.readView();
+		const {customer, deadlineMs, failure} = checkArrival(message, {
+			view,
+			leaving: options.isLeaving(),
+			stale: options.findStaleness(),
+			longestMs: options.settings.requestTimeoutMs,
+		});
 		const reject = (reason: Failure) => {
-			const [subject = ''] = url.split('?');
-			audit.recordRejected({request, customer}, subject, reason);
+			options.audit.recordRejected({request, customer}, noSubject, reason);
 			rejectMessage(message, response, reason);
 		};
 
@@ -81,15 +73,15 @@
 			return;
 		}
 
-		const body = await readBody(message, bounds);
+		const body = await readBody(message, options.bounds);
 		if (body.isErr()) {
 			reject(body.error);
 			return;
 		}
 
 		options.recordRequest();
-		logger.debug('request.received', {request, customer, url});
-		const {view} = known;
+		const {url} = message;
+		options.logger.debug('request.received', {request, customer, url});
 		const context = {request, customer, view, deadlineMs, response};
 		await sendToRoute(options, message, context, body.value);
 	};
@@ -104,20 +96,27 @@
 	const [path = ''] = (message.url ?? '/').split('?');
 	if (path.startsWith('/v1/services/')) {
 		await runServiceRoute(options.services, context, message, body);
-	} else if (path === '/v1/models') {
-		const data = listModels(context.view, options.settings.deployment);
-		writeJson(context.response, 200, {object: 'list', data});
-		options.audit.recordAnswered(context, path);
+		return;
+	}
+
+	if (path === '/v1/models') {
+		writeModels(options, context);
 	} else {
 		const kind = path === '/v1/completions' ? 'completion' : 'chat';
 		await runModelRoute(options.models, context, kind, body.toString());
 	}
 }
 
-const listModels = ({models}: TableView, deployment: string) =>
-	[...models.keys()].map((id) => ({
+function writeModels(
+	{settings, audit}: CallerPortOptions,
+	context: RouteContext,
+): void {
+	const data = [...context.view.models.keys()].map((id) => ({
 		id,
 		object: 'model',
 		created: 0,
-		owned_by: deployment,
+		owned_by: settings.deployment,
 	}));
+	writeJson(context.response, 200, {object: 'list', data});
+	audit.recordAnswered(context, 'models');
+}
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -4,10 +4,13 @@
  */
 import {randomInt, randomUUID} from 'node:crypto';
 import {
+	Admission,
 	computeBackoff,
 	createRetryBudget,
 	decideRetry,
+	defaultHttpBounds,
 	type EntrySettings,
+	isClaimed,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
@@ -15,17 +18,20 @@
 	PlatformClient,
 	protocolVersion,
 	recordRequest,
+	registerTrafficCounters,
 	SessionPool,
 	type TableSnapshot,
 	toIncarnation,
+	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
 import {Audit, EntryMetrics, type RequestRecord} from './audit.js';
-import {createCallerHandler, selectBounds} from './caller-port.js';
+import {createCallerHandler} from './caller-port.js';
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
+import {chooseHome} from './home-choice.js';
 import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
 import {createRouter, chooseModelStages} from './model-routing.js';
@@ -51,6 +57,8 @@
 /** How long the ready check fails before new connections are refused. */
 const leavingNoticeMs = 1000;
 
+const sweepIntervalMs = 10_000;
+
 const readClock = () => performance.now();
 
 /** Starts an entry; resolves when it listens. */
@@ -67,6 +75,11 @@
 	const audit = new Audit(logger, metrics);
 	let leaving = false;
 	let budget = createRetryBudget();
+	const bounds = {
+		...defaultHttpBounds,
+		maxBodyBytes: settings.maxBodyBytes,
+		bodyTimeoutMs: settings.bodyTimeoutMs,
+	};
 
 	const {follower, ...tableParts} = startTable({
 		platform,
@@ -77,10 +90,14 @@
 	});
 	const timing = {
 		heartbeatMs: settings.heartbeatMs,
+		idleHeartbeatMs: settings.idleHeartbeatMs,
 		silenceMs: settings.silenceMs,
 		handshakeMs: settings.silenceMs,
 	};
+	const meter = new TrafficMeter();
+	registerTrafficCounters(metrics.registry, meter);
 	const pool = new SessionPool({
+		meter,
 		hello: {...identity, version: protocolVersion, deployment},
 		timing,
 		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
@@ -89,6 +106,13 @@
 		pool.close();
 	});
 	const router = createRouter(randomInt);
+	const admission = new Admission({
+		firstTokenMs: settings.firstTokenTargetMs,
+		gapMs: settings.tokenGapTargetMs,
+	});
+	lifeCycle.registerInterval(sweepIntervalMs, () => {
+		admission.sweep(readClock());
+	});
 	const network = new Network({
 		platform,
 		pool,
@@ -102,6 +126,7 @@
 	});
 	pool.events.subscribe(tableParts.receive);
 	const peers = new EntryPeers({
+		meter,
 		listen: settings.sessionListen,
 		identity: {...identity, version: protocolVersion, deployment},
 		timing,
@@ -142,7 +167,14 @@
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
+			isClaimed(call)
+				? chooseHome(network.hosts, call, excluding)
+				: router.chooseTarget(
+						network.hosts,
+						call.service,
+						excluding,
+						readClock(),
+					),
 		send,
 		policy: {
 			allowRetry,
@@ -157,6 +189,7 @@
 	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
+		admission,
 		audit,
 		metrics,
 		readClock,
@@ -166,14 +199,13 @@
 
 	const handle = createCallerHandler({
 		settings,
-		logger,
-		audit,
 		isReady,
-		readArrivalContext: () => ({
-			view: follower.table.value.view,
-			leaving,
-			stale: tableParts.findStaleness(),
-		}),
+		isLeaving: () => leaving,
+		audit,
+		logger,
+		bounds,
+		findStaleness: tableParts.findStaleness,
+		readView: () => follower.table.value.view,
 		recordRequest() {
 			budget = recordRequest(budget);
 		},
@@ -190,11 +222,7 @@
 	});
 	await network.refresh();
 	limits.start();
-	const listener = await listenHttp(
-		settings.listen,
-		handle,
-		selectBounds(settings),
-	);
+	const listener = await listenHttp(settings.listen, handle, bounds);
 	lifeCycle.register(async () => listener.close());
 	tableParts.registerGauges(metrics);
 	metrics.registerGauge(
@@ -225,6 +253,7 @@
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
 			routing: router.describe(readClock()),
+			admission: admission.describe(),
 			limits: limits.describe(),
 		}),
 	});
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -1,6 +1,7 @@
 /** `POST /v1/chat/completions` and `/v1/completions`. */
 import type {ServerResponse} from 'node:http';
 import {
+	type Admission,
 	createFailure,
 	computePromptCost,
 	type CustomerId,
@@ -22,12 +23,14 @@
 	type ModelBody,
 	parseModelBody,
 } from './model-body.js';
+import {type AdmittedRequest, decideAdmission} from './model-admission.js';
 import type {ModelDesk} from './model-desk.js';
 
 const msPerSecond = 1000;
 
 export type ModelRouteOptions = {
 	readonly desk: ModelDesk;
+	readonly admission: Admission;
 	readonly audit: Audit;
 	readonly metrics: EntryMetrics;
 	readonly readClock: () => number;
@@ -59,7 +62,9 @@
 		: findProblem(context, parsed.value);
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
-		rejectRequest(options, context, body?.model ?? 'model', rejected);
+		const isKnown = body !== undefined && context.view.models.has(body.model);
+		const subject = isKnown ? body.model : undefined;
+		rejectRequest(options, context, subject ?? kind, rejected);
 		return;
 	}
 
@@ -73,7 +78,17 @@
 		return;
 	}
 
-	startRun(options, context, body, permits.value);
+	const release = permits.value;
+	const now = options.readClock();
+	decideAdmission(options.admission, context, body, now).match(
+		(admitted) => {
+			startRun(options, context, body, {...admitted, release});
+		},
+		(failure) => {
+			release();
+			rejectRequest(options, context, body.model, failure);
+		},
+	);
 }
 
 function rejectRequest(
@@ -109,7 +124,7 @@
 	options: ModelRouteOptions,
 	context: RouteContext,
 	body: ModelBody,
-	release: ReleasePermits,
+	admitted: AdmittedRequest & {readonly release: ReleasePermits},
 ): void {
 	const {request, customer, view, response, deadlineMs} = context;
 	const startedAt = options.readClock();
@@ -128,10 +143,12 @@
 		deadlineMs,
 		giveToken(token) {
 			observe();
+			admitted.recordToken(options.readClock());
 			writer.writeToken(token);
 		},
 		finish(failure, {attempts, stages}) {
-			release();
+			admitted.finish(options.readClock());
+			admitted.release();
 			writer.finish(failure);
 			options.audit.record({
 				request,
--- a/packages/bramleystage-site/src/__tests__/hang-up.test.ts
+++ b/packages/bramleystage-site/src/__tests__/hang-up.test.ts
@@ -48,8 +48,20 @@
 	return {sequences, stepsRun};
 }
 
-/** Starts a long answer and hangs up after a time in milliseconds. */
-async function cancelCall(index: number, afterMs: number): Promise<void> {
+/** Counts the requests that the entries have taken and not answered. */
+async function countInFlight(): Promise<number> {
+	let count = 0;
+	for (const {operatorAddress} of site.entries) {
+		const answer = await fetch(`http://${operatorAddress}/dump`);
+		const state = (await answer.json()) as {requestsInFlight: number};
+		count += state.requestsInFlight;
+	}
+
+	return count;
+}
+
+/** Starts a long answer; gives a way to hang up. */
+function startCall(index: number): () => Promise<void> {
 	const abort = new AbortController();
 	const calling = async () => {
 		const answer = await sendModelRequest(site, index % 2, 'completions', {
@@ -62,16 +74,23 @@
 	};
 
 	const called = calling();
-	await waitFor(afterMs);
-	abort.abort();
-	await expect(called).rejects.toThrow();
+	return async () => {
+		abort.abort();
+		await expect(called).rejects.toThrow();
+	};
 }
 
 test('no sequence of a caller that hung up is left at an engine', async () => {
-	const hangingUp = Array.from({length: callerCount}, async (_, index) =>
-		cancelCall(index, 200 + index * 13),
+	const cancels = Array.from({length: callerCount}, (_, index) =>
+		startCall(index),
 	);
-	await Promise.all(hangingUp);
+	await expect.poll(countInFlight, {timeout: 10_000}).toBe(callerCount);
+	for (const cancel of cancels) {
+		await cancel();
+		await waitFor(stepMs);
+	}
+
+	await expect.poll(countInFlight).toBe(0);
 	await waitFor(settleMs);
 	const {sequences, stepsRun} = await readEngines();
 	expect(sequences).toBe(0);
@@ -97,9 +116,9 @@
 			'{"model":',
 		].join('\r\n'),
 	);
-	await waitFor(100);
+	await waitFor(settleMs);
 	socket.destroy();
-	await waitFor(100);
+	await expect.poll(() => records.length).toBe(1);
 	expect(records.map(({failure}) => failure)).toMatchObject([
 		{result: 'cancelled', outcome: 'not-run'},
 	]);
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -1,30 +1,38 @@
 /** The bramleystage library: state, coordination, protocol and transport. */
+export {
+	Admission,
+	type AdmissionRequest,
+	type AdmissionTargets,
+	defaultAdmissionTargets,
+} from './coordination/admission.js';
 export {
 	type AllowRetry,
-	cancelWaitMs,
 	createDispatch,
-	decideDispatch,
 	type DispatchCommand,
 	type DispatchDecision,
 	type DispatchEvent,
 	type DispatchPolicy,
 	type DispatchState,
-	reconnectWaitMs,
 	type Target,
 	toDispatchEvent,
+} from './coordination/call-dispatch-state.js';
+export {cancelWaitMs} from './coordination/call-dispatch-end.js';
+export {
+	decideDispatch,
+	reconnectWaitMs,
 	tombstoneTrustMs,
 } from './coordination/call-dispatch.js';
+export {decideCall} from './coordination/call-ledger.js';
 export {
 	type CallCommand,
 	type CallDecision,
 	type CallEvent,
 	type CallRecord,
-	decideCall,
 	isForgettable,
 	type LedgerContext,
 	retentionMs,
 	toCallEvent,
-} from './coordination/call-ledger.js';
+} from './coordination/call-record.js';
 export {
 	buildCandidateGroups,
 	type CandidateGroup,
@@ -35,6 +43,21 @@
 	selectCandidates,
 	type StageCandidate,
 } from './coordination/candidates.js';
+export {
+	type Claim,
+	ClaimBook,
+	type ClaimEnd,
+	type ClaimRecord,
+	claimRecordSchema,
+	claimStream,
+	type ClaimVerdict,
+	decideClaim,
+	formatClaimKey,
+	isClaimed,
+	isSameClaim,
+	keyLifetimeMs,
+	maxClaimedKeys,
+} from './coordination/claims.js';
 export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
 export {
 	type ConfirmFacts,
@@ -141,11 +164,6 @@
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
-export {
-	isCurrentSession,
-	type SessionFence,
-	updateFence,
-} from './coordination/session-fence.js';
 export {
 	computeStageWork,
 	createRouteCosts,
@@ -159,6 +177,11 @@
 	type SchedulerOptions,
 	WorkScheduler,
 } from './coordination/scheduler.js';
+export {
+	isCurrentSession,
+	type SessionFence,
+	updateFence,
+} from './coordination/session-fence.js';
 export {
 	decideStage,
 	type OpenStage,
@@ -455,6 +478,11 @@
 	parseAddress,
 } from './transport/address.js';
 export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
+export {
+	HeartbeatPace,
+	type PaceTiming,
+	type SelfDescription,
+} from './transport/heartbeat-pace.js';
 export {
 	type HttpAnswer,
 	type HttpError,
@@ -513,6 +541,7 @@
 	openSession,
 	Session,
 	type SessionListener,
+	type SessionOptions,
 	type SessionPeer,
 	type SessionTiming,
 	startServer,
@@ -540,3 +569,5 @@
 	TableSnapshotWriter,
 	type TableSnapshotWriterOptions,
 } from './transport/table-snapshot-writer.js';
+export {type TrafficCount, TrafficMeter} from './transport/traffic-meter.js';
+export {registerTrafficCounters} from './transport/traffic-metrics.js';
--- a/packages/bramleystage/src/transport/session.ts
+++ b/packages/bramleystage/src/transport/session.ts
@@ -7,7 +7,6 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import {type Observable, Subject} from 'rxjs';
 import {
-	type Heartbeat,
 	type Hello,
 	type Message,
 	protocolVersion,
@@ -16,18 +15,22 @@
 import {createFailure, type Failure} from '../protocol/result-codes.js';
 import {encodeFrame, FrameDecoder} from './framing.js';
 import {formatAddress, parseAddress} from './address.js';
+import {
+	HeartbeatPace,
+	type PaceTiming,
+	type SelfDescription,
+} from './heartbeat-pace.js';
+import type {TrafficMeter} from './traffic-meter.js';
 
 /** Timing of a session, in milliseconds. */
-export type SessionTiming = {
-	readonly heartbeatMs: number;
-	/** A session is dead when no frame arrived for this long. */
-	readonly silenceMs: number;
+export type SessionTiming = PaceTiming & {
 	/** A hello must be answered within this time. */
 	readonly handshakeMs: number;
 };
 
 export const defaultSessionTiming: SessionTiming = {
 	heartbeatMs: 250,
+	idleHeartbeatMs: 500,
 	silenceMs: 1200,
 	handshakeMs: 1000,
 };
@@ -39,14 +42,23 @@
 >;
 
 /** What a process says of itself in each heartbeat. */
-export type DescribeSelf = (peer: SessionPeer) => Omit<Heartbeat, 'type'>;
+export type DescribeSelf = (peer: SessionPeer) => SelfDescription;
+
+/** How a session is kept. */
+export type SessionOptions = {
+	readonly timing: SessionTiming;
+	readonly describeSelf: DescribeSelf;
+	/** Counts what is sent. */
+	readonly meter?: TrafficMeter;
+};
 
 export class Session {
 	readonly #socket: Socket;
 	readonly #messages = new Subject<Message>();
 	readonly #closed: Promise<Failure>;
 	#resolveClosed!: (failure: Failure) => void;
-	#lastArrival = performance.now();
+	#pace: HeartbeatPace | undefined;
+	#meter: TrafficMeter | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
@@ -76,7 +88,8 @@
 	}
 
 	/** Starts reading and heartbeats. Call once the messages are subscribed to. */
-	start(timing: SessionTiming, describeSelf: DescribeSelf): void {
+	start({timing, describeSelf, meter}: SessionOptions): void {
+		this.#meter = meter;
 		this.#socket.on('data', (chunk) => {
 			this.#receive(chunk);
 		});
@@ -86,18 +99,25 @@
 		this.#socket.on('error', (error) => {
 			this.close(createFailure('backendLost', error.message));
 		});
-		this.send({type: 'heartbeat', ...describeSelf(this.peer)});
+		const pace = new HeartbeatPace(timing, performance.now());
+		this.#pace = pace;
+		this.#beat(pace, describeSelf);
 		this.#timer = setInterval(() => {
-			this.#beat(timing, describeSelf);
+			this.#beat(pace, describeSelf);
 		}, timing.heartbeatMs);
 		this.#deliver();
 		this.#socket.resume();
 	}
 
 	send(message: Message): void {
-		if (!this.#isClosed) {
-			this.#socket.write(encodeFrame(message));
+		if (this.#isClosed) {
+			return;
 		}
+
+		this.#notePace(message);
+		const frame = encodeFrame(message);
+		this.#meter?.record(message, frame.length);
+		this.#socket.write(frame);
 	}
 
 	close(reason: Failure): void {
@@ -113,7 +133,7 @@
 	}
 
 	#receive(chunk: Buffer): void {
-		this.#lastArrival = performance.now();
+		this.#pace?.recordArrival(performance.now());
 		this.decoder.append(chunk);
 		this.#deliver();
 	}
@@ -130,20 +150,31 @@
 				return;
 			}
 
+			this.#notePace(next.value);
 			this.#messages.next(next.value);
 		}
 	}
 
-	#beat(timing: SessionTiming, describeSelf: DescribeSelf): void {
-		const silence = performance.now() - this.#lastArrival;
-		if (silence > timing.silenceMs) {
+	#notePace(message: Message): void {
+		if ('request' in message) {
+			this.#pace?.recordRequestFrame(performance.now());
+		}
+	}
+
+	#beat(pace: HeartbeatPace, describeSelf: DescribeSelf): void {
+		const now = performance.now();
+		const silence = pace.findSilence(now);
+		if (silence !== undefined) {
 			this.close(
 				createFailure('backendLost', `Silent for ${Math.round(silence)} ms.`),
 			);
 			return;
 		}
 
-		this.send({type: 'heartbeat', ...describeSelf(this.peer)});
+		const beat = pace.createBeat(describeSelf(this.peer), now);
+		if (beat) {
+			this.send(beat);
+		}
 	}
 }
 
@@ -208,6 +239,7 @@
 	welcome: Welcome;
 	timing: SessionTiming;
 	describeSelf: DescribeSelf;
+	meter?: TrafficMeter;
 	check: CheckHello;
 	onSession: (session: Session, hello: Hello) => void;
 }): Promise<SessionListener> {
@@ -265,7 +297,7 @@
 		socket.write(encodeFrame(options.welcome));
 		const session = new Session(socket, hello, decoder);
 		options.onSession(session, hello);
-		session.start(options.timing, options.describeSelf);
+		session.start(options);
 		return session;
 	} catch {
 		socket.destroy();
