--- a/packages/bramleystage-bench/src/table-bench.ts
+++ b/packages/bramleystage-bench/src/table-bench.ts
@@ -27,13 +27,10 @@
 } from 'bramleystage-stand-ins';
 import {build} from 'hdr-histogram-js';
 import type {Bench, BenchFlags} from './benches.js';
-import {
-	openCuttableLink,
-	type OutageWindow,
-	runFaults,
-} from './table-faults.js';
+import {openCuttableLink, type FaultWindow, runFaults} from './table-faults.js';
 import {publishTable, measureFold} from './table-import.js';
 import {type PublishedEdit, runOperator} from './table-operators.js';
+import {ReadinessSampler} from './table-readiness.js';
 import {TableWatch} from './table-watch.js';
 
 const operatorCount = 3;
@@ -88,10 +85,17 @@
 			}),
 		),
 	);
-	const [results, outage] = await Promise.all([
+	const samplers = entries.map(
+		({operatorAddress}) => new ReadinessSampler(operatorAddress, readClock),
+	);
+	const [results, windows] = await Promise.all([
 		working,
 		runFaults(platform, link, readClock),
 	]);
+	for (const sampler of samplers) {
+		sampler.stop();
+	}
+
 	await waitForSame(watches);
 	const published = results.flatMap((result) => result.published);
 	const reference = await foldWholeLog(platform.address);
@@ -100,9 +104,13 @@
 		unknown: results.reduce((sum, {unknown}) => sum + unknown, 0),
 		processes: watches.length,
 		rows,
-		...measureInForce(published, watches, outage),
+		...measureInForce(published, watches, windows.outage),
 		reverts: watches.reduce((sum, {reverts}) => sum + reverts, 0),
 		tables_differing: watches.filter(({digest}) => digest !== reference).length,
+		cut_entry_refusing_share: samplers[1]?.computeRefusingShare(windows.cut),
+		outage_refusing_share: Math.max(
+			...samplers.map((each) => each.computeRefusingShare(windows.outage)),
+		),
 		...measureFold(readClock),
 	};
 	await Promise.all([...entries, ...agents].map(async (each) => each.stop()));
@@ -183,7 +191,7 @@
 function measureInForce(
 	published: readonly PublishedEdit[],
 	watches: readonly TableWatch[],
-	outage: OutageWindow,
+	outage: FaultWindow,
 ): Record<string, number> {
 	const outside = build();
 	let worstInOutage = 0;
--- a/packages/bramleystage-bench/src/table-faults.ts
+++ b/packages/bramleystage-bench/src/table-faults.ts
@@ -55,8 +55,15 @@
 	};
 }
 
-/** From when until when the log was out, in milliseconds of the bench's clock. */
-export type OutageWindow = {readonly from: number; readonly until: number};
+/** From when until when a fault held, in milliseconds of the bench's clock. */
+export type FaultWindow = {readonly from: number; readonly until: number};
+
+export type FaultWindows = {
+	/** The second entry was cut off from the log. */
+	readonly cut: FaultWindow;
+	/** The log was out for all. */
+	readonly outage: FaultWindow;
+};
 
 const slowMs = 800;
 const slowForMs = 8000;
@@ -72,7 +79,7 @@
 	platform: StandIn,
 	link: CuttableLink,
 	readClock: () => number,
-): Promise<OutageWindow> {
+): Promise<FaultWindows> {
 	await waitFor(pauseMs);
 	platform.setFaults({slowMs});
 	await waitFor(slowForMs);
@@ -86,13 +93,15 @@
 
 	platform.setFaults({loseAnswers: 0, silent: true});
 	await waitFor(pauseMs);
+	const cutFrom = readClock();
 	link.setCut(true);
 	await waitFor(cutForMs);
 	link.setCut(false);
+	const cut = {from: cutFrom, until: readClock()};
 	await waitFor(pauseMs);
 	const from = readClock();
 	platform.setFaults({down: true});
 	await waitFor(outageMs);
 	platform.setFaults({down: false});
-	return {from, until: readClock()};
+	return {cut, outage: {from, until: readClock()}};
 }
--- /dev/null
+++ b/packages/bramleystage-bench/src/table-readiness.ts
@@ -0,0 +1,47 @@
+/** Samples whether entries take work, by their ready checks. */
+import {sendHttp, waitFor} from 'bramleystage';
+import type {FaultWindow} from './table-faults.js';
+
+type Sample = {readonly at: number; readonly isReady: boolean};
+
+const sampleMs = 100;
+const timeoutMs = 1000;
+
+export class ReadinessSampler {
+	readonly #samples: Sample[] = [];
+	#isStopped = false;
+
+	constructor(
+		private readonly address: string,
+		private readonly readClock: () => number,
+	) {
+		void this.#run();
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+	}
+
+	/** Share of the samples in a window at which the entry refused work. */
+	computeRefusingShare({from, until}: FaultWindow): number {
+		const samples = this.#samples.filter(({at}) => at >= from && at <= until);
+		const refusing = samples.filter(({isReady}) => !isReady).length;
+		return Number((refusing / Math.max(1, samples.length)).toFixed(3));
+	}
+
+	async #run(): Promise<void> {
+		/* eslint-disable no-await-in-loop -- one sample at a time */
+		while (!this.#isStopped) {
+			const at = this.readClock();
+			const answer = await sendHttp({
+				method: 'GET',
+				url: `http://${this.address}/readyz`,
+				timeoutMs,
+			});
+			const isReady = answer.isOk() && answer.value.status === 200;
+			this.#samples.push({at, isReady});
+			await waitFor(sampleMs);
+		}
+		/* eslint-enable no-await-in-loop */
+	}
+}
