--- a/packages/bramleystage-check/src/fence-specification.ts
+++ b/packages/bramleystage-check/src/fence-specification.ts
@@ -12,7 +12,14 @@
 	type NumberedOrder,
 	toFencingNumber,
 } from 'bramleystage';
-import type {Model, Rule, Specification, Step} from './specification.js';
+import {
+	addBroken,
+	createStepRule,
+	type Model,
+	type Rule,
+	type Specification,
+	type Step,
+} from './specification.js';
 
 type Fence = FenceState<string>;
 type Order = NumberedOrder<string>;
@@ -49,15 +56,6 @@
 	{number: toFencingNumber(8), index: 0, order: 'load c'},
 ];
 
-const createStepRule = (
-	name: string,
-	description: string,
-): Rule<FenceModelState> => ({
-	name,
-	description,
-	holds: ({broken}) => !broken.includes(name),
-});
-
 const rules: ReadonlyArray<Rule<FenceModelState>> = [
 	createStepRule(
 		'no-older-number',
@@ -241,11 +239,6 @@
 	return {...(isOlder ? addBroken(state, rule) : state), highestGiven};
 }
 
-const addBroken = (state: FenceModelState, rule: string): FenceModelState => ({
-	...state,
-	broken: [...new Set([...state.broken, rule])],
-});
-
 export const fenceSpecification: Specification<FenceModelState> = {
 	name: 'fence',
 	description: 'Fencing numbers of orders to an engine that checks none',
--- a/packages/bramleystage-check/src/fold-specification.ts
+++ b/packages/bramleystage-check/src/fold-specification.ts
@@ -16,7 +16,14 @@
 	type TableSnapshot,
 	toLogOffset,
 } from 'bramleystage';
-import type {Model, Rule, Specification, Step} from './specification.js';
+import {
+	addBroken,
+	createStepRule,
+	type Model,
+	type Rule,
+	type Specification,
+	type Step,
+} from './specification.js';
 
 type FoldModelState = {
 	readonly log: readonly unknown[];
@@ -63,15 +70,6 @@
 	createEdit('weigh', first, 0, {weight: '2'}),
 ];
 
-const createStepRule = (
-	name: string,
-	description: string,
-): Rule<FoldModelState> => ({
-	name,
-	description,
-	holds: ({broken}) => !broken.includes(name),
-});
-
 const rules: ReadonlyArray<Rule<FoldModelState>> = [
 	createStepRule('versions-grow', 'No reader’s table gets shorter.'),
 	createStepRule(
@@ -256,11 +254,6 @@
 		: checked;
 }
 
-const addBroken = (state: FoldModelState, rule: string): FoldModelState => ({
-	...state,
-	broken: [...new Set([...state.broken, rule])],
-});
-
 function formatTable(table: TableSnapshot | undefined): string {
 	return table
 		? JSON.stringify([
--- a/packages/bramleystage-check/src/specification.ts
+++ b/packages/bramleystage-check/src/specification.ts
@@ -19,6 +19,25 @@
 	readonly holds: (state: State) => boolean;
 };
 
+/** A state in which the steps themselves note the rules that they broke. */
+export type NotingState = {readonly broken: readonly string[]};
+
+/** A rule that the steps note when they break it. */
+export const createStepRule = <State extends NotingState>(
+	name: string,
+	description: string,
+): Rule<State> => ({
+	name,
+	description,
+	holds: ({broken}) => !broken.includes(name),
+});
+
+/** Notes that a step broke a rule. */
+export const addBroken = <State extends NotingState>(
+	state: State,
+	rule: string,
+): State => ({...state, broken: [...new Set([...state.broken, rule])]});
+
 /** A system to explore, of stated sizes. */
 export type Model<State> = {
 	/** Says what the sizes are. */
