--- a/packages/bramleystage-bench/src/index.ts
+++ b/packages/bramleystage-bench/src/index.ts
@@ -20,6 +20,7 @@
 } from './capacity-traffic.js';
 export {measureFrames, measureWork, sampleFrames} from './capacity-work.js';
 export {type RunningChild, startChild} from './child-process.js';
+export {runDecide} from './decide-bench.js';
 export {
 	type Demand,
 	type DemandOptions,
@@ -58,6 +59,13 @@
 	type StartEntry,
 } from './recovery-site.js';
 export {Relay} from './relay.js';
+export {
+	listSiteEngines,
+	measureSite,
+	siteDeployment,
+	type SiteFigures,
+	type SiteLoad,
+} from './site-throughput.js';
 export {
 	type ActiveStream,
 	StreamCallers,
@@ -67,8 +75,9 @@
 export {tableBench} from './table-bench.js';
 export {
 	type CuttableLink,
+	type FaultWindow,
+	type FaultWindows,
 	openCuttableLink,
-	type OutageWindow,
 	runFaults,
 } from './table-faults.js';
 export {measureFold, publishTable} from './table-import.js';
@@ -79,6 +88,7 @@
 	type PublishedEdit,
 	runOperator,
 } from './table-operators.js';
+export {ReadinessSampler} from './table-readiness.js';
 export {TableWatch} from './table-watch.js';
 export {createDraw, runThroughput} from './throughput-bench.js';
 export {TimedEngine, type TimedStep} from './timed-engine.js';
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -9,6 +9,7 @@
 } from './audit.js';
 export {computeKeyDigest, findCustomer} from './authentication.js';
 export {type CallerPortOptions, createCallerHandler} from './caller-port.js';
+export {CancelOutbox} from './cancel-outbox.js';
 export {
 	type AcquirePermits,
 	EntryLimits,
@@ -29,6 +30,8 @@
 } from './entry-table.js';
 export {type RunningEntry, startEntry} from './entry.js';
 export {selectAnswerHeaders, selectRequestHeaders} from './headers.js';
+export {chooseHome} from './home-choice.js';
+export {type AdmittedRequest, decideAdmission} from './model-admission.js';
 export {
 	type AnswerHead,
 	buildAnswer,
@@ -42,18 +45,24 @@
 	parseModelBody,
 	type Usage,
 } from './model-body.js';
-export {type ChooseStages, ModelDesk, type ModelRequest} from './model-desk.js';
+export {
+	type ChooseStages,
+	type LostStage,
+	ModelDesk,
+	type ModelRequest,
+	type ReplaceStage,
+} from './model-desk.js';
 export {
 	type ModelRouteOptions,
 	type RouteContext,
 	runModelRoute,
 } from './model-route.js';
-export {type AdmittedRequest, decideAdmission} from './model-admission.js';
 export {
 	chooseModelStages,
 	createRouter,
 	measureRequest,
 	type ModelChoice,
+	replaceModelStage,
 } from './model-routing.js';
 export {Network, type NetworkEvent} from './network.js';
 export {rejectMessage} from './rejection.js';
