--- a/packages/bramleystage-bench/src/benches.ts
+++ b/packages/bramleystage-bench/src/benches.ts
@@ -1,4 +1,5 @@
 /** The benches by name. Each resolves with the figures of its last line. */
+import {runDecide} from './decide-bench.js';
 import {runFairness} from './fairness-bench.js';
 import {tableBench} from './table-bench.js';
 import {limitsBench} from './limits-bench.js';
@@ -16,6 +17,10 @@
 };
 
 export const benches: Readonly<Record<string, Bench>> = {
+	decide: {
+		describe: 'Time and bytes of a routing decision by number of engines',
+		run: runDecide,
+	},
 	fairness: {
 		describe: 'Shares by weight under skewed and greedy demand',
 		run: runFairness,
