--- a/packages/bramleystage/src/coordination/admission.ts
+++ b/packages/bramleystage/src/coordination/admission.ts
@@ -94,12 +94,13 @@
 			return this.#accept(known, request);
 		}
 
-		const expectedMs = known.firstTokenMs + request.answerTokens * known.gapMs;
+		// An answer may end at its first token, so only that one is certain.
+		const expectedMs = known.firstTokenMs;
 		if (expectedMs > request.deadlineMs) {
 			return err(
 				createFailure(
 					'deadlineUnreachable',
-					`The answer is expected to take ${Math.round(expectedMs)} ms.`,
+					`The first token is expected after ${Math.round(expectedMs)} ms.`,
 					{retryAfterSeconds: computeRetryAfter(known)},
 				),
 			);
