--- a/examples/print-commands.mjs
+++ b/examples/print-commands.mjs
@@ -6,9 +6,9 @@
  */
 import process from 'node:process';
 import {
-	buildPublication,
 	buildRegistration,
 	listPorts,
+	listPublicationWords,
 	listProcesses,
 	readFlag,
 } from './commands.mjs';
@@ -25,14 +25,15 @@
 	process.stdout.write(`${text}\n`);
 }
 
+const formatCommand = (words) =>
+	`node packages/bramleystage-command/dist/main.js ${words.join(' ')}`;
+
 const formatCurl = ({method, url, body}) =>
 	`curl -X ${method} ${url} -d '${body}'`;
 
 for (const {name, words} of processes) {
 	printLine(`# ${name}`);
-	printLine(
-		`node packages/bramleystage-command/dist/main.js ${words.join(' ')}`,
-	);
+	printLine(formatCommand(words));
 }
 
 printLine('# the platform lists the hosts');
@@ -41,16 +42,7 @@
 }
 
 printLine('# the first table');
-printLine(
-	formatCurl(
-		buildPublication(
-			platform,
-			deployment,
-			'example-1',
-			new Date().toISOString(),
-		),
-	),
-);
+printLine(formatCommand(listPublicationWords({platform, deployment, entries})));
 printLine('# ready when both say so');
 for (const {address} of entries) {
 	printLine(`curl http://${address}/readyz`);
--- a/examples/run-processes.mjs
+++ b/examples/run-processes.mjs
@@ -13,13 +13,14 @@
 import {setTimeout as waitFor} from 'node:timers/promises';
 import {runSamples} from '../packages/bramleystage-site/dist/index.js';
 import {
-	buildPublication,
 	buildRegistration,
 	commandPath,
 	listPorts,
+	listPublicationWords,
 	listProcesses,
 	portCount,
 	readFlag,
+	workingDirectory,
 } from './commands.mjs';
 
 const startTimeoutMs = 15_000;
@@ -30,31 +31,13 @@
 const flags = process.argv.slice(2);
 const basePort = readFlag(flags, 'base-port', undefined);
 
-/**
- * Ports below those that systems give to outgoing connections, so that none is
- * taken between the look and the start.
- */
+/** First port to try; ports below 32768 are not given out by the kernel. */
 const firstPort = 12_000;
-const lastPort = 30_000;
-
-/** Finds ports that are free now, starting at a place of this process's own. */
-async function findFreePorts(count) {
-	const ports = [];
-	let port = firstPort + ((process.pid * count) % (lastPort - firstPort));
-	while (ports.length < count) {
-		// eslint-disable-next-line no-await-in-loop -- until enough are found
-		if (await isFree(port)) {
-			ports.push(port);
-		}
-
-		port = port >= lastPort ? firstPort : port + 1;
-	}
+const portBlocks = 700;
 
-	return ports;
-}
-
-async function isFree(port) {
-	return new Promise((resolve) => {
+/** True if a port can be listened on now. */
+const hasFreePort = async (port) =>
+	new Promise((resolve) => {
 		const server = createServer();
 		server.once('error', () => {
 			resolve(false);
@@ -65,6 +48,20 @@
 			});
 		});
 	});
+
+/** Finds ports in a row that are free now; runs at the same time start apart. */
+async function findFreePorts() {
+	for (let attempt = 0; attempt < portBlocks; attempt++) {
+		const block = (process.pid + attempt) % portBlocks;
+		const ports = listPorts(firstPort + block * portCount);
+		// eslint-disable-next-line no-await-in-loop -- tries one block after the other
+		const areFree = await Promise.all(ports.map((port) => hasFreePort(port)));
+		if (areFree.every(Boolean)) {
+			return ports;
+		}
+	}
+
+	throw new Error('No free ports.');
 }
 
 /** Starts a process; resolves when it says that it listens. */
@@ -109,6 +106,21 @@
 	}
 }
 
+/** Publishes the first table by the operators' command. */
+async function publishTable() {
+	const words = listPublicationWords({platform, deployment, entries});
+	const child = spawn(process.execPath, [commandPath, ...words], {
+		cwd: workingDirectory,
+		stdio: ['ignore', 'inherit', 'inherit'],
+	});
+	const code = await new Promise((resolve) => {
+		child.once('exit', resolve);
+	});
+	if (code !== 0) {
+		throw new Error(`The table was not published: ${code}`);
+	}
+}
+
 /** Waits until an entry has the table and a session to every agent. */
 async function waitForEntry({name, operatorAddress}, agentCount) {
 	const until = performance.now() + readyTimeoutMs;
@@ -173,9 +185,7 @@
 
 const {deployment, platform, processes, hosts, entries} = listProcesses(
 	readFlag(flags, 'deployment', 'kaleli'),
-	basePort === undefined
-		? await findFreePorts(portCount)
-		: listPorts(Number(basePort)),
+	basePort === undefined ? await findFreePorts() : listPorts(Number(basePort)),
 );
 const running = [];
 let areRight = false;
@@ -197,10 +207,7 @@
 	await Promise.all(
 		hosts.map(async (host) => sendRequest(buildRegistration(platform, host))),
 	);
-	const now = new Date().toISOString();
-	await sendRequest(
-		buildPublication(platform, deployment, `example-${now}`, now),
-	);
+	await publishTable();
 	const agentCount = hosts.length - entries.length;
 	areRight = true;
 	for (const entry of entries) {
--- a/packages/bramleystage-command/src/__tests__/examples.test.ts
+++ b/packages/bramleystage-command/src/__tests__/examples.test.ts
@@ -36,6 +36,9 @@
 test('the printed commands are one for each process', async () => {
 	const {code, output} = await runScript('print-commands.mjs', []);
 	expect(code).toBe(0);
-	expect(output.match(/^node /gmv)).toHaveLength(17);
+	expect(output.match(/^node \S+ (?:agent|entry|stand-in) /gmv)).toHaveLength(
+		17,
+	);
+	expect(output.match(/^node \S+ table import /gmv)).toHaveLength(1);
 	expect(output.match(/^curl -X PUT /gmv)).toHaveLength(9);
 });
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -120,11 +120,6 @@
 	recordRequest,
 	type RetryBudget,
 } from './coordination/retry-budget.js';
-export {
-	isCurrentSession,
-	type SessionFence,
-	updateFence,
-} from './coordination/session-fence.js';
 export {
 	computeStageWork,
 	createRouteCosts,
@@ -138,6 +133,11 @@
 	type SchedulerOptions,
 	WorkScheduler,
 } from './coordination/scheduler.js';
+export {
+	isCurrentSession,
+	type SessionFence,
+	updateFence,
+} from './coordination/session-fence.js';
 export {
 	decideStage,
 	type OpenStage,
@@ -294,6 +294,11 @@
 	type SettingDefinitions,
 	type SettingValues,
 } from './protocol/settings.js';
+export {
+	columnNames,
+	type TableColumn,
+	tableColumns,
+} from './protocol/table-columns.js';
 export {
 	type TablePart,
 	tablePartSchema,
@@ -359,6 +364,24 @@
 	type TableContact,
 	type TablePeer,
 } from './state/table-contact.js';
+export {
+	type CsvRow,
+	type CsvTable,
+	formatCsv,
+	listOrderedRows,
+	parseCsv,
+} from './state/table-csv.js';
+export {
+	type CellChange,
+	compareCells,
+	compareTables,
+	createConflict,
+	listLagging,
+	type ProcessOffset,
+	type RowConflict,
+	type TableDiff,
+} from './state/table-diff.js';
+export {foldHistory, type HistoryEntry} from './state/table-history.js';
 export {
 	addSnapshotPart,
 	type CollectedParts,
@@ -367,6 +390,12 @@
 	listSnapshotRows,
 	restoreTable,
 } from './state/table-snapshot.js';
+export {
+	formatTableError,
+	type TableError,
+	validateCells,
+	validateRowKey,
+} from './state/table-validation.js';
 export {
 	createView,
 	parseRowKey,
@@ -392,6 +421,11 @@
 	parseAddress,
 } from './transport/address.js';
 export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
+export {
+	HeartbeatPace,
+	type PaceTiming,
+	type SelfDescription,
+} from './transport/heartbeat-pace.js';
 export {
 	type HttpAnswer,
 	type HttpError,
@@ -454,7 +488,6 @@
 	type SessionTiming,
 	startServer,
 } from './transport/session.js';
-export {SilenceCounter} from './transport/silence.js';
 export {
 	appendSnapshot,
 	type FoundSnapshot,
--- a/packages/bramleystage/src/transport/__tests__/silence.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/session-silence.test.ts
@@ -4,16 +4,13 @@
 import {FrameDecoder} from '../framing.js';
 import {Session, startServer} from '../session.js';
 import {waitFor} from '../session-pool.js';
-import {SilenceCounter} from '../silence.js';
 
-test('silence grows with each heartbeat and ends at an arrival', () => {
-	const silence = new SilenceCounter(250);
-	expect([silence.countBeat(), silence.countBeat()]).toEqual([250, 500]);
-	silence.recordArrival();
-	expect(silence.countBeat()).toBe(250);
-});
-
-const timing = {heartbeatMs: 20, silenceMs: 100, handshakeMs: 100};
+const timing = {
+	heartbeatMs: 20,
+	idleHeartbeatMs: 20,
+	silenceMs: 100,
+	handshakeMs: 100,
+};
 
 async function startPair() {
 	const accepted: Socket[] = [];
