--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -4,11 +4,13 @@
  */
 import {randomInt, randomUUID} from 'node:crypto';
 import {
+	Admission,
 	computeBackoff,
 	createRetryBudget,
 	decideRetry,
 	defaultHttpBounds,
 	type EntrySettings,
+	isClaimed,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
@@ -16,9 +18,11 @@
 	PlatformClient,
 	protocolVersion,
 	recordRequest,
+	registerTrafficCounters,
 	SessionPool,
 	type TableSnapshot,
 	toIncarnation,
+	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
@@ -27,6 +31,7 @@
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
+import {chooseHome} from './home-choice.js';
 import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
 import {createRouter, chooseModelStages} from './model-routing.js';
@@ -52,6 +57,8 @@
 /** How long the ready check fails before new connections are refused. */
 const leavingNoticeMs = 1000;
 
+const sweepIntervalMs = 10_000;
+
 const readClock = () => performance.now();
 
 /** Starts an entry; resolves when it listens. */
@@ -87,7 +94,10 @@
 		silenceMs: settings.silenceMs,
 		handshakeMs: settings.silenceMs,
 	};
+	const meter = new TrafficMeter();
+	registerTrafficCounters(metrics.registry, meter);
 	const pool = new SessionPool({
+		meter,
 		hello: {...identity, version: protocolVersion, deployment},
 		timing,
 		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
@@ -96,6 +106,13 @@
 		pool.close();
 	});
 	const router = createRouter(randomInt);
+	const admission = new Admission({
+		firstTokenMs: settings.firstTokenTargetMs,
+		gapMs: settings.tokenGapTargetMs,
+	});
+	lifeCycle.registerInterval(sweepIntervalMs, () => {
+		admission.sweep(readClock());
+	});
 	const network = new Network({
 		platform,
 		pool,
@@ -109,6 +126,7 @@
 	});
 	pool.events.subscribe(tableParts.receive);
 	const peers = new EntryPeers({
+		meter,
 		listen: settings.sessionListen,
 		identity: {...identity, version: protocolVersion, deployment},
 		timing,
@@ -149,7 +167,14 @@
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
+			isClaimed(call)
+				? chooseHome(network.hosts, call, excluding)
+				: router.chooseTarget(
+						network.hosts,
+						call.service,
+						excluding,
+						readClock(),
+					),
 		send,
 		policy: {
 			allowRetry,
@@ -164,6 +189,7 @@
 	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
+		admission,
 		audit,
 		metrics,
 		readClock,
@@ -227,6 +253,7 @@
 			requestsInFlight: models.size + services.size,
 			retryBudget: budget,
 			routing: router.describe(readClock()),
+			admission: admission.describe(),
 			limits: limits.describe(),
 		}),
 	});
--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -48,6 +48,7 @@
 	type RouteContext,
 	runModelRoute,
 } from './model-route.js';
+export {type AdmittedRequest, decideAdmission} from './model-admission.js';
 export {
 	chooseModelStages,
 	createRouter,
