--- a/packages/bramleystage/src/transport/__tests__/session-silence.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/session-silence.test.ts
@@ -39,8 +39,8 @@
 
 test('a session outlives a pause of its process', async () => {
 	const {server, near, far} = await startPair();
-	near.start(timing, describeSelf);
-	far.start(timing, describeSelf);
+	near.start({timing, describeSelf});
+	far.start({timing, describeSelf});
 	await waitFor(50);
 	// Keeps the loop from running, as a pause of the process would.
 	const until = performance.now() + 4 * timing.silenceMs;
@@ -54,7 +54,7 @@
 
 test('a session to a silent peer is closed', async () => {
 	const {server, near, far} = await startPair();
-	near.start(timing, describeSelf);
+	near.start({timing, describeSelf});
 	const reason = await near.closed;
 	expect(reason.result).toBe('backendLost');
 	far.close({result: 'stopping', outcome: 'unknown', detail: ''});
