--- a/examples/commands.mjs
+++ b/examples/commands.mjs
@@ -3,10 +3,10 @@
  * engines and a plain service, an agent beside each, and two entries.
  */
 import {fileURLToPath} from 'node:url';
-import {
-	deployments,
-	listTableRows,
-} from '../packages/bramleystage-site/dist/index.js';
+import {deployments} from '../packages/bramleystage-site/dist/index.js';
+
+/** Directory that the commands run in. */
+export const workingDirectory = fileURLToPath(new URL('..', import.meta.url));
 
 /** Path of the operators' command, once it is built. */
 export const commandPath = fileURLToPath(
@@ -170,21 +170,18 @@
 	body: JSON.stringify(host),
 });
 
-/** Builds the HTTP request that publishes the first table in the log. */
-export const buildPublication = (platform, deployment, edit, at) => ({
-	method: 'POST',
-	url: `http://${platform}/v1/logs/table/records`,
-	body: JSON.stringify({
-		value: {
-			kind: 'edit',
-			format: 1,
-			edit,
-			author: 'example',
-			at,
-			changes: listTableRows(deployment),
-		},
+/** Lists the words of the command that publishes a deployment's first table. */
+export const listPublicationWords = ({platform, deployment, entries}) => [
+	'table',
+	'import',
+	`examples/${deployment.name}.csv`,
+	...formatFlags({
+		platform,
+		operators: entries.map(({operatorAddress}) => operatorAddress).join(','),
+		author: 'example',
 	}),
-});
+	'--yes',
+];
 
 /** Reads `--name value` from a command line. */
 export function readFlag(flags, name, fallback) {
--- a/examples/run-processes.mjs
+++ b/examples/run-processes.mjs
@@ -13,13 +13,14 @@
 import {setTimeout as waitFor} from 'node:timers/promises';
 import {runSamples} from '../packages/bramleystage-site/dist/index.js';
 import {
-	buildPublication,
 	buildRegistration,
 	commandPath,
 	listPorts,
+	listPublicationWords,
 	listProcesses,
 	portCount,
 	readFlag,
+	workingDirectory,
 } from './commands.mjs';
 
 const startTimeoutMs = 15_000;
@@ -105,6 +106,21 @@
 	}
 }
 
+/** Publishes the first table by the operators' command. */
+async function publishTable() {
+	const words = listPublicationWords({platform, deployment, entries});
+	const child = spawn(process.execPath, [commandPath, ...words], {
+		cwd: workingDirectory,
+		stdio: ['ignore', 'inherit', 'inherit'],
+	});
+	const code = await new Promise((resolve) => {
+		child.once('exit', resolve);
+	});
+	if (code !== 0) {
+		throw new Error(`The table was not published: ${code}`);
+	}
+}
+
 /** Waits until an entry has the table and a session to every agent. */
 async function waitForEntry({name, operatorAddress}, agentCount) {
 	const until = performance.now() + readyTimeoutMs;
@@ -191,10 +207,7 @@
 	await Promise.all(
 		hosts.map(async (host) => sendRequest(buildRegistration(platform, host))),
 	);
-	const now = new Date().toISOString();
-	await sendRequest(
-		buildPublication(platform, deployment, `example-${now}`, now),
-	);
+	await publishTable();
 	const agentCount = hosts.length - entries.length;
 	areRight = true;
 	for (const entry of entries) {
--- a/packages/bramleystage-command/src/__tests__/docs.test.ts
+++ b/packages/bramleystage-command/src/__tests__/docs.test.ts
@@ -3,6 +3,7 @@
 import {
 	agentSettings,
 	cellSchemas,
+	createLogger,
 	createTable,
 	entrySettings,
 	foldRecord,
@@ -13,7 +14,6 @@
 	rowKindSchema,
 	type SettingDefinitions,
 	toLogOffset,
-	createLogger,
 } from 'bramleystage';
 import {computeKeyDigest} from 'bramleystage-entry';
 import {
@@ -30,6 +30,7 @@
 	serviceSettings,
 	siteSettings,
 } from '../local-settings.js';
+import {tableSettings} from '../table-command.js';
 
 const readText = (path: string) =>
 	readFileSync(new URL(`../../../../${path}`, import.meta.url), 'utf8');
@@ -72,6 +73,7 @@
 	['entry', entrySettings],
 	['agent', agentSettings],
 	['site', siteSettings],
+	['table', tableSettings],
 	['stand-in platform', platformSettings],
 	['stand-in engine', engineSettings],
 	['stand-in service', serviceSettings],
--- a/packages/bramleystage-command/src/table-command.ts
+++ b/packages/bramleystage-command/src/table-command.ts
@@ -54,7 +54,13 @@
 		.command(
 			'show [row]',
 			'Show the rows, or those whose key begins as given',
-			(sub) => sub.positional('row', {type: 'string', default: ''}),
+			(sub) =>
+				sub
+					.positional('row', {type: 'string', default: ''})
+					.example(
+						'$0 table show customer/ --platform 127.0.0.1:7000',
+						'Show the rows of all customers',
+					),
 			async (flags) =>
 				runWithDesk(flags, async ({desk, print}) =>
 					runShow({desk, print, prefix: flags.row}),
@@ -95,7 +101,11 @@
 						type: 'boolean',
 						default: false,
 						describe: 'Publish without asking',
-					}),
+					})
+					.example(
+						'$0 table import examples/kaleli.csv --platform 127.0.0.1:7000 --operators 127.0.0.1:8081',
+						'Publish an example table and wait until it is in force',
+					),
 			async (flags) =>
 				runWithDesk(flags, async (context) =>
 					runImport(context, {file: flags.file, isConfirmed: flags.yes}),
@@ -104,7 +114,13 @@
 		.command(
 			'export [file]',
 			'Write the table as CSV, to standard output if no file is named',
-			(sub) => sub.positional('file', {type: 'string'}),
+			(sub) =>
+				sub
+					.positional('file', {type: 'string'})
+					.example(
+						'$0 table export table.csv --platform 127.0.0.1:7000',
+						'Write the table to a file',
+					),
 			async (flags) =>
 				runWithDesk(flags, async ({desk, print}) =>
 					runExport({
@@ -117,12 +133,19 @@
 		.command(
 			'history [row]',
 			'Show who changed what and when',
-			(sub) => sub.positional('row', {type: 'string', default: ''}),
+			(sub) =>
+				sub
+					.positional('row', {type: 'string', default: ''})
+					.example(
+						'$0 table history model/castle-guide --platform 127.0.0.1:7000',
+						'Show the changes of one row',
+					),
 			async (flags) =>
 				runWithDesk(flags, async ({desk, print}) =>
 					runHistory({desk, print, prefix: flags.row}),
 				),
 		)
+		.example('$0 table show --platform 127.0.0.1:7000', 'Show the whole table')
 		.demandCommand(1);
 }
 
--- a/packages/bramleystage-entry/src/model-route.ts
+++ b/packages/bramleystage-entry/src/model-route.ts
@@ -63,7 +63,8 @@
 	if (!body || failure) {
 		const rejected = failure ?? createFailure('badRequest', '');
 		const isKnown = body !== undefined && context.view.models.has(body.model);
-		rejectRequest(options, context, isKnown ? body.model : 'model', rejected);
+		const subject = isKnown ? body.model : undefined;
+		rejectRequest(options, context, subject ?? kind, rejected);
 		return;
 	}
 
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -544,7 +544,6 @@
 	formatAddress,
 	parseAddress,
 } from './transport/address.js';
-export {AwakeClock} from './transport/awake-clock.js';
 export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
 export {
 	HeartbeatPace,
--- a/packages/bramleystage/src/transport/__tests__/heartbeat-pace.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/heartbeat-pace.test.ts
@@ -67,3 +67,17 @@
 	pace.recordArrival(3200);
 	expect(pace.findSilence(4000)).toBeUndefined();
 });
+
+test('time in which this process was paused is no silence of the peer', () => {
+	const pace = new HeartbeatPace(timing, 0);
+	pace.recordRequestFrame(0);
+	pace.recordTick(250);
+	pace.recordTick(4000);
+	expect(pace.findSilence(4000)).toBeUndefined();
+	for (let now = 4250; now <= 5000; now += 250) {
+		pace.recordTick(now);
+	}
+
+	expect(pace.findSilence(4600)).toBeUndefined();
+	expect(pace.findSilence(5000)).toBeDefined();
+});
--- a/packages/bramleystage/src/transport/__tests__/awake-clock.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/session-silence.test.ts
@@ -4,15 +4,6 @@
 import {FrameDecoder} from '../framing.js';
 import {Session, startServer} from '../session.js';
 import {waitFor} from '../session-pool.js';
-import {AwakeClock} from '../awake-clock.js';
-
-test('time in which the process did not run counts up to two intervals', () => {
-	const clock = new AwakeClock(250, 0);
-	expect([clock.advance(250), clock.advance(510)]).toEqual([250, 510]);
-	expect(clock.read(60_000)).toBe(1010);
-	expect(clock.advance(60_000)).toBe(1010);
-	expect(clock.advance(60_250)).toBe(1260);
-});
 
 const timing = {
 	heartbeatMs: 20,
--- a/packages/bramleystage/src/transport/heartbeat-pace.ts
+++ b/packages/bramleystage/src/transport/heartbeat-pace.ts
@@ -23,6 +23,7 @@
 
 export class HeartbeatPace {
 	#lastArrival: Milliseconds;
+	#lastTick: Milliseconds;
 	#lastBeat: Milliseconds = Number.NEGATIVE_INFINITY;
 	#busyUntil: Milliseconds = Number.NEGATIVE_INFINITY;
 	#busySince: Milliseconds;
@@ -35,9 +36,23 @@
 		now: Milliseconds,
 	) {
 		this.#lastArrival = now;
+		this.#lastTick = now;
 		this.#busySince = now;
 	}
 
+	/**
+	 * Records that the heartbeat's timer ran. When it ran late, this process was
+	 * paused or busy and frames may wait to be read, so that time is no silence.
+	 */
+	recordTick(now: Milliseconds): void {
+		const pausedMs = now - this.#lastTick - this.timing.heartbeatMs;
+		this.#lastTick = now;
+		if (pausedMs > 0) {
+			this.#lastArrival = Math.min(now, this.#lastArrival + pausedMs);
+			this.#busySince = Math.min(now, this.#busySince + pausedMs);
+		}
+	}
+
 	/** Records that a frame arrived. */
 	recordArrival(now: Milliseconds): void {
 		this.#lastArrival = now;
--- a/packages/bramleystage/src/transport/session.ts
+++ b/packages/bramleystage/src/transport/session.ts
@@ -15,7 +15,6 @@
 import {createFailure, type Failure} from '../protocol/result-codes.js';
 import {encodeFrame, FrameDecoder} from './framing.js';
 import {formatAddress, parseAddress} from './address.js';
-import {AwakeClock} from './awake-clock.js';
 import {
 	HeartbeatPace,
 	type PaceTiming,
@@ -58,7 +57,6 @@
 	readonly #messages = new Subject<Message>();
 	readonly #closed: Promise<Failure>;
 	#resolveClosed!: (failure: Failure) => void;
-	#clock: AwakeClock | undefined;
 	#pace: HeartbeatPace | undefined;
 	#meter: TrafficMeter | undefined;
 	#timer: NodeJS.Timeout | undefined;
@@ -101,9 +99,7 @@
 		this.#socket.on('error', (error) => {
 			this.close(createFailure('backendLost', error.message));
 		});
-		const clock = new AwakeClock(timing.heartbeatMs, performance.now());
-		const pace = new HeartbeatPace(timing, clock.advance(performance.now()));
-		this.#clock = clock;
+		const pace = new HeartbeatPace(timing, performance.now());
 		this.#pace = pace;
 		this.#beat(pace, describeSelf);
 		this.#timer = setInterval(() => {
@@ -137,7 +133,7 @@
 	}
 
 	#receive(chunk: Buffer): void {
-		this.#pace?.recordArrival(this.#readClock());
+		this.#pace?.recordArrival(performance.now());
 		this.decoder.append(chunk);
 		this.#deliver();
 	}
@@ -161,16 +157,13 @@
 
 	#notePace(message: Message): void {
 		if ('request' in message) {
-			this.#pace?.recordRequestFrame(this.#readClock());
+			this.#pace?.recordRequestFrame(performance.now());
 		}
 	}
 
-	#readClock(): number {
-		return this.#clock?.read(performance.now()) ?? 0;
-	}
-
 	#beat(pace: HeartbeatPace, describeSelf: DescribeSelf): void {
-		const now = this.#clock?.advance(performance.now()) ?? 0;
+		const now = performance.now();
+		pace.recordTick(now);
 		const silence = pace.findSilence(now);
 		if (silence !== undefined) {
 			this.close(
