--- a/packages/bramleystage-check/src/__tests__/stage-history.test.ts
+++ b/packages/bramleystage-check/src/__tests__/stage-history.test.ts
@@ -3,11 +3,8 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {computeReference} from 'bramleystage-stand-ins';
 import {expect, test} from 'vitest';
-import {
-	simulatedLayers,
-	type StageFault,
-	StageSimulation,
-} from '../stage-simulation.js';
+import {simulatedLayers} from '../simulated-engine.js';
+import {type StageFault, StageSimulation} from '../stage-simulation.js';
 
 const prompt = 'which gate opens first';
 const maxTokens = 60;
--- a/packages/bramleystage-check/src/stage-simulation.ts
+++ b/packages/bramleystage-check/src/stage-simulation.ts
@@ -18,9 +18,6 @@
 	type Stage,
 	type StageCommand,
 	type StageEvent,
-	type StageRecord,
-	type StepInput,
-	type StepOutput,
 	toCustomerId,
 	toHostId,
 	toIncarnation,
@@ -32,7 +29,11 @@
 	type ConnectedHost,
 	toDataCentreId,
 } from 'bramleystage';
-import {drawToken, encodeText, LayerRange} from 'bramleystage-stand-ins';
+import {
+	runAtEngine,
+	type SimulatedHost,
+	simulatedLayers,
+} from './simulated-engine.js';
 import {VirtualTime} from './virtual-time.js';
 
 /** One fault, at a time in milliseconds, of the host with an index. */
@@ -62,23 +63,6 @@
 	readonly attempts: number;
 };
 
-type EngineSequence = {
-	readonly layers: LayerRange;
-	next: number | undefined;
-	readonly outputs: Map<number, StepOutput>;
-};
-
-type SimulatedHost = {
-	readonly index: number;
-	incarnation: number;
-	engineLife: number;
-	isUp: boolean;
-	pausedUntil: number;
-	record: StageRecord | undefined;
-	sequences: Map<string, EngineSequence>;
-};
-
-export const simulatedLayers = 12;
 const ranges = 3;
 const replicas = 3;
 const rangeLayers = simulatedLayers / ranges;
@@ -632,60 +616,3 @@
 		? `entry ${host.index}`
 		: [host.index, other.index].toSorted((a, b) => a - b).join(' ');
 }
-
-/** Runs a step as the stand-in engine does; nothing for a sequence it lost. */
-function runAtEngine(
-	host: SimulatedHost,
-	name: string,
-	{open, position, input}: Extract<StageCommand, {type: 'runStep'}>,
-): StepOutput | undefined {
-	const stage = open.stages[open.index];
-	if (!stage) {
-		throw new Error('A step without a stage.');
-	}
-
-	const known = host.sequences.get(name);
-	const isFirst = host.record?.phase === 'open' && isUnrun(host.record);
-	if (!known && !isFirst) {
-		return undefined;
-	}
-
-	const sequence: EngineSequence = known ?? {
-		layers: new LayerRange(stage.fromLayer, stage.toLayer),
-		next: undefined,
-		outputs: new Map(),
-	};
-	host.sequences.set(name, sequence);
-	if (sequence.next !== undefined && sequence.next !== position) {
-		throw new Error(`Position ${position} came instead of ${sequence.next}.`);
-	}
-
-	sequence.next = position + 1;
-	const values = sequence.layers.run(listInputs(input));
-	const isLast = stage.toLayer === simulatedLayers;
-	return {
-		position,
-		values: isLast ? [] : values,
-		token: isLast ? {...drawToken(values.at(-1) ?? 0), text: ''} : undefined,
-		promptTokens: values.length,
-	};
-}
-
-const isUnrun = ({next, open}: Extract<StageRecord, {phase: 'open'}>) =>
-	next === open.fromPosition;
-
-function listInputs(input: StepInput): readonly number[] {
-	switch (input.kind) {
-		case 'prompt': {
-			return [...encodeText(input.prompt), ...input.given];
-		}
-
-		case 'token': {
-			return [input.token];
-		}
-
-		case 'values': {
-			return input.values;
-		}
-	}
-}
