--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -15,7 +15,9 @@
 	type Logger,
 	type Message,
 	type Offer,
+	PlatformClient,
 	protocolVersion,
+	registerTrafficCounters,
 	type Session,
 	SessionPool,
 	type SessionPeer,
@@ -26,11 +28,13 @@
 	type TableSnapshot,
 	toIncarnation,
 	toServiceName,
+	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
 import {Gauge, Registry} from 'prom-client';
 import type {Observable} from 'rxjs';
 import {CallDesk} from './call-desk.js';
+import {ClaimDesk} from './claim-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
 import {createSchedulers} from './schedulers.js';
@@ -97,7 +101,9 @@
 		readClock,
 	});
 	const identity = {host, role: 'agent', dataCentre, incarnation} as const;
+	const meter = new TrafficMeter();
 	const pool = new SessionPool({
+		meter,
 		hello: {...identity, version: protocolVersion, deployment},
 		timing,
 		describeSelf: () => ({leaving}),
@@ -154,6 +160,15 @@
 	const calls = service
 		? new CallDesk({
 				client: service,
+				claims: new ClaimDesk({
+					platform: new PlatformClient(settings.platform),
+					lifeCycle,
+					self: {host, incarnation},
+					handle(request, event) {
+						calls?.handle(request, event);
+					},
+					readClock,
+				}),
 				scheduler: schedulers.calls,
 				describeContext: () => ({incarnation, leaving}),
 				send(entry, message) {
@@ -234,6 +249,7 @@
 		stages?.sweep(readClock());
 	});
 	const listener = await listenForSessions({
+		meter,
 		address: settings.listen,
 		welcome: {type: 'welcome', ...identity},
 		timing,
@@ -243,6 +259,7 @@
 	});
 	lifeCycle.register(async () => listener.close());
 	const registry = createMetrics(describeLoad, () => entries.size);
+	registerTrafficCounters(registry, meter);
 	const operators = await listenForOperators(settings.operatorListen, {
 		registry,
 		isReady: () => !leaving && offers.length > 0,
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -4,11 +4,13 @@
  */
 import {randomInt, randomUUID} from 'node:crypto';
 import {
+	Admission,
 	computeBackoff,
 	createRetryBudget,
 	decideRetry,
 	defaultHttpBounds,
 	type EntrySettings,
+	isClaimed,
 	LifeCycle,
 	listenForOperators,
 	listenHttp,
@@ -17,9 +19,11 @@
 	protocolVersion,
 	recordRequest,
 	type Recovery,
+	registerTrafficCounters,
 	SessionPool,
 	type TableSnapshot,
 	toIncarnation,
+	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
@@ -28,6 +32,7 @@
 import {EntryLimits} from './entry-limits.js';
 import {EntryPeers} from './entry-peers.js';
 import {ModelDesk} from './model-desk.js';
+import {chooseHome} from './home-choice.js';
 import type {ModelRouteOptions} from './model-route.js';
 import {Network} from './network.js';
 import {
@@ -59,6 +64,8 @@
 /** A host that does not answer a hello for this long cannot be reached. */
 const handshakeMs = 800;
 
+const sweepIntervalMs = 10_000;
+
 const readClock = () => performance.now();
 
 /** Starts an entry; resolves when it listens. */
@@ -95,7 +102,10 @@
 		silenceMs: settings.silenceMs,
 		handshakeMs: Math.min(settings.silenceMs, handshakeMs),
 	};
+	const meter = new TrafficMeter();
+	registerTrafficCounters(metrics.registry, meter);
 	const pool = new SessionPool({
+		meter,
 		hello: {...identity, version: protocolVersion, deployment},
 		timing,
 		describeSelf: (peer) => ({leaving, table: follower.describe(peer)}),
@@ -104,6 +114,13 @@
 		pool.close();
 	});
 	const router = createRouter(randomInt);
+	const admission = new Admission({
+		firstTokenMs: settings.firstTokenTargetMs,
+		gapMs: settings.tokenGapTargetMs,
+	});
+	lifeCycle.registerInterval(sweepIntervalMs, () => {
+		admission.sweep(readClock());
+	});
 	const network = new Network({
 		platform,
 		pool,
@@ -117,6 +134,7 @@
 	});
 	pool.events.subscribe(tableParts.receive);
 	const peers = new EntryPeers({
+		meter,
 		listen: settings.sessionListen,
 		identity: {...identity, version: protocolVersion, deployment},
 		timing,
@@ -164,7 +182,14 @@
 	});
 	const services = new ServiceDesk({
 		choose: ({call}, excluding) =>
-			router.chooseTarget(network.hosts, call.service, excluding, readClock()),
+			isClaimed(call)
+				? chooseHome(network.hosts, call, excluding)
+				: router.chooseTarget(
+						network.hosts,
+						call.service,
+						excluding,
+						readClock(),
+					),
 		send,
 		policy: {
 			allowRetry,
@@ -179,6 +204,7 @@
 	const isReady = () => !leaving && !follower.isStale;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
+		admission,
 		audit,
 		metrics,
 		readClock,
@@ -243,6 +269,7 @@
 			retryBudget: budget,
 			modelRuns: models.describe(),
 			routing: router.describe(readClock()),
+			admission: admission.describe(),
 			limits: limits.describe(),
 		}),
 	});
--- a/packages/bramleystage-entry/src/network.ts
+++ b/packages/bramleystage-entry/src/network.ts
@@ -3,7 +3,9 @@
  * sessions to agents, and folds what the sessions say into the hosts snapshot.
  */
 import {
+	applyHeartbeat,
 	applyHostList,
+	applySessionLost,
 	type ConnectedHost,
 	createHosts,
 	type Failure,
@@ -12,14 +14,13 @@
 	type HostsSnapshot,
 	type Incarnation,
 	type LifeCycle,
+	listSessionAddresses,
 	type ListedHost,
 	type Message,
 	type PlatformClient,
-	removeConnectedHost,
 	selectAgentPeers,
 	type Session,
 	type SessionPool,
-	updateConnectedHost,
 } from 'bramleystage';
 import {Subject} from 'rxjs';
 
@@ -101,7 +102,15 @@
 		}
 
 		this.#hosts = applyHostList(this.#hosts, listed.value);
-		this.options.pool.update(this.#listWanted(listed.value));
+		this.options.pool.update(
+			new Set([
+				...listSessionAddresses(
+					this.#hosts,
+					this.#selectAddresses(listed.value),
+				),
+				...this.#reopening.keys(),
+			]),
+		);
 		this.listed.next(listed.value);
 	}
 
@@ -115,19 +124,6 @@
 		}
 	}
 
-	/** What the host list names, and what has a session though it is not listed. */
-	#listWanted(listed: readonly ListedHost[]): Set<string> {
-		const names = new Set(listed.map(({host}) => host));
-		const unlisted = [...this.#hosts.connected.values()].filter(
-			({host}) => !names.has(host),
-		);
-		return new Set([
-			...this.#selectAddresses(listed),
-			...unlisted.map(({address}) => address),
-			...this.#reopening.keys(),
-		]);
-	}
-
 	#giveUp(address: string): void {
 		const host = this.#reopening.get(address);
 		if (host) {
@@ -173,19 +169,18 @@
 	#update(session: Session, address: string, heartbeat: Heartbeat): void {
 		const {host, dataCentre, incarnation} = session.peer;
 		const known = this.#hosts.connected.get(host);
+		const now = this.options.readClock();
+		this.#hosts = applyHeartbeat(
+			this.#hosts,
+			{host, address, dataCentre, incarnation, now},
+			heartbeat,
+		);
+		const connected = this.#hosts.connected.get(host);
+		if (connected?.incarnation !== incarnation) {
+			return;
+		}
+
 		const isNew = known?.incarnation !== incarnation;
-		const connected: ConnectedHost = {
-			host,
-			address,
-			dataCentre,
-			incarnation,
-			leaving: heartbeat.leaving,
-			offers: heartbeat.offers ?? known?.offers ?? [],
-			load: heartbeat.load ?? known?.load ?? {queued: 0, running: 0, rate: 0},
-			reportedAt: this.options.readClock(),
-			roundTripMs: 0,
-		};
-		this.#hosts = updateConnectedHost(this.#hosts, connected);
 		this.options.onReport?.(connected);
 		if (this.#reopening.get(address)?.incarnation === incarnation) {
 			this.#reopening.delete(address);
@@ -200,7 +195,12 @@
 	#forget(session: Session, reason: Failure): void {
 		const {host, incarnation} = session.peer;
 		const known = this.#hosts.connected.get(host);
-		this.#hosts = removeConnectedHost(this.#hosts, host, incarnation);
+		this.#hosts = applySessionLost(
+			this.#hosts,
+			host,
+			incarnation,
+			this.options.readClock(),
+		);
 		if (known?.incarnation === incarnation) {
 			this.#reopening.set(known.address, known);
 			// This process ended the session, so it will not be opened again.
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -1,30 +1,38 @@
 /** The bramleystage library: state, coordination, protocol and transport. */
+export {
+	Admission,
+	type AdmissionRequest,
+	type AdmissionTargets,
+	defaultAdmissionTargets,
+} from './coordination/admission.js';
 export {
 	type AllowRetry,
-	cancelWaitMs,
 	createDispatch,
-	decideDispatch,
 	type DispatchCommand,
 	type DispatchDecision,
 	type DispatchEvent,
 	type DispatchPolicy,
 	type DispatchState,
-	reconnectWaitMs,
 	type Target,
 	toDispatchEvent,
+} from './coordination/call-dispatch-state.js';
+export {cancelWaitMs} from './coordination/call-dispatch-end.js';
+export {
+	decideDispatch,
+	reconnectWaitMs,
 	tombstoneTrustMs,
 } from './coordination/call-dispatch.js';
+export {decideCall} from './coordination/call-ledger.js';
 export {
 	type CallCommand,
 	type CallDecision,
 	type CallEvent,
 	type CallRecord,
-	decideCall,
 	isForgettable,
 	type LedgerContext,
 	retentionMs,
 	toCallEvent,
-} from './coordination/call-ledger.js';
+} from './coordination/call-record.js';
 export {
 	buildCandidateGroups,
 	type CandidateGroup,
@@ -35,6 +43,21 @@
 	selectCandidates,
 	type StageCandidate,
 } from './coordination/candidates.js';
+export {
+	type Claim,
+	ClaimBook,
+	type ClaimEnd,
+	type ClaimRecord,
+	claimRecordSchema,
+	claimStream,
+	type ClaimVerdict,
+	decideClaim,
+	formatClaimKey,
+	isClaimed,
+	isSameClaim,
+	keyLifetimeMs,
+	maxClaimedKeys,
+} from './coordination/claims.js';
 export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
 export {
 	type ConfirmFacts,
@@ -89,6 +112,27 @@
 	type LimitOwnerOptions,
 	type PermitResult,
 } from './coordination/limit-owner.js';
+export {
+	createFence,
+	decideFence,
+	type FenceCommand,
+	type FenceEvent,
+	type FenceState,
+	type NumberedOrder,
+} from './coordination/fence.js';
+export {
+	createLease,
+	decideLease,
+	findHeldNumber,
+	foldLease,
+	type LeaseCommand,
+	type LeaseEvent,
+	type LeaseGrant,
+	type LeaseOptions,
+	type LeaseRecord,
+	leaseRecordSchema,
+	type LeaseState,
+} from './coordination/leases.js';
 export {
 	type ModelRunCommand,
 	type ModelRunContext,
@@ -356,9 +400,22 @@
 	type EditProgress,
 } from './state/edit-progress.js';
 export {
+	computeShare,
+	firstShare,
+	type HostPast,
+	type HostPasts,
+	listSessionAddresses,
+	recordHeartbeat,
+	recordSessionLost,
+	slowStartMs,
+} from './state/host-membership.js';
+export {
+	applyHeartbeat,
 	applyHostList,
+	applySessionLost,
 	type ConnectedHost,
 	createHosts,
+	type HeartbeatContext,
 	type HostsSnapshot,
 	listAvailableHosts,
 	type ListedHost,
@@ -509,6 +566,7 @@
 	openSession,
 	Session,
 	type SessionListener,
+	type SessionOptions,
 	type SessionPeer,
 	type SessionTiming,
 	startServer,
@@ -536,3 +594,5 @@
 	TableSnapshotWriter,
 	type TableSnapshotWriterOptions,
 } from './transport/table-snapshot-writer.js';
+export {type TrafficCount, TrafficMeter} from './transport/traffic-meter.js';
+export {registerTrafficCounters} from './transport/traffic-metrics.js';
