Explore the claims of idempotency keys

Cause: claims were tested over TCP only.

Change: a second specification explores the agents' fold of the claims stream and their ledgers with late and repeated appends, releases and a replaced agent; each of its 4 rules can be left out.

--- /dev/null
+++ b/packages/bramleystage-check/src/claim-steps.ts
@@ -0,0 +1,300 @@
+/** Steps of the model of idempotency keys. */
+import {
+	type CallCommand,
+	type CallEvent,
+	ClaimBook,
+	type ClaimRecord,
+	createFailure,
+	decideCall,
+	decideClaim,
+	toIncarnation,
+	toRequestId,
+} from 'bramleystage';
+import {
+	addClaim,
+	type ClaimAgent,
+	type ClaimState,
+	createClaim,
+	createClaimAgent,
+	createClaimCall,
+	recordBroken,
+	recordRun,
+	updateAgent,
+	updateRequest,
+} from './claim-state.js';
+import type {Step} from './specification.js';
+
+export type ClaimMechanisms = {
+	readonly decideCall: typeof decideCall;
+	readonly decideClaim: typeof decideClaim;
+	/** What an agent makes of a release. */
+	readonly readReleases: (
+		record: ClaimRecord,
+		book: ClaimBook,
+	) => ClaimRecord['released'];
+};
+
+export const wholeClaimMechanisms: ClaimMechanisms = {
+	decideCall,
+	decideClaim,
+	readReleases: ({released}) => released,
+};
+
+export type ClaimStep = Step<ClaimState>;
+
+/** Lists the steps of requests and agents. */
+export class ClaimWalk {
+	constructor(
+		private readonly mechanisms: ClaimMechanisms,
+		private readonly digests: readonly string[],
+	) {}
+
+	listRequestSteps(state: ClaimState, request: number): ClaimStep[] {
+		const {agent, record, isPending, appends} = state.requests[request]!;
+		const name = `r${request}`;
+		if (agent === undefined) {
+			return state.agents.map(({incarnation}, at) => {
+				const placed = updateRequest(state, request, {agent: at});
+				const call = createClaimCall(request, incarnation);
+				const next = this.#handle(placed, request, {type: 'received', call});
+				return {label: `${name} arrives at h${at}`, next};
+			});
+		}
+
+		const steps: ClaimStep[] = [];
+		const add = (label: string, next: ClaimState) => {
+			steps.push({label: `${name} ${label}`, next});
+		};
+
+		const isAgain = appends === 1 && state.faults.secondAppends > 0;
+		if (isPending && (appends === 0 || isAgain)) {
+			add('is claimed in the log', this.#append(state, request));
+		}
+
+		if (isPending) {
+			const failure = createFailure('claimUnavailable', '');
+			const given = this.#giveUp(state, request);
+			const event: CallEvent = {type: 'claimRefused', failure};
+			add('gives up its claim', this.#handle(given, request, event));
+		}
+
+		if (record?.phase === 'queued') {
+			add('starts', this.#handle(state, request, {type: 'scheduled'}));
+		}
+
+		if (record?.phase === 'running') {
+			const failure = createFailure('backendRefused', '');
+			const answer = {
+				type: 'callAnswer',
+				request: toRequestId(name),
+				status: 200,
+				headers: [],
+				body: new Uint8Array(),
+			} as const;
+			const ran = recordRun(state, request);
+			add(
+				'runs and is answered',
+				this.#handle(ran, request, {
+					type: 'answered',
+					answer: {...answer, headers: []},
+				}),
+			);
+			add(
+				'is refused by the backend server',
+				this.#handle(state, request, {type: 'failed', failure}),
+			);
+		}
+
+		return steps;
+	}
+
+	listAgentSteps(state: ClaimState, at: number): ClaimStep[] {
+		const agent = state.agents[at]!;
+		const steps: ClaimStep[] = [];
+		const [release, ...releases] = agent.releases;
+		if (release) {
+			const record: ClaimRecord = {
+				kind: 'claims',
+				format: 1,
+				claims: [],
+				released: [release],
+			};
+			const next = updateAgent(state, at, {releases});
+			steps.push({
+				label: `h${at} releases the claim of ${release.request}`,
+				next: {...next, sent: [...state.sent, record]},
+			});
+		}
+
+		if (agent.folded < state.log.length) {
+			const next = updateAgent(state, at, {folded: agent.folded + 1});
+			steps.push({
+				label: `h${at} folds a record`,
+				next: this.#settleAll(next, at),
+			});
+		}
+
+		if (state.faults.replacements > 0) {
+			steps.push(...this.#listReplacements(state, at));
+		}
+
+		return steps;
+	}
+
+	/** A call that was given to the backend server may run or not. */
+	#listReplacements(state: ClaimState, at: number): ClaimStep[] {
+		const replacements = state.faults.replacements - 1;
+		let next: ClaimState = {
+			...updateAgent(
+				state,
+				at,
+				createClaimAgent(state.agents[at]!.incarnation + 1),
+			),
+			faults: {...state.faults, replacements},
+		};
+		let ran = next;
+		for (const [request, {agent, record}] of state.requests.entries()) {
+			if (agent === at) {
+				const lost = {record: undefined, isPending: false, appends: 2};
+				next = updateRequest(next, request, lost);
+				ran = updateRequest(ran, request, lost);
+				ran = record?.phase === 'running' ? recordRun(ran, request) : ran;
+			}
+		}
+
+		return [
+			{label: `h${at} is replaced`, next},
+			{label: `h${at} is replaced, its calls run`, next: ran},
+		];
+	}
+
+	#append(state: ClaimState, request: number): ClaimState {
+		const {appends} = state.requests[request]!;
+		const record: ClaimRecord = {
+			kind: 'claims',
+			format: 1,
+			claims: [createClaim(state, request, this.digests[request]!)],
+			released: [],
+		};
+		const spent = appends === 0 ? 0 : 1;
+		const secondAppends = state.faults.secondAppends - spent;
+		const next = updateRequest(state, request, {appends: appends + 1});
+		return {
+			...next,
+			faults: {...state.faults, secondAppends},
+			sent: [...state.sent, record],
+		};
+	}
+
+	#giveUp(state: ClaimState, request: number): ClaimState {
+		const {appends} = state.requests[request]!;
+		const next = updateRequest(state, request, {isPending: false});
+		return appends > 0 ? this.#release(next, request) : next;
+	}
+
+	#release(state: ClaimState, request: number): ClaimState {
+		const at = state.requests[request]!.agent!;
+		const claim = createClaim(state, request, this.digests[request]!);
+		const releases = addClaim(state.agents[at]!.releases, claim);
+		return updateAgent(state, at, {releases});
+	}
+
+	/** Settles the claims that wait at an agent by the owner that it knows. */
+	#settleAll(state: ClaimState, at: number): ClaimState {
+		let next = state;
+		for (const [request, {agent, isPending}] of state.requests.entries()) {
+			if (agent === at && isPending) {
+				next = this.#settle(next, request);
+			}
+		}
+
+		return next;
+	}
+
+	#settle(state: ClaimState, request: number): ClaimState {
+		const at = state.requests[request]!.agent!;
+		const owner = this.#findOwner(state, state.agents[at]!);
+		if (!owner) {
+			return state;
+		}
+
+		const claim = createClaim(state, request, this.digests[request]!);
+		const {end, incarnation} = state.agents[at]!;
+		const verdict = this.mechanisms.decideClaim(claim, owner, end);
+		const settled = updateRequest(state, request, {isPending: false});
+		if (verdict.type === 'claimed') {
+			const call = createClaimCall(request, incarnation);
+			return this.#handle(settled, request, {type: 'claimed', call});
+		}
+
+		if (verdict.type === 'refused') {
+			const {failure} = verdict;
+			return this.#handle(settled, request, {type: 'claimRefused', failure});
+		}
+
+		const {answer} = verdict;
+		const isOther = owner.digest !== this.digests[request];
+		return this.#handle(
+			isOther ? recordBroken(settled, 'reused-key-refused') : settled,
+			request,
+			{type: 'claimAnswered', answer},
+		);
+	}
+
+	#findOwner({log}: ClaimState, {folded}: ClaimAgent) {
+		const book = new ClaimBook();
+		for (const record of log.slice(0, folded)) {
+			const released = this.mechanisms.readReleases(record, book);
+			book.fold({...record, released}, 0);
+		}
+
+		return book.findOwner('k', 0);
+	}
+
+	#handle(state: ClaimState, request: number, event: CallEvent): ClaimState {
+		const {agent, record, wasRefused} = state.requests[request]!;
+		const {incarnation} = state.agents[agent!]!;
+		const [decided, commands] = this.mechanisms.decideCall(record, event, 0, {
+			incarnation: toIncarnation(`i${incarnation}`),
+			leaving: false,
+			queueFull: false,
+		});
+		const isRefused =
+			decided?.phase === 'failed' && decided.failure.outcome === 'not-run';
+		let next = updateRequest(state, request, {
+			record: decided,
+			wasRefused: wasRefused || isRefused,
+		});
+		for (const command of commands) {
+			next = this.#carryOut(next, request, command);
+		}
+
+		return next;
+	}
+
+	#carryOut(
+		state: ClaimState,
+		request: number,
+		command: CallCommand,
+	): ClaimState {
+		switch (command.type) {
+			case 'claim': {
+				const next = updateRequest(state, request, {isPending: true});
+				return this.#settle(next, request);
+			}
+
+			case 'releaseClaim': {
+				return this.#release(state, request);
+			}
+
+			case 'recordClaimEnd': {
+				const at = state.requests[request]!.agent!;
+				return updateAgent(state, at, {end: command.end});
+			}
+
+			default: {
+				return state;
+			}
+		}
+	}
+}
--- a/packages/bramleystage-check/src/specifications.ts
+++ b/packages/bramleystage-check/src/specifications.ts
@@ -2,10 +2,12 @@
  * The specifications that `npm run check` explores. A further one is a file
  * that exports a `Specification`, and a line here.
  */
+import {claimSpecification} from './claim-specification.js';
 import {createExplorer} from './explorer.js';
 import {requestSpecification} from './request-specification.js';
 import type {AnySpecification} from './specification.js';
 
 export const specifications: readonly AnySpecification[] = [
 	createExplorer(requestSpecification),
+	createExplorer(claimSpecification),
 ];
