--- a/packages/bramleystage-check/src/specifications.ts
+++ b/packages/bramleystage-check/src/specifications.ts
@@ -2,6 +2,7 @@
  * The specifications that `npm run check` explores. A further one is a file
  * that exports a `Specification`, and a line here.
  */
+import {claimSpecification} from './claim-specification.js';
 import {createExplorer} from './explorer.js';
 import {fenceSpecification} from './fence-specification.js';
 import {foldSpecification} from './fold-specification.js';
@@ -14,4 +15,5 @@
 	createExplorer(fenceSpecification),
 	createExplorer(foldSpecification),
 	createExplorer(leaseSpecification),
+	createExplorer(claimSpecification),
 ];
