Do not take a host that is gone for a reopened session

Cause: the network tells of a lost session and of a host that is gone apart; the service desk took each event but a loss for a reopened session, so a call at a lost agent was sent again and waited for the deadline. Ruled out: a slow run (it failed alone, twice). Change: a host that is gone adds nothing to a call whose session was lost. Result: claims.test.ts failed before in each of three runs and passes after.

--- a/packages/bramleystage-entry/src/service-desk.ts
+++ b/packages/bramleystage-entry/src/service-desk.ts
@@ -100,6 +100,11 @@
 			return;
 		}
 
+		// A lost session has its own time to come back, so its end adds nothing.
+		if (event.type === 'gone') {
+			return;
+		}
+
 		const type = event.type === 'lost' ? 'sessionLost' : 'sessionOpened';
 		for (const id of this.#held.keys()) {
 			this.handle(id, {type, target: event.host});
