--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -38,9 +38,7 @@
 	reconnectWaitMs,
 	tombstoneTrustMs,
 } from './coordination/call-dispatch.js';
-export {
-	decideCall,
-} from './coordination/call-ledger.js';
+export {decideCall} from './coordination/call-ledger.js';
 export {
 	type CallCommand,
 	type CallDecision,
@@ -82,11 +80,7 @@
 	keyLifetimeMs,
 	maxClaimedKeys,
 } from './coordination/claims.js';
-export {
-	FairQueue,
-	type Share,
-	type Work,
-} from './coordination/fair-queue.js';
+export {FairQueue, type Share, type Work} from './coordination/fair-queue.js';
 export {
 	createFence,
 	decideFence,
@@ -176,13 +170,8 @@
 	type ModelRunEvent,
 	type Recovery,
 } from './coordination/model-run-protocol.js';
-export {
-	decideModelRun,
-} from './coordination/model-run.js';
-export {
-	type PeerHost,
-	selectAgentPeers,
-} from './coordination/peers.js';
+export {decideModelRun} from './coordination/model-run.js';
+export {type PeerHost, selectAgentPeers} from './coordination/peers.js';
 export {
 	choosePipeline,
 	createStages,
@@ -195,12 +184,8 @@
 	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
-export {
-	RateMeter,
-} from './coordination/rate-meter.js';
-export {
-	selectByRendezvous,
-} from './coordination/rendezvous.js';
+export {RateMeter} from './coordination/rate-meter.js';
+export {selectByRendezvous} from './coordination/rendezvous.js';
 export {
 	computeBackoff,
 	createRetryBudget,
@@ -253,12 +238,8 @@
 	decideStepped,
 	isLast,
 } from './coordination/stage-step.js';
-export {
-	decideStage,
-} from './coordination/stage.js';
-export {
-	computePromptCost,
-} from './coordination/work-cost.js';
+export {decideStage} from './coordination/stage.js';
+export {computePromptCost} from './coordination/work-cost.js';
 export {
 	type Decide,
 	type Decision,
@@ -379,10 +360,7 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
-export {
-	createRandom,
-	type Random,
-} from './protocol/random.js';
+export {createRandom, type Random} from './protocol/random.js';
 export {
 	buildErrorBody,
 	createFailure,
@@ -455,10 +433,7 @@
 	createAppendList,
 	listItems,
 } from './state/append-list.js';
-export {
-	type BucketChange,
-	BucketMap,
-} from './state/bucket-map.js';
+export {type BucketChange, BucketMap} from './state/bucket-map.js';
 export {
 	createEditProgress,
 	decideEdit,
@@ -489,10 +464,7 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
-export {
-	LoadBook,
-	type LoadEstimate,
-} from './state/load.js';
+export {LoadBook, type LoadEstimate} from './state/load.js';
 export {
 	createModelRun,
 	findNextPosition,
@@ -533,10 +505,7 @@
 	type RowConflict,
 	type TableDiff,
 } from './state/table-diff.js';
-export {
-	foldHistory,
-	type HistoryEntry,
-} from './state/table-history.js';
+export {foldHistory, type HistoryEntry} from './state/table-history.js';
 export {
 	addSnapshotPart,
 	type CollectedParts,
@@ -575,11 +544,7 @@
 	formatAddress,
 	parseAddress,
 } from './transport/address.js';
-export {
-	encodeFrame,
-	FrameDecoder,
-	maxFrameBytes,
-} from './transport/framing.js';
+export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
 export {
 	HeartbeatPace,
 	type PaceTiming,
@@ -664,22 +629,12 @@
 	type TableLogReaderOptions,
 	tableStream,
 } from './transport/table-log-reader.js';
-export {
-	publishEdit,
-	type PublishOptions,
-} from './transport/table-publisher.js';
-export {
-	TableSharing,
-} from './transport/table-sharing.js';
+export {publishEdit, type PublishOptions} from './transport/table-publisher.js';
+export {TableSharing} from './transport/table-sharing.js';
 export {
 	type SnapshotTiming,
 	TableSnapshotWriter,
 	type TableSnapshotWriterOptions,
 } from './transport/table-snapshot-writer.js';
-export {
-	type TrafficCount,
-	TrafficMeter,
-} from './transport/traffic-meter.js';
-export {
-	registerTrafficCounters,
-} from './transport/traffic-metrics.js';
+export {type TrafficCount, TrafficMeter} from './transport/traffic-meter.js';
+export {registerTrafficCounters} from './transport/traffic-metrics.js';
