Compute docs/CAPACITY.md from measured slopes

Cause: nothing said what the design costs at the size it is meant for. Change: the page, its figures as JSON, the script that computes its tables, and a test that fails where they differ.

--- a/packages/bramleystage-bench/src/index.ts
+++ b/packages/bramleystage-bench/src/index.ts
@@ -7,6 +7,14 @@
 } from './bench-fleet.js';
 export {type Bench, benches, type BenchFlags} from './benches.js';
 export {capacityBench} from './capacity-bench.js';
+export {
+	type CapacityFigures,
+	computeCapacityTables,
+	computeInFlight,
+	controlLimits,
+	targetSize,
+	updateCapacityPage,
+} from './capacity-page.js';
 export {
 	buildHosts,
 	buildTable,
