--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -23,7 +23,6 @@
 	type SessionPeer,
 	type SessionTiming,
 	type Stage,
-	type StageOpen,
 	TableFollower,
 	type TableSnapshot,
 	toIncarnation,
@@ -31,12 +30,13 @@
 	TrafficMeter,
 	waitFor,
 } from 'bramleystage';
-import {Gauge, Registry} from 'prom-client';
 import type {Observable} from 'rxjs';
+import {createMetrics} from './agent-metrics.js';
 import {CallDesk} from './call-desk.js';
 import {ClaimDesk} from './claim-desk.js';
 import {EngineClient} from './engine-client.js';
 import {type EntryKey, EntrySessions} from './entry-sessions.js';
+import {findMismatch} from './layer-match.js';
 import {createSchedulers} from './schedulers.js';
 import {ServiceClient} from './service-client.js';
 import {StageDesk} from './stage-desk.js';
@@ -304,45 +304,3 @@
 		},
 	};
 }
-
-function findMismatch(
-	offers: readonly Offer[],
-	open: StageOpen,
-): string | undefined {
-	const stage = open.stages[open.index];
-	const holds = offers.some(
-		(offer) =>
-			offer.kind === 'layers' &&
-			stage !== undefined &&
-			offer.model === open.model &&
-			offer.version === open.version &&
-			offer.fromLayer <= stage.fromLayer &&
-			stage.toLayer <= offer.toLayer,
-	);
-	return holds ? undefined : 'The engine does not hold these layers.';
-}
-
-function createMetrics(
-	describeLoad: () => LoadReport,
-	countSessions: () => number,
-): Registry {
-	const registry = new Registry();
-	const registers = [registry];
-	const gauges: ReadonlyArray<[string, string, () => number]> = [
-		['queued', 'Steps and calls that wait', () => describeLoad().queued],
-		['running', 'Steps and calls that run', () => describeLoad().running],
-		['entry_sessions', 'Live sessions of entries', countSessions],
-	];
-	for (const [name, help, read] of gauges) {
-		const gauge: Gauge = new Gauge({
-			name: `bramleystage_agent_${name}`,
-			help,
-			registers,
-			collect() {
-				gauge.set(read());
-			},
-		});
-	}
-
-	return registry;
-}
--- a/packages/bramleystage-agent/src/index.ts
+++ b/packages/bramleystage-agent/src/index.ts
@@ -1,4 +1,5 @@
 /** The agent process beside a backend server. */
+export {createMetrics} from './agent-metrics.js';
 export {type RunningAgent, startAgent} from './agent.js';
 export {CallDesk, type ClaimCarrier} from './call-desk.js';
 export {ClaimDesk, type ClaimDeskOptions} from './claim-desk.js';
@@ -15,6 +16,7 @@
 	type StepResult,
 } from './engine-steps.js';
 export {type EntryKey, EntrySessions} from './entry-sessions.js';
+export {findMismatch} from './layer-match.js';
 export {createSchedulers} from './schedulers.js';
 export {ServiceClient} from './service-client.js';
 export {StageDesk} from './stage-desk.js';
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -594,24 +594,29 @@
 	PlatformClient,
 	type PlatformError,
 } from './transport/platform-client.js';
+export {
+	type CheckHello,
+	checkHello,
+	openSession,
+	readFirstMessage,
+} from './transport/session-handshake.js';
+export {
+	listenForSessions,
+	type SessionListener,
+	startServer,
+} from './transport/session-listener.js';
 export {
 	type PoolEvent,
 	SessionPool,
 	waitFor,
 } from './transport/session-pool.js';
 export {
-	type CheckHello,
-	checkHello,
 	defaultSessionTiming,
 	type DescribeSelf,
-	listenForSessions,
-	openSession,
 	Session,
-	type SessionListener,
 	type SessionOptions,
 	type SessionPeer,
 	type SessionTiming,
-	startServer,
 } from './transport/session.js';
 export {
 	appendSnapshot,
--- a/packages/bramleystage/src/transport/__tests__/session-silence.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/session-silence.test.ts
@@ -2,7 +2,8 @@
 import {expect, test} from 'vitest';
 import {toDataCentreId, toHostId, toIncarnation} from '../../protocol/ids.js';
 import {FrameDecoder} from '../framing.js';
-import {Session, startServer} from '../session.js';
+import {startServer} from '../session-listener.js';
+import {Session} from '../session.js';
 import {waitFor} from '../session-pool.js';
 
 const timing = {
--- /dev/null
+++ b/packages/bramleystage/src/transport/session-listener.ts
@@ -0,0 +1,102 @@
+/** Listens for sessions that other processes open. */
+import {createServer, type Server, type Socket} from 'node:net';
+import type {Hello, Welcome} from '../protocol/messages.js';
+import {createFailure} from '../protocol/result-codes.js';
+import {formatAddress, parseAddress} from './address.js';
+import {encodeFrame, FrameDecoder} from './framing.js';
+import {type CheckHello, readFirstMessage} from './session-handshake.js';
+import {type DescribeSelf, Session, type SessionTiming} from './session.js';
+import type {TrafficMeter} from './traffic-meter.js';
+
+export type SessionListener = {
+	readonly address: string;
+	close(): Promise<void>;
+};
+
+/** Listens for sessions; `onSession` subscribes to each before it starts. */
+export async function listenForSessions(options: {
+	address: string;
+	welcome: Welcome;
+	timing: SessionTiming;
+	describeSelf: DescribeSelf;
+	meter?: TrafficMeter;
+	check: CheckHello;
+	onSession: (session: Session, hello: Hello) => void;
+}): Promise<SessionListener> {
+	const sessions = new Set<Session>();
+	const sockets = new Set<Socket>();
+	const server = createServer({noDelay: true}, async (socket) => {
+		sockets.add(socket);
+		socket.on('close', () => sockets.delete(socket));
+		const session = await acceptSession(socket, options);
+		if (session) {
+			sessions.add(session);
+			await session.closed;
+			sessions.delete(session);
+		}
+	});
+	const address = await startServer(server, options.address);
+	return {
+		address,
+		async close() {
+			server.close();
+			const reason = createFailure('stopping', 'The process is stopping.');
+			for (const session of sessions) {
+				session.close(reason);
+			}
+
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+}
+
+async function acceptSession(
+	socket: Socket,
+	options: Parameters<typeof listenForSessions>[0],
+): Promise<Session | undefined> {
+	const decoder = new FrameDecoder();
+	try {
+		const hello = await readFirstMessage(
+			socket,
+			decoder,
+			options.timing.handshakeMs,
+		);
+		if (hello.type !== 'hello') {
+			throw new Error('The first frame was no hello.');
+		}
+
+		const failure = options.check(hello);
+		if (failure) {
+			const {result, detail} = failure;
+			socket.end(encodeFrame({type: 'refusal', result, detail}));
+			return undefined;
+		}
+
+		socket.write(encodeFrame(options.welcome));
+		const session = new Session(socket, hello, decoder);
+		options.onSession(session, hello);
+		session.start(options);
+		return session;
+	} catch {
+		socket.destroy();
+		return undefined;
+	}
+}
+
+/** Starts a server on `host:port`; gives the address it got, for port 0. */
+export async function startServer(
+	server: Server,
+	address: string,
+): Promise<string> {
+	const {host, port} = parseAddress(address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, () => {
+			server.removeListener('error', reject);
+			resolve();
+		});
+	});
+	return formatAddress(server.address());
+}
--- a/packages/bramleystage/src/transport/session-pool.ts
+++ b/packages/bramleystage/src/transport/session-pool.ts
@@ -7,7 +7,8 @@
 import type {Hello, Message} from '../protocol/messages.js';
 import type {Failure} from '../protocol/result-codes.js';
 import {toSessionNumber} from '../protocol/ids.js';
-import {openSession, type Session, type SessionOptions} from './session.js';
+import {openSession} from './session-handshake.js';
+import type {Session, SessionOptions} from './session.js';
 
 export type PoolEvent =
 	| {
