--- a/packages/bramleystage-agent/src/agent-metrics.ts
+++ b/packages/bramleystage-agent/src/agent-metrics.ts
@@ -6,6 +6,7 @@
 export function createMetrics(
 	describeLoad: () => LoadReport,
 	countSessions: () => number,
+	readTableOffset: () => number,
 ): Registry {
 	const registry = new Registry();
 	const registers = [registry];
@@ -13,6 +14,7 @@
 		['queued', 'Steps and calls that wait', () => describeLoad().queued],
 		['running', 'Steps and calls that run', () => describeLoad().running],
 		['entry_sessions', 'Live sessions of entries', countSessions],
+		['table_offset', 'Next offset of the table', readTableOffset],
 	];
 	for (const [name, help, read] of gauges) {
 		const gauge: Gauge = new Gauge({
--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -258,7 +258,11 @@
 		onSession,
 	});
 	lifeCycle.register(async () => listener.close());
-	const registry = createMetrics(describeLoad, () => entries.size);
+	const registry = createMetrics(
+		describeLoad,
+		() => entries.size,
+		() => follower.table.value.next,
+	);
 	registerTrafficCounters(registry, meter);
 	const operators = await listenForOperators(settings.operatorListen, {
 		registry,
