--- a/packages/bramleystage-entry/src/index.ts
+++ b/packages/bramleystage-entry/src/index.ts
@@ -45,13 +45,13 @@
 	parseModelBody,
 	type Usage,
 } from './model-body.js';
+export {ModelDesk} from './model-desk.js';
 export {
 	type ChooseStages,
 	type LostStage,
-	ModelDesk,
 	type ModelRequest,
 	type ReplaceStage,
-} from './model-desk.js';
+} from './model-request.js';
 export {
 	type ModelRouteOptions,
 	type RouteContext,
--- a/packages/bramleystage-entry/src/model-desk.ts
+++ b/packages/bramleystage-entry/src/model-desk.ts
@@ -3,62 +3,25 @@
 	type AllowRetry,
 	computeStageWork,
 	createModelRun,
-	type CustomerCells,
-	type CustomerId,
 	decideModelRun,
 	type Failure,
 	type HostId,
 	type Message,
-	type ModelCells,
 	type ModelRunCommand,
 	type ModelRunEvent,
 	type ModelRunState,
 	type Recovery,
 	type RequestId,
-	type Stage,
-	type Token,
 } from 'bramleystage';
-import type {Result} from 'neverthrow';
 import {CancelOutbox} from './cancel-outbox.js';
-import type {ModelBody} from './model-body.js';
+import type {
+	ChooseStages,
+	ModelRequest,
+	ReplaceStage,
+} from './model-request.js';
 import {measureRequest} from './model-routing.js';
 import type {NetworkEvent} from './network.js';
 
-/** One request as the desk runs it. */
-export type ModelRequest = {
-	readonly request: RequestId;
-	readonly customer: CustomerId;
-	readonly cells: CustomerCells;
-	readonly model: ModelCells;
-	readonly body: ModelBody;
-	readonly deadlineMs: number;
-	readonly giveToken: (token: Token) => void;
-	/** Called once, at the end; `failure` is absent for a whole answer. */
-	readonly finish: (
-		failure: Failure | undefined,
-		facts: {attempts: number; stages: readonly Stage[]},
-	) => void;
-};
-
-/** Routing decision: the stages for a request, or why there are none. */
-export type ChooseStages = (
-	request: ModelRequest,
-	excluding: readonly HostId[],
-) => Result<readonly Stage[], Failure>;
-
-/** A stage to replace, among the stages of its pipeline. */
-export type LostStage = {
-	readonly stages: readonly Stage[];
-	readonly index: number;
-	readonly excluding: readonly HostId[];
-};
-
-/** Routing decision: the pipeline with its lost stage replaced, or none. */
-export type ReplaceStage = (
-	request: ModelRequest,
-	lost: LostStage,
-) => readonly Stage[] | undefined;
-
 type Held = {
 	readonly request: ModelRequest;
 	readonly timer: NodeJS.Timeout;
--- a/packages/bramleystage-entry/src/model-routing.ts
+++ b/packages/bramleystage-entry/src/model-routing.ts
@@ -11,7 +11,7 @@
 	type Stage,
 } from 'bramleystage';
 import {err, type Result} from 'neverthrow';
-import type {LostStage, ModelRequest} from './model-desk.js';
+import type {LostStage, ModelRequest} from './model-request.js';
 import {Router} from './routing.js';
 
 /** Hosts of each range that a decision weighs. */
