Let the limits bench pause a dropped entry and hold slots for long

Change: entries are paused until the platform no longer lists them, one limit's slots are held for 12 s, work of a silent entry ends as the agents end it, and demand at one entry is ample; a grant of a concurrent permit that comes late is handed back.

--- a/packages/bramleystage-bench/src/limit-world.ts
+++ b/packages/bramleystage-bench/src/limit-world.ts
@@ -40,8 +40,12 @@
 	isCutFromLog: boolean;
 	/** What arrived or fell due while paused. */
 	readonly delayed: Array<() => void>;
+	/** Concurrent work that runs at the agents. */
+	readonly works: Set<Work>;
 };
 
+type Work = {readonly limit: Limit; readonly permit: Permit};
+
 /** What an auditor outside the system sees. */
 export type Observer = {
 	readonly recordRate: (limit: Limit, amount: number, at: number) => void;
@@ -94,6 +98,7 @@
 			isPaused: false,
 			isCutFromLog: false,
 			delayed: [],
+			works: new Set(),
 		};
 		this.entries.push(entry);
 		this.#repeat(entry, tickMs, () => {
@@ -108,11 +113,14 @@
 	/** Kills an entry; its requests end when the agents cancel them. */
 	kill(entry: WorldEntry): void {
 		entry.isAlive = false;
+		this.time.schedule(cancelMs, () => {
+			this.#endAll(entry);
+		});
 	}
 
 	/** The platform no longer lists a host: its incarnation is dropped. */
 	delist(gone: WorldEntry): void {
-		for (const entry of this.liveEntries) {
+		for (const entry of this.liveEntries.filter((each) => !each.isPaused)) {
 			const members = entry.desk.membership.members.filter(
 				({incarnation}) => incarnation === gone.incarnation,
 			);
@@ -128,6 +136,12 @@
 
 	pause(entry: WorldEntry, durationMs: number): void {
 		entry.isPaused = true;
+		if (durationMs > cancelMs) {
+			this.time.schedule(cancelMs, () => {
+				this.#endAll(entry);
+			});
+		}
+
 		this.time.schedule(durationMs, () => {
 			entry.isPaused = false;
 			for (const act of entry.delayed.splice(0)) {
@@ -177,24 +191,28 @@
 			return;
 		}
 
+		const work: Work = {limit, permit};
+		entry.works.add(work);
 		this.observer.recordHeld(limit, 1, this.time.now);
 		this.time.schedule(workMs, () => {
-			this.#endWork(entry, limit, permit);
+			this.#endWork(entry, work);
+			this.#deliver(entry, () => {
+				entry.desk.release(permit);
+			});
 		});
 	}
 
-	#endWork(entry: WorldEntry, limit: Limit, permit: Permit): void {
-		if (!entry.isAlive) {
-			this.time.schedule(cancelMs, () => {
-				this.observer.recordHeld(limit, -1, this.time.now);
-			});
-			return;
+	#endWork(entry: WorldEntry, work: Work): void {
+		if (entry.works.delete(work)) {
+			this.observer.recordHeld(work.limit, -1, this.time.now);
 		}
+	}
 
-		this.observer.recordHeld(limit, -1, this.time.now);
-		this.#deliver(entry, () => {
-			entry.desk.release(permit);
-		});
+	/** The agents cancel the work of an entry that they no longer hear. */
+	#endAll(entry: WorldEntry): void {
+		for (const work of entry.works) {
+			this.#endWork(entry, work);
+		}
 	}
 
 	#deliver(entry: WorldEntry, act: () => void): void {
--- a/packages/bramleystage-bench/src/limits-bench.ts
+++ b/packages/bramleystage-bench/src/limits-bench.ts
@@ -27,29 +27,41 @@
 	{key: toLimitKey('customer/b/concurrent'), kind: 'concurrent', limit: 5},
 ];
 
-/** Demand, as a multiple of each limit. */
+/** Demand under faults, as a multiple of each limit. */
 const demandFactor = 2;
+/** Demand that keeps each limit in full use, also between two long requests. */
+const ampleFactor = 8;
 const tokenAmount = 100;
 const meanWorkMs = 800;
 const settleMs = 15_000;
+/** Concurrent limits below this one are held for long. */
+const smallLimit = 10;
+const longWorkMs = 12_000;
+const longPauseMs = 25_000;
+const delistMs = 3000;
 
 const listLimits = () =>
 	new Map(sampleLimits.map((limit) => [limit.key, limit]));
 
+/** Mean time that work of a concurrent limit takes, in milliseconds. */
+const findMeanWork = ({limit}: Limit) =>
+	limit < smallLimit ? longWorkMs : meanWorkMs;
+
 /** Sends demand for every limit to the entries that `select` names, for a time. */
 function startDemand(
 	world: LimitWorld,
 	select: () => WorldEntry | undefined,
 	durationMs: number,
+	factor: number,
 ): void {
 	const until = world.time.now + durationMs;
 	for (const limit of sampleLimits) {
 		const amount = limit.kind === 'tokens_per_second' ? tokenAmount : 1;
 		const perSecond =
 			limit.kind === 'concurrent'
-				? (limit.limit * 1000) / meanWorkMs
+				? (limit.limit * 1000) / findMeanWork(limit)
 				: limit.limit / amount;
-		const meanGapMs = 1000 / (perSecond * demandFactor);
+		const meanGapMs = 1000 / (perSecond * factor);
 		const send = () => {
 			const entry = select();
 			if (world.time.now >= until) {
@@ -57,7 +69,7 @@
 			}
 
 			if (entry) {
-				const workMs = meanWorkMs * (0.25 + 1.5 * world.random());
+				const workMs = findMeanWork(limit) * (0.25 + 1.5 * world.random());
 				world.request(entry, limit, amount, workMs);
 			}
 
@@ -87,7 +99,7 @@
 			: live[Math.floor(world.random() * live.length)];
 	};
 
-	startDemand(world, select, durationMs);
+	startDemand(world, select, durationMs, demandFactor);
 	let faults = 0;
 	const inject = () => {
 		faults++;
@@ -115,6 +127,9 @@
 		() => {
 			world.pause(entry, durationMs);
 		},
+		() => {
+			pauseDelisted(world, entry);
+		},
 		() => {
 			world.cut(entry.host, other.host, durationMs);
 		},
@@ -142,6 +157,14 @@
 	faults[Math.floor(random() * faults.length)]?.();
 }
 
+/** Pauses an entry for so long that the platform no longer lists its host. */
+function pauseDelisted(world: LimitWorld, entry: WorldEntry): void {
+	world.pause(entry, longPauseMs * (0.5 + world.random()));
+	world.time.schedule(delistMs, () => {
+		world.delist(entry);
+	});
+}
+
 function replaceEntry(world: LimitWorld, entry: WorldEntry): void {
 	if (world.liveEntries.length < 2) {
 		return;
@@ -165,7 +188,7 @@
 	world.startEntry('entry-2');
 	world.startEntry('entry-3');
 	world.time.run(settleMs);
-	startDemand(world, () => entry, durationMs);
+	startDemand(world, () => entry, durationMs, ampleFactor);
 	world.time.run(settleMs + durationMs);
 	const shares = sampleLimits.map((limit) =>
 		audit.measureUse(limit, durationMs),
--- a/packages/bramleystage/src/coordination/limit-desk.ts
+++ b/packages/bramleystage/src/coordination/limit-desk.ts
@@ -245,8 +245,10 @@
 		}
 
 		const {limit, owner, done, askedAt} = ask;
-		const isInTime =
-			limit.kind === 'concurrent' || now <= askedAt + permitValidityMs;
+		// A late grant may have been taken back since, as from a host that is gone.
+		const validMs =
+			limit.kind === 'concurrent' ? askTimeoutMs : permitValidityMs;
+		const isInTime = now <= askedAt + validMs;
 		if (granted && isInTime) {
 			this.#asks.delete(number);
 			this.#grant({number, limit, owner}, done);
