--- a/packages/bramleystage-bench/src/limits-bench.ts
+++ b/packages/bramleystage-bench/src/limits-bench.ts
@@ -128,7 +128,7 @@
 			world.pause(entry, durationMs);
 		},
 		() => {
-			pauseDelisted(world, entry);
+			startLongPause(world, entry);
 		},
 		() => {
 			world.cut(entry.host, other.host, durationMs);
@@ -158,7 +158,7 @@
 }
 
 /** Pauses an entry for so long that the platform no longer lists its host. */
-function pauseDelisted(world: LimitWorld, entry: WorldEntry): void {
+function startLongPause(world: LimitWorld, entry: WorldEntry): void {
 	world.pause(entry, longPauseMs * (0.5 + world.random()));
 	world.time.schedule(delistMs, () => {
 		world.delist(entry);
