--- /dev/null
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -0,0 +1,150 @@
+/**
+ * One attempt of a request at a backend server, on a connection of its own. A
+ * fresh connection carries no leftovers of an earlier answer, and a server that
+ * closes idle connections cannot make it unclear whether the request ran.
+ */
+import http, {type IncomingMessage} from 'node:http';
+import {listHeaders, parseAddress} from 'bramleystage';
+import type {Headers} from './platform-port.js';
+
+export type AttemptRequest = {
+	/** `host:port` of the backend server. */
+	readonly address: string;
+	readonly method: string;
+	readonly target: string;
+	readonly headers: Headers;
+	readonly body: Buffer;
+	/** Time to open the connection, in milliseconds. */
+	readonly connectMs: number;
+};
+
+export type AttemptFailure = {
+	/** False only if the server cannot have seen the request. */
+	readonly isSent: boolean;
+	readonly detail: string;
+};
+
+export type AnswerHead = {
+	readonly status: number;
+	readonly headers: Headers;
+};
+
+/** Exactly one of `onEnd` and `onFail` is called, unless the attempt is cancelled. */
+export type AttemptHandlers = {
+	readonly onHead: (head: AnswerHead) => void;
+	readonly onData: (chunk: Buffer) => void;
+	/** The answer is whole. */
+	readonly onEnd: () => void;
+	readonly onFail: (failure: AttemptFailure) => void;
+};
+
+export type Attempt = {
+	/** Closes the connection; no handler is called afterwards. */
+	readonly cancel: () => void;
+	readonly isSent: () => boolean;
+};
+
+/** Sends a request and reports what comes back. */
+export function openAttempt(
+	request: AttemptRequest,
+	handlers: AttemptHandlers,
+): Attempt {
+	let isSent = false;
+	let isOver = false;
+	const finish = (act: () => void) => {
+		if (!isOver) {
+			isOver = true;
+			clearTimeout(connectTimer);
+			act();
+		}
+	};
+
+	const {host, port} = parseAddress(request.address);
+	const outgoing = http.request({
+		host,
+		port,
+		method: request.method,
+		path: request.target,
+		agent: false,
+		headers: buildHeaders(request) as unknown as http.OutgoingHttpHeaders,
+	});
+	const fail = (detail: string) => {
+		finish(() => {
+			outgoing.destroy();
+			handlers.onFail({isSent, detail});
+		});
+	};
+
+	const connectTimer = setTimeout(() => {
+		fail(`No connection in ${request.connectMs} ms.`);
+	}, request.connectMs);
+	outgoing.on('socket', (socket) => {
+		socket.once('connect', () => {
+			isSent = true;
+			clearTimeout(connectTimer);
+		});
+	});
+	outgoing.on('error', (error) => {
+		fail(error.message);
+	});
+	outgoing.on('response', (response) => {
+		if (isOver) {
+			return;
+		}
+
+		handlers.onHead({
+			status: response.statusCode ?? 0,
+			headers: listHeaders(response),
+		});
+		registerBody(response, handlers, {isOver: () => isOver, finish, fail});
+	});
+	outgoing.end(request.body);
+	return {
+		cancel() {
+			finish(() => {
+				outgoing.destroy();
+			});
+		},
+		isSent: () => isSent,
+	};
+}
+
+function registerBody(
+	response: IncomingMessage,
+	handlers: AttemptHandlers,
+	state: {
+		isOver: () => boolean;
+		finish: (act: () => void) => void;
+		fail: (detail: string) => void;
+	},
+) {
+	response.on('data', (chunk: Buffer) => {
+		if (!state.isOver()) {
+			handlers.onData(chunk);
+		}
+	});
+	response.on('end', () => {
+		if (response.complete) {
+			state.finish(handlers.onEnd);
+		} else {
+			state.fail('The answer was cut short.');
+		}
+	});
+	response.on('error', (error) => {
+		state.fail(error.message);
+	});
+	response.on('close', () => {
+		state.fail('The connection closed during the answer.');
+	});
+}
+
+/** Lists names and values in turn, with the body's length. */
+function buildHeaders({method, headers, body}: AttemptRequest): string[] {
+	const flat = headers.flat();
+	if (body.length > 0 || method !== 'GET') {
+		flat.push('Content-Length', String(body.length));
+	}
+
+	flat.push('Connection', 'close');
+	return flat;
+}
--- /dev/null
+++ b/packages/bramleystage-gateway/src/caller-port.ts
@@ -0,0 +1,215 @@
+/** Takes callers' requests: finds route, customer and service, and reads the body. */
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	buildRouteIndex,
+	createFailure,
+	type Failure,
+	findRoute,
+	type GatewayService,
+	type KeyHolder,
+	type LifeCycle,
+	listHeaders,
+	parseAddress,
+	pickRouteTarget,
+	type Route,
+	type RouteIndex,
+	type RoutingConfiguration,
+} from 'bramleystage';
+import {writeFinalFailure} from './answers.js';
+import type {Call} from './call.js';
+import type {CallFacts, HeaderPort} from './platform-port.js';
+
+export type CallerPortOptions = {
+	/** `host:port`. */
+	readonly address: string;
+	readonly headers: HeaderPort;
+	readonly lifeCycle: LifeCycle;
+	readonly readConfiguration: () => RoutingConfiguration | undefined;
+	readonly handleCall: (call: Call) => void;
+	/** Why no new request is taken now, if so. */
+	readonly findObstacle: () => Failure | undefined;
+	readonly isStopping: () => boolean;
+	readonly drawRandom: () => number;
+	readonly readClock: () => number;
+};
+
+/** Header bytes that the parser takes, over what any configuration allows. */
+const parserHeaderBytes = 64 * 1024;
+/** Time for which a kept connection stays open over the time that callers rely on, in milliseconds. */
+const idleSlackMs = 1000;
+/** Idle time before a configuration is known, in milliseconds. */
+const defaultIdleMs = 15_000;
+
+type Routed = {
+	readonly route: Route;
+	readonly service: GatewayService;
+	readonly holder?: KeyHolder;
+	readonly facts: CallFacts;
+};
+
+export type CallerPort = {
+	readonly server: http.Server;
+	/** Applies the bounds of a configuration. */
+	readonly update: (configuration: RoutingConfiguration) => void;
+};
+
+/** Listens for callers. */
+export async function listenForCallers(
+	options: CallerPortOptions,
+): Promise<CallerPort> {
+	let index: RouteIndex = new Map();
+	const server = http.createServer(
+		{
+			maxHeaderSize: parserHeaderBytes,
+			keepAliveTimeout: defaultIdleMs + idleSlackMs,
+			requestTimeout: 0,
+			noDelay: true,
+		},
+		(request, response) => {
+			void handleRequest(options, index, request, response);
+		},
+	);
+	const {host, port} = parseAddress(options.address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({host, port, backlog: 4096}, resolve);
+	});
+	options.lifeCycle.register(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	return {
+		server,
+		update(configuration) {
+			index = buildRouteIndex(configuration.routes);
+			server.keepAliveTimeout =
+				configuration.bounds.idleTimeoutMs + idleSlackMs;
+			server.headersTimeout = configuration.bounds.headerTimeoutMs;
+		},
+	};
+}
+
+async function handleRequest(
+	options: CallerPortOptions,
+	index: RouteIndex,
+	request: IncomingMessage,
+	response: ServerResponse,
+): Promise<void> {
+	const arrivedAt = options.readClock();
+	response.on('error', () => {
+		// The caller went away; `close` follows and ends the run.
+	});
+	request.on('error', () => {
+		response.destroy();
+	});
+	const configuration = options.readConfiguration();
+	const obstacle = options.findObstacle();
+	if (!configuration || obstacle) {
+		const failure =
+			obstacle ??
+			createFailure('tableStale', 'No configuration is known yet.', {
+				retryAfterSeconds: 0.5,
+			});
+		refuseEarly(request, response, failure, options.isStopping());
+		return;
+	}
+
+	const routed = routeRequest(options, configuration, index, request);
+	if ('result' in routed) {
+		refuseEarly(request, response, routed, options.isStopping());
+		return;
+	}
+
+	const body = await readWhole(request, configuration.bounds.maxBodyBytes);
+	if (!body) {
+		const detail = `The body is over ${configuration.bounds.maxBodyBytes} bytes.`;
+		refuseEarly(request, response, createFailure('bodyTooLarge', detail), true);
+		return;
+	}
+
+	if (response.destroyed) {
+		return;
+	}
+
+	const {facts, route} = routed;
+	options.handleCall({
+		...routed,
+		method: request.method ?? 'GET',
+		target: request.url ?? '/',
+		headers: listHeaders(request),
+		body,
+		request,
+		response,
+		arrivedAt,
+		dueAt:
+			arrivedAt + Math.min(route.timeoutMs, facts.deadlineMs ?? route.timeoutMs),
+		version: configuration.version,
+	});
+}
+
+function refuseEarly(
+	request: IncomingMessage,
+	response: ServerResponse,
+	failure: Failure,
+	isClosing: boolean,
+): void {
+	request.resume();
+	writeFinalFailure(response, failure, isClosing);
+}
+
+function routeRequest(
+	{headers, drawRandom}: CallerPortOptions,
+	configuration: RoutingConfiguration,
+	index: RouteIndex,
+	request: IncomingMessage,
+): Routed | Failure {
+	const facts = headers.readCall(listHeaders(request));
+	if (!facts) {
+		return createFailure('badRequest', 'The request has no id.');
+	}
+
+	const route = findRoute(index, request.headers.host ?? '', request.url ?? '/');
+	if (!route) {
+		return createFailure('unknownPath', 'No route matches host and path.');
+	}
+
+	const {keys} = configuration;
+	const holder = facts.key === undefined ? undefined : keys?.get(facts.key);
+	if (keys && !holder && !route.isPublic) {
+		return createFailure('unauthorized', '');
+	}
+
+	const target = pickRouteTarget(route, drawRandom);
+	const service =
+		target === undefined ? undefined : configuration.services.get(target);
+	return service
+		? {route, service, holder, facts}
+		: createFailure('noBackend', 'The route has no service.', {
+				retryAfterSeconds: 0.5,
+			});
+}
+
+/** Reads a body up to a size; gives nothing if it is larger. */
+async function readWhole(
+	request: IncomingMessage,
+	maxBytes: number,
+): Promise<Buffer | undefined> {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	return new Promise((resolve) => {
+		request.on('data', (chunk: Buffer) => {
+			size += chunk.length;
+			if (size > maxBytes) {
+				resolve(undefined);
+			} else {
+				chunks.push(chunk);
+			}
+		});
+		request.on('end', () => {
+			resolve(Buffer.concat(chunks));
+		});
+		request.on('close', () => {
+			resolve(Buffer.concat(chunks));
+		});
+	});
+}
--- /dev/null
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -0,0 +1,234 @@
+/**
+ * What the gateway believes of the backend servers, and its choices among them:
+ * the platform's list, what requests saw of each server, and the work that this
+ * gateway has in flight there.
+ */
+import {
+	type Avoidance,
+	type Backend,
+	type BackendChange,
+	type BackendId,
+	type BackendsSnapshot,
+	applyBackendChanges,
+	choosePath,
+	computeTokenRoom,
+	createAvoidance,
+	createBackends,
+	type DataCentreId,
+	type GatewayService,
+	isAvoided,
+	type Logger,
+	type PathEngine,
+	type PathStage,
+	type PipelineModel,
+	recordSuccess,
+	recordTrouble,
+	replaceBackends,
+	type ServiceName,
+} from 'bramleystage';
+import {BehaviorSubject} from 'rxjs';
+
+export type FleetOptions = {
+	readonly dataCentre: DataCentreId;
+	readonly logger: Logger;
+	readonly readClock: () => number;
+	/** Gateways that share the load. */
+	readonly countGateways: () => number;
+};
+
+/** Delay of a hop between two engines of a data centre, in milliseconds. */
+const localHopMs = 0.2;
+/** Delay of a hop between data centres with the transfer of the prompt, spread over the tokens. */
+const remoteHopMs = 1;
+/** Weight of the load in the cost of an engine. */
+const loadWeight = 3;
+/** Load over which an engine is used only if there is no other. */
+const fullLoad = 0.9;
+const fullFactor = 20;
+
+/** Work of this gateway at one backend server. */
+type InFlight = {requests: number; layerTokens: number};
+
+export class Fleet {
+	readonly snapshots = new BehaviorSubject<BackendsSnapshot>(createBackends());
+	#avoidance: Avoidance = createAvoidance();
+	readonly #inFlight = new Map<BackendId, InFlight>();
+
+	constructor(private readonly options: FleetOptions) {}
+
+	get isListed(): boolean {
+		return this.snapshots.value.backends.size > 0;
+	}
+
+	apply(changes: readonly BackendChange[]): void {
+		this.#publish(applyBackendChanges(this.snapshots.value, changes));
+	}
+
+	replace(listed: readonly Backend[]): void {
+		this.#publish(replaceBackends(this.snapshots.value, listed));
+	}
+
+	/** Backend servers of a service that may be given work. */
+	listUsable(service: ServiceName): Backend[] {
+		const now = this.options.readClock();
+		return [...this.snapshots.value.backends.values()].filter(
+			(backend) =>
+				backend.service === service &&
+				!backend.isDraining &&
+				!isAvoided(this.#avoidance, backend.id, now),
+		);
+	}
+
+	/** Chooses a server of a plain service by its load, then by distance. */
+	chooseBackend(
+		service: ServiceName,
+		excluded: ReadonlySet<BackendId>,
+	): Backend | undefined {
+		const all = [...this.snapshots.value.backends.values()].filter(
+			(backend) => backend.service === service && !backend.isDraining,
+		);
+		const now = this.options.readClock();
+		const good = all.filter(
+			({id}) => !isAvoided(this.#avoidance, id, now) && !excluded.has(id),
+		);
+		const untried = all.filter(({id}) => !excluded.has(id));
+		const [candidates] = [good, untried].filter((list) => list.length > 0);
+		const score = (backend: Backend) =>
+			(this.#inFlight.get(backend.id)?.requests ?? 0) +
+			(backend.dataCentre === this.options.dataCentre ? 0 : 0.5);
+		return candidates?.reduce((a, b) => (score(b) < score(a) ? b : a));
+	}
+
+	/** Chooses the stages of a model request. */
+	choosePath(
+		service: GatewayService,
+		excluded: ReadonlySet<BackendId>,
+	): PathStage[] | undefined {
+		const model = service.pipeline;
+		if (!model) {
+			return undefined;
+		}
+
+		const usable = this.listUsable(service.name).filter(
+			({id}) => !excluded.has(id),
+		);
+		return choosePath(
+			usable.flatMap((backend) => this.#toPathEngine(backend, model) ?? []),
+			model.layers,
+			{withinDataCentre: localHopMs, betweenDataCentres: remoteHopMs},
+		);
+	}
+
+	/** Counts work at the stages until the clean-up is called. */
+	registerWork(
+		stages: ReadonlyArray<Pick<PathStage, 'id' | 'layers'>>,
+		tokens: number,
+	): () => void {
+		const add = (sign: 1 | -1) => {
+			for (const {id, layers} of stages) {
+				const known = this.#inFlight.get(id) ?? {requests: 0, layerTokens: 0};
+				known.requests += sign;
+				known.layerTokens += sign * tokens * (layers.to - layers.from);
+				this.#inFlight.set(id, known);
+			}
+		};
+
+		let isDone = false;
+		add(1);
+		return () => {
+			if (!isDone) {
+				isDone = true;
+				add(-1);
+			}
+		};
+	}
+
+	recordTrouble(id: BackendId, reason: string): void {
+		const now = this.options.readClock();
+		const next = recordTrouble(this.#avoidance, id, now);
+		if (next !== this.#avoidance) {
+			this.options.logger.warn('backend.avoided', {backend: id, reason});
+		}
+
+		this.#avoidance = next;
+	}
+
+	recordSuccess(id: BackendId): void {
+		this.#avoidance = recordSuccess(this.#avoidance, id);
+	}
+
+	findByAddress(address: string): Backend | undefined {
+		for (const backend of this.snapshots.value.backends.values()) {
+			if (backend.address === address) {
+				return backend;
+			}
+		}
+
+		return undefined;
+	}
+
+	isAvoided(id: BackendId): boolean {
+		return isAvoided(this.#avoidance, id, this.options.readClock());
+	}
+
+	#toPathEngine(
+		backend: Backend,
+		model: PipelineModel,
+	): PathEngine | undefined {
+		const {id, address, dataCentre, layers, kind} = backend;
+		if (!layers || kind === undefined) {
+			return undefined;
+		}
+
+		const held = layers.to - layers.from;
+		const room = computeTokenRoom(model, kind, held) * held;
+		const work = this.#inFlight.get(id) ?? {requests: 0, layerTokens: 0};
+		const gateways = this.options.countGateways();
+		const load = (work.layerTokens * gateways) / Math.max(1, room);
+		const slotLoad = (work.requests * gateways) / model.slots;
+		const stepFactor = model.kinds.get(kind)?.stepFactor ?? 1;
+		const stepMs = (model.stepMs * stepFactor) / model.layers;
+		return {
+			id,
+			address,
+			dataCentre,
+			layers,
+			layerCost:
+				stepMs * (1 + loadWeight * load) * (load > fullLoad ? fullFactor : 1),
+			firstCost: slotLoad > fullLoad ? fullFactor : loadWeight * slotLoad,
+		};
+	}
+
+	#publish(next: BackendsSnapshot): void {
+		const previous = this.snapshots.value;
+		if (next === previous) {
+			return;
+		}
+
+		for (const [id, backend] of next.backends) {
+			const known = previous.backends.get(id);
+			if (known !== backend) {
+				this.options.logger.info('backend.listed', {
+					backend: id,
+					service: backend.service,
+					address: backend.address,
+					data_centre: backend.dataCentre,
+					draining: backend.isDraining,
+					kind: backend.kind,
+					layers: backend.layers && `${backend.layers.from}-${backend.layers.to}`,
+				});
+				if (known?.bornAt !== backend.bornAt) {
+					this.recordSuccess(id);
+				}
+			}
+		}
+
+		for (const id of previous.backends.keys()) {
+			if (!next.backends.has(id)) {
+				this.options.logger.info('backend.removed', {backend: id});
+			}
+		}
+
+		this.snapshots.next(next);
+	}
+}
--- /dev/null
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -0,0 +1,232 @@
+/**
+ * The gateway: takes callers' requests and calls engines and plain services
+ * directly, by a configuration and a list of backend servers that the platform
+ * keeps. It holds nothing that must last.
+ */
+import http from 'node:http';
+import {
+	createFailure,
+	createRetryWindow,
+	decideRepeat,
+	type Failure,
+	LifeCycle,
+	listenForOperators,
+	type Logger,
+	parseAddress,
+	recordWindowRequest,
+	type ServiceName,
+} from 'bramleystage';
+import {followBackends} from './backend-follower.js';
+import type {Call} from './call.js';
+import {listenForCallers} from './caller-port.js';
+import {followConfiguration} from './configuration-follower.js';
+import {Fleet} from './fleet.js';
+import {Group} from './group.js';
+import {Journal} from './journal.js';
+import {PlacementDesk} from './placement-desk.js';
+import type {GatewaySettings, PlatformPort} from './platform-port.js';
+import {PlainRun} from './plain-run.js';
+import {StreamRun} from './stream-run.js';
+import {StreamWatch} from './stream-watch.js';
+
+export type RunningGateway = {
+	/** Takes itself out of rotation, lets requests end, and stops within the grace time. */
+	readonly drain: () => Promise<void>;
+	readonly stop: () => Promise<void>;
+};
+
+/** Time after a stop signal in which new requests are still taken: two missed ready checks and the way there. */
+const takeWhileStoppingMs = 3000;
+/** Part of the grace time that is kept for the end itself, in milliseconds. */
+const endReserveMs = 700;
+/** How often a stopping gateway looks whether all requests have ended, in milliseconds. */
+const drainCheckMs = 100;
+/** Share of the fleet's slack that is left unused for gateways that are not known yet. */
+const slackShare = 0.8;
+
+const readClock = () => performance.now();
+
+/** Starts a gateway; resolves when it listens. */
+export async function startGateway(
+	settings: GatewaySettings,
+	platform: PlatformPort,
+	logger: Logger,
+): Promise<RunningGateway> {
+	const lifeCycle = new LifeCycle();
+	const journal = new Journal(logger, readClock);
+	const {store, engines, headers} = platform;
+	let stoppingAt: number | undefined;
+	const {configurations} = followConfiguration({
+		store,
+		lifeCycle,
+		logger,
+		readClock,
+	});
+	const group = new Group({
+		store,
+		self: settings.peerListen,
+		memberMs: Math.max(3000, settings.minMemberMs),
+		lifeCycle,
+		logger,
+		readClock,
+	});
+	const fleet = new Fleet({
+		dataCentre: settings.dataCentre,
+		logger,
+		readClock,
+		countGateways: () => group.size,
+	});
+	followBackends({store, fleet, lifeCycle, logger, readClock});
+	void new PlacementDesk({
+		fleet,
+		group,
+		engines,
+		listServices: () => [...(configurations.value?.services.values() ?? [])],
+		lifeCycle,
+		logger,
+		readClock,
+	});
+	const watch = new StreamWatch({fleet, engines, logger, lifeCycle, readClock});
+	const budget = createFleetBudget(settings, () => group.size);
+	let inFlight = 0;
+	const context = {
+		fleet,
+		headers,
+		journal,
+		tryRepeat: budget.tryRepeat,
+		readClock,
+		isStopping: () => stoppingAt !== undefined,
+		registerStream: (stream: StreamRun) => watch.register(stream),
+	};
+	const isReady = () =>
+		stoppingAt === undefined &&
+		configurations.value !== undefined &&
+		fleet.isListed;
+	const findObstacle = (): Failure | undefined => {
+		if (
+			stoppingAt !== undefined &&
+			readClock() - stoppingAt > takeWhileStoppingMs
+		) {
+			return createFailure('stopping', 'The gateway is stopping.', {
+				retryAfterSeconds: 0.05,
+			});
+		}
+
+		return undefined;
+	};
+
+	const handleCall = (call: Call) => {
+		inFlight++;
+		call.response.once('close', () => {
+			inFlight--;
+		});
+		budget.recordRequest(call.service.name);
+		const run = call.service.pipeline
+			? new StreamRun(call, context)
+			: new PlainRun(call, context);
+		run.start();
+	};
+
+	const callers = await listenForCallers({
+		address: settings.listen,
+		headers,
+		lifeCycle,
+		readConfiguration: () => configurations.value,
+		handleCall,
+		findObstacle,
+		isStopping: () => stoppingAt !== undefined,
+		drawRandom: Math.random,
+		readClock,
+	});
+	configurations.subscribe((configuration) => {
+		if (configuration) {
+			callers.update(configuration);
+		}
+	});
+	await listenForReadyChecks(settings.readyListen, isReady, lifeCycle);
+	if (settings.operatorListen) {
+		const listener = await listenForOperators(settings.operatorListen, {
+			registry: journal.registry,
+			isReady,
+			dump: () => ({backends: [...fleet.snapshots.value.backends.values()]}),
+		});
+		lifeCycle.register(async () => listener.close());
+	}
+
+	logger.info('gateway.started', {listen: settings.listen});
+	return {
+		async drain() {
+			stoppingAt = readClock();
+			logger.info('gateway.stopping', {in_flight: inFlight});
+			const endAt = stoppingAt + settings.graceMs - endReserveMs;
+			while (
+				readClock() < endAt &&
+				(inFlight > 0 || readClock() < stoppingAt + takeWhileStoppingMs)
+			) {
+				// Looks again until all requests have ended.
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise((resolve) => {
+					setTimeout(resolve, drainCheckMs);
+				});
+			}
+
+			logger.info('gateway.stopped', {in_flight: inFlight});
+			await lifeCycle.stop();
+		},
+		async stop() {
+			await lifeCycle.stop();
+		},
+	};
+}
+
+/** Repeats of each service, within this gateway's part of the fleet's budget. */
+function createFleetBudget(
+	settings: GatewaySettings,
+	countGateways: () => number,
+) {
+	const windows = new Map<ServiceName, ReturnType<typeof createRetryWindow>>();
+	const readBounds = () => ({
+		ratio: settings.retryRatio,
+		slack: (settings.retrySlack * slackShare) / countGateways(),
+		windowMs: settings.retryWindowMs,
+	});
+	const readWindow = (service: ServiceName) =>
+		windows.get(service) ?? createRetryWindow();
+	return {
+		recordRequest(service: ServiceName) {
+			windows.set(
+				service,
+				recordWindowRequest(readWindow(service), readBounds(), readClock()),
+			);
+		},
+		tryRepeat(service: ServiceName) {
+			const [next, isAllowed] = decideRepeat(
+				readWindow(service),
+				readBounds(),
+				readClock(),
+			);
+			windows.set(service, next);
+			return isAllowed;
+		},
+	};
+}
+
+async function listenForReadyChecks(
+	address: string,
+	isReady: () => boolean,
+	lifeCycle: LifeCycle,
+): Promise<void> {
+	const server = http.createServer((_request, response) => {
+		response.writeHead(isReady() ? 200 : 503, {'content-length': 0});
+		response.end();
+	});
+	const {host, port} = parseAddress(address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	lifeCycle.register(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+}
--- /dev/null
+++ b/packages/bramleystage-gateway/src/index.ts
@@ -0,0 +1,22 @@
+export {type RunningGateway, startGateway} from './gateway.js';
+export type {
+	AnswerFacts,
+	AttemptFacts,
+	BackendsRead,
+	CallFacts,
+	ConfigurationRead,
+	EngineFailure,
+	EnginePort,
+	EngineReport,
+	GatewaySettings,
+	GroupMember,
+	HeaderPort,
+	Headers,
+	Membership,
+	OrderOutcome,
+	PlatformPort,
+	SkippedRecord,
+	StoreFailure,
+	StoreOffset,
+	StorePort,
+} from './platform-port.js';
--- /dev/null
+++ b/packages/bramleystage-gateway/src/journal.ts
@@ -0,0 +1,148 @@
+/**
+ * The last word on each request, for on-call engineers: counters, latency
+ * histograms and one log line. Failures are always logged; successes are
+ * thinned when they come fast, with a count of those left out.
+ */
+import {type Failure, type Logger, resultCodes} from 'bramleystage';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {Call} from './call.js';
+
+/** Successes logged a second; more are counted only. */
+const maxSuccessLinesPerSecond = 5;
+/** Failures logged a second; a flood of them must not block the process. */
+const maxFailureLinesPerSecond = 200;
+const secondMs = 1000;
+
+/** How a request ended. */
+export type CallEnd = {
+	/** Nothing if an answer of a backend server was passed on. */
+	readonly failure?: Failure;
+	readonly status?: number;
+	readonly attempts: number;
+	/** Last backend server or path. */
+	readonly where: string;
+	/** Time to the first event or to the answer, in milliseconds. */
+	readonly firstMs?: number;
+};
+
+export class Journal {
+	readonly registry = new Registry();
+	readonly #requests = new Counter({
+		name: 'bramleystage_gateway_requests_total',
+		help: 'Requests by kind and what became of them',
+		labelNames: ['kind', 'result'],
+		registers: [this.registry],
+	});
+
+	readonly #durations = new Histogram({
+		name: 'bramleystage_gateway_request_duration_seconds',
+		help: 'Time from a request to its whole answer or its failure',
+		labelNames: ['kind'],
+		buckets: [0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30],
+		registers: [this.registry],
+	});
+
+	readonly #first = new Histogram({
+		name: 'bramleystage_gateway_first_event_seconds',
+		help: 'Time from a streaming request to its first event',
+		buckets: [0.03, 0.06, 0.12, 0.25, 0.5, 1, 2, 5],
+		registers: [this.registry],
+	});
+
+	readonly #attempts = new Counter({
+		name: 'bramleystage_gateway_attempts_total',
+		help: 'Attempts at backend servers by how they ended',
+		labelNames: ['outcome'],
+		registers: [this.registry],
+	});
+
+	#windowStart = 0;
+	#successLines = 0;
+	#failureLines = 0;
+	#leftOut = 0;
+
+	constructor(
+		private readonly logger: Logger,
+		private readonly readClock: () => number,
+	) {}
+
+	/** Adds a gauge that is read when the metrics are. */
+	registerGauge(name: string, help: string, read: () => number): void {
+		const gauge: Gauge = new Gauge({
+			name: `bramleystage_gateway_${name}`,
+			help,
+			registers: [this.registry],
+			collect() {
+				gauge.set(read());
+			},
+		});
+	}
+
+	/** Records one attempt at a backend server. */
+	recordAttempt(
+		call: Call,
+		outcome: string,
+		where: string,
+		detail: string,
+	): void {
+		this.#attempts.inc({outcome});
+		if (outcome !== 'answered' && this.#mayLog('failure')) {
+			this.logger.warn('attempt.ended', {
+				request: call.facts.request,
+				outcome,
+				where,
+				detail,
+				version: call.version,
+			});
+		}
+	}
+
+	recordEnd(call: Call, end: CallEnd): void {
+		const durationMs = this.readClock() - call.arrivedAt;
+		const {kind} = call.route;
+		const result = end.failure?.result ?? 'ok';
+		this.#requests.inc({kind, result});
+		this.#durations.observe({kind}, durationMs / secondMs);
+		if (end.firstMs !== undefined) {
+			this.#first.observe(end.firstMs / secondMs);
+		}
+
+		if (!this.#mayLog(end.failure ? 'failure' : 'success')) {
+			return;
+		}
+
+		this.logger.info('request.ended', {
+			request: call.facts.request,
+			route: call.route.name,
+			customer: call.holder?.customer,
+			version: call.version,
+			result,
+			code: resultCodes[result].code,
+			outcome: end.failure?.outcome ?? 'ran',
+			status: end.status,
+			detail: end.failure?.detail,
+			attempts: end.attempts,
+			where: end.where,
+			first_ms: end.firstMs && Math.round(end.firstMs),
+			duration_ms: Math.round(durationMs),
+			left_out: this.#leftOut || undefined,
+		});
+		this.#leftOut = 0;
+	}
+
+	#mayLog(kind: 'success' | 'failure'): boolean {
+		const now = this.readClock();
+		if (now - this.#windowStart >= secondMs) {
+			this.#windowStart = now;
+			this.#successLines = 0;
+			this.#failureLines = 0;
+		}
+
+		const isAllowed =
+			kind === 'success'
+				? this.#successLines++ < maxSuccessLinesPerSecond
+				: this.#failureLines++ < maxFailureLinesPerSecond;
+		this.#leftOut += isAllowed ? 0 : 1;
+		return isAllowed;
+	}
+}
--- /dev/null
+++ b/packages/bramleystage-gateway/src/placement-desk.ts
@@ -0,0 +1,166 @@
+/**
+ * Carries out the placement of layers while this gateway gives orders. Before
+ * each order the engine's own report is read: the order names the count of
+ * orders in it, so one that is carried out late can't undo a newer one.
+ */
+import {
+	type Backend,
+	type BackendId,
+	type GatewayService,
+	type LayerOrder,
+	type LayerRange,
+	LifeCycle,
+	listBackends,
+	type Logger,
+	planOrders,
+} from 'bramleystage';
+import type {Fleet} from './fleet.js';
+import type {Group} from './group.js';
+import type {EnginePort} from './platform-port.js';
+
+/** How often placement is decided, in milliseconds. */
+const decideMs = 250;
+/** The list must be unchanged for so long before the first placement, in milliseconds. */
+const settleMs = 1500;
+/** Longest wait for the list to settle at the first start, in milliseconds. */
+const maxSettleMs = 6000;
+/** Longest wait for an answer of an engine, in milliseconds. */
+const answerMs = 500;
+/** An order counts as under way for the load time and this slack, in milliseconds. */
+const orderSlackMs = 1500;
+
+type Pending = {readonly layers: LayerRange; readonly until: number};
+
+export type PlacementOptions = {
+	readonly fleet: Fleet;
+	readonly group: Group;
+	readonly engines: EnginePort;
+	readonly listServices: () => readonly GatewayService[];
+	readonly lifeCycle: LifeCycle;
+	readonly logger: Logger;
+	readonly readClock: () => number;
+};
+
+export class PlacementDesk {
+	readonly #pending = new Map<BackendId, Pending>();
+	#listChangedAt: number;
+	#listedAt: number | undefined;
+
+	constructor(private readonly options: PlacementOptions) {
+		this.#listChangedAt = options.readClock();
+		const ids = new Set<string>();
+		const subscription = options.fleet.snapshots.subscribe(({backends}) => {
+			for (const id of backends.keys()) {
+				if (!ids.has(id)) {
+					ids.add(id);
+					this.#listChangedAt = options.readClock();
+					this.#listedAt ??= this.#listChangedAt;
+				}
+			}
+		});
+		options.lifeCycle.register(() => {
+			subscription.unsubscribe();
+		});
+		options.lifeCycle.registerInterval(decideMs, () => {
+			this.#decide(options.readClock());
+		});
+	}
+
+	#decide(now: number): void {
+		const {group, fleet, listServices} = this.options;
+		if (!group.isLeader || this.#listedAt === undefined) {
+			return;
+		}
+
+		const isSettled =
+			now - this.#listChangedAt > settleMs || now - this.#listedAt > maxSettleMs;
+		for (const service of listServices()) {
+			const backends = listBackends(fleet.snapshots.value, service.name);
+			const isPlaced = backends.some(({layers}) => layers !== undefined);
+			if (service.pipeline && (isPlaced || isSettled)) {
+				this.#decideService(service, backends, now);
+			}
+		}
+	}
+
+	#decideService(
+		service: GatewayService,
+		backends: readonly Backend[],
+		now: number,
+	): void {
+		const {pipeline} = service;
+		if (!pipeline) {
+			return;
+		}
+
+		for (const backend of backends) {
+			this.#settlePending(backend, now);
+		}
+
+		const orders = planOrders(
+			pipeline,
+			backends.map((backend) => ({
+				id: backend.id,
+				dataCentre: backend.dataCentre,
+				kind: backend.kind ?? '',
+				layers: backend.layers,
+				ordered: this.#pending.get(backend.id)?.layers,
+				isUsable:
+					!backend.isDraining && !this.options.fleet.isAvoided(backend.id),
+			})),
+		);
+		const byId = new Map(backends.map((backend) => [backend.id, backend]));
+		for (const order of orders) {
+			const backend = byId.get(order.id);
+			if (backend) {
+				const load =
+					(pipeline.loadMs * (order.layers.to - order.layers.from)) /
+					pipeline.layers;
+				this.#pending.set(order.id, {
+					layers: order.layers,
+					until: now + load + orderSlackMs,
+				});
+				void this.#send(backend, order);
+			}
+		}
+	}
+
+	/** Forgets an order that is in force, or that took too long. */
+	#settlePending({id, layers}: Backend, now: number): void {
+		const pending = this.#pending.get(id);
+		const isInForce =
+			pending?.layers.from === layers?.from &&
+			pending?.layers.to === layers?.to;
+		if (pending && (isInForce || now > pending.until)) {
+			this.#pending.delete(id);
+		}
+	}
+
+	async #send({id, address}: Backend, {layers}: LayerOrder): Promise<void> {
+		const {engines, logger, group} = this.options;
+		const report = await engines.readReport(address, answerMs);
+		if (report.isErr()) {
+			logger.warn('order.unsent', {backend: id, detail: report.error.detail});
+			return;
+		}
+
+		if (report.value.isBusy || !group.isLeader) {
+			return;
+		}
+
+		const outcome = await engines.orderLayers(address, {
+			layers,
+			expectedOrders: report.value.orderCount,
+			fence: group.generation,
+			timeoutMs: answerMs,
+		});
+		logger.info('order.sent', {
+			backend: id,
+			address,
+			layers: `${layers.from}-${layers.to}`,
+			expected_orders: report.value.orderCount,
+			outcome: outcome.isOk() ? outcome.value : outcome.error.kind,
+			detail: outcome.isErr() ? outcome.error.detail : undefined,
+		});
+	}
+}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -643,3 +643,78 @@
 } from './transport/table-snapshot-writer.js';
 export {type TrafficCount, TrafficMeter} from './transport/traffic-meter.js';
 export {registerTrafficCounters} from './transport/traffic-metrics.js';
+export {
+	type AttemptBounds,
+	type AttemptHistory,
+	type AttemptOutcome,
+	decideNextStep,
+	type NextStep,
+} from './coordination/attempt-policy.js';
+export {
+	type Avoidance,
+	createAvoidance,
+	isAvoided,
+	recordSuccess,
+	recordTrouble,
+} from './coordination/avoidance.js';
+export {
+	type LayerOrder,
+	type OrderedEngine,
+	planOrders,
+} from './coordination/layer-orders.js';
+export {
+	choosePath,
+	type HopCosts,
+	type PathEngine,
+	type PathStage,
+} from './coordination/layer-path.js';
+export {
+	computeMaxLayers,
+	computeTokenRoom,
+	type LayerPlan,
+	maxStages,
+	type PlaceableEngine,
+	planLayers,
+	splitLayers,
+} from './coordination/layer-plan.js';
+export {
+	createRetryWindow,
+	decideRepeat,
+	recordWindowRequest,
+	type RetryWindow,
+	type RetryWindowBounds,
+} from './coordination/retry-window.js';
+export {
+	applyBackendChanges,
+	type Backend,
+	type BackendChange,
+	type BackendsSnapshot,
+	createBackends,
+	type LayerRange,
+	listBackends,
+	replaceBackends,
+} from './state/backends.js';
+export {
+	type AcceleratorKind,
+	buildRouteIndex,
+	type CallerBounds,
+	findRoute,
+	type GatewayService,
+	type KeyHolder,
+	type PipelineModel,
+	pickRouteTarget,
+	type RequestKind,
+	type Route,
+	type RouteIndex,
+	type RouteTarget,
+	type RoutingConfiguration,
+} from './state/routes.js';
+export {
+	type BackendId,
+	backendIdSchema,
+	type RouteName,
+	routeNameSchema,
+	toBackendId,
+	toRouteName,
+} from './protocol/ids.js';
+export {splitBy} from './state/split-by.js';
--- a/packages/bramleystage/src/protocol/ids.ts
+++ b/packages/bramleystage/src/protocol/ids.ts
@@ -34,6 +34,13 @@
 export const modelNameSchema = text.brand<'ModelName'>();
 export type ModelName = z.infer<typeof modelNameSchema>;
 
+/** Names one life of a backend server in the platform's list. */
+export const backendIdSchema = text.brand<'BackendId'>();
+export type BackendId = z.infer<typeof backendIdSchema>;
+
+export const routeNameSchema = text.brand<'RouteName'>();
+export type RouteName = z.infer<typeof routeNameSchema>;
+
 /** Numbers the sessions of one process, in the order they were opened. */
 export const sessionNumberSchema = count.brand<'SessionNumber'>();
 export type SessionNumber = z.infer<typeof sessionNumberSchema>;
@@ -71,3 +78,5 @@
 export const toLogOffset = (value: number) => value as LogOffset;
 export const toEditId = (value: string) => value as EditId;
 export const toFencingNumber = (value: number) => value as FencingNumber;
+export const toBackendId = (value: string) => value as BackendId;
+export const toRouteName = (value: string) => value as RouteName;
--- /dev/null
+++ b/packages/bramleystage/src/state/backends.ts
@@ -0,0 +1,108 @@
+/**
+ * Backend servers as the platform lists them. The snapshot also remembers when
+ * an entry was last listed, so that one that lapsed while the platform was away
+ * is not taken for gone at once.
+ */
+import type {
+	BackendId,
+	DataCentreId,
+	ModelName,
+	ServiceName,
+} from '../protocol/ids.js';
+
+/** Layers from `from` up to, but without, `to`. */
+export type LayerRange = {readonly from: number; readonly to: number};
+
+export type Backend = {
+	readonly id: BackendId;
+	readonly service: ServiceName;
+	/** `host:port`. */
+	readonly address: string;
+	readonly dataCentre: DataCentreId;
+	readonly isDraining: boolean;
+	/** Kind of accelerator; left out for plain services. */
+	readonly kind?: string;
+	/** Layers that it holds; left out if none. */
+	readonly layers?: LayerRange;
+	readonly models: readonly ModelName[];
+	readonly slots: number;
+	/** Unix time of its start, in milliseconds; 0 if it does not say. */
+	readonly bornAt: number;
+};
+
+/** What became of one entry of the list; no backend means that it was removed. */
+export type BackendChange = {
+	readonly id: BackendId;
+	readonly backend?: Backend;
+};
+
+export type BackendsSnapshot = {
+	readonly backends: ReadonlyMap<BackendId, Backend>;
+};
+
+export const createBackends = (): BackendsSnapshot => ({backends: new Map()});
+
+function isSame(a: Backend | undefined, b: Backend | undefined): boolean {
+	return (
+		a === b || (a !== undefined && b !== undefined && formatBackend(a) === formatBackend(b))
+	);
+}
+
+const formatBackend = (backend: Backend) =>
+	[
+		backend.id,
+		backend.service,
+		backend.address,
+		backend.dataCentre,
+		backend.isDraining,
+		backend.kind,
+		backend.layers?.from,
+		backend.layers?.to,
+		backend.slots,
+		backend.bornAt,
+	].join('|');
+
+/** Applies changes in order; gives the same snapshot if nothing differs. */
+export function applyBackendChanges(
+	snapshot: BackendsSnapshot,
+	changes: readonly BackendChange[],
+): BackendsSnapshot {
+	let next: Map<BackendId, Backend> | undefined;
+	for (const {id, backend} of changes) {
+		if (isSame((next ?? snapshot.backends).get(id), backend)) {
+			continue;
+		}
+
+		next ??= new Map(snapshot.backends);
+		if (backend) {
+			next.set(id, backend);
+		} else {
+			next.delete(id);
+		}
+	}
+
+	return next ? {backends: next} : snapshot;
+}
+
+/** Replaces the whole list. */
+export function replaceBackends(
+	snapshot: BackendsSnapshot,
+	listed: readonly Backend[],
+): BackendsSnapshot {
+	const kept = new Set(listed.map(({id}) => id));
+	const removed = [...snapshot.backends.keys()]
+		.filter((id) => !kept.has(id))
+		.map((id): BackendChange => ({id}));
+	return applyBackendChanges(snapshot, [
+		...removed,
+		...listed.map((backend) => ({id: backend.id, backend})),
+	]);
+}
+
+/** Lists the backend servers of one service. */
+export function listBackends(
+	{backends}: BackendsSnapshot,
+	service: ServiceName,
+): Backend[] {
+	return [...backends.values()].filter((backend) => backend.service === service);
+}
