Price hops between data centres by the transfer of the prompt

Cause: paths crossed data centres for a few milliseconds of step time; the prompts' activations filled the shared pipe and pauses grew over 200 ms.

--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -39,7 +39,7 @@
 /** Delay of a hop between two engines of a data centre, in milliseconds. */
 const localHopMs = 0.2;
 /** Delay of a hop between data centres with the transfer of the prompt, spread over the tokens. */
-const remoteHopMs = 1;
+const remoteHopMs = 5;
 /** Weight of the load in the cost of an engine. */
 const loadWeight = 3;
 /** Load over which an engine is used only if there is no other. */
