Tell a reset from the end of an answer without a length

Cause: when a reset arrives together with the last bytes, libuv reports an ordinary end, and Node takes an answer without a length for whole. Ruled out: a crash of the server at that time (none was planned), a length or chunks in the answer (Node reports those as cut). After: the new test passes, it failed before. Also here: signs of trouble are weighed, placement goes by the list alone, and a silent path is left without a suspect only if it used to be fast.

--- /dev/null
+++ b/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
@@ -0,0 +1,75 @@
+import {Worker} from 'node:worker_threads';
+import {afterEach, expect, test} from 'vitest';
+import {type AttemptFailure, openAttempt} from '../attempt.js';
+
+const workers: Worker[] = [];
+
+afterEach(async () => {
+	await Promise.all(workers.splice(0).map(async (worker) => worker.terminate()));
+});
+
+async function startServer(ending: 'reset' | 'end'): Promise<number> {
+	const worker = new Worker(new URL('resetting-server.js', import.meta.url), {
+		workerData: ending,
+	});
+	workers.push(worker);
+	return new Promise((resolve) => {
+		worker.once('message', resolve);
+	});
+}
+
+/** Keeps the loop busy, so that what arrives meanwhile is read at once. */
+function holdLoop(milliseconds: number) {
+	const until = performance.now() + milliseconds;
+	while (performance.now() < until) {
+		// Busy on purpose.
+	}
+}
+
+async function readAnswer(
+	port: number,
+): Promise<{text: string; failure?: AttemptFailure}> {
+	const chunks: Buffer[] = [];
+	return new Promise((resolve) => {
+		const finish = (failure?: AttemptFailure) => {
+			resolve({text: Buffer.concat(chunks).toString(), failure});
+		};
+
+		openAttempt(
+			{
+				address: `127.0.0.1:${port}`,
+				method: 'GET',
+				target: '/',
+				headers: [['Host', 'test']],
+				body: Buffer.alloc(0),
+				connectMs: 1000,
+			},
+			{
+				onHead: () => undefined,
+				onData(chunk) {
+					chunks.push(chunk);
+				},
+				onEnd() {
+					finish();
+				},
+				onFail(failure) {
+					finish(failure);
+				},
+			},
+		);
+		setTimeout(() => {
+			holdLoop(250);
+		}, 20);
+	});
+}
+
+test('an answer without a length that ends by a reset is not whole', async () => {
+	const {failure} = await readAnswer(await startServer('reset'));
+	expect(failure?.isSent).toBe(true);
+});
+
+test('an answer without a length that ends with its connection is whole', async () => {
+	const {text, failure} = await readAnswer(await startServer('end'));
+	expect(failure).toBeUndefined();
+	expect(text).toBe('part');
+});
--- a/packages/bramleystage-gateway/src/attempt.ts
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -51,6 +51,7 @@
 ): Attempt {
 	let isSent = false;
 	let isOver = false;
+	let wasReset = false;
 	const finish = (act: () => void) => {
 		if (!isOver) {
 			isOver = true;
@@ -79,6 +80,11 @@
 		fail(`No connection in ${request.connectMs} ms.`);
 	}, request.connectMs);
 	outgoing.on('socket', (socket) => {
+		// A reset that arrives together with the last bytes is reported as an
+		// ordinary end. Only a connection that was reset has no peer any more.
+		socket.prependOnceListener('end', () => {
+			wasReset = socket.remoteAddress === undefined;
+		});
 		socket.once('connect', () => {
 			isSent = true;
 			clearTimeout(connectTimer);
@@ -96,7 +102,12 @@
 			status: response.statusCode ?? 0,
 			headers: listHeaders(response),
 		});
-		registerBody(response, handlers, {isOver: () => isOver, finish, fail});
+		registerBody(response, handlers, {
+			isOver: () => isOver,
+			isWhole: () => response.complete && !(wasReset && isUnframed(response)),
+			finish,
+			fail,
+		});
 	});
 	outgoing.end(request.body);
 	return {
@@ -114,6 +125,7 @@
 	handlers: AttemptHandlers,
 	state: {
 		isOver: () => boolean;
+		isWhole: () => boolean;
 		finish: (act: () => void) => void;
 		fail: (detail: string) => void;
 	},
@@ -124,7 +136,7 @@
 		}
 	});
 	response.on('end', () => {
-		if (response.complete) {
+		if (state.isWhole()) {
 			state.finish(handlers.onEnd);
 		} else {
 			state.fail('The answer was cut short.');
@@ -138,6 +150,11 @@
 	});
 }
 
+/** Whether only the end of the connection tells where the answer ends. */
+const isUnframed = ({headers}: IncomingMessage) =>
+	headers['content-length'] === undefined &&
+	headers['transfer-encoding'] === undefined;
+
 /** Lists names and values in turn, with the body's length. */
 function buildHeaders({method, headers, body}: AttemptRequest): string[] {
 	const flat = headers.flat();
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -23,8 +23,10 @@
 	type PipelineModel,
 	recordSuccess,
 	recordTrouble,
+	forgetTrouble,
 	replaceBackends,
 	type ServiceName,
+	type TroubleSign,
 } from 'bramleystage';
 import {BehaviorSubject} from 'rxjs';
 
@@ -39,7 +41,7 @@
 /** Delay of a hop between two engines of a data centre, in milliseconds. */
 const localHopMs = 0.2;
 /** Delay of a hop between data centres with the transfer of the prompt, spread over the tokens. */
-const remoteHopMs = 5;
+const remoteHopMs = 12;
 /** Weight of the load in the cost of an engine. */
 const loadWeight = 3;
 /** Load over which an engine is used only if there is no other. */
@@ -143,18 +145,26 @@
 		};
 	}
 
-	recordTrouble(id: BackendId, reason: string): void {
+	/** Records a sign of trouble; the reason is for the log. */
+	recordTrouble(id: BackendId, sign: TroubleSign, reason: string): void {
 		const now = this.options.readClock();
-		const next = recordTrouble(this.#avoidance, id, now);
-		if (next !== this.#avoidance) {
-			this.options.logger.warn('backend.avoided', {backend: id, reason});
+		const next = recordTrouble(this.#avoidance, id, sign, now);
+		if (next !== this.#avoidance && isAvoided(next, id, now)) {
+			const ms = Math.round((next.get(id)?.until ?? now) - now);
+			this.options.logger.warn('backend.avoided', {
+				backend: id,
+				sign,
+				reason,
+				for_ms: ms,
+			});
 		}
 
 		this.#avoidance = next;
 	}
 
 	recordSuccess(id: BackendId): void {
-		this.#avoidance = recordSuccess(this.#avoidance, id);
+		const now = this.options.readClock();
+		this.#avoidance = recordSuccess(this.#avoidance, id, now);
 	}
 
 	findByAddress(address: string): Backend | undefined {
@@ -218,7 +228,7 @@
 					layers: backend.layers && `${backend.layers.from}-${backend.layers.to}`,
 				});
 				if (known?.bornAt !== backend.bornAt) {
-					this.recordSuccess(id);
+					this.#avoidance = forgetTrouble(this.#avoidance, id);
 				}
 			}
 		}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 	listenForOperators,
 	type Logger,
 	parseAddress,
+	type PathStage,
 	recordWindowRequest,
 	type ServiceName,
 } from 'bramleystage';
@@ -97,6 +98,9 @@
 		readClock,
 		isStopping: () => stoppingAt !== undefined,
 		registerStream: (stream: StreamRun) => watch.register(stream),
+		recordPause(path: readonly PathStage[], pauseMs: number) {
+			watch.recordPause(path, pauseMs);
+		},
 	};
 	const isReady = () =>
 		stoppingAt === undefined &&
--- a/packages/bramleystage-gateway/src/placement-desk.ts
+++ b/packages/bramleystage-gateway/src/placement-desk.ts
@@ -105,8 +105,7 @@
 				kind: backend.kind ?? '',
 				layers: backend.layers,
 				ordered: this.#pending.get(backend.id)?.layers,
-				isUsable:
-					!backend.isDraining && !this.options.fleet.isAvoided(backend.id),
+				isUsable: !backend.isDraining,
 			})),
 		);
 		const byId = new Map(backends.map((backend) => [backend.id, backend]));
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -124,7 +124,11 @@
 
 	#handleFailure(flight: Flight, {isSent, detail}: AttemptFailure): void {
 		this.#release(flight);
-		this.desk.fleet.recordTrouble(flight.backend.id, detail);
+		this.desk.fleet.recordTrouble(
+			flight.backend.id,
+			isSent ? 'cut' : 'unreachable',
+			detail,
+		);
 		this.#goOn(isSent ? 'unknown' : 'notRun', detail);
 	}
 
@@ -138,16 +142,18 @@
 
 		const facts = this.desk.headers.readAnswer(head.headers);
 		if (facts.isNotRun || head.status === 421) {
-			if (head.status === 421) {
-				this.desk.fleet.recordTrouble(flight.backend.id, 'Another instance.');
-			}
-
+			this.desk.fleet.recordTrouble(
+				flight.backend.id,
+				head.status === 421 ? 'replaced' : 'refused',
+				`Status ${head.status}.`,
+			);
 			this.#goOn('notRun', `Status ${head.status}.`);
 			return;
 		}
 
 		const isOwn = facts.request === this.call.facts.request;
 		if (!isOwn || !facts.isStamped) {
+			this.desk.fleet.recordTrouble(flight.backend.id, 'failed', 'Not its own.');
 			this.#goOn('unknown', 'The answer belongs to no request of this call.');
 			return;
 		}
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -25,6 +25,8 @@
 export type StreamDeskContext = DeskContext & {
 	/** Watches a stream for silence until the clean-up is called. */
 	readonly registerStream: (stream: StreamRun) => () => void;
+	/** Records a pause between two events of a path, in milliseconds. */
+	readonly recordPause: (path: readonly PathStage[], pauseMs: number) => void;
 };
 
 type Flight = {
@@ -180,7 +182,12 @@
 			return;
 		}
 
-		this.progressAt = this.desk.readClock();
+		const now = this.desk.readClock();
+		if (this.firstAt) {
+			this.desk.recordPause(flight.path, now - this.progressAt);
+		}
+
+		this.progressAt = now;
 		const events = flight.splitter.append(chunk);
 		if (!events) {
 			return;
@@ -270,7 +277,11 @@
 		const faulty = path.find(({address}) => address === facts.faultyAddress);
 		if (faulty) {
 			this.#excluded.add(faulty.id);
-			this.desk.fleet.recordTrouble(faulty.id, `Named by status ${head.status}.`);
+			this.desk.fleet.recordTrouble(
+				faulty.id,
+				head.status === 421 ? 'replaced' : 'refused',
+				`Named by status ${head.status}.`,
+			);
 		}
 
 		const detail = `Status ${head.status}.`;
@@ -307,7 +318,11 @@
 		const [first] = flight.path;
 		if (first) {
 			this.#excluded.add(first.id);
-			this.desk.fleet.recordTrouble(first.id, detail);
+			this.desk.fleet.recordTrouble(
+				first.id,
+				isSent ? 'cut' : 'unreachable',
+				detail,
+			);
 		}
 
 		this.#goOn(isSent ? 'unknown' : 'notRun', true, detail);
--- a/packages/bramleystage-gateway/src/stream-watch.ts
+++ b/packages/bramleystage-gateway/src/stream-watch.ts
@@ -7,6 +7,7 @@
 	type BackendId,
 	type LifeCycle,
 	type Logger,
+	type PathStage,
 	splitBy,
 } from 'bramleystage';
 import type {Fleet} from './fleet.js';
@@ -23,6 +24,10 @@
 const reportMs = 150;
 /** Least time between two reports of one engine, in milliseconds. */
 const inspectPauseMs = 150;
+/** Smoothed pause under which a path counts as fast, in milliseconds. */
+const calmPauseMs = 60;
+/** Weight of a new pause in the smoothed one. */
+const pauseWeight = 0.05;
 /** Delay of the watch's own timer that shows that this process was held up, in milliseconds. */
 const heldUpMs = 60;
 
@@ -36,7 +41,10 @@
 
 export class StreamWatch {
 	readonly #streams = new Set<StreamRun>();
-	readonly #inspectedAt = new Map<BackendId, number>();
+	/** Present time of the last inspection of each path, in milliseconds. */
+	readonly #inspectedAt = new Map<string, number>();
+	/** Smoothed pause between events of each path, in milliseconds. */
+	readonly #pauses = new Map<string, number>();
 	#lastTick: number;
 	#blindUntil = 0;
 
@@ -54,6 +62,13 @@
 		};
 	}
 
+	/** Records a pause between two events of a stream, in milliseconds. */
+	recordPause(path: readonly PathStage[], pauseMs: number): void {
+		const key = formatKey(path);
+		const known = this.#pauses.get(key) ?? pauseMs;
+		this.#pauses.set(key, known + (pauseMs - known) * pauseWeight);
+	}
+
 	#check(now: number): void {
 		if (now - this.#lastTick > tickMs + heldUpMs) {
 			// What arrived meanwhile has not been read yet.
@@ -65,53 +80,58 @@
 			return;
 		}
 
-		const byFirst = splitBy(
-			[...this.#streams].filter(({path}) => path.length > 0),
-			({path}) => path[0]?.id,
-		);
-		for (const [first, streams] of byFirst) {
-			if (first !== undefined && isSilent(streams, now)) {
-				void this.#handleSilence(first, streams, now);
+		const active = [...this.#streams].filter(({path}) => path.length > 0);
+		for (const [key, streams] of splitBy(active, ({path}) => formatKey(path))) {
+			if (isSilent(streams, now)) {
+				void this.#handleSilence(key, streams);
 			}
 		}
 	}
 
 	async #handleSilence(
-		first: BackendId,
+		key: string,
 		streams: readonly StreamRun[],
-		now: number,
 	): Promise<void> {
-		if (now - (this.#inspectedAt.get(first) ?? 0) < inspectPauseMs) {
+		const {readClock, logger} = this.options;
+		const [first] = streams[0]?.path ?? [];
+		const lastAt = this.#inspectedAt.get(key) ?? Number.NEGATIVE_INFINITY;
+		if (!first || readClock() - lastAt < inspectPauseMs) {
 			return;
 		}
 
-		this.#inspectedAt.set(first, now);
-		const address = streams[0]?.path[0]?.address ?? '';
-		const suspects = await this.#findSuspects(first, address);
-		this.options.logger.warn('path.silent', {
-			first,
+		this.#inspectedAt.set(key, readClock());
+		const isCalm = (this.#pauses.get(key) ?? 0) < calmPauseMs;
+		const suspects = await this.#findSuspects(first);
+		logger.warn('path.silent', {
+			first: first.address,
 			streams: streams.length,
+			pause_ms: Math.round(this.#pauses.get(key) ?? 0),
 			suspects: suspects.join(','),
 		});
+		const now = readClock();
 		for (const stream of streams) {
+			const isStill = formatKey(stream.path) === key && isSilent([stream], now);
 			const path = stream.path.map(({id}) => id);
 			const isAffected = path.some((id) => suspects.includes(id));
-			if (path[0] === first && isSilent([stream], now)) {
+			// Without a suspect a path is left only if it used to be fast: a busy one is slow everywhere.
+			if (isStill && (isAffected || isCalm)) {
+				const silentMs = Math.round(now - stream.progressAt);
 				stream.moveAway(
 					isAffected ? suspects : path,
-					`The path was silent for ${Math.round(now - stream.progressAt)} ms.`,
+					`The path was silent for ${silentMs} ms.`,
 				);
 			}
 		}
 	}
 
 	/** Asks the first engine which engine does not answer. */
-	async #findSuspects(first: BackendId, address: string): Promise<BackendId[]> {
+	async #findSuspects({id, address}: PathStage): Promise<BackendId[]> {
 		const {engines, fleet} = this.options;
 		const report = await engines.readReport(address, reportMs);
 		if (report.isErr()) {
-			fleet.recordTrouble(first, `No report: ${report.error.detail}`);
-			return [first];
+			const {detail} = report.error;
+			fleet.recordTrouble(id, 'unreachable', `No report: ${detail}`);
+			return [id];
 		}
 
 		const stalled = new Set(report.value.stalled.map((item) => item.address));
@@ -119,7 +139,7 @@
 		for (const item of stalled) {
 			const backend = fleet.findByAddress(item);
 			if (backend) {
-				fleet.recordTrouble(backend.id, 'Named as stalled in a report.');
+				fleet.recordTrouble(backend.id, 'unreachable', 'Named as stalled.');
 				suspects.push(backend.id);
 			}
 		}
@@ -128,10 +148,21 @@
 	}
 }
 
-/** Whether none of the streams has made progress for too long. */
+const formatKey = (path: readonly PathStage[]) =>
+	path.map(({id, layers}) => `${id}=${layers.to}`).join(',');
+
+/**
+ * Whether streams of one path have made no progress for too long. One that has
+ * had events tells more than one that still waits for its prompt to be read.
+ */
 function isSilent(streams: readonly StreamRun[], now: number): boolean {
-	return streams.every(
-		({hasEvents, progressAt}) =>
-			now - progressAt > (hasEvents ? silenceMs : firstSilenceMs),
+	const started = streams.filter(({hasEvents}) => hasEvents);
+	const isStartedSilent = started.every(
+		({progressAt}) => now - progressAt > silenceMs,
 	);
+	if (started.length > 0) {
+		return isStartedSilent;
+	}
+
+	return streams.some(({progressAt}) => now - progressAt > firstSilenceMs);
 }
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -653,9 +653,11 @@
 export {
 	type Avoidance,
 	createAvoidance,
+	forgetTrouble,
 	isAvoided,
 	recordSuccess,
 	recordTrouble,
+	type TroubleSign,
 } from './coordination/avoidance.js';
 export {
 	type LayerOrder,
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,6 +10,7 @@
 	'bramleystage-bench',
 	'bramleystage-check',
 	'bramleystage-command',
+	'bramleystage-gateway',
 ];
 
 export default defineConfig({
@@ -22,7 +23,7 @@
 		})),
 	},
 	test: {
-		include: ['packages/*/src/**/__tests__/*.test.ts'],
+		include: ['{packages/*,platform}/src/**/__tests__/*.test.ts'],
 		testTimeout: 60_000,
 	},
 });
