--- a/packages/bramleystage-gateway/src/backend-follower.ts
+++ b/packages/bramleystage-gateway/src/backend-follower.ts
@@ -34,6 +34,7 @@
 	const listKnown = (read: BackendsRead): Backend[] =>
 		read.changes.flatMap(({backend}) => backend ?? []);
 	const step = async (): Promise<number> => {
+		const askedAt = readClock();
 		if (next === undefined || graceUntil > readClock()) {
 			const read = await store.loadBackends();
 			if (read.isErr()) {
@@ -45,9 +46,12 @@
 			next = read.value.next;
 			const listed = listKnown(read.value);
 			if (graceUntil > readClock()) {
-				fleet.apply(listed.map((backend) => ({id: backend.id, backend})));
+				fleet.apply(
+					listed.map((backend) => ({id: backend.id, backend})),
+					askedAt,
+				);
 			} else {
-				fleet.replace(listed);
+				fleet.replace(listed, askedAt);
 			}
 
 			return readIntervalMs;
@@ -57,7 +61,7 @@
 		if (read.isOk()) {
 			logSkipped(read.value);
 			next = read.value.next;
-			fleet.apply(read.value.changes);
+			fleet.apply(read.value.changes, askedAt);
 			return readIntervalMs;
 		}
 
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -21,6 +21,8 @@
 
 export type ConfigurationFollower = {
 	readonly configurations: BehaviorSubject<RoutingConfiguration | undefined>;
+	/** Present time as of which the store was read last, in milliseconds. */
+	readonly readAt: () => number;
 	/** Takes a configuration that a peer has. */
 	readonly offer: (configuration: RoutingConfiguration) => void;
 };
@@ -35,6 +37,7 @@
 	const configurations = new BehaviorSubject<RoutingConfiguration | undefined>(
 		undefined,
 	);
+	let readAt = Number.NEGATIVE_INFINITY;
 	const offer = (configuration: RoutingConfiguration) => {
 		const known = configurations.value?.version ?? -1;
 		if (configuration.version > known) {
@@ -69,6 +72,7 @@
 				? store.loadConfiguration()
 				: store.awaitConfiguration(next, pollMs));
 			if (read.isOk()) {
+				readAt = readClock();
 				loadedAt = next === undefined || isDue ? readClock() : loadedAt;
 				next = read.value.next;
 				take(read.value);
@@ -82,7 +86,7 @@
 			await waitFor(retryMs);
 		}
 	})();
-	return {configurations, offer};
+	return {configurations, offer, readAt: () => readAt};
 }
 
 /** Logs when the store is lost and when it is back; gives whether it is lost. */
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -55,18 +55,28 @@
 	readonly snapshots = new BehaviorSubject<BackendsSnapshot>(createBackends());
 	#avoidance: Avoidance = createAvoidance();
 	readonly #inFlight = new Map<BackendId, InFlight>();
+	#readAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: FleetOptions) {}
 
+	/** Present time as of which the list was read, in milliseconds. */
+	get readAt(): number {
+		return this.#readAt;
+	}
+
 	get isListed(): boolean {
 		return this.snapshots.value.backends.size > 0;
 	}
 
-	apply(changes: readonly BackendChange[]): void {
+	/** Applies changes of the list that were read at a present time. */
+	apply(changes: readonly BackendChange[], readAt: number): void {
+		this.#readAt = Math.max(this.#readAt, readAt);
 		this.#publish(applyBackendChanges(this.snapshots.value, changes));
 	}
 
-	replace(listed: readonly Backend[]): void {
+	/** Replaces the list by one that was read at a present time. */
+	replace(listed: readonly Backend[], readAt: number): void {
+		this.#readAt = Math.max(this.#readAt, readAt);
 		this.#publish(replaceBackends(this.snapshots.value, listed));
 	}
 
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -24,6 +24,8 @@
 import {Fleet} from './fleet.js';
 import {Group} from './group.js';
 import {Journal} from './journal.js';
+import {PeerDesk} from './peer-desk.js';
+import {listenForPeers} from './peer-exchange.js';
 import {PlacementDesk} from './placement-desk.js';
 import type {GatewaySettings, PlatformPort} from './platform-port.js';
 import {PlainRun} from './plain-run.js';
@@ -43,7 +45,7 @@
 /** How often a stopping gateway looks whether all requests have ended, in milliseconds. */
 const drainCheckMs = 100;
 /** Share of the fleet's slack that is left unused for gateways that are not known yet. */
-const slackShare = 0.8;
+const slackShare = 0.7;
 
 const readClock = () => performance.now();
 
@@ -57,12 +59,8 @@
 	const journal = new Journal(logger, readClock);
 	const {store, engines, headers} = platform;
 	let stoppingAt: number | undefined;
-	const {configurations} = followConfiguration({
-		store,
-		lifeCycle,
-		logger,
-		readClock,
-	});
+	const follower = followConfiguration({store, lifeCycle, logger, readClock});
+	const {configurations} = follower;
 	const group = new Group({
 		store,
 		self: settings.peerListen,
@@ -78,6 +76,26 @@
 		countGateways: () => group.size,
 	});
 	followBackends({store, fleet, lifeCycle, logger, readClock});
+	const peers = new PeerDesk({
+		follower,
+		fleet,
+		listPeers: () => [
+			...new Set(
+				[...group.listPeers(), ...settings.seeds].filter(
+					(address) => address !== settings.peerListen,
+				),
+			),
+		],
+		lifeCycle,
+		logger,
+		readClock,
+	});
+	await listenForPeers(
+		settings.peerListen,
+		(question) => peers.answer(question),
+		lifeCycle,
+		logger,
+	);
 	void new PlacementDesk({
 		fleet,
 		group,
@@ -189,11 +207,17 @@
 	countGateways: () => number,
 ) {
 	const windows = new Map<ServiceName, ReturnType<typeof createRetryWindow>>();
-	const readBounds = () => ({
-		ratio: settings.retryRatio,
-		slack: (settings.retrySlack * slackShare) / countGateways(),
-		windowMs: settings.retryWindowMs,
-	});
+	const startedAt = readClock();
+	const readBounds = () => {
+		// What an earlier life of this process has spent still counts for a window.
+		const isFresh = readClock() - startedAt < settings.retryWindowMs;
+		const share = isFresh ? slackShare / 2 : slackShare;
+		return {
+			ratio: settings.retryRatio,
+			slack: (settings.retrySlack * share) / countGateways(),
+			windowMs: settings.retryWindowMs,
+		};
+	};
 	const readWindow = (service: ServiceName) =>
 		windows.get(service) ?? createRetryWindow();
 	return {
--- a/packages/bramleystage-gateway/src/group.ts
+++ b/packages/bramleystage-gateway/src/group.ts
@@ -9,6 +9,9 @@
 /** Renewals in the time for which the store keeps a silent member. */
 const renewalsPerLife = 3;
 
+/** Gateways that are assumed before the group was read. */
+const assumedSize = 6;
+
 export class Group {
 	#membership: Membership = {generation: 0, isLeader: false};
 	#members: readonly GroupMember[] = [];
@@ -47,8 +50,9 @@
 			.filter((address) => address !== this.options.self);
 	}
 
+	/** Gateways that share the load and the budgets. */
 	get size(): number {
-		return Math.max(1, this.#members.length);
+		return this.#members.length > 0 ? this.#members.length : assumedSize;
 	}
 
 	async #renew(): Promise<void> {
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -227,6 +227,8 @@
 	readonly readyListen: string;
 	/** `host:port` for other gateways. */
 	readonly peerListen: string;
+	/** `host:port` of some gateways, this one perhaps among them; may be out of date. */
+	readonly seeds: readonly string[];
 	/** `host:port` of the metrics; not served if left out. */
 	readonly operatorListen?: string;
 	/** Whether the whole deployment starts for the first time. */
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -544,7 +544,14 @@
 	formatAddress,
 	parseAddress,
 } from './transport/address.js';
-export {encodeFrame, FrameDecoder, maxFrameBytes} from './transport/framing.js';
+export {
+	decodeFrameBody,
+	encodeFrame,
+	encodeValueFrame,
+	FrameCutter,
+	FrameDecoder,
+	maxFrameBytes,
+} from './transport/framing.js';
 export {
 	HeartbeatPace,
 	type PaceTiming,
--- a/packages/bramleystage/src/transport/framing.ts
+++ b/packages/bramleystage/src/transport/framing.ts
@@ -13,17 +13,21 @@
 /** Largest frame that is accepted, in bytes. */
 export const maxFrameBytes = 16 * 1024 * 1024;
 
-/** Encodes one message with its length in front. */
-export function encodeFrame(message: Message): Buffer {
-	const body = encode(message);
+/** Encodes one value with its length in front. */
+export function encodeValueFrame(value: unknown): Buffer {
+	const body = encode(value);
 	const frame = Buffer.allocUnsafe(lengthBytes + body.length);
 	frame.writeUInt32BE(body.length, 0);
 	body.copy(frame, lengthBytes);
 	return frame;
 }
 
-/** Cuts a byte stream into messages. */
-export class FrameDecoder {
+/** Encodes one message with its length in front. */
+export const encodeFrame = (message: Message): Buffer =>
+	encodeValueFrame(message);
+
+/** Cuts a byte stream into the bodies of frames. */
+export class FrameCutter {
 	#pending: Buffer = Buffer.alloc(0);
 
 	/** Takes the next bytes of the stream. */
@@ -34,8 +38,8 @@
 				: Buffer.concat([this.#pending, chunk]);
 	}
 
-	/** Gives the next whole message, nothing yet, or why the stream is bad. */
-	readNext(): Result<Message | undefined, Failure> {
+	/** Gives the next whole body, nothing yet, or why the stream is bad. */
+	readNext(): Result<Buffer | undefined, Failure> {
 		if (this.#pending.length < lengthBytes) {
 			return ok(undefined);
 		}
@@ -52,20 +56,41 @@
 
 		const body = this.#pending.subarray(lengthBytes, end);
 		this.#pending = this.#pending.subarray(end);
-		return parseMessage(body);
+		return ok(body);
 	}
 }
 
-function parseMessage(body: Buffer): Result<Message, Failure> {
-	let value: unknown;
+/** Decodes the body of a frame. */
+export function decodeFrameBody(body: Buffer): Result<unknown, Failure> {
 	try {
-		value = decode(body);
+		return ok(decode(body));
 	} catch {
 		return err(createFailure('badFrame', 'A frame is not valid CBOR.'));
 	}
+}
+
+/** Cuts a byte stream into messages. */
+export class FrameDecoder {
+	readonly #cutter = new FrameCutter();
+
+	/** Takes the next bytes of the stream. */
+	append(chunk: Buffer): void {
+		this.#cutter.append(chunk);
+	}
 
-	const parsed = messageSchema.safeParse(value);
-	return parsed.success
-		? ok(parsed.data)
-		: err(createFailure('badFrame', parsed.error.issues[0]?.message ?? ''));
+	/** Gives the next whole message, nothing yet, or why the stream is bad. */
+	readNext(): Result<Message | undefined, Failure> {
+		return this.#cutter
+			.readNext()
+			.andThen((body) => (body ? parseMessage(body) : ok(undefined)));
+	}
+}
+
+function parseMessage(body: Buffer): Result<Message, Failure> {
+	return decodeFrameBody(body).andThen((value) => {
+		const parsed = messageSchema.safeParse(value);
+		return parsed.success
+			? ok(parsed.data)
+			: err(createFailure('badFrame', parsed.error.issues[0]?.message ?? ''));
+	});
 }
