--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -11,17 +11,21 @@
 	type BackendsSnapshot,
 	applyBackendChanges,
 	choosePath,
+	computeLinkMbps,
 	computeTokenRoom,
 	createAvoidance,
 	createBackends,
+	createLinkLoads,
 	type DataCentreId,
 	type GatewayService,
 	isAvoided,
+	type LinkLoads,
 	type Logger,
 	type PathEngine,
 	type PathStage,
 	type PipelineModel,
 	recordSuccess,
+	recordTransfer,
 	recordTrouble,
 	forgetTrouble,
 	replaceBackends,
@@ -40,13 +44,14 @@
 
 /** Delay of a hop between two engines of a data centre, in milliseconds. */
 const localHopMs = 0.2;
-/** Delay of a hop between data centres with the transfer of the prompt, spread over the tokens. */
+/** Cost of a hop between data centres, in milliseconds: its delay, and the transfer of the prompt. */
 const remoteHopMs = 12;
-/** Weight of the load in the cost of an engine. */
+/** Weight of the load in the cost of an engine or a link. */
 const loadWeight = 3;
-/** Load over which an engine is used only if there is no other. */
-const fullLoad = 0.9;
-const fullFactor = 20;
+/** Load over which an engine or a link takes no new work; the estimate has this much slack. */
+const fullLoad = 1.1;
+/** Strikes after which a server that nobody delisted is taken for lost. */
+const lostStrikes = 3;
 
 /** Work of this gateway at one backend server. */
 type InFlight = {requests: number; layerTokens: number};
@@ -54,6 +59,7 @@
 export class Fleet {
 	readonly snapshots = new BehaviorSubject<BackendsSnapshot>(createBackends());
 	#avoidance: Avoidance = createAvoidance();
+	#links: LinkLoads = createLinkLoads();
 	readonly #inFlight = new Map<BackendId, InFlight>();
 	#readAt = Number.NEGATIVE_INFINITY;
 
@@ -74,6 +80,13 @@
 		this.#publish(applyBackendChanges(this.snapshots.value, changes));
 	}
 
+	/** Takes what a backend server itself says. */
+	update(backend: Backend): void {
+		this.#publish(
+			applyBackendChanges(this.snapshots.value, [{id: backend.id, backend}]),
+		);
+	}
+
 	/** Replaces the list by one that was read at a present time. */
 	replace(listed: readonly Backend[], readAt: number): void {
 		this.#readAt = Math.max(this.#readAt, readAt);
@@ -127,10 +140,33 @@
 		return choosePath(
 			usable.flatMap((backend) => this.#toPathEngine(backend, model) ?? []),
 			model.layers,
-			{withinDataCentre: localHopMs, betweenDataCentres: remoteHopMs},
+			(from, to) => this.#computeHopCost(model, from, to),
 		);
 	}
 
+	/** Whether a server has kept failing, though the list still has it. */
+	isLost(id: BackendId): boolean {
+		return (this.#avoidance.get(id)?.strikes ?? 0) >= lostStrikes;
+	}
+
+	/** Records the transfers between data centres that a prompt causes on its path. */
+	recordPrompt(
+		model: PipelineModel,
+		stages: readonly PathStage[],
+		tokens: number,
+	): void {
+		const {backends} = this.snapshots.value;
+		const places = stages.flatMap(({id}) => backends.get(id)?.dataCentre ?? []);
+		const bytes = tokens * model.activationBytes;
+		for (const [index, to] of places.entries()) {
+			const from = places[index - 1];
+			if (from !== undefined && from !== to) {
+				const now = this.options.readClock();
+				this.#links = recordTransfer(this.#links, [from, to], bytes, now);
+			}
+		}
+	}
+
 	/** Counts work at the stages until the clean-up is called. */
 	registerWork(
 		stages: ReadonlyArray<Pick<PathStage, 'id' | 'layers'>>,
@@ -191,6 +227,23 @@
 		return isAvoided(this.#avoidance, id, this.options.readClock());
 	}
 
+	#computeHopCost(
+		model: PipelineModel,
+		from: DataCentreId,
+		to: DataCentreId,
+	): number {
+		if (from === to) {
+			return localHopMs;
+		}
+
+		const now = this.options.readClock();
+		const mbps = computeLinkMbps(this.#links, [from, to], now);
+		const load = (mbps * this.options.countGateways()) / model.pipeMbps;
+		return load > fullLoad
+			? Number.POSITIVE_INFINITY
+			: remoteHopMs * (1 + loadWeight * load);
+	}
+
 	#toPathEngine(
 		backend: Backend,
 		model: PipelineModel,
@@ -208,14 +261,18 @@
 		const slotLoad = (work.requests * gateways) / model.slots;
 		const stepFactor = model.kinds.get(kind)?.stepFactor ?? 1;
 		const stepMs = (model.stepMs * stepFactor) / model.layers;
+		if (load > fullLoad) {
+			return undefined;
+		}
+
 		return {
 			id,
 			address,
 			dataCentre,
 			layers,
-			layerCost:
-				stepMs * (1 + loadWeight * load) * (load > fullLoad ? fullFactor : 1),
-			firstCost: slotLoad > fullLoad ? fullFactor : loadWeight * slotLoad,
+			layerCost: stepMs * (1 + loadWeight * load),
+			firstCost:
+				slotLoad > fullLoad ? Number.POSITIVE_INFINITY : loadWeight * slotLoad,
 		};
 	}
 
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -61,31 +61,28 @@
 	let stoppingAt: number | undefined;
 	const follower = followConfiguration({store, lifeCycle, logger, readClock});
 	const {configurations} = follower;
+	const fleet: Fleet = new Fleet({
+		dataCentre: settings.dataCentre,
+		logger,
+		readClock,
+		countGateways: () => group.size,
+	});
 	const group = new Group({
 		store,
 		self: settings.peerListen,
-		memberMs: Math.max(3000, settings.minMemberMs),
+		seeds: settings.seeds,
+		memberMs: settings.memberMs,
+		readListedAt: () => fleet.readAt,
 		lifeCycle,
 		logger,
 		readClock,
 	});
-	const fleet = new Fleet({
-		dataCentre: settings.dataCentre,
-		logger,
-		readClock,
-		countGateways: () => group.size,
-	});
 	followBackends({store, fleet, lifeCycle, logger, readClock});
 	const peers = new PeerDesk({
 		follower,
 		fleet,
-		listPeers: () => [
-			...new Set(
-				[...group.listPeers(), ...settings.seeds].filter(
-					(address) => address !== settings.peerListen,
-				),
-			),
-		],
+		listPeers: () => group.listPeers(),
+		isStopping: () => stoppingAt !== undefined,
 		lifeCycle,
 		logger,
 		readClock,
@@ -192,6 +189,7 @@
 				});
 			}
 
+			await group.leave();
 			logger.info('gateway.stopped', {in_flight: inFlight});
 			await lifeCycle.stop();
 		},
--- a/packages/bramleystage-gateway/src/group.ts
+++ b/packages/bramleystage-gateway/src/group.ts
@@ -1,53 +1,62 @@
 /**
- * The gateways' group at the platform's store: who else is there, and who gives
- * orders. A second giver for a moment does no harm, since every order names the
- * number of orders before it.
+ * The gateways' group at the platform's store, and which of them gives orders:
+ * the first by address that answers and whose list is not far behind. Two
+ * givers for a moment do no harm, since every order names the number of orders
+ * before it; so the choice needs no lease and goes on while the store is away.
  */
-import {LifeCycle, type Logger, waitFor} from 'bramleystage';
-import type {GroupMember, Membership, StorePort} from './platform-port.js';
+import {type LifeCycle, type Logger, waitFor} from 'bramleystage';
+import {askPeer} from './peer-exchange.js';
+import type {StorePort} from './platform-port.js';
 
 /** Renewals in the time for which the store keeps a silent member. */
 const renewalsPerLife = 3;
-
+/** How often the gateways that come first are asked, in milliseconds. */
+const askMs = 500;
+/** How much older the list of a giver of orders may be than one's own, in milliseconds. */
+const maxLagMs = 2500;
 /** Gateways that are assumed before the group was read. */
 const assumedSize = 6;
 
+export type GroupOptions = {
+	readonly store: StorePort;
+	/** Address at which other gateways ask this one. */
+	readonly self: string;
+	/** Addresses that are known without the store. */
+	readonly seeds: readonly string[];
+	/** Time for which the store keeps a silent member, in milliseconds. */
+	readonly memberMs: number;
+	/** Present time as of which this gateway's list was read, in milliseconds. */
+	readonly readListedAt: () => number;
+	readonly lifeCycle: LifeCycle;
+	readonly logger: Logger;
+	readonly readClock: () => number;
+};
+
 export class Group {
-	#membership: Membership = {generation: 0, isLeader: false};
-	#members: readonly GroupMember[] = [];
-	#confirmedAt = Number.NEGATIVE_INFINITY;
-
-	constructor(
-		private readonly options: {
-			readonly store: StorePort;
-			readonly self: string;
-			/** Time for which the store keeps a silent member, in milliseconds. */
-			readonly memberMs: number;
-			readonly lifeCycle: LifeCycle;
-			readonly logger: Logger;
-			readonly readClock: () => number;
-		},
-	) {
+	#generation = 0;
+	#members: readonly string[] = [];
+	#isLeader = false;
+
+	constructor(private readonly options: GroupOptions) {
 		void this.#renew();
+		void this.#watchFirst();
 	}
 
 	get generation(): number {
-		return this.#membership.generation;
+		return this.#generation;
 	}
 
-	/** Whether this process gives orders, by a word of the store that still counts. */
+	/** Whether this gateway gives orders. */
 	get isLeader(): boolean {
-		const {readClock, memberMs} = this.options;
-		return (
-			this.#membership.isLeader && readClock() - this.#confirmedAt < memberMs
-		);
+		return this.#isLeader;
 	}
 
-	/** Addresses of the other gateways. */
+	/** Addresses of the other gateways, as far as known. */
 	listPeers(): string[] {
-		return this.#members
-			.map(({address}) => address)
-			.filter((address) => address !== this.options.self);
+		const {self, seeds} = this.options;
+		return [...new Set([...this.#members, ...seeds])]
+			.filter((address) => address !== self)
+			.toSorted();
 	}
 
 	/** Gateways that share the load and the budgets. */
@@ -55,27 +64,27 @@
 		return this.#members.length > 0 ? this.#members.length : assumedSize;
 	}
 
+	/** Leaves the group, so that the others need not wait for the silence. */
+	async leave(): Promise<void> {
+		const {store, self, logger} = this.options;
+		const left = await store.leaveGroup(self);
+		if (left.isErr()) {
+			logger.warn('group.unleft', {detail: left.error.detail});
+		}
+	}
+
 	async #renew(): Promise<void> {
-		const {store, self, memberMs, lifeCycle, logger, readClock} = this.options;
+		const {store, self, memberMs, lifeCycle, logger} = this.options;
 		while (!lifeCycle.isStopped) {
-			const askedAt = readClock();
 			// Renewals follow each other.
 			// eslint-disable-next-line no-await-in-loop
-			const joined = await store.joinGroup(self, this.generation);
-			if (joined.isOk()) {
-				const previous = this.#membership;
-				this.#membership = joined.value;
-				this.#confirmedAt = askedAt;
-				if (previous.generation !== joined.value.generation) {
-					logger.info('group.changed', {
-						generation: joined.value.generation,
-						leader: joined.value.isLeader,
-					});
-					// eslint-disable-next-line no-await-in-loop
-					await this.#readMembers();
-				}
-			} else {
+			const joined = await store.joinGroup(self, this.#generation);
+			if (joined.isErr()) {
 				logger.debug('group.unreachable', {detail: joined.error.detail});
+			} else if (joined.value.generation !== this.#generation) {
+				this.#generation = joined.value.generation;
+				// eslint-disable-next-line no-await-in-loop
+				await this.#readMembers();
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -84,12 +93,54 @@
 	}
 
 	async #readMembers(): Promise<void> {
-		const members = await this.options.store.listMembers();
-		if (members.isOk()) {
-			this.#members = members.value;
+		const {store, logger} = this.options;
+		const members = await store.listMembers();
+		if (members.isErr()) {
+			logger.warn('group.unread', {detail: members.error.detail});
 			return;
 		}
 
-		this.options.logger.warn('group.unread', {detail: members.error.detail});
+		this.#members = members.value;
+		logger.info('group.changed', {
+			generation: this.#generation,
+			members: members.value.join(','),
+		});
+	}
+
+	async #watchFirst(): Promise<void> {
+		const {lifeCycle, logger} = this.options;
+		while (!lifeCycle.isStopped) {
+			// eslint-disable-next-line no-await-in-loop
+			const first = await this.#findFirst();
+			if (first === undefined !== this.#isLeader) {
+				this.#isLeader = first === undefined;
+				logger.info('orders.giver', {giver: first ?? this.options.self});
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await waitFor(askMs);
+		}
+	}
+
+	/** Finds a gateway that comes before this one and answers; nothing if it is this one's turn. */
+	async #findFirst(): Promise<string | undefined> {
+		const {self, readClock, readListedAt} = this.options;
+		for (const address of this.listPeers().filter((peer) => peer < self)) {
+			// Each is asked only if none before it answers.
+			// eslint-disable-next-line no-await-in-loop
+			const answer = await askPeer(address, {
+				version: Number.MAX_SAFE_INTEGER,
+				listAgeMs: 0,
+			});
+			const ownAgeMs = readClock() - readListedAt();
+			const lagMs = answer.isOk()
+				? (answer.value.listAgeMs ?? Number.POSITIVE_INFINITY) - ownAgeMs
+				: Number.POSITIVE_INFINITY;
+			if (answer.isOk() && !answer.value.isStopping && lagMs < maxLagMs) {
+				return address;
+			}
+		}
+
+		return undefined;
 	}
 }
--- a/packages/bramleystage-gateway/src/index.ts
+++ b/packages/bramleystage-gateway/src/index.ts
@@ -9,7 +9,6 @@
 	EnginePort,
 	EngineReport,
 	GatewaySettings,
-	GroupMember,
 	HeaderPort,
 	Headers,
 	Membership,
--- a/packages/bramleystage-gateway/src/peer-desk.ts
+++ b/packages/bramleystage-gateway/src/peer-desk.ts
@@ -3,7 +3,7 @@
  * store itself: right after a start during an outage, or when the store serves
  * others but not this host.
  */
-import type {LifeCycle, Logger, RoutingConfiguration} from 'bramleystage';
+import type {LifeCycle, Logger} from 'bramleystage';
 import type {ConfigurationFollower} from './configuration-follower.js';
 import type {Fleet} from './fleet.js';
 import {askPeer, type PeerAnswer, type PeerQuestion} from './peer-exchange.js';
@@ -20,6 +20,7 @@
 	readonly fleet: Fleet;
 	/** Addresses of other gateways, as far as known. */
 	readonly listPeers: () => readonly string[];
+	readonly isStopping: () => boolean;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
@@ -43,6 +44,8 @@
 			fleet.isListed &&
 			(question.listAgeMs === null || ageMs < question.listAgeMs);
 		return {
+			listAgeMs: fleet.isListed ? ageMs : null,
+			isStopping: this.options.isStopping(),
 			...(configuration &&
 				configuration.version > question.version && {configuration}),
 			...(isFresher && {
@@ -90,7 +93,7 @@
 		if (configuration) {
 			logger.info('configuration.received', {
 				from: address,
-				version: (configuration satisfies RoutingConfiguration).version,
+				version: configuration.version,
 			});
 			follower.offer(configuration);
 		}
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -57,6 +57,9 @@
 });
 
 const answerSchema = z.object({
+	/** Time since the list was read from the store, in milliseconds; nothing if never. */
+	listAgeMs: z.number().nullable(),
+	isStopping: z.boolean(),
 	configuration: configurationSchema.optional(),
 	list: z
 		.object({backends: z.array(backendSchema), ageMs: z.number()})
@@ -65,6 +68,9 @@
 
 export type PeerQuestion = z.infer<typeof questionSchema>;
 export type PeerAnswer = {
+	/** Time since the list was read from the store, in milliseconds; nothing if never. */
+	readonly listAgeMs: number | null;
+	readonly isStopping: boolean;
 	readonly configuration?: RoutingConfiguration;
 	readonly list?: {
 		readonly backends: readonly Backend[];
--- a/packages/bramleystage-gateway/src/placement-desk.ts
+++ b/packages/bramleystage-gateway/src/placement-desk.ts
@@ -29,6 +29,12 @@
 /** An order counts as under way for the load time and this slack, in milliseconds. */
 const orderSlackMs = 1500;
 
+/** Time between two reports of an engine that carries out an order, in milliseconds. */
+const confirmMs = 400;
+
+const isSameRange = (a: LayerRange | undefined, b: LayerRange) =>
+	a?.from === b.from && a.to === b.to;
+
 type Pending = {readonly layers: LayerRange; readonly until: number};
 
 export type PlacementOptions = {
@@ -105,7 +111,8 @@
 				kind: backend.kind ?? '',
 				layers: backend.layers,
 				ordered: this.#pending.get(backend.id)?.layers,
-				isUsable: !backend.isDraining,
+				isUsable:
+					!backend.isDraining && !this.options.fleet.isLost(backend.id),
 			})),
 		);
 		const byId = new Map(backends.map((backend) => [backend.id, backend]));
@@ -127,14 +134,38 @@
 	/** Forgets an order that is in force, or that took too long. */
 	#settlePending({id, layers}: Backend, now: number): void {
 		const pending = this.#pending.get(id);
-		const isInForce =
-			pending?.layers.from === layers?.from &&
-			pending?.layers.to === layers?.to;
-		if (pending && (isInForce || now > pending.until)) {
+		if (
+			pending &&
+			(isSameRange(layers, pending.layers) || now > pending.until)
+		) {
 			this.#pending.delete(id);
 		}
 	}
 
+	/**
+	 * Reads the engine's report until the order is in force. The list says so
+	 * too, but later, and not while the store is away.
+	 */
+	#confirm(id: BackendId, address: string): void {
+		this.options.lifeCycle.registerTimeout(confirmMs, () => {
+			void (async () => {
+				const pending = this.#pending.get(id);
+				if (!pending || this.options.readClock() > pending.until) {
+					return;
+				}
+
+				const report = await this.options.engines.readReport(address, answerMs);
+				const backend = this.options.fleet.snapshots.value.backends.get(id);
+				const layers = report.isOk() ? report.value.layers : undefined;
+				if (backend && layers && isSameRange(layers, pending.layers)) {
+					this.options.fleet.update({...backend, layers});
+				} else {
+					this.#confirm(id, address);
+				}
+			})();
+		});
+	}
+
 	async #send({id, address}: Backend, {layers}: LayerOrder): Promise<void> {
 		const {engines, logger, group} = this.options;
 		const report = await engines.readReport(address, answerMs);
@@ -153,6 +184,10 @@
 			fence: group.generation,
 			timeoutMs: answerMs,
 		});
+		if (outcome.isOk() && outcome.value === 'accepted') {
+			this.#confirm(id, address);
+		}
+
 		logger.info('order.sent', {
 			backend: id,
 			address,
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -48,19 +48,9 @@
 	readonly skipped: readonly SkippedRecord[];
 };
 
-/** A member of the gateways' group. */
-export type GroupMember = {
-	/** `host:port` at which other gateways reach it. */
-	readonly address: string;
-	/** Whether it gives orders. */
-	readonly isLeader: boolean;
-};
-
 export type Membership = {
 	/** Grows with each change of the group. */
 	readonly generation: number;
-	/** Whether this process gives orders. */
-	readonly isLeader: boolean;
 };
 
 export type StorePort = {
@@ -85,9 +75,8 @@
 		generation: number,
 	) => Promise<Result<Membership, StoreFailure>>;
 	readonly leaveGroup: (self: string) => Promise<Result<void, StoreFailure>>;
-	readonly listMembers: () => Promise<
-		Result<readonly GroupMember[], StoreFailure>
-	>;
+	/** Addresses of the members of the gateways' group. */
+	readonly listMembers: () => Promise<Result<readonly string[], StoreFailure>>;
 };
 
 /** What an engine says of itself. */
@@ -237,8 +226,8 @@
 	readonly graceMs: number;
 	/** How often backend servers renew their entries. */
 	readonly heartbeatMs: number;
-	/** Least time for which a group member is kept. */
-	readonly minMemberMs: number;
+	/** Time for which the store keeps a silent member of the group. */
+	readonly memberMs: number;
 	readonly retryRatio: number;
 	/** Repeats in a window besides the ratio, over all gateways. */
 	readonly retrySlack: number;
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -106,6 +106,14 @@
 		const {call, desk} = this;
 		const tokens = call.facts.promptTokens + call.facts.maxAnswerTokens / 2;
 		this.progressAt = desk.readClock();
+		if (call.service.pipeline) {
+			desk.fleet.recordPrompt(
+				call.service.pipeline,
+				path,
+				call.facts.promptTokens,
+			);
+		}
+
 		const flight: Flight = {
 			path,
 			splitter: new EventSplitter(),
--- a/packages/bramleystage/src/coordination/layer-path.ts
+++ b/packages/bramleystage/src/coordination/layer-path.ts
@@ -24,11 +24,8 @@
 	readonly layers: LayerRange;
 };
 
-/** Costs of passing activations on, in milliseconds of expected time. */
-export type HopCosts = {
-	readonly withinDataCentre: number;
-	readonly betweenDataCentres: number;
-};
+/** Computes the cost of passing activations on, in milliseconds of expected time. */
+export type ComputeHopCost = (from: DataCentreId, to: DataCentreId) => number;
 
 type Step = {
 	readonly engine: PathEngine;
@@ -40,7 +37,7 @@
 export function choosePath(
 	engines: readonly PathEngine[],
 	layers: number,
-	hops: HopCosts,
+	computeHopCost: ComputeHopCost,
 	first?: BackendId,
 ): PathStage[] | undefined {
 	let reached: Step[] = [];
@@ -60,7 +57,7 @@
 				continue;
 			}
 
-			const previous = findPrevious(engine, reached, best, hops);
+			const previous = findPrevious(engine, reached, best, computeHopCost);
 			if (previous) {
 				next.push({
 					engine,
@@ -78,6 +75,10 @@
 	}
 
 	const last = reached.reduce((a, b) => (b.cost < a.cost ? b : a));
+	if (last.cost === Number.POSITIVE_INFINITY) {
+		return undefined;
+	}
+
 	return mergeRepeated(listStages(last, layers));
 }
 
@@ -101,16 +102,12 @@
 	engine: PathEngine,
 	reached: readonly Step[],
 	best: ReadonlyMap<DataCentreId, Step>,
-	hops: HopCosts,
+	computeHopCost: ComputeHopCost,
 ): {step: Step; cost: number} | undefined {
 	const own = reached.find((step) => step.engine === engine);
 	let found = own && {step: own, cost: own.cost};
 	for (const [dataCentre, step] of best) {
-		const hop =
-			dataCentre === engine.dataCentre
-				? hops.withinDataCentre
-				: hops.betweenDataCentres;
-		const cost = step.cost + hop;
+		const cost = step.cost + computeHopCost(dataCentre, engine.dataCentre);
 		if (step.engine !== engine && (!found || cost < found.cost)) {
 			found = {step, cost};
 		}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -673,7 +673,7 @@
 } from './coordination/layer-orders.js';
 export {
 	choosePath,
-	type HopCosts,
+	type ComputeHopCost,
 	type PathEngine,
 	type PathStage,
 } from './coordination/layer-path.js';
@@ -727,3 +727,9 @@
 	toRouteName,
 } from './protocol/ids.js';
 export {splitBy} from './state/split-by.js';
+export {
+	computeLinkMbps,
+	createLinkLoads,
+	type LinkLoads,
+	recordTransfer,
+} from './state/link-loads.js';
