--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -48,8 +48,8 @@
 const remoteHopMs = 12;
 /** Weight of the load in the cost of an engine or a link. */
 const loadWeight = 3;
-/** Load over which an engine or a link takes no new work; the estimate has this much slack. */
-const fullLoad = 1.1;
+/** Load over which an engine or a link takes no new work; the other gateways may have less there than this one. */
+const fullLoad = 2;
 /** Strikes after which a server that nobody delisted is taken for lost. */
 const lostStrikes = 3;
 
