--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -149,6 +149,13 @@
 		return (this.#avoidance.get(id)?.strikes ?? 0) >= lostStrikes;
 	}
 
+	/** Whether requests could not reach a server just now. */
+	isUnreachable(id: BackendId): boolean {
+		return (
+			this.isAvoided(id) && this.#avoidance.get(id)?.sign === 'unreachable'
+		);
+	}
+
 	/** Records the transfers between data centres that a prompt causes on its path. */
 	recordPrompt(
 		model: PipelineModel,
--- a/packages/bramleystage-gateway/src/placement-desk.ts
+++ b/packages/bramleystage-gateway/src/placement-desk.ts
@@ -113,6 +113,7 @@
 				ordered: this.#pending.get(backend.id)?.layers,
 				isUsable:
 					!backend.isDraining && !this.options.fleet.isLost(backend.id),
+				isSuspect: this.options.fleet.isUnreachable(backend.id),
 			})),
 		);
 		const byId = new Map(backends.map((backend) => [backend.id, backend]));
@@ -166,7 +167,7 @@
 		});
 	}
 
-	async #send({id, address}: Backend, {layers}: LayerOrder): Promise<void> {
+	async #send({id, address}: Backend, {layers, reason}: LayerOrder): Promise<void> {
 		const {engines, logger, group} = this.options;
 		const report = await engines.readReport(address, answerMs);
 		if (report.isErr()) {
@@ -192,6 +193,7 @@
 			backend: id,
 			address,
 			layers: `${layers.from}-${layers.to}`,
+			reason,
 			expected_orders: report.value.orderCount,
 			outcome: outcome.isOk() ? outcome.value : outcome.error.kind,
 			detail: outcome.isErr() ? outcome.error.detail : undefined,
--- a/packages/bramleystage-gateway/src/stream-watch.ts
+++ b/packages/bramleystage-gateway/src/stream-watch.ts
@@ -15,9 +15,11 @@
 import type {StreamRun} from './stream-run.js';
 
 /** How often the watch looks, in milliseconds. */
-const tickMs = 40;
-/** Silence after which streams that had events leave a path: under the pause that users accept. */
-const silenceMs = 130;
+const tickMs = 20;
+/** Silence after which streams that had events leave a path: a new path must start within the pause that users accept. */
+const silenceMs = 80;
+/** Smoothed pauses that make up a silence on a slow path. */
+const silentPauses = 3;
 /** Silence after which streams without an event yet leave a path: long prompts take a while. */
 const firstSilenceMs = 350;
 /** Longest wait for a report; a live engine answers within a few milliseconds. */
@@ -29,7 +31,7 @@
 /** Weight of a new pause in the smoothed one. */
 const pauseWeight = 0.05;
 /** Delay of the watch's own timer that shows that this process was held up, in milliseconds. */
-const heldUpMs = 60;
+const heldUpMs = 40;
 
 export type StreamWatchOptions = {
 	readonly fleet: Fleet;
@@ -82,12 +84,17 @@
 
 		const active = [...this.#streams].filter(({path}) => path.length > 0);
 		for (const [key, streams] of splitBy(active, ({path}) => formatKey(path))) {
-			if (isSilent(streams, now)) {
+			if (isSilent(streams, this.#computeLimit(key), now)) {
 				void this.#handleSilence(key, streams);
 			}
 		}
 	}
 
+	/** Silence of a path that is out of the ordinary, in milliseconds. */
+	#computeLimit(key: string): number {
+		return Math.max(silenceMs, silentPauses * (this.#pauses.get(key) ?? 0));
+	}
+
 	async #handleSilence(
 		key: string,
 		streams: readonly StreamRun[],
@@ -110,7 +117,9 @@
 		});
 		const now = readClock();
 		for (const stream of streams) {
-			const isStill = formatKey(stream.path) === key && isSilent([stream], now);
+			const isStill =
+				formatKey(stream.path) === key &&
+				now - stream.progressAt > this.#computeLimit(key);
 			const path = stream.path.map(({id}) => id);
 			const isAffected = path.some((id) => suspects.includes(id));
 			// Without a suspect a path is left only if it used to be fast: a busy one is slow everywhere.
@@ -155,10 +164,14 @@
  * Whether streams of one path have made no progress for too long. One that has
  * had events tells more than one that still waits for its prompt to be read.
  */
-function isSilent(streams: readonly StreamRun[], now: number): boolean {
+function isSilent(
+	streams: readonly StreamRun[],
+	limitMs: number,
+	now: number,
+): boolean {
 	const started = streams.filter(({hasEvents}) => hasEvents);
 	const isStartedSilent = started.every(
-		({progressAt}) => now - progressAt > silenceMs,
+		({progressAt}) => now - progressAt > limitMs,
 	);
 	if (started.length > 0) {
 		return isStartedSilent;
--- a/packages/bramleystage/src/coordination/avoidance.ts
+++ b/packages/bramleystage/src/coordination/avoidance.ts
@@ -23,6 +23,8 @@
 type Mark = {
 	readonly until: number;
 	readonly strikes: number;
+	/** Last sign. */
+	readonly sign?: TroubleSign;
 	/** Sum of the weights of recent signs, as of `scoredAt`. */
 	readonly score: number;
 	readonly scoredAt: number;
@@ -74,7 +76,7 @@
 	const score = computeScore(known, now) + weights[sign];
 	const strikes = known?.strikes ?? 0;
 	if (score < 1) {
-		const mark = {until: 0, strikes, score, scoredAt: now};
+		const mark = {until: 0, strikes, sign, score, scoredAt: now};
 		return new Map(avoidance).set(id, mark);
 	}
 
@@ -82,6 +84,7 @@
 	const mark = {
 		until: now + time,
 		strikes: strikes + 1,
+		sign,
 		score: 0,
 		scoredAt: now,
 	};
--- a/packages/bramleystage/src/coordination/layer-orders.ts
+++ b/packages/bramleystage/src/coordination/layer-orders.ts
@@ -1,15 +1,19 @@
 /**
  * Decides which engines are to hold other layers than they do. At the start all
- * layers are placed at once; later an engine that holds nothing is given what is
- * held least, and a gap that no empty engine fills is closed by its neighbours.
+ * layers are placed at once. Later a gap is filled by an engine that stands by
+ * or holds only what others hold too, else by its neighbours; and an engine with
+ * too little room hands layers at its edge to a neighbour: the neighbour takes
+ * them first, then the engine gives them up, so that no layer is ever uncovered.
  */
 import type {BackendId, DataCentreId} from '../protocol/ids.js';
 import type {LayerRange} from '../state/backends.js';
 import type {PipelineModel} from '../state/routes.js';
-import {splitBy} from '../state/split-by.js';
 import {
+	computeLayersFor,
 	computeMaxLayers,
+	computeTargetRoom,
 	computeTokenRoom,
+	listAreas,
 	planLayers,
 } from './layer-plan.js';
 
@@ -22,14 +26,27 @@
 	readonly ordered?: LayerRange;
 	/** Whether it stays: it is neither leaving nor taken for dead. */
 	readonly isUsable: boolean;
+	/** Whether requests could not reach it just now. */
+	readonly isSuspect: boolean;
 };
 
-export type LayerOrder = {readonly id: BackendId; readonly layers: LayerRange};
+export type LayerOrder = {
+	readonly id: BackendId;
+	readonly layers: LayerRange;
+	readonly reason: 'first' | 'gap' | 'neighbour' | 'relief' | 'shrink';
+};
 
-/** Tokens that an engine keeps room for when it takes more layers. */
-const minTokenRoom = 40_000;
+/** Tokens that an engine keeps room for when it closes a gap. */
+const minTokenRoom = 12_000;
+/** Share of the target room under which an engine is relieved. */
+const reliefShare = 0.7;
+/** How much more room a neighbour must have left when it relieves another. */
+const reliefFactor = 1.2;
 
-const spanOf = (engine: OrderedEngine) => engine.ordered ?? engine.layers;
+const readRange = ({ordered, layers}: OrderedEngine) => ordered ?? layers;
+const countLayers = ({from, to}: LayerRange) => to - from;
+const hasLayer = (range: LayerRange | undefined, layer: number) =>
+	range !== undefined && layer >= range.from && layer < range.to;
 
 /** Decides the next orders; an engine with an order under way gets none. */
 export function planOrders(
@@ -37,190 +54,282 @@
 	engines: readonly OrderedEngine[],
 ): LayerOrder[] {
 	const usable = engines.filter(({isUsable}) => isUsable);
-	if (usable.every((engine) => spanOf(engine) === undefined)) {
-		return [...planLayers(model, usable)].map(([id, layers]) => ({id, layers}));
-	}
-
-	const planned = new Map<BackendId, LayerRange>();
-	const read = (engine: OrderedEngine) =>
-		planned.get(engine.id) ?? spanOf(engine);
-	const nominal = computeNominalRoom(model, usable);
-	for (const engine of usable.filter((item) => spanOf(item) === undefined)) {
-		const span = chooseSpan(model, engine, usable, read, nominal);
-		if (span) {
-			planned.set(engine.id, span);
-		}
+	if (usable.every((engine) => readRange(engine) === undefined)) {
+		return [...planLayers(model, usable)].map(([id, layers]) => ({
+			id,
+			layers,
+			reason: 'first',
+		}));
 	}
 
-	for (const [, local] of splitBy(usable, ({dataCentre}) => dataCentre)) {
-		extendNeighbours(model, local, read, planned);
+	return listAreas(model, usable).flatMap(({engines: local, copies}) =>
+		planArea(model, local, copies),
+	);
+}
+
+function planArea(
+	model: PipelineModel,
+	local: readonly OrderedEngine[],
+	copies: number,
+): LayerOrder[] {
+	const target =
+		computeTargetRoom(
+			model,
+			local.map(({kind}) => kind),
+		) ?? minTokenRoom;
+	const filled = fillGaps(model, local, copies, target);
+	if (filled.length > 0) {
+		return filled;
 	}
 
-	return [...planned].map(([id, layers]) => ({id, layers}));
+	const closed = closeGap(model, local);
+	if (closed) {
+		return [closed];
+	}
+
+	const isBusy = local.some(({ordered}) => ordered !== undefined);
+	const relieved = isBusy ? undefined : relieveWeakest(model, local, target);
+	return relieved ? [relieved] : [];
 }
 
-/** Token room that the engines have on average with one full copy in each group. */
-function computeNominalRoom(
+/** Fills runs of layers that too few hold by engines that are free to move. */
+function fillGaps(
 	model: PipelineModel,
-	engines: readonly OrderedEngine[],
-): number {
-	const rooms = engines.flatMap((engine) => {
-		const span = spanOf(engine);
-		return span
-			? [computeTokenRoom(model, engine.kind, span.to - span.from)]
-			: [];
-	});
-	rooms.sort((a, b) => a - b);
-	return rooms[Math.floor(rooms.length / 2)] ?? minTokenRoom;
+	local: readonly OrderedEngine[],
+	copies: number,
+	target: number,
+): LayerOrder[] {
+	const orders: LayerOrder[] = [];
+	let current = local;
+	for (;;) {
+		const holders = current.filter(({isSuspect}) => !isSuspect);
+		const gap = findGap(model, holders, copies);
+		const engine = gap && chooseFree(model, holders, copies);
+		if (!gap || !engine) {
+			return orders;
+		}
+
+		const size = Math.max(1, computeLayersFor(model, engine.kind, target));
+		const from = Math.min(gap.from, model.layers - size);
+		const layers = {from, to: from + size};
+		orders.push({id: engine.id, layers, reason: 'gap'});
+		current = current.map((item) =>
+			item === engine ? {...item, ordered: layers} : item,
+		);
+	}
 }
 
-/** Chooses the layers of an empty engine: the run of layers that is held least. */
-function chooseSpan(
+/** Chooses the largest engine that stands by, else one all of whose layers others hold as well. */
+function chooseFree(
 	model: PipelineModel,
-	engine: OrderedEngine,
-	usable: readonly OrderedEngine[],
-	read: (engine: OrderedEngine) => LayerRange | undefined,
-	nominal: number,
-): LayerRange | undefined {
-	const size = chooseSize(model, engine.kind, nominal);
-	if (size === 0) {
+	holders: readonly OrderedEngine[],
+	copies: number,
+): OrderedEngine | undefined {
+	const idle = holders.filter(({ordered}) => ordered === undefined);
+	const isRedundant = (engine: OrderedEngine) => {
+		const others = holders.filter((other) => other !== engine);
+		const {from, to} = engine.layers ?? {from: 0, to: 0};
+		for (let layer = from; layer < to; layer++) {
+			const held = others.filter((other) => hasLayer(readRange(other), layer));
+			if (held.length < copies) {
+				return false;
+			}
+		}
+
+		return true;
+	};
+
+	const standBy = idle.filter(({layers}) => layers === undefined);
+	const free = standBy.length > 0 ? standBy : idle.filter(isRedundant);
+	return free.toSorted(
+		(a, b) =>
+			computeMaxLayers(model, b.kind) - computeMaxLayers(model, a.kind),
+	)[0];
+}
+
+/** Closes one layer of a gap that nobody holds by an engine beside it. */
+function closeGap(
+	model: PipelineModel,
+	local: readonly OrderedEngine[],
+): LayerOrder | undefined {
+	const gap = findGap(model, local, 1);
+	if (!gap) {
 		return undefined;
 	}
 
-	const needs = Array.from({length: model.layers}, (_, layer) =>
-		computeNeed(model, engine, layer, usable, read),
-	);
-	let best = 0;
-	let bestNeed = -1;
-	for (let from = 0; from + size <= model.layers; from++) {
-		const need = needs
-			.slice(from, from + size)
-			.reduce((sum, value) => sum + value, 0);
-		if (need > bestNeed + 1e-9) {
-			best = from;
-			bestNeed = need;
+	let best: (LayerOrder & {room: number}) | undefined;
+	for (const engine of local) {
+		if (engine.ordered || engine.isSuspect || !engine.layers) {
+			continue;
+		}
+
+		const layers = extendInto(model, engine, gap);
+		const room = layers
+			? computeTokenRoom(model, engine.kind, countLayers(layers))
+			: 0;
+		if (layers && (!best || room > best.room)) {
+			best = {id: engine.id, layers, reason: 'neighbour', room};
 		}
 	}
 
-	return {from: best, to: best + size};
+	return best && {id: best.id, layers: best.layers, reason: best.reason};
 }
 
-function chooseSize(
+/** Takes as much of a gap as fits, but no more than about half unless it is at the edge. */
+function extendInto(
 	model: PipelineModel,
-	kind: string,
-	nominal: number,
-): number {
-	let size = computeMaxLayers(model, kind);
-	while (size > 1 && computeTokenRoom(model, kind, size) < nominal * 0.9) {
-		size--;
+	{kind, layers}: OrderedEngine,
+	gap: LayerRange,
+): LayerRange | undefined {
+	const isLeft = layers?.to === gap.from;
+	const isRight = layers?.from === gap.to;
+	if (!layers || (!isLeft && !isRight)) {
+		return undefined;
 	}
 
-	return size;
-}
+	const isAtEdge = gap.from === 0 || gap.to === model.layers;
+	const wanted = isAtEdge ? countLayers(gap) : Math.ceil(countLayers(gap) / 2);
+	const free =
+		computeLayersFor(model, kind, minTokenRoom) - countLayers(layers);
+	const taken = Math.min(wanted, free);
+	if (taken <= 0) {
+		return undefined;
+	}
 
-/** Weight of a layer that the whole fleet lacks, against one that a data centre lacks. */
-const uncoveredNeed = 1000;
-const locallyUncoveredNeed = 30;
+	return isLeft
+		? {from: layers.from, to: layers.to + taken}
+		: {from: layers.from - taken, to: layers.to};
+}
 
-/** How much a layer wants another holder. */
-function computeNeed(
+/** Moves one step towards more room at the engine that has the least. */
+function relieveWeakest(
 	model: PipelineModel,
-	engine: OrderedEngine,
-	layer: number,
-	usable: readonly OrderedEngine[],
-	read: (engine: OrderedEngine) => LayerRange | undefined,
-): number {
-	let everywhere = 0;
-	let local = 0;
-	for (const other of usable) {
-		const span = read(other);
-		if (!span || layer < span.from || layer >= span.to) {
-			continue;
+	local: readonly OrderedEngine[],
+	target: number,
+): LayerOrder | undefined {
+	const readRoom = ({kind, layers}: OrderedEngine) =>
+		layers
+			? computeTokenRoom(model, kind, countLayers(layers))
+			: Number.POSITIVE_INFINITY;
+	const weak = local
+		.filter(
+			(engine) =>
+				!engine.isSuspect && readRoom(engine) < reliefShare * target,
+		)
+		.toSorted((a, b) => readRoom(a) - readRoom(b));
+	for (const engine of weak) {
+		const order =
+			shrinkOverlap(engine, local) ??
+			takeFromEdge(model, engine, local, readRoom(engine));
+		if (order) {
+			return order;
 		}
+	}
 
-		const room = computeTokenRoom(model, other.kind, span.to - span.from);
-		everywhere += room;
-		local += other.dataCentre === engine.dataCentre ? room : 0;
+	return undefined;
+}
+
+/** Gives up layers at an engine's edge that another engine holds as well. */
+function shrinkOverlap(
+	{id, layers}: OrderedEngine,
+	local: readonly OrderedEngine[],
+): LayerOrder | undefined {
+	if (!layers) {
+		return undefined;
 	}
 
-	if (everywhere === 0) {
-		return uncoveredNeed;
+	const isHeldElsewhere = (layer: number) =>
+		local.some(
+			(other) =>
+				other.id !== id && !other.isSuspect && hasLayer(other.layers, layer),
+		);
+	let {from, to} = layers;
+	while (to - from > 1 && isHeldElsewhere(to - 1)) {
+		to--;
 	}
 
-	return local === 0 ? locallyUncoveredNeed : 1e5 / (local + 0.1 * everywhere);
+	while (to - from > 1 && isHeldElsewhere(from)) {
+		from++;
+	}
+
+	return to - from < countLayers(layers)
+		? {id, layers: {from, to}, reason: 'shrink'}
+		: undefined;
 }
 
-/** Closes gaps of a data centre by its engines that hold the layers beside them. */
-function extendNeighbours(
+/** Has another engine take a layer at an engine's edge: one that stands by, or a neighbour. */
+function takeFromEdge(
 	model: PipelineModel,
+	{layers}: OrderedEngine,
 	local: readonly OrderedEngine[],
-	read: (engine: OrderedEngine) => LayerRange | undefined,
-	planned: Map<BackendId, LayerRange>,
-) {
-	for (;;) {
-		const gap = findGap(model, local, read);
-		if (!gap) {
-			return;
-		}
-
-		let best: {id: BackendId; layers: LayerRange; room: number} | undefined;
-		for (const engine of local) {
-			const layers = extendTo(engine, read(engine), gap);
-			const isBusy = engine.ordered !== undefined;
-			if (!layers || isBusy) {
-				continue;
-			}
+	room: number,
+): LayerOrder | undefined {
+	if (!layers || countLayers(layers) < 2) {
+		return undefined;
+	}
 
-			const size = layers.to - layers.from;
-			const room = computeTokenRoom(model, engine.kind, size);
-			if (
-				size <= computeMaxLayers(model, engine.kind) &&
-				room >= minTokenRoom &&
-				(!best || room > best.room)
-			) {
-				best = {id: engine.id, layers, room};
-			}
-		}
+	const standBy = local.find(
+		(other) => !other.layers && !other.ordered && !other.isSuspect,
+	);
+	if (standBy) {
+		const half = Math.ceil(countLayers(layers) / 2);
+		const size = Math.min(half, computeMaxLayers(model, standBy.kind));
+		return size > 0
+			? {
+					id: standBy.id,
+					layers: {from: layers.to - size, to: layers.to},
+					reason: 'relief',
+				}
+			: undefined;
+	}
 
-		if (!best) {
-			return;
+	let best: (LayerOrder & {room: number}) | undefined;
+	for (const other of local) {
+		const taken = extendByOne(other.layers, layers);
+		const left = taken
+			? computeTokenRoom(model, other.kind, countLayers(taken))
+			: 0;
+		if (taken && left > reliefFactor * room && (!best || left > best.room)) {
+			best = {id: other.id, layers: taken, reason: 'relief', room: left};
 		}
-
-		planned.set(best.id, best.layers);
 	}
+
+	return best && {id: best.id, layers: best.layers, reason: best.reason};
 }
 
-/** Gives the span that takes in the layer at the nearer end of a gap. */
-function extendTo(
-	engine: OrderedEngine,
-	span: LayerRange | undefined,
-	gap: LayerRange,
+/** Extends a range by the nearest layer of the range beside it. */
+function extendByOne(
+	range: LayerRange | undefined,
+	beside: LayerRange,
 ): LayerRange | undefined {
-	if (span?.to === gap.from) {
-		return {from: span.from, to: span.to + 1};
+	if (range?.to === beside.from) {
+		return {from: range.from, to: range.to + 1};
 	}
 
-	return span?.from === gap.to ? {from: span.from - 1, to: span.to} : undefined;
+	return range?.from === beside.to
+		? {from: range.from - 1, to: range.to}
+		: undefined;
 }
 
-/** Finds the first run of layers that nobody of a data centre holds. */
+/** Finds the first run of layers that fewer engines hold than wanted. */
 function findGap(
 	model: PipelineModel,
-	local: readonly OrderedEngine[],
-	read: (engine: OrderedEngine) => LayerRange | undefined,
+	holders: readonly OrderedEngine[],
+	copies: number,
 ): LayerRange | undefined {
-	const spans = local.flatMap((engine) => read(engine) ?? []);
-	const isHeld = (layer: number) =>
-		spans.some(({from, to}) => layer >= from && layer < to);
-	let from = 0;
-	while (from < model.layers && isHeld(from)) {
-		from++;
+	const counts = Array.from({length: model.layers}, () => 0);
+	for (const holder of holders) {
+		const range = readRange(holder);
+		for (let layer = range?.from ?? 0; layer < (range?.to ?? 0); layer++) {
+			counts[layer] = (counts[layer] ?? 0) + 1;
+		}
 	}
 
-	let to = from;
-	while (to < model.layers && !isHeld(to)) {
-		to++;
+	const from = counts.findIndex((count) => count < copies);
+	if (from === -1) {
+		return undefined;
 	}
 
-	return from < to && spans.length > 0 ? {from, to} : undefined;
+	const length = counts.slice(from).findIndex((count) => count >= copies);
+	return {from, to: length === -1 ? model.layers : from + length};
 }
--- a/packages/bramleystage/src/coordination/layer-plan.ts
+++ b/packages/bramleystage/src/coordination/layer-plan.ts
@@ -1,9 +1,10 @@
 /**
  * Places the layers of a model on engines of mixed memory. Engines are formed
  * into groups, each of which holds every layer once, as far as possible within
- * one data centre; the shares within a group are chosen so that all its engines
- * have room for about equally many tokens, since the one with the least room
- * bounds the whole pipeline.
+ * one data centre. The engine with the least room for tokens bounds a pipeline;
+ * a group keeps a share of the best room that it could have, and within that
+ * gives the layers to its fastest engines. The others stand by empty, to take
+ * the place of one that is lost.
  */
 import type {BackendId, DataCentreId} from '../protocol/ids.js';
 import type {LayerRange} from '../state/backends.js';
@@ -74,6 +75,71 @@
 	return counts;
 }
 
+/** Share of a group's best token room that is kept; the rest buys speed and engines in reserve. */
+const roomShare = 0.5;
+/** Delay of one more stage, in milliseconds. */
+const stageMs = 0.2;
+
+/** Computes the token room that every engine of a group is to have; nothing if it can't hold all layers. */
+export function computeTargetRoom(
+	model: PipelineModel,
+	kinds: readonly string[],
+): number | undefined {
+	const counts = splitLayers(model, kinds);
+	if (!counts) {
+		return undefined;
+	}
+
+	const rooms = kinds.map((kind, index) =>
+		computeTokenRoom(model, kind, counts[index] ?? 0),
+	);
+	return roomShare * Math.min(...rooms);
+}
+
+/** Most layers with which an engine has room for some tokens. */
+export function computeLayersFor(
+	model: PipelineModel,
+	kind: string,
+	room: number,
+): number {
+	let count = computeMaxLayers(model, kind);
+	while (count > 0 && computeTokenRoom(model, kind, count) < room) {
+		count--;
+	}
+
+	return count;
+}
+
+/** Chooses how many layers each engine of a group holds: as many as fit at the fastest ones. */
+export function splitLayersBySpeed(
+	model: PipelineModel,
+	kinds: readonly string[],
+): number[] | undefined {
+	const target = computeTargetRoom(model, kinds);
+	if (target === undefined) {
+		return undefined;
+	}
+
+	const capacities = kinds.map((kind) => computeLayersFor(model, kind, target));
+	const computeLayerMs = (index: number) => {
+		const kind = model.kinds.get(kinds[index] ?? '');
+		const stepMs = (model.stepMs * (kind?.stepFactor ?? 1)) / model.layers;
+		return stepMs + stageMs / Math.max(1, capacities[index] ?? 0);
+	};
+
+	const counts = kinds.map(() => 0);
+	let left = model.layers;
+	const fastestFirst = [...kinds.keys()].toSorted(
+		(a, b) => computeLayerMs(a) - computeLayerMs(b) || a - b,
+	);
+	for (const index of fastestFirst) {
+		counts[index] = Math.min(left, capacities[index] ?? 0);
+		left -= counts[index];
+	}
+
+	return left === 0 ? counts : splitLayers(model, kinds);
+}
+
 /** Plans the first placement of all layers. */
 export function planLayers(
 	model: PipelineModel,
@@ -92,7 +158,7 @@
 	group: readonly PlaceableEngine[],
 	plan: Map<BackendId, LayerRange>,
 ) {
-	const counts = splitLayers(
+	const counts = splitLayersBySpeed(
 		model,
 		group.map(({kind}) => kind),
 	);
@@ -120,62 +186,73 @@
 		0,
 	);
 
-/** Forms groups that can each hold all layers, with room for requests. */
-function formGroups(
+/** Engines that share out the layers among themselves, and how often they are to hold each. */
+export type PlacementArea<Engine> = {
+	readonly engines: readonly Engine[];
+	readonly copies: number;
+};
+
+/** Memory that a group needs, in MB. */
+const computeNeededMegabytes = (model: PipelineModel) =>
+	(model.layers * model.layerMegabytes) / (1 - minCacheShare);
+
+/** Splits engines into areas: a data centre, or several that are too small alone. */
+export function listAreas<Engine extends PlaceableEngine>(
 	model: PipelineModel,
-	engines: readonly PlaceableEngine[],
-): PlaceableEngine[][] {
-	const needed = (model.layers * model.layerMegabytes) / (1 - minCacheShare);
-	const byDataCentre = splitBy(
-		engines.toSorted((a, b) => (a.id < b.id ? -1 : 1)),
-		({dataCentre}) => dataCentre,
-	);
-	const groups: PlaceableEngine[][] = [];
-	const rest: PlaceableEngine[] = [];
-	for (const [, local] of [...byDataCentre].toSorted(([a], [b]) =>
-		a < b ? -1 : 1,
-	)) {
+	engines: readonly Engine[],
+): Array<PlacementArea<Engine>> {
+	const needed = computeNeededMegabytes(model);
+	const areas: Array<PlacementArea<Engine>> = [];
+	const rest: Engine[] = [];
+	const byDataCentre = [...splitBy(engines, ({dataCentre}) => dataCentre)];
+	for (const [, local] of byDataCentre.toSorted(([a], [b]) => (a < b ? -1 : 1))) {
 		if (sumMegabytes(model, local) >= needed) {
-			groups.push(...splitDataCentre(model, local, needed));
+			areas.push({engines: local, copies: countCopies(model, local)});
 		} else {
 			rest.push(...local);
 		}
 	}
 
-	if (sumMegabytes(model, rest) >= needed || groups.length === 0) {
-		groups.push(rest);
-	} else {
-		groups.at(-1)?.push(...rest);
+	if (rest.length > 0) {
+		areas.push({engines: rest, copies: countCopies(model, rest)});
 	}
 
-	return groups.map((group) =>
-		group
-			.toSorted(
-				(a, b) =>
-					(model.kinds.get(b.kind)?.megabytes ?? 0) -
-					(model.kinds.get(a.kind)?.megabytes ?? 0),
-			)
-			.slice(0, maxStages)
-			.toSorted((a, b) => (a.dataCentre < b.dataCentre ? -1 : a.dataCentre > b.dataCentre ? 1 : 0)),
-	);
+	return areas;
 }
 
-/** Deals the engines of a data centre out to as many groups as they fill well. */
-function splitDataCentre(
+/** Groups that the engines of an area form. */
+function countCopies(
 	model: PipelineModel,
-	local: readonly PlaceableEngine[],
-	needed: number,
-): PlaceableEngine[][] {
-	const byMemory = Math.floor(sumMegabytes(model, local) / needed);
-	const count = Math.max(
+	engines: readonly PlaceableEngine[],
+): number {
+	const byMemory = Math.floor(
+		sumMegabytes(model, engines) / computeNeededMegabytes(model),
+	);
+	return Math.max(
 		1,
-		Math.min(byMemory, Math.ceil(local.length / preferredStages)),
+		Math.min(byMemory, Math.ceil(engines.length / preferredStages)),
 	);
-	const groups = Array.from({length: count}, () => [] as PlaceableEngine[]);
-	const largestFirst = local.toSorted(
-		(a, b) =>
-			(model.kinds.get(b.kind)?.megabytes ?? 0) -
-			(model.kinds.get(a.kind)?.megabytes ?? 0),
+}
+
+/** Forms groups that can each hold all layers, with room for requests. */
+function formGroups(
+	model: PipelineModel,
+	engines: readonly PlaceableEngine[],
+): PlaceableEngine[][] {
+	const sorted = engines.toSorted((a, b) => (a.id < b.id ? -1 : 1));
+	return listAreas(model, sorted).flatMap((area) => dealEngines(model, area));
+}
+
+/** Deals the engines of an area out to its groups, each in the order of its data centres. */
+function dealEngines(
+	model: PipelineModel,
+	{engines, copies}: PlacementArea<PlaceableEngine>,
+): PlaceableEngine[][] {
+	const readMegabytes = ({kind}: PlaceableEngine) =>
+		model.kinds.get(kind)?.megabytes ?? 0;
+	const groups = Array.from({length: copies}, () => [] as PlaceableEngine[]);
+	const largestFirst = engines.toSorted(
+		(a, b) => readMegabytes(b) - readMegabytes(a),
 	);
 	for (const engine of largestFirst) {
 		const least = groups.reduce((a, b) =>
@@ -184,5 +261,17 @@
 		least.push(engine);
 	}
 
-	return groups;
+	return groups.map((group) =>
+		group
+			.slice(0, maxStages)
+			.toSorted((a, b) => compareText(a.dataCentre, b.dataCentre)),
+	);
+}
+
+function compareText(a: string, b: string): number {
+	if (a === b) {
+		return 0;
+	}
+
+	return a < b ? -1 : 1;
 }
