--- a/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
@@ -5,7 +5,9 @@
 const workers: Worker[] = [];
 
 afterEach(async () => {
-	await Promise.all(workers.splice(0).map(async (worker) => worker.terminate()));
+	await Promise.all(
+		workers.splice(0).map(async (worker) => worker.terminate()),
+	);
 });
 
 async function startServer(ending: 'reset' | 'end'): Promise<number> {
@@ -19,7 +21,7 @@
 }
 
 /** Keeps the loop busy, so that what arrives meanwhile is read at once. */
-function holdLoop(milliseconds: number) {
+function runBusyLoop(milliseconds: number) {
 	const until = performance.now() + milliseconds;
 	while (performance.now() < until) {
 		// Busy on purpose.
@@ -58,7 +60,7 @@
 			},
 		);
 		setTimeout(() => {
-			holdLoop(250);
+			runBusyLoop(250);
 		}, 20);
 	});
 }
--- a/packages/bramleystage-gateway/src/backend-follower.ts
+++ b/packages/bramleystage-gateway/src/backend-follower.ts
@@ -3,7 +3,7 @@
  * written anew with each heartbeat, so waiting for the next record would wake
  * the process all the time.
  */
-import {type Backend, LifeCycle, type Logger, waitFor} from 'bramleystage';
+import {type Backend, type LifeCycle, type Logger, waitFor} from 'bramleystage';
 import type {Fleet} from './fleet.js';
 import type {BackendsRead, StorePort} from './platform-port.js';
 
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -30,7 +30,7 @@
 
 /** When a caller may usefully come back after a refusal, in seconds. */
 const retryAfterSeconds = 0.4;
-/** How long a caller's stream may hold back bytes before it counts as stuck is left to TCP. */
+/** Headers that concern one connection only. */
 const hopByHop = new Set([
 	'connection',
 	'keep-alive',
@@ -54,13 +54,16 @@
 		protected readonly call: Call,
 		protected readonly desk: DeskContext,
 	) {
-		this.#dueTimer = setTimeout(() => {
-			this.failWith(
-				this.#history.mayHaveRun || this.isInFlight()
-					? createFailure('deadlinePassed', 'The deadline passed.')
-					: this.buildRefusal('deadlineUnreachable', 'The deadline passed.'),
-			);
-		}, Math.max(0, this.remainingMs()));
+		this.#dueTimer = setTimeout(
+			() => {
+				this.failWith(
+					this.#history.mayHaveRun || this.isInFlight()
+						? createFailure('deadlinePassed', 'The deadline passed.')
+						: this.buildRefusal('deadlineUnreachable', 'The deadline passed.'),
+				);
+			},
+			Math.max(0, this.remainingMs()),
+		);
 		call.response.once('close', () => {
 			if (!this.isOver) {
 				this.end({
@@ -75,13 +78,6 @@
 		this.tryNext();
 	}
 
-	/** Whether a backend server may be at work on the request now. */
-	protected abstract isInFlight(): boolean;
-	/** Opens an attempt; tells whether there is anywhere to send it. */
-	protected abstract openNext(): boolean;
-	/** Ends what is in flight. */
-	protected abstract cancelAttempts(): void;
-
 	protected remainingMs(): number {
 		return this.call.dueAt - this.desk.readClock();
 	}
@@ -183,4 +179,11 @@
 					: this.firstAt - this.call.arrivedAt,
 		});
 	}
+
+	/** Whether a backend server may be at work on the request now. */
+	protected abstract isInFlight(): boolean;
+	/** Opens an attempt; tells whether there is anywhere to send it. */
+	protected abstract openNext(): boolean;
+	/** Ends what is in flight. */
+	protected abstract cancelAttempts(): void;
 }
--- a/packages/bramleystage-gateway/src/caller-port.ts
+++ b/packages/bramleystage-gateway/src/caller-port.ts
@@ -114,7 +114,7 @@
 		return;
 	}
 
-	const routed = routeRequest(options, configuration, index, request);
+	const routed = resolveRoute(options, configuration, index, request);
 	if ('result' in routed) {
 		refuseEarly(request, response, routed, options.isStopping());
 		return;
@@ -142,7 +142,8 @@
 		response,
 		arrivedAt,
 		dueAt:
-			arrivedAt + Math.min(route.timeoutMs, facts.deadlineMs ?? route.timeoutMs),
+			arrivedAt +
+			Math.min(route.timeoutMs, facts.deadlineMs ?? route.timeoutMs),
 		version: configuration.version,
 	});
 }
@@ -157,7 +158,7 @@
 	writeFinalFailure(response, failure, isClosing);
 }
 
-function routeRequest(
+function resolveRoute(
 	{headers, drawRandom}: CallerPortOptions,
 	configuration: RoutingConfiguration,
 	index: RouteIndex,
@@ -168,7 +169,11 @@
 		return createFailure('badRequest', 'The request has no id.');
 	}
 
-	const route = findRoute(index, request.headers.host ?? '', request.url ?? '/');
+	const route = findRoute(
+		index,
+		request.headers.host ?? '',
+		request.url ?? '/',
+	);
 	if (!route) {
 		return createFailure('unknownPath', 'No route matches host and path.');
 	}
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -3,8 +3,12 @@
  * answers only ever replace an older version. Calls that fail are repeated
  * after a short pause; a stream that no longer has the offset is read anew.
  */
-import type {Logger, RoutingConfiguration} from 'bramleystage';
-import {LifeCycle, waitFor} from 'bramleystage';
+import {
+	type LifeCycle,
+	type Logger,
+	type RoutingConfiguration,
+	waitFor,
+} from 'bramleystage';
 import {BehaviorSubject} from 'rxjs';
 import type {
 	ConfigurationRead,
@@ -76,21 +80,22 @@
 				loadedAt = next === undefined || isDue ? readClock() : loadedAt;
 				next = read.value.next;
 				take(read.value);
-				lost = logContact(logger, lost, undefined);
+				lost = recordContact(logger, lost, undefined);
 				continue;
 			}
 
-			lost = logContact(logger, lost, read.error);
+			lost = recordContact(logger, lost, read.error);
 			next = undefined;
 			// eslint-disable-next-line no-await-in-loop
 			await waitFor(retryMs);
 		}
 	})();
+
 	return {configurations, offer, readAt: () => readAt};
 }
 
 /** Logs when the store is lost and when it is back; gives whether it is lost. */
-function logContact(
+function recordContact(
 	logger: Logger,
 	wasLost: boolean,
 	failure: StoreFailure | undefined,
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -23,11 +23,12 @@
 	type Logger,
 	type PathEngine,
 	type PathStage,
+	pickLowest,
 	type PipelineModel,
 	recordSuccess,
 	recordTransfer,
 	recordTrouble,
-	forgetTrouble,
+	removeTrouble,
 	replaceBackends,
 	type ServiceName,
 	type TroubleSign,
@@ -117,11 +118,11 @@
 			({id}) => !isAvoided(this.#avoidance, id, now) && !excluded.has(id),
 		);
 		const untried = all.filter(({id}) => !excluded.has(id));
-		const [candidates] = [good, untried].filter((list) => list.length > 0);
+		const candidates = [good, untried].find((list) => list.length > 0);
 		const score = (backend: Backend) =>
 			(this.#inFlight.get(backend.id)?.requests ?? 0) +
 			(backend.dataCentre === this.options.dataCentre ? 0 : 0.5);
-		return candidates?.reduce((a, b) => (score(b) < score(a) ? b : a));
+		return candidates && pickLowest(candidates, score);
 	}
 
 	/** Chooses the stages of a model request. */
@@ -299,10 +300,11 @@
 					data_centre: backend.dataCentre,
 					draining: backend.isDraining,
 					kind: backend.kind,
-					layers: backend.layers && `${backend.layers.from}-${backend.layers.to}`,
+					layers:
+						backend.layers && `${backend.layers.from}-${backend.layers.to}`,
 				});
 				if (known?.bornAt !== backend.bornAt) {
-					this.#avoidance = forgetTrouble(this.#avoidance, id);
+					this.#avoidance = removeTrouble(this.#avoidance, id);
 				}
 			}
 		}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 	type PathStage,
 	recordWindowRequest,
 	type ServiceName,
+	waitFor,
 } from 'bramleystage';
 import {followBackends} from './backend-follower.js';
 import type {Call} from './call.js';
@@ -26,7 +27,7 @@
 import {Journal} from './journal.js';
 import {PeerDesk} from './peer-desk.js';
 import {listenForPeers} from './peer-exchange.js';
-import {PlacementDesk} from './placement-desk.js';
+import {startPlacement} from './placement-desk.js';
 import type {GatewaySettings, PlatformPort} from './platform-port.js';
 import {PlainRun} from './plain-run.js';
 import {StreamRun} from './stream-run.js';
@@ -93,7 +94,7 @@
 		lifeCycle,
 		logger,
 	);
-	void new PlacementDesk({
+	startPlacement({
 		fleet,
 		group,
 		engines,
@@ -177,19 +178,16 @@
 		async drain() {
 			stoppingAt = readClock();
 			logger.info('gateway.stopping', {in_flight: inFlight});
+			void group.leave();
 			const endAt = stoppingAt + settings.graceMs - endReserveMs;
-			while (
-				readClock() < endAt &&
-				(inFlight > 0 || readClock() < stoppingAt + takeWhileStoppingMs)
-			) {
+			const leaveAt = stoppingAt + takeWhileStoppingMs;
+			const isBusy = () => inFlight > 0 || readClock() < leaveAt;
+			while (isBusy() && readClock() < endAt) {
 				// Looks again until all requests have ended.
 				// eslint-disable-next-line no-await-in-loop
-				await new Promise((resolve) => {
-					setTimeout(resolve, drainCheckMs);
-				});
+				await waitFor(drainCheckMs);
 			}
 
-			await group.leave();
 			logger.info('gateway.stopped', {in_flight: inFlight});
 			await lifeCycle.stop();
 		},
@@ -216,6 +214,7 @@
 			windowMs: settings.retryWindowMs,
 		};
 	};
+
 	const readWindow = (service: ServiceName) =>
 		windows.get(service) ?? createRetryWindow();
 	return {
--- a/packages/bramleystage-gateway/src/group.ts
+++ b/packages/bramleystage-gateway/src/group.ts
@@ -5,7 +5,7 @@
  * before it; so the choice needs no lease and goes on while the store is away.
  */
 import {type LifeCycle, type Logger, waitFor} from 'bramleystage';
-import {askPeer} from './peer-exchange.js';
+import {sendQuestion} from './peer-exchange.js';
 import type {StorePort} from './platform-port.js';
 
 /** Renewals in the time for which the store keeps a silent member. */
@@ -36,6 +36,7 @@
 	#generation = 0;
 	#members: readonly string[] = [];
 	#isLeader = false;
+	#isLeaving = false;
 
 	constructor(private readonly options: GroupOptions) {
 		void this.#renew();
@@ -67,6 +68,7 @@
 	/** Leaves the group, so that the others need not wait for the silence. */
 	async leave(): Promise<void> {
 		const {store, self, logger} = this.options;
+		this.#isLeaving = true;
 		const left = await store.leaveGroup(self);
 		if (left.isErr()) {
 			logger.warn('group.unleft', {detail: left.error.detail});
@@ -75,7 +77,7 @@
 
 	async #renew(): Promise<void> {
 		const {store, self, memberMs, lifeCycle, logger} = this.options;
-		while (!lifeCycle.isStopped) {
+		while (!lifeCycle.isStopped && !this.#isLeaving) {
 			// Renewals follow each other.
 			// eslint-disable-next-line no-await-in-loop
 			const joined = await store.joinGroup(self, this.#generation);
@@ -112,7 +114,7 @@
 		while (!lifeCycle.isStopped) {
 			// eslint-disable-next-line no-await-in-loop
 			const first = await this.#findFirst();
-			if (first === undefined !== this.#isLeader) {
+			if ((first === undefined) !== this.#isLeader) {
 				this.#isLeader = first === undefined;
 				logger.info('orders.giver', {giver: first ?? this.options.self});
 			}
@@ -128,7 +130,7 @@
 		for (const address of this.listPeers().filter((peer) => peer < self)) {
 			// Each is asked only if none before it answers.
 			// eslint-disable-next-line no-await-in-loop
-			const answer = await askPeer(address, {
+			const answer = await sendQuestion(address, {
 				version: Number.MAX_SAFE_INTEGER,
 				listAgeMs: 0,
 			});
--- a/packages/bramleystage-gateway/src/peer-desk.ts
+++ b/packages/bramleystage-gateway/src/peer-desk.ts
@@ -6,7 +6,11 @@
 import type {LifeCycle, Logger} from 'bramleystage';
 import type {ConfigurationFollower} from './configuration-follower.js';
 import type {Fleet} from './fleet.js';
-import {askPeer, type PeerAnswer, type PeerQuestion} from './peer-exchange.js';
+import {
+	sendQuestion,
+	type PeerAnswer,
+	type PeerQuestion,
+} from './peer-exchange.js';
 
 /** How often peers are asked while the store does not answer, in milliseconds. */
 const askMs = 250;
@@ -75,7 +79,7 @@
 		);
 		await Promise.all(
 			asked.map(async (address) => {
-				const answer = await askPeer(address, question);
+				const answer = await sendQuestion(address, question);
 				if (answer.isOk()) {
 					this.#take(address, answer.value);
 				} else {
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -112,7 +112,7 @@
 }
 
 /** Asks another gateway. */
-export async function askPeer(
+export async function sendQuestion(
 	address: string,
 	question: PeerQuestion,
 ): Promise<Result<PeerAnswer, Failure>> {
--- a/packages/bramleystage-gateway/src/placement-desk.ts
+++ b/packages/bramleystage-gateway/src/placement-desk.ts
@@ -9,7 +9,7 @@
 	type GatewayService,
 	type LayerOrder,
 	type LayerRange,
-	LifeCycle,
+	type LifeCycle,
 	listBackends,
 	type Logger,
 	planOrders,
@@ -47,7 +47,15 @@
 	readonly readClock: () => number;
 };
 
-export class PlacementDesk {
+/** Starts deciding; the life cycle ends it. */
+export function startPlacement(options: PlacementOptions): void {
+	const desk = new PlacementDesk(options);
+	options.lifeCycle.registerInterval(decideMs, () => {
+		desk.decide(options.readClock());
+	});
+}
+
+class PlacementDesk {
 	readonly #pending = new Map<BackendId, Pending>();
 	#listChangedAt: number;
 	#listedAt: number | undefined;
@@ -67,19 +75,18 @@
 		options.lifeCycle.register(() => {
 			subscription.unsubscribe();
 		});
-		options.lifeCycle.registerInterval(decideMs, () => {
-			this.#decide(options.readClock());
-		});
 	}
 
-	#decide(now: number): void {
+	/** Gives the orders that are due. */
+	decide(now: number): void {
 		const {group, fleet, listServices} = this.options;
 		if (!group.isLeader || this.#listedAt === undefined) {
 			return;
 		}
 
 		const isSettled =
-			now - this.#listChangedAt > settleMs || now - this.#listedAt > maxSettleMs;
+			now - this.#listChangedAt > settleMs ||
+			now - this.#listedAt > maxSettleMs;
 		for (const service of listServices()) {
 			const backends = listBackends(fleet.snapshots.value, service.name);
 			const isPlaced = backends.some(({layers}) => layers !== undefined);
@@ -111,8 +118,7 @@
 				kind: backend.kind ?? '',
 				layers: backend.layers,
 				ordered: this.#pending.get(backend.id)?.layers,
-				isUsable:
-					!backend.isDraining && !this.options.fleet.isLost(backend.id),
+				isUsable: !backend.isDraining && !this.options.fleet.isLost(backend.id),
 				isSuspect: this.options.fleet.isUnreachable(backend.id),
 			})),
 		);
@@ -167,7 +173,10 @@
 		});
 	}
 
-	async #send({id, address}: Backend, {layers, reason}: LayerOrder): Promise<void> {
+	async #send(
+		{id, address}: Backend,
+		{layers, reason}: LayerOrder,
+	): Promise<void> {
 		const {engines, logger, group} = this.options;
 		const report = await engines.readReport(address, answerMs);
 		if (report.isErr()) {
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -29,7 +29,7 @@
 export class PlainRun extends CallRun {
 	readonly #flights = new Set<Flight>();
 	readonly #tried = new Set<BackendId>();
-	#hedgeTimer: NodeJS.Timeout | undefined;
+	readonly #hedgeTimer: NodeJS.Timeout | undefined;
 
 	constructor(call: Call, desk: DeskContext) {
 		super(call, desk);
@@ -153,7 +153,11 @@
 
 		const isOwn = facts.request === this.call.facts.request;
 		if (!isOwn || !facts.isStamped) {
-			this.desk.fleet.recordTrouble(flight.backend.id, 'failed', 'Not its own.');
+			this.desk.fleet.recordTrouble(
+				flight.backend.id,
+				'failed',
+				'Not its own.',
+			);
 			this.#goOn('unknown', 'The answer belongs to no request of this call.');
 			return;
 		}
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -3,7 +3,6 @@
  * implements these functions; it translates and decides nothing.
  */
 import type {
-	Backend,
 	BackendChange,
 	BackendId,
 	DataCentreId,
@@ -236,4 +235,4 @@
 	readonly stallMs: number;
 };
 
-export type {Backend};
+export {type Backend} from 'bramleystage';
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -219,7 +219,7 @@
 
 	/** Writes the head of the first engine that gives events. */
 	#startAnswer(flight: Flight): boolean {
-		const head = flight.head;
+		const {head} = flight;
 		const facts = head && this.desk.headers.readAnswer(head.headers);
 		const isOwn = facts?.request === this.call.facts.request;
 		if (!head || !isOwn || !facts?.isStamped) {
@@ -300,7 +300,7 @@
 
 			this.#goOn('notRun', false, detail);
 		} else if (
-			this.firstAt ||
+			this.hasEvents ||
 			facts.request !== this.call.facts.request ||
 			!facts.isStamped
 		) {
--- /dev/null
+++ b/packages/bramleystage/src/coordination/__tests__/layer-fixtures.ts
@@ -0,0 +1,81 @@
+/** Models and engines that the tests of placement and paths share. */
+import {
+	type BackendId,
+	toBackendId,
+	toDataCentreId,
+	toModelName,
+} from '../../protocol/ids.js';
+import type {LayerRange} from '../../state/backends.js';
+import type {PipelineModel} from '../../state/routes.js';
+import type {OrderedEngine} from '../layer-orders.js';
+
+export const model: PipelineModel = {
+	model: toModelName('guide'),
+	layers: 80,
+	layerMegabytes: 1750,
+	kvTokenBytes: 610_388,
+	slots: 134,
+	stepMs: 0.85,
+	prefillTokensPerMs: 272,
+	tokensPerEvent: 2,
+	activationBytes: 30_519,
+	pipeMbps: 6500,
+	loadMs: 14_000,
+	kinds: new Map([
+		['large', {megabytes: 36_000, stepFactor: 3.1, prefillFactor: 3.2}],
+		['middle', {megabytes: 21_600, stepFactor: 16, prefillFactor: 8.2}],
+		['small', {megabytes: 14_400, stepFactor: 15, prefillFactor: 15}],
+	]),
+};
+
+/** Engines of one data centre: so many of each kind. */
+export function createEngines(
+	dataCentre: string,
+	counts: Readonly<Record<string, number>>,
+): OrderedEngine[] {
+	return Object.entries(counts).flatMap(([kind, count]) =>
+		Array.from({length: count}, (_, index) => ({
+			id: toBackendId(`${dataCentre}-${kind}-${index}`),
+			dataCentre: toDataCentreId(dataCentre),
+			kind,
+			isUsable: true,
+			isSuspect: false,
+		})),
+	);
+}
+
+/** Three data centres of today's size. */
+export const createFleet = (): OrderedEngine[] => [
+	...createEngines('a', {large: 1, middle: 8, small: 5}),
+	...createEngines('b', {large: 3, middle: 3, small: 5}),
+	...createEngines('c', {large: 1, middle: 4, small: 8}),
+];
+
+/** Gives engines the layers that orders name. */
+export const applyOrders = (
+	engines: readonly OrderedEngine[],
+	orders: ReadonlyArray<{id: BackendId; layers: LayerRange}>,
+): OrderedEngine[] =>
+	engines.map((engine) => {
+		const order = orders.find(({id}) => id === engine.id);
+		return order ? {...engine, layers: order.layers} : engine;
+	});
+
+/** Counts the engines of a data centre that hold each layer. */
+export function countHolders(
+	engines: readonly OrderedEngine[],
+	dataCentre: string,
+): number[] {
+	return Array.from(
+		{length: model.layers},
+		(_, layer) =>
+			engines.filter(
+				(engine) =>
+					engine.isUsable &&
+					engine.dataCentre === toDataCentreId(dataCentre) &&
+					engine.layers !== undefined &&
+					layer >= engine.layers.from &&
+					layer < engine.layers.to,
+			).length,
+	);
+}
--- /dev/null
+++ b/packages/bramleystage/src/coordination/__tests__/layer-orders.test.ts
@@ -0,0 +1,139 @@
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {type OrderedEngine, planOrders} from '../layer-orders.js';
+import {computeMaxLayers, computeTokenRoom} from '../layer-plan.js';
+import {
+	applyOrders,
+	countHolders,
+	createEngines,
+	createFleet,
+	model,
+} from './layer-fixtures.js';
+
+/** Most rounds of orders until nothing is left to do. */
+const maxRounds = 60;
+
+/** Carries out all orders until there are none. */
+function settleOrders(engines: readonly OrderedEngine[]): OrderedEngine[] {
+	let current = [...engines];
+	for (let round = 0; round < maxRounds; round++) {
+		const orders = planOrders(model, current);
+		if (orders.length === 0) {
+			return current;
+		}
+
+		for (const {id, layers} of orders) {
+			const engine = current.find((item) => item.id === id);
+			const held = layers.to - layers.from;
+			expect(held).toBeGreaterThan(0);
+			expect(held).toBeLessThanOrEqual(
+				computeMaxLayers(model, engine?.kind ?? ''),
+			);
+		}
+
+		current = applyOrders(current, orders);
+	}
+
+	throw new Error('The orders do not come to an end.');
+}
+
+test('the first placement holds every layer once in each data centre', () => {
+	const placed = settleOrders(createFleet());
+	for (const dataCentre of ['a', 'b', 'c']) {
+		expect(Math.min(...countHolders(placed, dataCentre))).toBe(1);
+	}
+});
+
+test('the first placement keeps room for tokens and engines in reserve', () => {
+	const placed = settleOrders(createFleet());
+	for (const {kind, layers} of placed) {
+		if (layers) {
+			const room = computeTokenRoom(model, kind, layers.to - layers.from);
+			expect(room).toBeGreaterThan(60_000);
+		}
+	}
+
+	expect(
+		placed.filter(({layers}) => layers === undefined).length,
+	).toBeGreaterThan(3);
+});
+
+test('a settled fleet gets no orders', () => {
+	expect(planOrders(model, settleOrders(createFleet()))).toEqual([]);
+});
+
+test('an engine in reserve takes the place of one that could not be reached', () => {
+	const placed = settleOrders(createFleet());
+	const lost = placed.find(({layers}) => layers?.from === 0);
+	const orders = planOrders(
+		model,
+		placed.map((engine) =>
+			engine === lost ? {...engine, isSuspect: true} : engine,
+		),
+	);
+	expect(orders.length).toBeGreaterThan(0);
+	expect(orders.every(({reason}) => reason === 'gap')).toBe(true);
+	const idle = placed.filter(({layers}) => layers === undefined);
+	for (const {id} of orders) {
+		expect(idle.map((engine) => engine.id)).toContain(id);
+	}
+});
+
+test('neighbours close a gap when nothing is in reserve', () => {
+	const engines = createEngines('a', {large: 1, middle: 8});
+	const placed = settleOrders(engines);
+	const lost = placed.find(({layers}) => (layers?.from ?? 0) > 20);
+	const settled = settleOrders(
+		placed.map((engine) =>
+			engine === lost ? {...engine, isUsable: false} : engine,
+		),
+	);
+	expect(Math.min(...countHolders(settled, 'a'))).toBeGreaterThanOrEqual(1);
+});
+
+test('an engine with an order under way gets no other one', () => {
+	const placed = settleOrders(createFleet());
+	const busy = placed.map((engine, index) =>
+		index === 0 ? {...engine, ordered: {from: 0, to: 4}} : engine,
+	);
+	const orders = planOrders(model, busy);
+	expect(orders.map(({id}) => id)).not.toContain(placed[0]?.id);
+});
+
+test('whatever engines are lost, orders overfill none and end with every layer held', () => {
+	const placed = settleOrders(createFleet());
+	fc.assert(
+		fc.property(
+			fc.uniqueArray(fc.nat({max: placed.length - 1}), {maxLength: 6}),
+			(lost) => {
+				const settled = settleOrders(
+					placed.map((engine, index) =>
+						lost.includes(index) ? {...engine, isUsable: false} : engine,
+					),
+				);
+				const held = ['a', 'b', 'c'].map((dataCentre) =>
+					countHolders(settled, dataCentre),
+				);
+				for (let layer = 0; layer < model.layers; layer++) {
+					const holders = held.reduce(
+						(sum, counts) => sum + (counts[layer] ?? 0),
+						0,
+					);
+					expect(holders).toBeGreaterThan(0);
+				}
+			},
+		),
+		{numRuns: 60, seed: 11},
+	);
+});
+
+test('a data centre that is too small alone shares the layers with others', () => {
+	const placed = settleOrders([
+		...createEngines('a', {middle: 6}),
+		...createEngines('b', {middle: 6}),
+	]);
+	const counts = countHolders(placed, 'a').map(
+		(count, layer) => count + (countHolders(placed, 'b')[layer] ?? 0),
+	);
+	expect(Math.min(...counts)).toBe(1);
+});
--- /dev/null
+++ b/packages/bramleystage/src/coordination/__tests__/retry-window.test.ts
@@ -0,0 +1,65 @@
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {
+	createRetryWindow,
+	decideRepeat,
+	recordWindowRequest,
+} from '../retry-window.js';
+
+const bounds = {ratio: 0.2, slack: 3, windowMs: 1000};
+
+test('the slack is all that a quiet gateway may repeat', () => {
+	let window = createRetryWindow();
+	let allowed = 0;
+	for (let turn = 0; turn < 10; turn++) {
+		const [next, isAllowed] = decideRepeat(window, bounds, turn);
+		window = next;
+		allowed += isAllowed ? 1 : 0;
+	}
+
+	expect(allowed).toBe(3);
+});
+
+test('repeats come back when the window has moved on', () => {
+	let window = createRetryWindow();
+	for (let turn = 0; turn < 5; turn++) {
+		[window] = decideRepeat(window, bounds, turn);
+	}
+
+	expect(decideRepeat(window, bounds, 1100)[1]).toBe(true);
+});
+
+test('no window ever has more repeats than the ratio and the slack allow', () => {
+	fc.assert(
+		fc.property(
+			fc.array(fc.tuple(fc.boolean(), fc.nat({max: 60})), {maxLength: 200}),
+			(steps) => {
+				let window = createRetryWindow();
+				let now = 0;
+				const requests: number[] = [];
+				const repeats: number[] = [];
+				for (const [isRequest, pause] of steps) {
+					now += pause;
+					if (isRequest) {
+						window = recordWindowRequest(window, bounds, now);
+						requests.push(now);
+						continue;
+					}
+
+					const [next, isAllowed] = decideRepeat(window, bounds, now);
+					window = next;
+					if (isAllowed) {
+						repeats.push(now);
+						const since = now - bounds.windowMs;
+						const recent = (times: number[]) =>
+							times.filter((time) => time >= since).length;
+						expect(recent(repeats)).toBeLessThanOrEqual(
+							bounds.ratio * recent(requests) + bounds.slack,
+						);
+					}
+				}
+			},
+		),
+		{seed: 7},
+	);
+});
--- a/packages/bramleystage/src/coordination/avoidance.ts
+++ b/packages/bramleystage/src/coordination/avoidance.ts
@@ -114,7 +114,7 @@
 }
 
 /** Forgets all that was seen of a backend server, as it has started anew. */
-export function forgetTrouble(avoidance: Avoidance, id: BackendId): Avoidance {
+export function removeTrouble(avoidance: Avoidance, id: BackendId): Avoidance {
 	const next = new Map(avoidance);
 	next.delete(id);
 	return next;
--- a/packages/bramleystage/src/coordination/layer-orders.ts
+++ b/packages/bramleystage/src/coordination/layer-orders.ts
@@ -77,7 +77,7 @@
 			model,
 			local.map(({kind}) => kind),
 		) ?? minTokenRoom;
-	const filled = fillGaps(model, local, copies, target);
+	const filled = planGapOrders(model, local, copies, target);
 	if (filled.length > 0) {
 		return filled;
 	}
@@ -88,12 +88,12 @@
 	}
 
 	const isBusy = local.some(({ordered}) => ordered !== undefined);
-	const relieved = isBusy ? undefined : relieveWeakest(model, local, target);
+	const relieved = isBusy ? undefined : planRelief(model, local, target);
 	return relieved ? [relieved] : [];
 }
 
 /** Fills runs of layers that too few hold by engines that are free to move. */
-function fillGaps(
+function planGapOrders(
 	model: PipelineModel,
 	local: readonly OrderedEngine[],
 	copies: number,
@@ -140,10 +140,10 @@
 	};
 
 	const standBy = idle.filter(({layers}) => layers === undefined);
-	const free = standBy.length > 0 ? standBy : idle.filter(isRedundant);
+	const free =
+		standBy.length > 0 ? standBy : idle.filter((engine) => isRedundant(engine));
 	return free.toSorted(
-		(a, b) =>
-			computeMaxLayers(model, b.kind) - computeMaxLayers(model, a.kind),
+		(a, b) => computeMaxLayers(model, b.kind) - computeMaxLayers(model, a.kind),
 	)[0];
 }
 
@@ -159,7 +159,8 @@
 
 	let best: (LayerOrder & {room: number}) | undefined;
 	for (const engine of local) {
-		if (engine.ordered || engine.isSuspect || !engine.layers) {
+		const isFree = engine.ordered === undefined && !engine.isSuspect;
+		if (!isFree || !engine.layers) {
 			continue;
 		}
 
@@ -202,7 +203,7 @@
 }
 
 /** Moves one step towards more room at the engine that has the least. */
-function relieveWeakest(
+function planRelief(
 	model: PipelineModel,
 	local: readonly OrderedEngine[],
 	target: number,
@@ -213,14 +214,13 @@
 			: Number.POSITIVE_INFINITY;
 	const weak = local
 		.filter(
-			(engine) =>
-				!engine.isSuspect && readRoom(engine) < reliefShare * target,
+			(engine) => !engine.isSuspect && readRoom(engine) < reliefShare * target,
 		)
 		.toSorted((a, b) => readRoom(a) - readRoom(b));
 	for (const engine of weak) {
 		const order =
-			shrinkOverlap(engine, local) ??
-			takeFromEdge(model, engine, local, readRoom(engine));
+			planShrink(engine, local) ??
+			planTakeover(model, engine, local, readRoom(engine));
 		if (order) {
 			return order;
 		}
@@ -230,7 +230,7 @@
 }
 
 /** Gives up layers at an engine's edge that another engine holds as well. */
-function shrinkOverlap(
+function planShrink(
 	{id, layers}: OrderedEngine,
 	local: readonly OrderedEngine[],
 ): LayerOrder | undefined {
@@ -258,7 +258,7 @@
 }
 
 /** Has another engine take a layer at an engine's edge: one that stands by, or a neighbour. */
-function takeFromEdge(
+function planTakeover(
 	model: PipelineModel,
 	{layers}: OrderedEngine,
 	local: readonly OrderedEngine[],
--- a/packages/bramleystage/src/coordination/layer-path.ts
+++ b/packages/bramleystage/src/coordination/layer-path.ts
@@ -5,6 +5,7 @@
  */
 import type {BackendId, DataCentreId} from '../protocol/ids.js';
 import type {LayerRange} from '../state/backends.js';
+import {pickLowest} from '../state/pick-lowest.js';
 
 /** An engine with layers, as a path sees it. */
 export type PathEngine = {
@@ -74,8 +75,8 @@
 		reached = next;
 	}
 
-	const last = reached.reduce((a, b) => (b.cost < a.cost ? b : a));
-	if (last.cost === Number.POSITIVE_INFINITY) {
+	const last = pickLowest(reached, ({cost}) => cost);
+	if (!last || last.cost === Number.POSITIVE_INFINITY) {
 		return undefined;
 	}
 
--- a/packages/bramleystage/src/coordination/layer-plan.ts
+++ b/packages/bramleystage/src/coordination/layer-plan.ts
@@ -9,6 +9,7 @@
 import type {BackendId, DataCentreId} from '../protocol/ids.js';
 import type {LayerRange} from '../state/backends.js';
 import type {PipelineModel} from '../state/routes.js';
+import {pickLowest} from '../state/pick-lowest.js';
 import {splitBy} from '../state/split-by.js';
 
 /** An engine that layers can be placed on. */
@@ -146,7 +147,7 @@
 	engines: readonly PlaceableEngine[],
 ): LayerPlan {
 	const plan = new Map<BackendId, LayerRange>();
-	for (const group of formGroups(model, engines)) {
+	for (const group of splitGroups(model, engines)) {
 		placeGroup(model, group, plan);
 	}
 
@@ -177,14 +178,17 @@
 	}
 }
 
-const sumMegabytes = (
+function computeMegabytes(
 	model: PipelineModel,
 	engines: readonly PlaceableEngine[],
-) =>
-	engines.reduce(
-		(sum, {kind}) => sum + (model.kinds.get(kind)?.megabytes ?? 0),
-		0,
-	);
+): number {
+	let sum = 0;
+	for (const {kind} of engines) {
+		sum += model.kinds.get(kind)?.megabytes ?? 0;
+	}
+
+	return sum;
+}
 
 /** Engines that share out the layers among themselves, and how often they are to hold each. */
 export type PlacementArea<Engine> = {
@@ -205,8 +209,10 @@
 	const areas: Array<PlacementArea<Engine>> = [];
 	const rest: Engine[] = [];
 	const byDataCentre = [...splitBy(engines, ({dataCentre}) => dataCentre)];
-	for (const [, local] of byDataCentre.toSorted(([a], [b]) => (a < b ? -1 : 1))) {
-		if (sumMegabytes(model, local) >= needed) {
+	for (const [, local] of byDataCentre.toSorted(([a], [b]) =>
+		a < b ? -1 : 1,
+	)) {
+		if (computeMegabytes(model, local) >= needed) {
 			areas.push({engines: local, copies: countCopies(model, local)});
 		} else {
 			rest.push(...local);
@@ -226,7 +232,7 @@
 	engines: readonly PlaceableEngine[],
 ): number {
 	const byMemory = Math.floor(
-		sumMegabytes(model, engines) / computeNeededMegabytes(model),
+		computeMegabytes(model, engines) / computeNeededMegabytes(model),
 	);
 	return Math.max(
 		1,
@@ -235,16 +241,16 @@
 }
 
 /** Forms groups that can each hold all layers, with room for requests. */
-function formGroups(
+function splitGroups(
 	model: PipelineModel,
 	engines: readonly PlaceableEngine[],
 ): PlaceableEngine[][] {
 	const sorted = engines.toSorted((a, b) => (a.id < b.id ? -1 : 1));
-	return listAreas(model, sorted).flatMap((area) => dealEngines(model, area));
+	return listAreas(model, sorted).flatMap((area) => splitEngines(model, area));
 }
 
 /** Deals the engines of an area out to its groups, each in the order of its data centres. */
-function dealEngines(
+function splitEngines(
 	model: PipelineModel,
 	{engines, copies}: PlacementArea<PlaceableEngine>,
 ): PlaceableEngine[][] {
@@ -255,10 +261,7 @@
 		(a, b) => readMegabytes(b) - readMegabytes(a),
 	);
 	for (const engine of largestFirst) {
-		const least = groups.reduce((a, b) =>
-			sumMegabytes(model, b) < sumMegabytes(model, a) ? b : a,
-		);
-		least.push(engine);
+		pickLowest(groups, (group) => computeMegabytes(model, group))?.push(engine);
 	}
 
 	return groups.map((group) =>
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -660,7 +660,7 @@
 export {
 	type Avoidance,
 	createAvoidance,
-	forgetTrouble,
+	removeTrouble,
 	isAvoided,
 	recordSuccess,
 	recordTrouble,
@@ -726,6 +726,7 @@
 	toBackendId,
 	toRouteName,
 } from './protocol/ids.js';
+export {pickLowest} from './state/pick-lowest.js';
 export {splitBy} from './state/split-by.js';
 export {
 	computeLinkMbps,
--- a/packages/bramleystage/src/state/backends.ts
+++ b/packages/bramleystage/src/state/backends.ts
@@ -44,7 +44,10 @@
 
 function isSame(a: Backend | undefined, b: Backend | undefined): boolean {
 	return (
-		a === b || (a !== undefined && b !== undefined && formatBackend(a) === formatBackend(b))
+		a === b ||
+		(a !== undefined &&
+			b !== undefined &&
+			formatBackend(a) === formatBackend(b))
 	);
 }
 
@@ -104,5 +107,7 @@
 	{backends}: BackendsSnapshot,
 	service: ServiceName,
 ): Backend[] {
-	return [...backends.values()].filter((backend) => backend.service === service);
+	return [...backends.values()].filter(
+		(backend) => backend.service === service,
+	);
 }
--- /dev/null
+++ b/packages/bramleystage/src/state/pick-lowest.ts
@@ -0,0 +1,17 @@
+/** Picks the item of a list with the lowest value; the first of equal ones. */
+export function pickLowest<Item>(
+	items: Iterable<Item>,
+	computeValue: (item: Item) => number,
+): Item | undefined {
+	let lowest: Item | undefined;
+	let lowestValue = Number.POSITIVE_INFINITY;
+	for (const item of items) {
+		const value = computeValue(item);
+		if (lowest === undefined || value < lowestValue) {
+			lowest = item;
+			lowestValue = value;
+		}
+	}
+
+	return lowest;
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -59,17 +59,21 @@
 			'packages/bramleystage/src/{protocol/table-columns,protocol/table-schema,coordination/limit-members}.ts',
 			'packages/bramleystage-entry/src/*.ts',
 			'packages/*/src/**/__tests__/*.ts',
-			'packages/bramleystage-{command,site,bench}/src/*.ts',
+			'packages/bramleystage-{command,site,bench,gateway}/src/*.ts',
+			'platform/src/*.ts',
 		],
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
 	{
-		files: ['packages/bramleystage-{command,check}/src/*.ts'],
+		files: [
+			'packages/bramleystage-{command,check}/src/*.ts',
+			'platform/src/main.ts',
+		],
 		rules: {'unicorn/no-process-exit': 'off'},
 	},
 	{
 		// Test tools are dependencies of the workspace root.
-		files: ['packages/*/src/**/__tests__/*.ts'],
+		files: ['{packages/*,platform}/src/**/__tests__/*.ts'],
 		rules: {
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
