--- a/packages/bramleystage/src/coordination/__tests__/attempt-policy.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/attempt-policy.test.ts
@@ -42,12 +42,14 @@
 test('no request is refused as not run after it may have run', () => {
 	fc.assert(
 		fc.property(
-			fc.constantFrom<AttemptOutcome>('notRun', 'unknown', 'failed'),
-			fc.nat({max: 6}),
-			fc.nat({max: 3}),
-			fc.boolean(),
-			fc.boolean(),
-			(outcome, sent, ran, isRepeatable, isAllowed) => {
+			fc.record({
+				outcome: fc.constantFrom<AttemptOutcome>('notRun', 'unknown', 'failed'),
+				sent: fc.nat({max: 6}),
+				ran: fc.nat({max: 3}),
+				isRepeatable: fc.boolean(),
+				isAllowed: fc.boolean(),
+			}),
+			({outcome, sent, ran, isRepeatable, isAllowed}) => {
 				const step = decideNextStep(
 					outcome,
 					{sent, ran, mayHaveRun: true},
