Spread requests by load and follow up engines that refusals name

Cause: all streams took the fastest path, so one crash touched 44 of them, and an engine that the first refusal named was left for dead only seconds later. Ruled out: detection alone; the moved streams queue on the paths that are left.

--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -17,7 +17,7 @@
 	sendHttp,
 } from 'bramleystage';
 import {err} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	countLayerTokens,
 	describeStep,
--- a/packages/bramleystage-agent/src/engine-steps.ts
+++ b/packages/bramleystage-agent/src/engine-steps.ts
@@ -11,7 +11,7 @@
 	type StepOutput,
 } from 'bramleystage';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const outputSchema = z.union([
 	z.object({
--- a/packages/bramleystage-command/src/local-settings.ts
+++ b/packages/bramleystage-command/src/local-settings.ts
@@ -16,7 +16,7 @@
 	defaultPlatformOptions,
 	defaultPrefixCacheOptions,
 } from 'bramleystage-stand-ins';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maxRate = 1_000_000;
 const maxLayers = 10_000;
--- a/packages/bramleystage-command/src/table-command.ts
+++ b/packages/bramleystage-command/src/table-command.ts
@@ -3,7 +3,7 @@
 import {userInfo} from 'node:os';
 import process from 'node:process';
 import type {Argv, CommandModule} from 'yargs';
-import {z} from 'zod';
+import * as z from 'zod';
 import {readSettings, registerSettingOptions} from './setting-options.js';
 import {TableDesk} from './table-desk.js';
 import {runExport, runHistory, runShow} from './table-read.js';
--- a/packages/bramleystage-command/src/table-desk.ts
+++ b/packages/bramleystage-command/src/table-desk.ts
@@ -25,7 +25,7 @@
 	waitFor,
 } from 'bramleystage';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 
 export type TableDeskOptions = {
 	readonly platform: string;
--- a/packages/bramleystage-entry/src/model-body.ts
+++ b/packages/bramleystage-entry/src/model-body.ts
@@ -8,7 +8,7 @@
 	type RequestId,
 } from 'bramleystage';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maxTokensLimit = 1_000_000;
 const defaultMaxTokens = 256;
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -46,9 +46,11 @@
 /** Delay of a hop between two engines of a data centre, in milliseconds. */
 const localHopMs = 0.2;
 /** Cost of a hop between data centres, in milliseconds: its delay, and the transfer of the prompt. */
-const remoteHopMs = 12;
-/** Weight of the load in the cost of an engine or a link. */
-const loadWeight = 3;
+const remoteHopMs = 30;
+/** Weight of the load in the cost of an engine: spreads requests, so that a loss touches few. */
+const loadWeight = 20;
+/** Weight of the load in the cost of a link. */
+const linkWeight = 3;
 /** Load over which an engine or a link takes no new work; the other gateways may have less there than this one. */
 const fullLoad = 2;
 /** Strikes after which a server that nobody delisted is taken for lost. */
@@ -249,7 +251,7 @@
 		const load = (mbps * this.options.countGateways()) / model.pipeMbps;
 		return load > fullLoad
 			? Number.POSITIVE_INFINITY
-			: remoteHopMs * (1 + loadWeight * load);
+			: remoteHopMs * (1 + linkWeight * load);
 	}
 
 	#toPathEngine(
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -114,6 +114,9 @@
 		readClock,
 		isStopping: () => stoppingAt !== undefined,
 		registerStream: (stream: StreamRun) => watch.register(stream),
+		checkNamed(stage: PathStage) {
+			void watch.checkNamed(stage);
+		},
 		recordPause(path: readonly PathStage[], pauseMs: number) {
 			watch.recordPause(path, pauseMs);
 		},
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -21,7 +21,7 @@
 	serviceNameSchema,
 } from 'bramleystage';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const questionSchema = z.object({
 	/** Configurations that are not newer are left out. */
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -25,6 +25,8 @@
 export type StreamDeskContext = DeskContext & {
 	/** Watches a stream for silence until the clean-up is called. */
 	readonly registerStream: (stream: StreamRun) => () => void;
+	/** Follows up an engine that was named as the reason of a refusal. */
+	readonly checkNamed: (stage: PathStage) => void;
 	/** Records a pause between two events of a path, in milliseconds. */
 	readonly recordPause: (path: readonly PathStage[], pauseMs: number) => void;
 };
@@ -290,6 +292,9 @@
 				head.status === 421 ? 'replaced' : 'refused',
 				`Named by status ${head.status}.`,
 			);
+			if (head.status === 503) {
+				this.desk.checkNamed(faulty);
+			}
 		}
 
 		const detail = `Status ${head.status}.`;
--- a/packages/bramleystage-gateway/src/stream-watch.ts
+++ b/packages/bramleystage-gateway/src/stream-watch.ts
@@ -19,7 +19,11 @@
 /** Silence after which streams that had events leave a path: a new path must start within the pause that users accept. */
 const silenceMs = 80;
 /** Smoothed pauses that make up a silence on a slow path. */
-const silentPauses = 3;
+const silentPauses = 2.5;
+/** Smoothed pauses that make up a silence on a path with an engine that does not answer. */
+const namedPauses = 1.3;
+/** Least time between two reports of an engine that is named in refusals, in milliseconds. */
+const namedPauseMs = 400;
 /** Silence after which streams without an event yet leave a path: long prompts take a while. */
 const firstSilenceMs = 350;
 /** Longest wait for a report; a live engine answers within a few milliseconds. */
@@ -71,6 +75,35 @@
 		this.#pauses.set(key, known + (pauseMs - known) * pauseWeight);
 	}
 
+	/**
+	 * Follows up an engine that was named as the reason of a refusal: asks it for
+	 * a report, and moves the streams that it holds up.
+	 */
+	async checkNamed({id, address}: PathStage): Promise<void> {
+		const {readClock, engines, fleet} = this.options;
+		const lastAt = this.#inspectedAt.get(id) ?? Number.NEGATIVE_INFINITY;
+		if (readClock() - lastAt < namedPauseMs) {
+			return;
+		}
+
+		this.#inspectedAt.set(id, readClock());
+		const report = await engines.readReport(address, reportMs);
+		if (report.isOk()) {
+			return;
+		}
+
+		const {detail} = report.error;
+		fleet.recordTrouble(id, 'unreachable', `No report: ${detail}`);
+		const now = readClock();
+		for (const stream of this.#streams) {
+			const isOnPath = stream.path.some((stage) => stage.id === id);
+			const pauseMs = this.#pauses.get(formatKey(stream.path)) ?? 0;
+			if (isOnPath && now - stream.progressAt > namedPauses * pauseMs) {
+				stream.moveAway([id], 'An engine of the path does not answer.');
+			}
+		}
+	}
+
 	#check(now: number): void {
 		if (now - this.#lastTick > tickMs + heldUpMs) {
 			// What arrived meanwhile has not been read yet.
--- a/packages/bramleystage-stand-ins/src/engine-schema.ts
+++ b/packages/bramleystage-stand-ins/src/engine-schema.ts
@@ -1,5 +1,5 @@
 /** Bodies of the engine stand-in's HTTP interface. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const stepSchema = z.object({
 	sequence: z.string(),
--- a/packages/bramleystage-stand-ins/src/faults.ts
+++ b/packages/bramleystage-stand-ins/src/faults.ts
@@ -14,7 +14,7 @@
 	waitFor,
 	writeJson,
 } from 'bramleystage';
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const faultsSchema = z.object({
 	down: z.boolean().default(false),
--- a/packages/bramleystage-stand-ins/src/platform.ts
+++ b/packages/bramleystage-stand-ins/src/platform.ts
@@ -5,7 +5,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import {parseJson, writeJson} from 'bramleystage';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Route, serveStandIn, type StandIn} from './faults.js';
 
 export type PlatformOptions = {
--- a/packages/bramleystage-stand-ins/src/service.ts
+++ b/packages/bramleystage-stand-ins/src/service.ts
@@ -4,7 +4,7 @@
  * count, so that a test sees whether a booking ran more than once.
  */
 import {parseJson, waitFor, writeJson} from 'bramleystage';
-import {z} from 'zod';
+import * as z from 'zod';
 import {serveStandIn, type StandIn} from './faults.js';
 
 export type ServiceOptions = {
--- a/packages/bramleystage/src/coordination/claims.ts
+++ b/packages/bramleystage/src/coordination/claims.ts
@@ -6,7 +6,7 @@
  * lifetime is over. A claim that was appended twice, since the answer to the
  * first append was lost, is the same claim.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Milliseconds} from '../protocol/decision.js';
 import {
 	hostIdSchema,
--- a/packages/bramleystage/src/coordination/leases.ts
+++ b/packages/bramleystage/src/coordination/leases.ts
@@ -7,7 +7,7 @@
  * they never overlap while clocks run at the same rate. Where they do not, the
  * fence at the agents decides.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Decision, Milliseconds} from '../protocol/decision.js';
 import {
 	type FencingNumber,
--- a/packages/bramleystage/src/protocol/ids.ts
+++ b/packages/bramleystage/src/protocol/ids.ts
@@ -4,7 +4,7 @@
  * check ids that arrive from outside, the `to…` functions brand values that
  * this process made itself.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maxIdLength = 200;
 const text = z.string().min(1).max(maxIdLength);
--- a/packages/bramleystage/src/protocol/limits.ts
+++ b/packages/bramleystage/src/protocol/limits.ts
@@ -3,7 +3,7 @@
  * asks an owner for a permit, and the records of the log that say which entries
  * may own a part of a limit.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {hostIdSchema, incarnationSchema, logOffsetSchema} from './ids.js';
 
 export const limitKindSchema = z.enum([
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -4,7 +4,7 @@
  * closes its session. Times in messages are durations in milliseconds, never
  * clock readings, since hosts share no clock.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	attemptSchema,
 	customerIdSchema,
--- a/packages/bramleystage/src/protocol/result-codes.ts
+++ b/packages/bramleystage/src/protocol/result-codes.ts
@@ -4,7 +4,7 @@
  * and what it says about the request: `not-run`, `ran` or `unknown`.
  * docs/RESULT-CODES.md is checked against this table by a test.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What is known of a request that did not get an ordinary answer. */
 export const outcomeSchema = z.enum(['not-run', 'ran', 'unknown']);
--- a/packages/bramleystage/src/protocol/settings.ts
+++ b/packages/bramleystage/src/protocol/settings.ts
@@ -4,7 +4,7 @@
  * docs/SETTINGS.md is checked against these definitions by a test.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {dataCentreIdSchema, hostIdSchema} from './ids.js';
 
 /** One setting: how its text is checked, and what it means. */
--- a/packages/bramleystage/src/protocol/table-messages.ts
+++ b/packages/bramleystage/src/protocol/table-messages.ts
@@ -3,7 +3,7 @@
  * in heartbeats; one that is behind asks a peer for the records it lacks, and
  * gets a snapshot in parts where the peer no longer keeps them.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {logOffsetSchema} from './ids.js';
 import {snapshotPartSchema} from './table-snapshot-schema.js';
 
--- a/packages/bramleystage/src/protocol/table-schema.ts
+++ b/packages/bramleystage/src/protocol/table-schema.ts
@@ -4,7 +4,7 @@
  * writes them; the schemas turn a row's cells into typed values.
  * docs/TABLE.md lists the same columns for operators.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	customerIdSchema,
 	editIdSchema,
--- a/packages/bramleystage/src/protocol/table-snapshot-schema.ts
+++ b/packages/bramleystage/src/protocol/table-snapshot-schema.ts
@@ -3,7 +3,7 @@
  * record or frame, so it travels in parts; a reader joins the parts of one
  * snapshot and checks their digest before it uses them.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {editIdSchema, logOffsetSchema} from './ids.js';
 import {rowKeySchema} from './table-schema.js';
 
--- a/packages/bramleystage/src/transport/platform-client.ts
+++ b/packages/bramleystage/src/transport/platform-client.ts
@@ -5,7 +5,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {Observable} from 'rxjs';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	dataCentreIdSchema,
 	hostIdSchema,
--- a/xo.config.js
+++ b/xo.config.js
@@ -58,7 +58,7 @@
 		files: [
 			'packages/bramleystage/src/{protocol/table-columns,protocol/table-schema,coordination/limit-members}.ts',
 			'packages/bramleystage-entry/src/*.ts',
-			'packages/*/src/**/__tests__/*.ts',
+			'{packages/*,platform}/src/**/__tests__/*.ts',
 			'packages/bramleystage-{command,site,bench,gateway}/src/*.ts',
 			'platform/src/*.ts',
 		],
