Write bounded logs to standard output and explain a request from them

Cause: on call there are only logs; lines went to standard error by writes without a bound, and nothing joined the lines of a request with what its process believed. Ruled out: a log file; hosts have no disk. After: tests follow a refused, a cut and an unknown request from its id to its cause; bramleystage explain prints the story.

--- a/packages/bramleystage-command/src/main.ts
+++ b/packages/bramleystage-command/src/main.ts
@@ -4,6 +4,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {agentCommand, dumpCommand, entryCommand} from './daemon-commands.js';
+import {explainCommand} from './explain-command.js';
 import {benchCommand} from './bench-command.js';
 import {siteCommand} from './site-command.js';
 import {usageExitCode} from './setting-options.js';
@@ -16,6 +17,7 @@
 	.command(entryCommand)
 	.command(agentCommand)
 	.command(dumpCommand)
+	.command(explainCommand)
 	.command(benchCommand)
 	.command(standInCommand)
 	.command(tableCommand)
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -209,6 +209,8 @@
 			const ms = Math.round((next.get(id)?.until ?? now) - now);
 			this.options.logger.warn('backend.avoided', {
 				backend: id,
+				address: this.snapshots.value.backends.get(id)?.address,
+				list_age_ms: Math.round(now - this.#readAt),
 				sign,
 				reason,
 				for_ms: ms,
@@ -313,7 +315,8 @@
 
 		for (const id of previous.backends.keys()) {
 			if (!next.backends.has(id)) {
-				this.options.logger.info('backend.removed', {backend: id});
+				const {address} = previous.backends.get(id) ?? {};
+				this.options.logger.info('backend.removed', {backend: id, address});
 			}
 		}
 
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -57,7 +57,6 @@
 	logger: Logger,
 ): Promise<RunningGateway> {
 	const lifeCycle = new LifeCycle();
-	const journal = new Journal(logger, readClock);
 	const {store, engines, headers} = platform;
 	let stoppingAt: number | undefined;
 	const follower = followConfiguration({store, lifeCycle, logger, readClock});
@@ -68,7 +67,12 @@
 		readClock,
 		countGateways: () => group.size,
 	});
-	const group = new Group({
+	const journal = new Journal(
+		logger,
+		readClock,
+		() => readClock() - fleet.readAt,
+	);
+	const group: Group = new Group({
 		store,
 		self: settings.peerListen,
 		seeds: settings.seeds,
--- a/packages/bramleystage-gateway/src/journal.ts
+++ b/packages/bramleystage-gateway/src/journal.ts
@@ -64,6 +64,8 @@
 	constructor(
 		private readonly logger: Logger,
 		private readonly readClock: () => number,
+		/** Age of the list of backend servers, in milliseconds. */
+		private readonly readListAge: () => number,
 	) {}
 
 	/** Adds a gauge that is read when the metrics are. */
@@ -93,6 +95,7 @@
 				where,
 				detail,
 				version: call.version,
+				list_age_ms: Math.round(this.readListAge()),
 			});
 		}
 	}
@@ -116,6 +119,7 @@
 			route: call.route.name,
 			customer: call.holder?.customer,
 			version: call.version,
+			list_age_ms: Math.round(this.readListAge()),
 			result,
 			code: resultCodes[result].code,
 			outcome: end.failure?.outcome ?? 'ran',
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -583,9 +583,6 @@
 } from './transport/life-cycle.js';
 export {
 	createLogger,
-	formatPairs,
-	formatValue,
-	type LogFields,
 	type Logger,
 	type LogLevel,
 	logLevels,
@@ -726,6 +723,21 @@
 	toBackendId,
 	toRouteName,
 } from './protocol/ids.js';
+export {
+	formatPairs,
+	formatValue,
+	type LogFields,
+	parsePairs,
+} from './protocol/log-pairs.js';
+export {
+	formatStory,
+	selectStory,
+	type StoryLine,
+} from './state/request-story.js';
+export {
+	type BoundedOutput,
+	createBoundedOutput,
+} from './transport/bounded-output.js';
 export {pickLowest} from './state/pick-lowest.js';
 export {splitBy} from './state/split-by.js';
 export {
--- a/packages/bramleystage/src/transport/logger.ts
+++ b/packages/bramleystage/src/transport/logger.ts
@@ -1,14 +1,11 @@
 /** Logs: one line of key=value pairs for each event, by winston. */
+import type {Writable} from 'node:stream';
 import winston from 'winston';
+import {formatPairs, type LogFields} from '../protocol/log-pairs.js';
 
 export const logLevels = ['error', 'warn', 'info', 'debug'] as const;
 export type LogLevel = (typeof logLevels)[number];
 
-/** Values of an event; undefined ones are left out. */
-export type LogFields = Readonly<
-	Record<string, string | number | boolean | undefined>
->;
-
 export type Logger = {
 	error(event: string, fields?: LogFields): void;
 	warn(event: string, fields?: LogFields): void;
@@ -16,27 +13,19 @@
 	debug(event: string, fields?: LogFields): void;
 };
 
-/** Formats a value; quotes it when it has spaces, quotes, equals signs or control characters. */
-export function formatValue(value: string | number | boolean): string {
-	const text = String(value);
-	return /^[^\s"=\p{Cc}]+$/v.test(text) ? text : JSON.stringify(text);
-}
-
-/** Formats the pairs of one line. */
-export function formatPairs(fields: LogFields): string {
-	return Object.entries(fields)
-		.filter(([, value]) => value !== undefined)
-		.map(([key, value]) => `${key}=${formatValue(value ?? '')}`)
-		.join(' ');
-}
-
-/** Creates a logger to standard error whose lines all carry the given fields. */
-export function createLogger(level: LogLevel, common: LogFields): Logger {
+/** Creates a logger whose lines all carry the given fields; to standard error if no output is given. */
+export function createLogger(
+	level: LogLevel,
+	common: LogFields,
+	output?: Writable,
+): Logger {
 	const logger = winston.createLogger({
 		level,
 		format: winston.format.printf((info) => String(info.message)),
 		transports: [
-			new winston.transports.Console({stderrLevels: [...logLevels]}),
+			output
+				? new winston.transports.Stream({stream: output})
+				: new winston.transports.Console({stderrLevels: [...logLevels]}),
 		],
 	});
 	const write =
