Count an attempt whose engine lives, and order its stream onto another path

A stream that can't run again, or may not be resumed, keeps its first engine and is ordered onto other stages.

--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -122,6 +122,12 @@
 		}
 	}
 
+	/** Whether one more run would stay within the attempts of the route. */
+	protected canRunAgain(): boolean {
+		const {maxAttempts} = this.call.route;
+		return isRepeatable(this.call) && this.#history.ran + 1 < maxAttempts;
+	}
+
 	protected decideNext(outcome: AttemptOutcome) {
 		return decideNextStep(
 			outcome,
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -11,6 +11,7 @@
 	type BackendsSnapshot,
 	applyBackendChanges,
 	choosePath,
+	choosePathAfter,
 	computeLinkMbps,
 	computeTokenRoom,
 	createAvoidance,
@@ -137,16 +138,31 @@
 			return undefined;
 		}
 
-		const usable = this.listUsable(service.name).filter(
-			({id}) => !excluded.has(id),
-		);
 		return choosePath(
-			usable.flatMap((backend) => this.#toPathEngine(backend, model) ?? []),
+			this.#listPathEngines(service.name, model, excluded),
 			model.layers,
 			(from, to) => this.#computeHopCost(model, from, to),
 		);
 	}
 
+	/** Chooses other stages for a request that goes on at its first one. */
+	choosePathAfter(
+		first: PathStage,
+		service: GatewayService,
+		excluded: ReadonlySet<BackendId>,
+	): PathStage[] | undefined {
+		const model = service.pipeline;
+		return (
+			model &&
+			choosePathAfter(
+				first,
+				this.#listPathEngines(service.name, model, excluded),
+				model.layers,
+				(from, to) => this.#computeHopCost(model, from, to),
+			)
+		);
+	}
+
 	/** Whether a server has kept failing, though the list still has it. */
 	isLost(id: BackendId): boolean {
 		return (this.#avoidance.get(id)?.strikes ?? 0) >= lostStrikes;
@@ -239,6 +255,16 @@
 		return isAvoided(this.#avoidance, id, this.options.readClock());
 	}
 
+	#listPathEngines(
+		service: ServiceName,
+		model: PipelineModel,
+		excluded: ReadonlySet<BackendId>,
+	): PathEngine[] {
+		return this.listUsable(service)
+			.filter(({id}) => !excluded.has(id))
+			.flatMap((backend) => this.#toPathEngine(backend, model) ?? []);
+	}
+
 	#computeHopCost(
 		model: PipelineModel,
 		from: DataCentreId,
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -46,7 +46,7 @@
 /** How often a stopping gateway looks whether all requests have ended, in milliseconds. */
 const drainCheckMs = 100;
 /** Share of the fleet's slack that is left unused for gateways that are not known yet. */
-const slackShare = 0.7;
+const slackShare = 0.8;
 
 const readClock = () => performance.now();
 
@@ -118,6 +118,9 @@
 		readClock,
 		isStopping: () => stoppingAt !== undefined,
 		registerStream: (stream: StreamRun) => watch.register(stream),
+		isUnreachable: ({id}: PathStage) => fleet.isUnreachable(id),
+		replacePath: engines.replacePath,
+		readReport: engines.readReport,
 		checkNamed(stage: PathStage) {
 			void watch.checkNamed(stage);
 		},
@@ -213,7 +216,9 @@
 	const startedAt = readClock();
 	const readBounds = () => {
 		// What an earlier life of this process has spent still counts for a window.
-		const isFresh = readClock() - startedAt < settings.retryWindowMs;
+		const isFresh =
+			!settings.isFirstStart &&
+			readClock() - startedAt < settings.retryWindowMs;
 		const share = isFresh ? slackShare / 2 : slackShare;
 		return {
 			ratio: settings.retryRatio,
--- a/packages/bramleystage-gateway/src/journal.ts
+++ b/packages/bramleystage-gateway/src/journal.ts
@@ -100,6 +100,18 @@
 		}
 	}
 
+	/** Records that a running request was ordered onto another path. */
+	recordReplacement(call: Call, path: string, outcome: string): void {
+		this.#attempts.inc({outcome: `replaced_${outcome}`});
+		if (this.#mayLog('failure')) {
+			this.logger.warn('path.replaced', {
+				request: call.facts.request,
+				outcome,
+				where: path,
+			});
+		}
+	}
+
 	recordEnd(call: Call, end: CallEnd): void {
 		const durationMs = this.readClock() - call.arrivedAt;
 		const {kind} = call.route;
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -18,13 +18,27 @@
 import {type Call, readPriority} from './call.js';
 import {CallRun, type DeskContext, listEndToEnd} from './call-run.js';
 import {EventSplitter} from './event-splitter.js';
+import type {EnginePort} from './platform-port.js';
 
+const formatStages = (path: readonly PathStage[]) =>
+	path
+		.map(({address, layers}) => `${address}=${layers.from}-${layers.to}`)
+		.join(',');
+
+/** Time for an engine to accept another path for a request, in milliseconds. */
+const replaceMs = 300;
+/** Time for an engine to report, in milliseconds; a live one answers within a few. */
+const reportMs = 150;
 /** Time to open a connection; a live engine takes one within a few milliseconds. */
 const connectMs = 150;
 
 export type StreamDeskContext = DeskContext & {
 	/** Watches a stream for silence until the clean-up is called. */
 	readonly registerStream: (stream: StreamRun) => () => void;
+	/** Whether requests could not reach an engine just now. */
+	readonly isUnreachable: (stage: PathStage) => boolean;
+	readonly replacePath: EnginePort['replacePath'];
+	readonly readReport: EnginePort['readReport'];
 	/** Follows up an engine that was named as the reason of a refusal. */
 	readonly checkNamed: (stage: PathStage) => void;
 	/** Records a pause between two events of a path, in milliseconds. */
@@ -32,9 +46,11 @@
 };
 
 type Flight = {
-	readonly path: readonly PathStage[];
+	path: readonly PathStage[];
 	readonly attempt: Attempt;
-	readonly releaseWork: () => void;
+	releaseWork: () => void;
+	/** Whether an order onto another path is under way. */
+	isReplacing: boolean;
 	readonly splitter: EventSplitter;
 	readonly sentAt: number;
 	head?: AnswerHead;
@@ -72,7 +88,7 @@
 	/** Leaves a path that no longer answers; `suspects` get none of its next attempts. */
 	moveAway(suspects: readonly BackendId[], detail: string): void {
 		const flight = this.#flight;
-		if (this.isOver || !flight || !this.call.route.isResumable) {
+		if (this.isOver || !flight) {
 			return;
 		}
 
@@ -80,6 +96,13 @@
 			this.#excluded.add(id);
 		}
 
+		const [first] = flight.path;
+		const isFirstLost = first !== undefined && this.desk.isUnreachable(first);
+		if (first && !isFirstLost && !this.canRunAgain()) {
+			void this.#replacePath(flight, first, new Set(suspects));
+			return;
+		}
+
 		// Without another path the stream is better off waiting on this one.
 		if (!this.#choosePath()) {
 			return;
@@ -87,7 +110,7 @@
 
 		const outcome = flight.attempt.isSent() ? 'unknown' : 'notRun';
 		this.#drop(flight);
-		this.#goOn(outcome, true, detail);
+		this.#goOn(outcome, isFirstLost, detail);
 	}
 
 	protected isInFlight(): boolean {
@@ -102,11 +125,8 @@
 		}
 
 		this.recordSend();
-		this.where = path
-			.map(({address, layers}) => `${address}=${layers.from}-${layers.to}`)
-			.join(',');
+		this.where = formatStages(path);
 		const {call, desk} = this;
-		const tokens = call.facts.promptTokens + call.facts.maxAnswerTokens / 2;
 		this.progressAt = desk.readClock();
 		if (call.service.pipeline) {
 			desk.fleet.recordPrompt(
@@ -118,10 +138,11 @@
 
 		const flight: Flight = {
 			path,
+			isReplacing: false,
 			splitter: new EventSplitter(),
 			chunks: [],
 			sentAt: this.progressAt,
-			releaseWork: desk.fleet.registerWork(path, tokens),
+			releaseWork: desk.fleet.registerWork(path, this.#tokens),
 			attempt: openAttempt(
 				{
 					address: first.address,
@@ -174,6 +195,48 @@
 		);
 	}
 
+	/**
+	 * Orders the running request onto other stages after its first one. Which
+	 * engine is at fault may not be known; then all others are replaced.
+	 */
+	async #replacePath(
+		flight: Flight,
+		first: PathStage,
+		suspects: ReadonlySet<BackendId>,
+	): Promise<void> {
+		const excluded = new Set([...suspects].filter((id) => id !== first.id));
+		const path = this.desk.fleet.choosePathAfter(
+			first,
+			this.call.service,
+			excluded,
+		);
+		if (!path || flight.isReplacing) {
+			return;
+		}
+
+		flight.isReplacing = true;
+		const outcome = await this.desk.replacePath(first.address, {
+			request: this.call.facts.request,
+			path,
+			timeoutMs: replaceMs,
+		});
+		flight.isReplacing = false;
+		const result = outcome.isOk() ? outcome.value : outcome.error.kind;
+		this.desk.journal.recordReplacement(this.call, formatStages(path), result);
+		if (result === 'accepted' && this.#flight === flight) {
+			flight.releaseWork();
+			flight.path = path;
+			flight.releaseWork = this.desk.fleet.registerWork(path, this.#tokens);
+			this.where = formatStages(path);
+			this.progressAt = this.desk.readClock();
+		}
+	}
+
+	get #tokens(): number {
+		const {promptTokens, maxAnswerTokens} = this.call.facts;
+		return promptTokens + maxAnswerTokens / 2;
+	}
+
 	#drop(flight: Flight): void {
 		flight.releaseWork();
 		flight.attempt.cancel();
@@ -338,7 +401,20 @@
 			);
 		}
 
-		this.#goOn(isSent ? 'unknown' : 'notRun', true, detail);
+		if (isSent && !this.canRunAgain() && first) {
+			void this.#goOnIfLost(first, detail);
+			return;
+		}
+
+		this.#goOn(isSent ? 'unknown' : 'notRun', false, detail);
+	}
+
+	/** Goes on after the last attempt that counts only if its engine is gone. */
+	async #goOnIfLost(first: PathStage, detail: string): Promise<void> {
+		const report = await this.desk.readReport(first.address, reportMs);
+		if (!this.isOver) {
+			this.#goOn('unknown', report.isErr(), detail);
+		}
 	}
 
 	#goOn(
--- a/packages/bramleystage/src/coordination/layer-path.ts
+++ b/packages/bramleystage/src/coordination/layer-path.ts
@@ -39,7 +39,6 @@
 	engines: readonly PathEngine[],
 	layers: number,
 	computeHopCost: ComputeHopCost,
-	first?: BackendId,
 ): PathStage[] | undefined {
 	let reached: Step[] = [];
 	for (let layer = 0; layer < layers; layer++) {
@@ -51,10 +50,7 @@
 			}
 
 			if (layer === 0) {
-				if (first === undefined || engine.id === first) {
-					next.push({engine, cost: engine.firstCost + engine.layerCost});
-				}
-
+				next.push({engine, cost: engine.firstCost + engine.layerCost});
 				continue;
 			}
 
@@ -151,3 +147,27 @@
 
 	return merged;
 }
+
+/** Chooses a cheapest path that begins with a given stage, for a request that runs there. */
+export function choosePathAfter(
+	first: PathStage,
+	engines: readonly PathEngine[],
+	layers: number,
+	computeHopCost: ComputeHopCost,
+): PathStage[] | undefined {
+	const start = first.layers.to;
+	const own = engines.find(({id}) => id === first.id);
+	const rest = engines
+		.filter(({id, layers: held}) => id !== first.id && held.to > start)
+		.map((engine) => ({
+			...engine,
+			layers: {...engine.layers, from: Math.max(start, engine.layers.from)},
+		}));
+	return own
+		? choosePath(
+				[{...own, layers: first.layers}, ...rest],
+				layers,
+				computeHopCost,
+			)
+		: undefined;
+}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -670,6 +670,7 @@
 } from './coordination/layer-orders.js';
 export {
 	choosePath,
+	choosePathAfter,
 	type ComputeHopCost,
 	type PathEngine,
 	type PathStage,
