--- a/packages/bramleystage-gateway/src/caller-port.ts
+++ b/packages/bramleystage-gateway/src/caller-port.ts
@@ -26,8 +26,6 @@
 	readonly lifeCycle: LifeCycle;
 	readonly readConfiguration: () => RoutingConfiguration | undefined;
 	readonly handleCall: (call: Call) => void;
-	/** Why no new request is taken now, if so. */
-	readonly findObstacle: () => Failure | undefined;
 	readonly isStopping: () => boolean;
 	readonly drawRandom: () => number;
 	readonly readClock: () => number;
@@ -103,13 +101,12 @@
 		response.destroy();
 	});
 	const configuration = options.readConfiguration();
-	const obstacle = options.findObstacle();
-	if (!configuration || obstacle) {
-		const failure =
-			obstacle ??
-			createFailure('tableStale', 'No configuration is known yet.', {
-				retryAfterSeconds: 0.5,
-			});
+	if (!configuration) {
+		const failure = createFailure(
+			'tableStale',
+			'No configuration is known yet.',
+			{retryAfterSeconds: 0.5},
+		);
 		refuseEarly(request, response, failure, options.isStopping());
 		return;
 	}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 	type ServiceName,
 	waitFor,
 } from 'bramleystage';
+import {writeFinalFailure} from './answers.js';
 import {followBackends} from './backend-follower.js';
 import type {Call} from './call.js';
 import {listenForCallers} from './caller-port.js';
@@ -132,20 +133,31 @@
 		stoppingAt === undefined &&
 		configurations.value !== undefined &&
 		fleet.isListed;
-	const findObstacle = (): Failure | undefined => {
+	/** Refuses what would not end before the process does. */
+	const findObstacle = (call: Call): Failure | undefined => {
 		if (
-			stoppingAt !== undefined &&
-			readClock() - stoppingAt > takeWhileStoppingMs
+			stoppingAt === undefined ||
+			readClock() - stoppingAt < takeWhileStoppingMs
 		) {
-			return createFailure('stopping', 'The gateway is stopping.', {
-				retryAfterSeconds: 0.05,
-			});
+			return undefined;
 		}
 
-		return undefined;
+		const endAt = stoppingAt + settings.graceMs - endReserveMs;
+		return readClock() + watch.estimateMs(call) > endAt
+			? createFailure('stopping', 'The gateway is stopping.', {
+					retryAfterSeconds: 0.05,
+				})
+			: undefined;
 	};
 
 	const handleCall = (call: Call) => {
+		const obstacle = findObstacle(call);
+		if (obstacle) {
+			writeFinalFailure(call.response, obstacle, true);
+			journal.recordEnd(call, {failure: obstacle, attempts: 0, where: ''});
+			return;
+		}
+
 		inFlight++;
 		call.response.once('close', () => {
 			inFlight--;
@@ -163,7 +175,6 @@
 		lifeCycle,
 		readConfiguration: () => configurations.value,
 		handleCall,
-		findObstacle,
 		isStopping: () => stoppingAt !== undefined,
 		drawRandom: Math.random,
 		readClock,
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -49,6 +49,8 @@
 	path: readonly PathStage[];
 	readonly attempt: Attempt;
 	releaseWork: () => void;
+	/** Whether events have come since the path was chosen. */
+	isFlowing: boolean;
 	/** Whether an order onto another path is under way. */
 	isReplacing: boolean;
 	readonly splitter: EventSplitter;
@@ -81,8 +83,9 @@
 		return this.#flight?.path ?? [];
 	}
 
-	get hasEvents(): boolean {
-		return this.firstAt !== undefined;
+	/** Whether the present path has given events since it was chosen. */
+	get isFlowing(): boolean {
+		return this.#flight?.isFlowing ?? false;
 	}
 
 	/** Leaves a path that no longer answers; `suspects` get none of its next attempts. */
@@ -138,6 +141,7 @@
 
 		const flight: Flight = {
 			path,
+			isFlowing: false,
 			isReplacing: false,
 			splitter: new EventSplitter(),
 			chunks: [],
@@ -228,6 +232,7 @@
 			flight.path = path;
 			flight.releaseWork = this.desk.fleet.registerWork(path, this.#tokens);
 			this.where = formatStages(path);
+			flight.isFlowing = false;
 			this.progressAt = this.desk.readClock();
 		}
 	}
@@ -256,7 +261,7 @@
 		}
 
 		const now = this.desk.readClock();
-		if (this.firstAt) {
+		if (flight.isFlowing) {
 			this.desk.recordPause(flight.path, now - this.progressAt);
 		}
 
@@ -278,6 +283,7 @@
 			return;
 		}
 
+		flight.isFlowing = true;
 		this.#lastEvent = events.ids.at(-1) ?? this.#lastEvent;
 		this.call.response.write(events.bytes);
 	}
@@ -368,7 +374,7 @@
 
 			this.#goOn('notRun', false, detail);
 		} else if (
-			this.hasEvents ||
+			this.firstAt !== undefined ||
 			facts.request !== this.call.facts.request ||
 			!facts.isStamped
 		) {
--- a/packages/bramleystage-gateway/src/stream-watch.ts
+++ b/packages/bramleystage-gateway/src/stream-watch.ts
@@ -10,6 +10,7 @@
 	type PathStage,
 	splitBy,
 } from 'bramleystage';
+import type {Call} from './call.js';
 import type {Fleet} from './fleet.js';
 import type {EnginePort} from './platform-port.js';
 import type {StreamRun} from './stream-run.js';
@@ -32,6 +33,8 @@
 const inspectPauseMs = 150;
 /** Smoothed pause under which a path counts as fast, in milliseconds. */
 const calmPauseMs = 60;
+/** Pause between events that is assumed at least, in milliseconds. */
+const usualPauseMs = 40;
 /** Weight of a new pause in the smoothed one. */
 const pauseWeight = 0.05;
 /** Delay of the watch's own timer that shows that this process was held up, in milliseconds. */
@@ -68,6 +71,17 @@
 		};
 	}
 
+	/** Estimates the longest time that a call takes, in milliseconds, from its tokens and the paths' pace. */
+	estimateMs({service, facts, dueAt, arrivedAt}: Call): number {
+		if (!service.pipeline) {
+			return dueAt - arrivedAt;
+		}
+
+		const pauseMs = Math.max(usualPauseMs, ...this.#pauses.values());
+		const events = facts.maxAnswerTokens / service.pipeline.tokensPerEvent;
+		return Math.min(dueAt - arrivedAt, events * pauseMs);
+	}
+
 	/** Records a pause between two events of a stream, in milliseconds. */
 	recordPause(path: readonly PathStage[], pauseMs: number): void {
 		const key = formatKey(path);
@@ -140,6 +154,8 @@
 		}
 
 		this.#inspectedAt.set(key, readClock());
+		// If streams that flowed have stopped, so has the reading of prompts.
+		const wasFlowing = streams.some(({isFlowing}) => isFlowing);
 		const isCalm = (this.#pauses.get(key) ?? 0) < calmPauseMs;
 		const suspects = await this.#findSuspects(first);
 		logger.warn('path.silent', {
@@ -152,7 +168,10 @@
 		for (const stream of streams) {
 			const isStill =
 				formatKey(stream.path) === key &&
-				now - stream.progressAt > this.#computeLimit(key);
+				now - stream.progressAt >
+					(stream.isFlowing || wasFlowing
+						? this.#computeLimit(key)
+						: firstSilenceMs);
 			const path = stream.path.map(({id}) => id);
 			const isAffected = path.some((id) => suspects.includes(id));
 			// Without a suspect a path is left only if it used to be fast: a busy one is slow everywhere.
@@ -195,14 +214,14 @@
 
 /**
  * Whether streams of one path have made no progress for too long. One that has
- * had events tells more than one that still waits for its prompt to be read.
+ * events of this path tells more than one whose prompt is still being read.
  */
 function isSilent(
 	streams: readonly StreamRun[],
 	limitMs: number,
 	now: number,
 ): boolean {
-	const started = streams.filter(({hasEvents}) => hasEvents);
+	const started = streams.filter(({isFlowing}) => isFlowing);
 	const isStartedSilent = started.every(
 		({progressAt}) => now - progressAt > limitMs,
 	);
