--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -97,14 +97,13 @@
 		this.#publish(replaceBackends(this.snapshots.value, listed));
 	}
 
-	/** Backend servers of a service that may be given work. */
-	listUsable(service: ServiceName): Backend[] {
-		const now = this.options.readClock();
+	/** Backend servers of a service that may be given work; with those avoided by weak signs, if asked for. */
+	listUsable(service: ServiceName, withAvoided: boolean): Backend[] {
+		const isUsable = ({id}: Backend) =>
+			!this.isAvoided(id) || (withAvoided && !this.isUnreachable(id));
 		return [...this.snapshots.value.backends.values()].filter(
 			(backend) =>
-				backend.service === service &&
-				!backend.isDraining &&
-				!isAvoided(this.#avoidance, backend.id, now),
+				backend.service === service && !backend.isDraining && isUsable(backend),
 		);
 	}
 
@@ -138,10 +137,14 @@
 			return undefined;
 		}
 
-		return choosePath(
-			this.#listPathEngines(service.name, model, excluded),
-			model.layers,
-			(from, to) => this.#computeHopCost(model, from, to),
+		const choose = (engines: readonly PathEngine[]) =>
+			choosePath(engines, model.layers, (from, to) =>
+				this.#computeHopCost(model, from, to),
+			);
+		// An engine that only turned work away or cut an answer is better than none.
+		return (
+			choose(this.#listPathEngines(service.name, model, excluded)) ??
+			choose(this.#listPathEngines(service.name, model, excluded, true))
 		);
 	}
 
@@ -259,8 +262,9 @@
 		service: ServiceName,
 		model: PipelineModel,
 		excluded: ReadonlySet<BackendId>,
+		withAvoided = false,
 	): PathEngine[] {
-		return this.listUsable(service)
+		return this.listUsable(service, withAvoided)
 			.filter(({id}) => !excluded.has(id))
 			.flatMap((backend) => this.#toPathEngine(backend, model) ?? []);
 	}
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -101,19 +101,23 @@
 
 		const [first] = flight.path;
 		const isFirstLost = first !== undefined && this.desk.isUnreachable(first);
-		if (first && !isFirstLost && !this.canRunAgain()) {
-			void this.#replacePath(flight, first, new Set(suspects));
-			return;
-		}
-
 		// Without another path the stream is better off waiting on this one.
-		if (!this.#choosePath()) {
+		const mayMove =
+			(isFirstLost || this.canRunAgain()) &&
+			this.#choosePath() !== undefined &&
+			this.desk.tryRepeat(this.call.service.name);
+		if (!mayMove) {
+			if (first && !isFirstLost) {
+				void this.#replacePath(flight, first, new Set(suspects));
+			}
+
 			return;
 		}
 
 		const outcome = flight.attempt.isSent() ? 'unknown' : 'notRun';
 		this.#drop(flight);
-		this.#goOn(outcome, isFirstLost, detail);
+		this.recordOutcome(outcome, isFirstLost, detail);
+		this.tryNext();
 	}
 
 	protected isInFlight(): boolean {
@@ -353,25 +357,23 @@
 			return;
 		}
 
-		const faulty = path.find(({address}) => address === facts.faultyAddress);
+		const named = path.find(({address}) => address === facts.faultyAddress);
+		const isRefusal = facts.isNotRun || head.status === 421;
+		const faulty = named ?? (isRefusal ? path[0] : undefined);
 		if (faulty) {
 			this.#excluded.add(faulty.id);
 			this.desk.fleet.recordTrouble(
 				faulty.id,
 				head.status === 421 ? 'replaced' : 'refused',
-				`Named by status ${head.status}.`,
+				`Status ${head.status}.`,
 			);
-			if (head.status === 503) {
-				this.desk.checkNamed(faulty);
+			if (named && head.status === 503) {
+				this.desk.checkNamed(named);
 			}
 		}
 
 		const detail = `Status ${head.status}.`;
-		if (facts.isNotRun || head.status === 421) {
-			if (!faulty && path[0]) {
-				this.#excluded.add(path[0].id);
-			}
-
+		if (isRefusal) {
 			this.#goOn('notRun', false, detail);
 		} else if (
 			this.firstAt !== undefined ||
--- a/packages/bramleystage-gateway/src/stream-watch.ts
+++ b/packages/bramleystage-gateway/src/stream-watch.ts
@@ -37,6 +37,8 @@
 const usualPauseMs = 40;
 /** Weight of a new pause in the smoothed one. */
 const pauseWeight = 0.05;
+/** Weight of a new pause in the smoothed one of all paths. */
+const usualWeight = 0.005;
 /** Delay of the watch's own timer that shows that this process was held up, in milliseconds. */
 const heldUpMs = 40;
 
@@ -54,6 +56,8 @@
 	readonly #inspectedAt = new Map<string, number>();
 	/** Smoothed pause between events of each path, in milliseconds. */
 	readonly #pauses = new Map<string, number>();
+	/** Smoothed pause between events of all paths, in milliseconds. */
+	#usualPause = 0;
 	#lastTick: number;
 	#blindUntil = 0;
 
@@ -87,6 +91,7 @@
 		const key = formatKey(path);
 		const known = this.#pauses.get(key) ?? pauseMs;
 		this.#pauses.set(key, known + (pauseMs - known) * pauseWeight);
+		this.#usualPause += (pauseMs - this.#usualPause) * usualWeight;
 	}
 
 	/**
@@ -156,7 +161,7 @@
 		this.#inspectedAt.set(key, readClock());
 		// If streams that flowed have stopped, so has the reading of prompts.
 		const wasFlowing = streams.some(({isFlowing}) => isFlowing);
-		const isCalm = (this.#pauses.get(key) ?? 0) < calmPauseMs;
+		const isCalm = (this.#pauses.get(key) ?? this.#usualPause) < calmPauseMs;
 		const suspects = await this.#findSuspects(first);
 		logger.warn('path.silent', {
 			first: first.address,
