Let engines' own reports hold over list entries that were written before them

Streams were ordered onto other paths up to 18 times each. Ruled out: late orders; each accepted one named the right count.

--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -10,6 +10,7 @@
 	type BackendId,
 	type BackendsSnapshot,
 	applyBackendChanges,
+	applyOwnLayers,
 	choosePath,
 	choosePathAfter,
 	computeLinkMbps,
@@ -20,6 +21,7 @@
 	type DataCentreId,
 	type GatewayService,
 	isAvoided,
+	type LayerRange,
 	type LinkLoads,
 	type Logger,
 	type PathEngine,
@@ -84,11 +86,9 @@
 		this.#publish(applyBackendChanges(this.snapshots.value, changes));
 	}
 
-	/** Takes what a backend server itself says. */
-	update(backend: Backend): void {
-		this.#publish(
-			applyBackendChanges(this.snapshots.value, [{id: backend.id, backend}]),
-		);
+	/** Takes the layers that a backend server itself reports. */
+	recordLayers(id: BackendId, layers: LayerRange): void {
+		this.#publish(applyOwnLayers(this.snapshots.value, id, layers));
 	}
 
 	/** Replaces the list by one that was read at a present time. */
--- a/packages/bramleystage-gateway/src/placement-desk.ts
+++ b/packages/bramleystage-gateway/src/placement-desk.ts
@@ -162,10 +162,9 @@
 				}
 
 				const report = await this.options.engines.readReport(address, answerMs);
-				const backend = this.options.fleet.snapshots.value.backends.get(id);
 				const layers = report.isOk() ? report.value.layers : undefined;
-				if (backend && layers && isSameRange(layers, pending.layers)) {
-					this.options.fleet.update({...backend, layers});
+				if (layers && isSameRange(layers, pending.layers)) {
+					this.options.fleet.recordLayers(id, layers);
 				} else {
 					this.#confirm(id, address);
 				}
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -27,6 +27,10 @@
 
 /** Time for an engine to accept another path for a request, in milliseconds. */
 const replaceMs = 300;
+/** Orders onto another path for one stream; each is priced and makes the new engines read the prompt. */
+const maxReplacements = 2;
+/** Least time between two such orders, in milliseconds: the new engines must have read the prompt. */
+const replacePauseMs = 700;
 /** Time for an engine to report, in milliseconds; a live one answers within a few. */
 const reportMs = 150;
 /** Time to open a connection; a live engine takes one within a few milliseconds. */
@@ -51,8 +55,6 @@
 	releaseWork: () => void;
 	/** Whether events have come since the path was chosen. */
 	isFlowing: boolean;
-	/** Whether an order onto another path is under way. */
-	isReplacing: boolean;
 	readonly splitter: EventSplitter;
 	readonly sentAt: number;
 	head?: AnswerHead;
@@ -65,6 +67,9 @@
 	progressAt: number;
 	#flight: Flight | undefined;
 	#lastEvent: string | undefined;
+	#replacements = 0;
+	/** Present time of the last order onto another path, in milliseconds. */
+	#replacedAt = Number.NEGATIVE_INFINITY;
 	readonly #excluded = new Set<BackendId>();
 	readonly #releaseWatch: () => void;
 
@@ -146,7 +151,6 @@
 		const flight: Flight = {
 			path,
 			isFlowing: false,
-			isReplacing: false,
 			splitter: new EventSplitter(),
 			chunks: [],
 			sentAt: this.progressAt,
@@ -218,17 +222,21 @@
 			this.call.service,
 			excluded,
 		);
-		if (!path || flight.isReplacing) {
+		const now = this.desk.readClock();
+		const isAllowed =
+			this.#replacements < maxReplacements &&
+			now - this.#replacedAt > replacePauseMs;
+		if (!path || !isAllowed) {
 			return;
 		}
 
-		flight.isReplacing = true;
+		this.#replacements++;
+		this.#replacedAt = now;
 		const outcome = await this.desk.replacePath(first.address, {
 			request: this.call.facts.request,
 			path,
 			timeoutMs: replaceMs,
 		});
-		flight.isReplacing = false;
 		const result = outcome.isOk() ? outcome.value : outcome.error.kind;
 		this.desk.journal.recordReplacement(this.call, formatStages(path), result);
 		if (result === 'accepted' && this.#flight === flight) {
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -693,6 +693,7 @@
 } from './coordination/retry-window.js';
 export {
 	applyBackendChanges,
+	applyOwnLayers,
 	type Backend,
 	type BackendChange,
 	type BackendsSnapshot,
--- a/packages/bramleystage/src/state/backends.ts
+++ b/packages/bramleystage/src/state/backends.ts
@@ -36,11 +36,55 @@
 	readonly backend?: Backend;
 };
 
+/** Layers that a backend server reported itself, and what the list had of it then. */
+type OwnReport = {
+	readonly layers?: LayerRange;
+	readonly listed?: LayerRange;
+	readonly bornAt: number;
+};
+
 export type BackendsSnapshot = {
 	readonly backends: ReadonlyMap<BackendId, Backend>;
+	/** Reports that the list has not caught up with. */
+	readonly reports: ReadonlyMap<BackendId, OwnReport>;
 };
 
-export const createBackends = (): BackendsSnapshot => ({backends: new Map()});
+export const createBackends = (): BackendsSnapshot => ({
+	backends: new Map(),
+	reports: new Map(),
+});
+
+const isSameRange = (a: LayerRange | undefined, b: LayerRange | undefined) =>
+	a?.from === b?.from && a?.to === b?.to;
+
+/** Records the layers that a backend server reported itself; the list says so later. */
+export function applyOwnLayers(
+	snapshot: BackendsSnapshot,
+	id: BackendId,
+	layers: LayerRange,
+): BackendsSnapshot {
+	const known = snapshot.backends.get(id);
+	if (!known || isSameRange(known.layers, layers)) {
+		return snapshot;
+	}
+
+	const listed = snapshot.reports.get(id)?.listed ?? known.layers;
+	return {
+		backends: new Map(snapshot.backends).set(id, {...known, layers}),
+		reports: new Map(snapshot.reports).set(id, {
+			layers,
+			listed,
+			bornAt: known.bornAt,
+		}),
+	};
+}
+
+/** Keeps a report over an entry that was written before it. */
+function mergeReport(entry: Backend, report: OwnReport | undefined): Backend {
+	const isBehind =
+		entry.bornAt === report?.bornAt && isSameRange(entry.layers, report.listed);
+	return isBehind ? {...entry, layers: report.layers} : entry;
+}
 
 function isSame(a: Backend | undefined, b: Backend | undefined): boolean {
 	return (
@@ -71,7 +115,16 @@
 	changes: readonly BackendChange[],
 ): BackendsSnapshot {
 	let next: Map<BackendId, Backend> | undefined;
-	for (const {id, backend} of changes) {
+	let {reports} = snapshot;
+	for (const {id, backend: entry} of changes) {
+		const report = reports.get(id);
+		const backend = entry && mergeReport(entry, report);
+		if (report && backend === entry) {
+			const rest = new Map(reports);
+			rest.delete(id);
+			reports = rest;
+		}
+
 		if (isSame((next ?? snapshot.backends).get(id), backend)) {
 			continue;
 		}
@@ -84,7 +137,8 @@
 		}
 	}
 
-	return next ? {backends: next} : snapshot;
+	const isChanged = next !== undefined || reports !== snapshot.reports;
+	return isChanged ? {backends: next ?? snapshot.backends, reports} : snapshot;
 }
 
 /** Replaces the whole list. */
