--- a/packages/bramleystage-gateway/src/backend-follower.ts
+++ b/packages/bramleystage-gateway/src/backend-follower.ts
@@ -3,7 +3,7 @@
  * written anew with each heartbeat, so waiting for the next record would wake
  * the process all the time.
  */
-import {type Backend, type LifeCycle, type Logger, waitFor} from 'bramleystage';
+import {type LifeCycle, type Logger, waitFor} from 'bramleystage';
 import type {Fleet} from './fleet.js';
 import type {BackendsRead, StorePort} from './platform-port.js';
 
@@ -23,38 +23,40 @@
 }): void {
 	const {store, fleet, lifeCycle, logger, readClock} = options;
 	let next: number | undefined;
-	/** Present time until which entries that are missing are kept. */
-	let graceUntil = 0;
+	/** Present time at which the list is read whole again, after an outage. */
+	let replaceAt: number | undefined;
 	const logSkipped = (read: BackendsRead) => {
 		for (const {key, reason} of read.skipped) {
 			logger.warn('backend.skipped', {backend: key, reason});
 		}
 	};
 
-	const listKnown = (read: BackendsRead): Backend[] =>
-		read.changes.flatMap(({backend}) => backend ?? []);
-	const step = async (): Promise<number> => {
-		const askedAt = readClock();
-		if (next === undefined || graceUntil > readClock()) {
-			const read = await store.loadBackends();
-			if (read.isErr()) {
-				graceUntil = readClock() + lapsedGraceMs;
-				return retryMs;
-			}
+	/** Reads the list whole; after an outage, entries that are missing are kept for now. */
+	const load = async (askedAt: number, keepsMissing: boolean) => {
+		const read = await store.loadBackends();
+		if (read.isErr()) {
+			replaceAt = readClock() + lapsedGraceMs;
+			return retryMs;
+		}
 
-			logSkipped(read.value);
-			next = read.value.next;
-			const listed = listKnown(read.value);
-			if (graceUntil > readClock()) {
-				fleet.apply(
-					listed.map((backend) => ({id: backend.id, backend})),
-					askedAt,
-				);
-			} else {
-				fleet.replace(listed, askedAt);
-			}
+		logSkipped(read.value);
+		next = read.value.next;
+		if (keepsMissing) {
+			fleet.apply(read.value.changes, askedAt);
+		} else {
+			replaceAt = undefined;
+			const listed = read.value.changes.flatMap(({backend}) => backend ?? []);
+			fleet.replace(listed, askedAt);
+		}
 
-			return readIntervalMs;
+		return readIntervalMs;
+	};
+
+	const step = async (): Promise<number> => {
+		const askedAt = readClock();
+		const isReplaceDue = replaceAt !== undefined && askedAt >= replaceAt;
+		if (next === undefined || isReplaceDue) {
+			return load(askedAt, replaceAt !== undefined && !isReplaceDue);
 		}
 
 		const read = await store.readBackends(next);
@@ -71,7 +73,7 @@
 		}
 
 		logger.warn('backends.unread', {detail: read.error.detail});
-		graceUntil = readClock() + lapsedGraceMs;
+		replaceAt = readClock() + lapsedGraceMs;
 		return retryMs;
 	};
 
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -47,7 +47,9 @@
 /** How often a stopping gateway looks whether all requests have ended, in milliseconds. */
 const drainCheckMs = 100;
 /** Share of the fleet's slack that is left unused for gateways that are not known yet. */
-const slackShare = 0.8;
+const slackShare = 0.75;
+/** Share of its slack that a restarted gateway uses until a window has passed; its earlier life used some. */
+const freshShare = 0.25;
 
 const readClock = () => performance.now();
 
@@ -230,7 +232,7 @@
 		const isFresh =
 			!settings.isFirstStart &&
 			readClock() - startedAt < settings.retryWindowMs;
-		const share = isFresh ? slackShare / 2 : slackShare;
+		const share = isFresh ? slackShare * freshShare : slackShare;
 		return {
 			ratio: settings.retryRatio,
 			slack: (settings.retrySlack * share) / countGateways(),
