Wait for owners of the limits, and size the held stream of the drain test

Cause 1: an entry was ready and took requests before any entry owned a part of a limit, so its first refusals named a limit that nobody had used. Ready now waits for the first confirmed epoch; a refusal before it has a code of its own (limitsUnsettled). Tests: limit-members.test.ts.

--- a/examples/run-processes.mjs
+++ b/examples/run-processes.mjs
@@ -121,7 +121,7 @@
 	}
 }
 
-/** Waits until an entry has the table and a session to every agent. */
+/** Waits until an entry is ready and has a session to every agent. */
 async function waitForEntry({name, operatorAddress}, agentCount) {
 	const until = performance.now() + readyTimeoutMs;
 	while (performance.now() < until) {
@@ -129,7 +129,9 @@
 		const answer = await fetch(`http://${operatorAddress}/dump`);
 		// eslint-disable-next-line no-await-in-loop -- polls until ready
 		const {tableOffset, hosts} = await answer.json();
-		if (tableOffset > 0 && hosts.length >= agentCount) {
+		// eslint-disable-next-line no-await-in-loop -- polls until ready
+		const ready = await fetch(`http://${operatorAddress}/readyz`);
+		if (ready.ok && tableOffset > 0 && hosts.length >= agentCount) {
 			return;
 		}
 
--- a/packages/bramleystage-entry/src/entry-limits.ts
+++ b/packages/bramleystage-entry/src/entry-limits.ts
@@ -19,6 +19,7 @@
 	type LimitSnapshot,
 	type ListedHost,
 	type Logger,
+	type Milliseconds,
 	type Permit,
 	type PlatformClient,
 	type RowKind,
@@ -98,6 +99,11 @@
 		});
 	}
 
+	/** Whether the entries have agreed on their parts; before that no work is admitted. */
+	get isSettled(): boolean {
+		return this.#desk.membership.isSettled;
+	}
+
 	/** What the limits hold, for the state dump. */
 	describe(): object {
 		return this.#desk.summary;
@@ -158,16 +164,25 @@
 					return;
 				}
 
-				const failure = createFailure(
-					'limitReached',
-					`The limit ${limit.key} of ${limit.limit} is reached.`,
-					{retryAfterSeconds: Math.max(result.retryAfterMs / msPerSecond, 1)},
-				);
-				resolve(err(failure));
+				resolve(err(this.#describeRefusal(limit, result.retryAfterMs)));
 			});
 		});
 	}
 
+	#describeRefusal({key, limit}: Limit, retryAfterMs: Milliseconds): Failure {
+		return this.isSettled
+			? createFailure(
+					'limitReached',
+					`The limit ${key} of ${limit} is reached.`,
+					{retryAfterSeconds: Math.max(retryAfterMs / msPerSecond, 1)},
+				)
+			: createFailure(
+					'limitsUnsettled',
+					`No entry owns the limit ${key} yet.`,
+					{retryAfterSeconds: 1},
+				);
+	}
+
 	#tick(): void {
 		this.#desk.tick();
 		this.#dropDelisted();
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -202,7 +202,7 @@
 		models.receive(event);
 		services.receive(event);
 	});
-	const isReady = () => !leaving && !follower.isStale;
+	const isReady = () => !leaving && !follower.isStale && limits.isSettled;
 	const modelRoute: ModelRouteOptions = {
 		desk: models,
 		admission,
--- a/packages/bramleystage-site/src/__tests__/recovery.test.ts
+++ b/packages/bramleystage-site/src/__tests__/recovery.test.ts
@@ -16,7 +16,10 @@
 const deployment = deployments.kaleli;
 const reference = computeReference(prompt, deployment.layers, maxTokens);
 const lastNewWorkMs = 3000;
-const slowStepMs = 20;
+/** Time for which the stream of a leaving agent is to be in flight at least. */
+const heldMs = 2 * lastNewWorkMs;
+/** The answer may end before `maxTokens`, so its own length gives the time of a step. */
+const slowStepMs = Math.ceil(heldMs / reference.tokens.length);
 /** Silence of the session, and the time that an entry may be without one. */
 const entryLossMs = 8000;
 
--- a/packages/bramleystage-site/src/site-ready.ts
+++ b/packages/bramleystage-site/src/site-ready.ts
@@ -5,7 +5,7 @@
 const readyStepMs = 20;
 const readyTimeoutMs = 20_000;
 
-/** Resolves when each entry has the table and a session to every agent. */
+/** Resolves when each entry is ready and has a session to every agent. */
 export async function waitForReady(
 	entries: readonly RunningEntry[],
 	agentCount: number,
@@ -24,7 +24,18 @@
 						hosts: unknown[];
 					})
 				: undefined;
-			return state && state.tableOffset > 0 && state.hosts.length >= agentCount;
+			const ready = await sendHttp({
+				method: 'GET',
+				url: `http://${operatorAddress}/readyz`,
+				timeoutMs: 1000,
+			});
+			const isReady = ready.isOk() && ready.value.status === 200;
+			return (
+				isReady &&
+				state &&
+				state.tableOffset > 0 &&
+				state.hosts.length >= agentCount
+			);
 		});
 		// eslint-disable-next-line no-await-in-loop -- polls until ready
 		const ready = await Promise.all(checks);
--- a/packages/bramleystage/src/coordination/__tests__/limit-members.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/limit-members.test.ts
@@ -5,6 +5,7 @@
 	computeUsablePart,
 	createLimitMembers,
 	foldLimitRecord,
+	isSettled,
 	type Limit,
 } from '../limit-members.js';
 
@@ -64,3 +65,13 @@
 	expect(computeUsablePart(state, member('a'), limit)).toBe(11);
 	expect(computeUsablePart(state, other, limit)).toBe(0);
 });
+
+test('nobody owns a limit before the first epoch is confirmed', () => {
+	expect(isSettled(createLimitMembers())).toBe(false);
+	expect(isSettled(fold([record('join', 'a')]))).toBe(false);
+	expect(isSettled(fold(first))).toBe(true);
+});
+
+test('owners keep their parts while a newcomer has not confirmed', () => {
+	expect(isSettled(fold([...first, record('join', 'b')]))).toBe(true);
+});
--- a/packages/bramleystage/src/coordination/limit-members.ts
+++ b/packages/bramleystage/src/coordination/limit-members.ts
@@ -195,6 +195,10 @@
 	return Math.max(0, Math.min(epoch, ...confirmed));
 }
 
+/** Whether an epoch with members is in force, so that somebody owns the limits. */
+export const isSettled = ({epoch, lists}: LimitMembers): boolean =>
+	epoch > 0 && !lists.has(0);
+
 function removeOldLists(state: LimitMembers): LimitMembers {
 	const confirmed = findConfirmedEpoch(state);
 	const lists = new Map(
--- a/packages/bramleystage/src/coordination/limit-membership.ts
+++ b/packages/bramleystage/src/coordination/limit-membership.ts
@@ -16,6 +16,7 @@
 	createLimitMembers,
 	createLimitSnapshot,
 	foldLimitRecords,
+	isSettled,
 	type LogRecord,
 	type Limit,
 	type LimitMember,
@@ -69,6 +70,11 @@
 		return this.#staleSince !== undefined;
 	}
 
+	/** Whether somebody owns the limits, as far as the log has been read. */
+	get isSettled(): boolean {
+		return isSettled(this.#state);
+	}
+
 	get members(): readonly LimitMember[] {
 		return [...this.#state.members.values()];
 	}
--- a/packages/bramleystage/src/protocol/result-codes.ts
+++ b/packages/bramleystage/src/protocol/result-codes.ts
@@ -107,6 +107,12 @@
 		'not-run',
 		'The idempotency key cannot be claimed while the log is out.',
 	),
+	limitsUnsettled: row(
+		2010,
+		503,
+		'not-run',
+		'The entries have not agreed yet which of them owns which part of a limit.',
+	),
 	cancelled: row(
 		3001,
 		499,
