Spend a dropped member's part of the retry budget only after its window

Ruled out: restarts (none in the window) and hedges (plain service, 17 repeats).

Change: a gateway that can't renew its membership spends no slack after the time in which the group drops it, unless the others have lost the store too; the others keep the larger count for a window; one that is back waits until that has passed.

--- a/packages/bramleystage-gateway/src/fleet-budget.ts
+++ b/packages/bramleystage-gateway/src/fleet-budget.ts
@@ -19,7 +19,8 @@
 
 	constructor(
 		private readonly settings: GatewaySettings,
-		private readonly countGateways: () => number,
+		/** Part of the fleet's slack that is this gateway's, 0 to 1. */
+		private readonly readShare: (now: number) => number,
 		private readonly readClock: () => number,
 	) {
 		this.#startedAt = readClock();
@@ -61,7 +62,7 @@
 		const share = isFresh ? slackShare * freshShare : slackShare;
 		return {
 			ratio: retryRatio,
-			slack: (retrySlack * share) / this.countGateways(),
+			slack: retrySlack * share * this.readShare(now),
 			windowMs: retryWindowMs,
 		};
 	}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -85,6 +85,8 @@
 		self: settings.peerListen,
 		seeds: settings.seeds,
 		memberMs: settings.memberMs,
+		windowMs: settings.retryWindowMs,
+		isStoreAway: () => links.isStoreAway,
 		readListedAt: () => fleet.readAt,
 		findKnowledge: (address) => links.findKnowledge(address),
 		lifeCycle,
@@ -142,7 +144,11 @@
 		readClock,
 	});
 	const watch = new StreamWatch({fleet, engines, logger, lifeCycle, readClock});
-	const budget = new FleetBudget(settings, () => group.size, readClock);
+	const budget = new FleetBudget(
+		settings,
+		(now) => group.computeBudgetShare(now),
+		readClock,
+	);
 	let inFlight = 0;
 	const context = {
 		fleet,
--- a/packages/bramleystage-gateway/src/group.ts
+++ b/packages/bramleystage-gateway/src/group.ts
@@ -4,7 +4,17 @@
  * givers for a moment do no harm, since every order names the number of orders
  * before it; so the choice needs no lease and goes on while the store is away.
  */
-import {type LifeCycle, type Logger, waitFor} from 'bramleystage';
+import {
+	type BudgetShare,
+	computeBudgetShare,
+	createBudgetShare,
+	type LifeCycle,
+	type Logger,
+	recordMembers,
+	recordRenewal,
+	removeOldCounts,
+	waitFor,
+} from 'bramleystage';
 import {sendQuestion} from './peer-exchange.js';
 import type {PeerKnowledge} from './peer-news.js';
 import type {StorePort} from './platform-port.js';
@@ -26,6 +36,10 @@
 	readonly seeds: readonly string[];
 	/** Time for which the store keeps a silent member, in milliseconds. */
 	readonly memberMs: number;
+	/** Time for which what is spent of a shared budget counts, in milliseconds. */
+	readonly windowMs: number;
+	/** Whether the other gateways have no contact with the store either. */
+	readonly isStoreAway: () => boolean;
 	/** Present time as of which this gateway's list was read, in milliseconds. */
 	readonly readListedAt: () => number;
 	/** What a followed gateway has told; nothing if it is not followed or silent. */
@@ -40,8 +54,10 @@
 	#members: readonly string[] = [];
 	#isLeader = false;
 	#isLeaving = false;
+	#share: BudgetShare;
 
 	constructor(private readonly options: GroupOptions) {
+		this.#share = createBudgetShare(assumedSize, options.readClock());
 		void this.#renew();
 		void this.#watchFirst();
 	}
@@ -68,6 +84,17 @@
 		return this.#members.length > 0 ? this.#members.length : assumedSize;
 	}
 
+	/** Computes the part of a budget of the fleet that this gateway may spend, 0 to 1. */
+	computeBudgetShare(now: number): number {
+		const {memberMs, windowMs, isStoreAway} = this.options;
+		this.#share = removeOldCounts(this.#share, windowMs, now);
+		return computeBudgetShare(
+			this.#share,
+			{memberMs, windowMs, isStoreAway: isStoreAway()},
+			now,
+		);
+	}
+
 	/** Leaves the group, so that the others need not wait for the silence. */
 	async leave(): Promise<void> {
 		const {store, self, logger} = this.options;
@@ -81,12 +108,17 @@
 	async #renew(): Promise<void> {
 		const {store, self, memberMs, lifeCycle, logger} = this.options;
 		while (!lifeCycle.isStopped && !this.#isLeaving) {
+			const sentAt = this.options.readClock();
 			// Renewals follow each other.
 			// eslint-disable-next-line no-await-in-loop
 			const joined = await store.joinGroup(self, this.#generation);
 			if (joined.isErr()) {
 				logger.debug('group.unreachable', {detail: joined.error.detail});
-			} else if (joined.value.generation !== this.#generation) {
+			} else {
+				this.#share = recordRenewal(this.#share, this.options, sentAt);
+			}
+
+			if (joined.isOk() && joined.value.generation !== this.#generation) {
 				this.#generation = joined.value.generation;
 				// eslint-disable-next-line no-await-in-loop
 				await this.#readMembers();
@@ -105,7 +137,11 @@
 			return;
 		}
 
+		const {self, readClock} = this.options;
 		this.#members = members.value;
+		// A newcomer is no owner before the others have renewed.
+		const {size} = new Set([...members.value, self]);
+		this.#share = recordMembers(this.#share, size, readClock());
 		logger.info('group.changed', {
 			generation: this.#generation,
 			members: members.value.join(','),
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -25,6 +25,8 @@
 
 /** Age up to which what a peer knows is fresh, in milliseconds: its reads and beats take less. */
 const freshMs = 1200;
+/** Age of a peer's list at which it has lost the store, in milliseconds: several reads have failed. */
+const awayMs = 2500;
 
 export class PeerLinks {
 	readonly #links = new Map<string, PeerLink>();
@@ -63,6 +65,17 @@
 		});
 	}
 
+	/** Whether no other gateway is in contact with the store, as far as known. */
+	get isStoreAway(): boolean {
+		const since = this.options.readClock() - awayMs;
+		const known = [...this.#links.keys()].flatMap(
+			(address) => this.findKnowledge(address) ?? [],
+		);
+		return known.length > 0
+			? known.every(({listReadAt}) => listReadAt < since)
+			: this.options.listPeers().length === 0;
+	}
+
 	/** Finds when the first followed peer serves: a time that has passed if one does now. */
 	findServingAt(): number | undefined {
 		const times = [...this.#links.keys()].flatMap((address) => {
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -663,6 +663,15 @@
 	recordTrouble,
 	type TroubleSign,
 } from './coordination/avoidance.js';
+export {
+	type BudgetShare,
+	type BudgetShareBounds,
+	computeBudgetShare,
+	createBudgetShare,
+	recordMembers,
+	recordRenewal,
+	removeOldCounts,
+} from './coordination/budget-share.js';
 export {
 	type LayerOrder,
 	type OrderedEngine,
