Keep all copies of a layer when a data centre has two

Change: the target room counts the copies, and a layer is given up only if enough others hold it. Two tests of planOrders fail without it.

--- a/packages/bramleystage/src/coordination/__tests__/layer-orders.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/layer-orders.test.ts
@@ -58,6 +58,22 @@
 	).toBeGreaterThan(3);
 });
 
+test('a data centre with two copies of each layer is left as it was placed', () => {
+	const engines = createEngines('a', {large: 1, middle: 13, small: 14});
+	const placed = applyOrders(engines, planOrders(model, engines));
+	expect(Math.min(...countHolders(placed, 'a'))).toBe(2);
+	expect(planOrders(model, placed)).toEqual([]);
+});
+
+test('an engine gives up no layer of which too few copies would be left', () => {
+	const engines = createEngines('a', {large: 1, middle: 13, small: 14});
+	const placed = settleOrders(engines);
+	const standBy = new Set(placed.filter(({layers}) => layers === undefined));
+	// Without reserves the room of some engines is under the target.
+	const crowded = placed.filter((engine) => !standBy.has(engine));
+	expect(Math.min(...countHolders(settleOrders(crowded), 'a'))).toBe(2);
+});
+
 test('a settled fleet gets no orders', () => {
 	expect(planOrders(model, settleOrders(createFleet()))).toEqual([]);
 });
--- a/packages/bramleystage/src/coordination/layer-orders.ts
+++ b/packages/bramleystage/src/coordination/layer-orders.ts
@@ -76,6 +76,7 @@
 		computeTargetRoom(
 			model,
 			local.map(({kind}) => kind),
+			copies,
 		) ?? minTokenRoom;
 	const filled = planGapOrders(model, local, copies, target);
 	if (filled.length > 0) {
@@ -88,7 +89,9 @@
 	}
 
 	const isBusy = local.some(({ordered}) => ordered !== undefined);
-	const relieved = isBusy ? undefined : planRelief(model, local, target);
+	const relieved = isBusy
+		? undefined
+		: planRelief(model, local, {copies, target});
 	return relieved ? [relieved] : [];
 }
 
@@ -206,7 +209,7 @@
 function planRelief(
 	model: PipelineModel,
 	local: readonly OrderedEngine[],
-	target: number,
+	{copies, target}: {readonly copies: number; readonly target: number},
 ): LayerOrder | undefined {
 	const readRoom = ({kind, layers}: OrderedEngine) =>
 		layers
@@ -219,7 +222,7 @@
 		.toSorted((a, b) => readRoom(a) - readRoom(b));
 	for (const engine of weak) {
 		const order =
-			planShrink(engine, local) ??
+			planShrink(engine, local, copies) ??
 			planTakeover(model, engine, local, readRoom(engine));
 		if (order) {
 			return order;
@@ -229,20 +232,24 @@
 	return undefined;
 }
 
-/** Gives up layers at an engine's edge that another engine holds as well. */
+/** Gives up layers at an engine's edge of which the others hold enough copies. */
 function planShrink(
 	{id, layers}: OrderedEngine,
 	local: readonly OrderedEngine[],
+	copies: number,
 ): LayerOrder | undefined {
 	if (!layers) {
 		return undefined;
 	}
 
-	const isHeldElsewhere = (layer: number) =>
-		local.some(
+	const isHeldElsewhere = (layer: number) => {
+		const others = local.filter(
 			(other) =>
 				other.id !== id && !other.isSuspect && hasLayer(other.layers, layer),
 		);
+		return others.length >= copies;
+	};
+
 	let {from, to} = layers;
 	while (to - from > 1 && isHeldElsewhere(to - 1)) {
 		to--;
--- a/packages/bramleystage/src/coordination/layer-plan.ts
+++ b/packages/bramleystage/src/coordination/layer-plan.ts
@@ -49,13 +49,17 @@
 	return (cacheBytes * model.layers) / (model.kvTokenBytes * layers);
 }
 
-/** Chooses how many layers each engine of a group holds, so that the least token room is greatest. */
+/**
+ * Chooses how many layers each engine of a group holds, so that the least token
+ * room is greatest; `copies` is how often the group holds each layer.
+ */
 export function splitLayers(
 	model: PipelineModel,
 	kinds: readonly string[],
+	copies = 1,
 ): number[] | undefined {
 	const counts = kinds.map(() => 0);
-	for (let placed = 0; placed < model.layers; placed++) {
+	for (let placed = 0; placed < copies * model.layers; placed++) {
 		let best = -1;
 		let bestRoom = 0;
 		for (const [index, kind] of kinds.entries()) {
@@ -85,8 +89,9 @@
 export function computeTargetRoom(
 	model: PipelineModel,
 	kinds: readonly string[],
+	copies = 1,
 ): number | undefined {
-	const counts = splitLayers(model, kinds);
+	const counts = splitLayers(model, kinds, copies);
 	if (!counts) {
 		return undefined;
 	}
