Let a gateway that was cut off a while spend its part of the budget again at once

Change: it waits only if it was away for longer than the time of a member and a window. The property over random cuts then showed that counting members hides one that leaves as another comes, and that one that is cut off forgets a dropped member too soon: the share now knows members by name, and forgets by its last renewal.

--- a/packages/bramleystage-gateway/src/group.ts
+++ b/packages/bramleystage-gateway/src/group.ts
@@ -12,7 +12,6 @@
 	type Logger,
 	recordMembers,
 	recordRenewal,
-	removeOldCounts,
 	waitFor,
 } from 'bramleystage';
 import {sendQuestion} from './peer-exchange.js';
@@ -87,7 +86,6 @@
 	/** Computes the part of a budget of the fleet that this gateway may spend, 0 to 1. */
 	computeBudgetShare(now: number): number {
 		const {memberMs, windowMs, isStoreAway} = this.options;
-		this.#share = removeOldCounts(this.#share, windowMs, now);
 		return computeBudgetShare(
 			this.#share,
 			{memberMs, windowMs, isStoreAway: isStoreAway()},
@@ -140,8 +138,11 @@
 		const {self, readClock} = this.options;
 		this.#members = members.value;
 		// A newcomer is no owner before the others have renewed.
-		const {size} = new Set([...members.value, self]);
-		this.#share = recordMembers(this.#share, size, readClock());
+		this.#share = recordMembers(
+			this.#share,
+			[...members.value, self],
+			readClock(),
+		);
 		logger.info('group.changed', {
 			generation: this.#generation,
 			members: members.value.join(','),
--- a/packages/bramleystage/src/coordination/budget-share.ts
+++ b/packages/bramleystage/src/coordination/budget-share.ts
@@ -7,16 +7,18 @@
  *    spends nothing once its renewals have failed for the time after which it
  *    is dropped, unless the store is away for all and drops nobody.
  * 2. Those who stay spend the part of a dropped member only when its own
- *    spending has left the window.
- * 3. A member that was dropped and is back spends nothing until the others know
- *    of it and what they spent of its part has left the window.
+ *    spending has left the window and it is still not back.
+ * 3. A member that is back after the others began to spend its part spends
+ *    nothing until they know of it and what they spent has left the window.
  */
 
-type Count = {readonly members: number; readonly at: number};
-
 export type BudgetShare = {
-	/** Numbers of members, oldest first; each holds until the next. */
-	readonly counts: readonly Count[];
+	/** Members that are taken for granted before the group was read. */
+	readonly assumedMembers: number;
+	/** Members as listed last; nothing before the group was read. */
+	readonly members?: ReadonlySet<string>;
+	/** Present time at which each former member was dropped, in milliseconds. */
+	readonly droppedAt: ReadonlyMap<string, number>;
 	/** Present time at which the last renewal that succeeded was sent, in milliseconds. */
 	readonly renewedAt: number;
 	/** Present time from which on this gateway spends, in milliseconds. */
@@ -37,20 +39,29 @@
 	assumedMembers: number,
 	now: number,
 ): BudgetShare => ({
-	counts: [{members: assumedMembers, at: now}],
+	assumedMembers,
+	droppedAt: new Map(),
 	renewedAt: now,
 	spendsFrom: now,
 });
 
-/** Records how many members the group has. */
+/** Records which members the group has. */
 export function recordMembers(
 	share: BudgetShare,
-	members: number,
+	members: readonly string[],
 	now: number,
 ): BudgetShare {
-	return share.counts.at(-1)?.members === members
-		? share
-		: {...share, counts: [...share.counts, {members, at: now}]};
+	const listed = new Set(members);
+	const droppedAt = new Map(
+		[...share.droppedAt].filter(([member]) => !listed.has(member)),
+	);
+	for (const member of share.members ?? []) {
+		if (!listed.has(member)) {
+			droppedAt.set(member, now);
+		}
+	}
+
+	return {...share, members: listed, droppedAt};
 }
 
 /** Records a renewal of the membership that succeeded. */
@@ -59,28 +70,15 @@
 	{memberMs, windowMs}: Pick<BudgetShareBounds, 'memberMs' | 'windowMs'>,
 	sentAt: number,
 ): BudgetShare {
-	const wasDropped = sentAt - share.renewedAt >= memberMs;
+	const isPartSpent = sentAt - share.renewedAt >= memberMs + windowMs;
 	return {
 		...share,
 		renewedAt: Math.max(share.renewedAt, sentAt),
 		// One that is cut off just now learns of the return only when it is dropped.
-		spendsFrom: wasDropped ? sentAt + memberMs + windowMs : share.spendsFrom,
+		spendsFrom: isPartSpent ? sentAt + memberMs + windowMs : share.spendsFrom,
 	};
 }
 
-/** Drops counts that no window reaches any more. */
-export function removeOldCounts(
-	share: BudgetShare,
-	windowMs: number,
-	now: number,
-): BudgetShare {
-	const counts = share.counts.filter((_, index) => {
-		const next = share.counts[index + 1];
-		return next === undefined || next.at >= now - windowMs;
-	});
-	return counts.length === share.counts.length ? share : {...share, counts};
-}
-
 /** Computes the part of the budget that this gateway may spend, 0 to 1. */
 export function computeBudgetShare(
 	share: BudgetShare,
@@ -93,6 +91,11 @@
 		return 0;
 	}
 
-	const {counts} = removeOldCounts(share, bounds.windowMs, now);
-	return 1 / Math.max(1, ...counts.map(({members}) => members));
+	const {members, droppedAt, assumedMembers, renewedAt} = share;
+	// What was learned of the group is only as new as the last renewal.
+	const recent = [...droppedAt.values()].filter(
+		(at) => at >= renewedAt - bounds.windowMs,
+	);
+	const count = members ? members.size + recent.length : assumedMembers;
+	return 1 / Math.max(1, count);
 }
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -670,7 +670,6 @@
 	createBudgetShare,
 	recordMembers,
 	recordRenewal,
-	removeOldCounts,
 } from './coordination/budget-share.js';
 export {
 	type LayerOrder,
