--- a/packages/bramleystage/src/transport/__tests__/bounded-output.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/bounded-output.test.ts
@@ -42,3 +42,18 @@
 	await slow.readAll();
 	expect(slow.lines.join('')).toBe('line 0\nline 1\ndropped=4\nlater\n');
 });
+
+test('a reader that is gone does not end the process', async () => {
+	const gone = new Writable({
+		write(_chunk, _encoding, done) {
+			done(new Error('write EPIPE'));
+		},
+	});
+	const output = createBoundedOutput(gone, (count) => `dropped=${count}`);
+	output.stream.write('first\n');
+	await new Promise((resolve) => {
+		setImmediate(resolve);
+	});
+	output.stream.write('second\n');
+	expect(output.countDropped()).toBe(1);
+});
--- a/packages/bramleystage/src/transport/bounded-output.ts
+++ b/packages/bramleystage/src/transport/bounded-output.ts
@@ -1,7 +1,7 @@
 /**
  * An output for log lines that never holds up the process: while its reader is
  * slow, lines over a bound are dropped and counted, and the count is written
- * once there is room again.
+ * once there is room again. If the reader is gone, all lines are dropped.
  */
 import {Writable} from 'node:stream';
 
@@ -22,10 +22,15 @@
 ): BoundedOutput {
 	let dropped = 0;
 	let untold = 0;
+	let isGone = false;
+	// Nobody is left to be told of the error; the count of dropped lines shows it.
+	target.on('error', () => {
+		isGone = true;
+	});
 	const stream = new Writable({
 		decodeStrings: false,
 		write(chunk: string | Buffer, _encoding, done) {
-			if (target.writableLength > maxBytes) {
+			if (isGone || target.writableLength > maxBytes) {
 				dropped++;
 				untold++;
 			} else {
