--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -1,7 +1,6 @@
 /**
  * What the gateway believes of the backend servers, and its choices among them:
- * the platform's list, what requests saw of each server, and the work that this
- * gateway has in flight there.
+ * the platform's list, what requests saw of each server, and what paths cost.
  */
 import {
 	type Avoidance,
@@ -13,23 +12,18 @@
 	applyOwnLayers,
 	choosePath,
 	choosePathAfter,
-	computeLinkMbps,
-	computeTokenRoom,
 	createAvoidance,
 	createBackends,
-	createLinkLoads,
 	type DataCentreId,
 	type GatewayService,
 	isAvoided,
 	type LayerRange,
-	type LinkLoads,
 	type Logger,
 	type PathEngine,
 	type PathStage,
 	pickLowest,
 	type PipelineModel,
 	recordSuccess,
-	recordTransfer,
 	recordTrouble,
 	removeTrouble,
 	replaceBackends,
@@ -37,6 +31,7 @@
 	type TroubleSign,
 } from 'bramleystage';
 import {BehaviorSubject} from 'rxjs';
+import {PathCosts} from './path-costs.js';
 
 export type FleetOptions = {
 	readonly dataCentre: DataCentreId;
@@ -46,30 +41,18 @@
 	readonly countGateways: () => number;
 };
 
-/** Delay of a hop between two engines of a data centre, in milliseconds. */
-const localHopMs = 0.2;
-/** Cost of a hop between data centres, in milliseconds: its delay, and the transfer of the prompt. */
-const remoteHopMs = 30;
-/** Weight of the load in the cost of an engine: spreads requests, so that a loss touches few. */
-const loadWeight = 20;
-/** Weight of the load in the cost of a link. */
-const linkWeight = 3;
-/** Load over which an engine or a link takes no new work; the other gateways may have less there than this one. */
-const fullLoad = 2;
 /** Strikes after which a server that nobody delisted is taken for lost. */
 const lostStrikes = 3;
 
-/** Work of this gateway at one backend server. */
-type InFlight = {requests: number; layerTokens: number};
-
 export class Fleet {
 	readonly snapshots = new BehaviorSubject<BackendsSnapshot>(createBackends());
 	#avoidance: Avoidance = createAvoidance();
-	#links: LinkLoads = createLinkLoads();
-	readonly #inFlight = new Map<BackendId, InFlight>();
+	readonly #costs: PathCosts;
 	#readAt = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly options: FleetOptions) {}
+	constructor(private readonly options: FleetOptions) {
+		this.#costs = new PathCosts(options.countGateways, options.readClock);
+	}
 
 	/** Present time as of which the list was read, in milliseconds. */
 	get readAt(): number {
@@ -122,7 +105,7 @@
 		const untried = all.filter(({id}) => !excluded.has(id));
 		const candidates = [good, untried].find((list) => list.length > 0);
 		const score = (backend: Backend) =>
-			(this.#inFlight.get(backend.id)?.requests ?? 0) +
+			this.#costs.countRequests(backend.id) +
 			(backend.dataCentre === this.options.dataCentre ? 0 : 0.5);
 		return candidates && pickLowest(candidates, score);
 	}
@@ -139,7 +122,7 @@
 
 		const choose = (engines: readonly PathEngine[]) =>
 			choosePath(engines, model.layers, (from, to) =>
-				this.#computeHopCost(model, from, to),
+				this.#costs.computeHopCost(model, from, to),
 			);
 		// An engine that only turned work away or cut an answer is better than none.
 		return (
@@ -161,7 +144,7 @@
 				first,
 				this.#listPathEngines(service.name, model, excluded),
 				model.layers,
-				(from, to) => this.#computeHopCost(model, from, to),
+				(from, to) => this.#costs.computeHopCost(model, from, to),
 			)
 		);
 	}
@@ -186,14 +169,7 @@
 	): void {
 		const {backends} = this.snapshots.value;
 		const places = stages.flatMap(({id}) => backends.get(id)?.dataCentre ?? []);
-		const bytes = tokens * model.activationBytes;
-		for (const [index, to] of places.entries()) {
-			const from = places[index - 1];
-			if (from !== undefined && from !== to) {
-				const now = this.options.readClock();
-				this.#links = recordTransfer(this.#links, [from, to], bytes, now);
-			}
-		}
+		this.#costs.recordPrompt(model, places, tokens);
 	}
 
 	/** Counts work at the stages until the clean-up is called. */
@@ -201,23 +177,7 @@
 		stages: ReadonlyArray<Pick<PathStage, 'id' | 'layers'>>,
 		tokens: number,
 	): () => void {
-		const add = (sign: 1 | -1) => {
-			for (const {id, layers} of stages) {
-				const known = this.#inFlight.get(id) ?? {requests: 0, layerTokens: 0};
-				known.requests += sign;
-				known.layerTokens += sign * tokens * (layers.to - layers.from);
-				this.#inFlight.set(id, known);
-			}
-		};
-
-		let isDone = false;
-		add(1);
-		return () => {
-			if (!isDone) {
-				isDone = true;
-				add(-1);
-			}
-		};
+		return this.#costs.registerWork(stages, tokens);
 	}
 
 	/** Records a sign of trouble; the reason is for the log. */
@@ -266,56 +226,7 @@
 	): PathEngine[] {
 		return this.listUsable(service, withAvoided)
 			.filter(({id}) => !excluded.has(id))
-			.flatMap((backend) => this.#toPathEngine(backend, model) ?? []);
-	}
-
-	#computeHopCost(
-		model: PipelineModel,
-		from: DataCentreId,
-		to: DataCentreId,
-	): number {
-		if (from === to) {
-			return localHopMs;
-		}
-
-		const now = this.options.readClock();
-		const mbps = computeLinkMbps(this.#links, [from, to], now);
-		const load = (mbps * this.options.countGateways()) / model.pipeMbps;
-		return load > fullLoad
-			? Number.POSITIVE_INFINITY
-			: remoteHopMs * (1 + linkWeight * load);
-	}
-
-	#toPathEngine(
-		backend: Backend,
-		model: PipelineModel,
-	): PathEngine | undefined {
-		const {id, address, dataCentre, layers, kind} = backend;
-		if (!layers || kind === undefined) {
-			return undefined;
-		}
-
-		const held = layers.to - layers.from;
-		const room = computeTokenRoom(model, kind, held) * held;
-		const work = this.#inFlight.get(id) ?? {requests: 0, layerTokens: 0};
-		const gateways = this.options.countGateways();
-		const load = (work.layerTokens * gateways) / Math.max(1, room);
-		const slotLoad = (work.requests * gateways) / model.slots;
-		const stepFactor = model.kinds.get(kind)?.stepFactor ?? 1;
-		const stepMs = (model.stepMs * stepFactor) / model.layers;
-		if (load > fullLoad) {
-			return undefined;
-		}
-
-		return {
-			id,
-			address,
-			dataCentre,
-			layers,
-			layerCost: stepMs * (1 + loadWeight * load),
-			firstCost:
-				slotLoad > fullLoad ? Number.POSITIVE_INFINITY : loadWeight * slotLoad,
-		};
+			.flatMap((backend) => this.#costs.buildPathEngine(backend, model) ?? []);
 	}
 
 	#publish(next: BackendsSnapshot): void {
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -18,36 +18,30 @@
 import {type Call, readPriority} from './call.js';
 import {CallRun, type DeskContext, listEndToEnd} from './call-run.js';
 import {EventSplitter} from './event-splitter.js';
+import {
+	formatStages,
+	PathReplacement,
+	type ReplacementContext,
+} from './path-replacement.js';
 import type {EnginePort} from './platform-port.js';
 
-const formatStages = (path: readonly PathStage[]) =>
-	path
-		.map(({address, layers}) => `${address}=${layers.from}-${layers.to}`)
-		.join(',');
-
-/** Time for an engine to accept another path for a request, in milliseconds. */
-const replaceMs = 300;
-/** Orders onto another path for one stream; each is priced and makes the new engines read the prompt. */
-const maxReplacements = 2;
-/** Least time between two such orders, in milliseconds: the new engines must have read the prompt. */
-const replacePauseMs = 700;
 /** Time for an engine to report, in milliseconds; a live one answers within a few. */
 const reportMs = 150;
 /** Time to open a connection; a live engine takes one within a few milliseconds. */
 const connectMs = 150;
 
-export type StreamDeskContext = DeskContext & {
-	/** Watches a stream for silence until the clean-up is called. */
-	readonly registerStream: (stream: StreamRun) => () => void;
-	/** Whether requests could not reach an engine just now. */
-	readonly isUnreachable: (stage: PathStage) => boolean;
-	readonly replacePath: EnginePort['replacePath'];
-	readonly readReport: EnginePort['readReport'];
-	/** Follows up an engine that was named as the reason of a refusal. */
-	readonly checkNamed: (stage: PathStage) => void;
-	/** Records a pause between two events of a path, in milliseconds. */
-	readonly recordPause: (path: readonly PathStage[], pauseMs: number) => void;
-};
+export type StreamDeskContext = DeskContext &
+	ReplacementContext & {
+		/** Watches a stream for silence until the clean-up is called. */
+		readonly registerStream: (stream: StreamRun) => () => void;
+		/** Whether requests could not reach an engine just now. */
+		readonly isUnreachable: (stage: PathStage) => boolean;
+		readonly readReport: EnginePort['readReport'];
+		/** Follows up an engine that was named as the reason of a refusal. */
+		readonly checkNamed: (stage: PathStage) => void;
+		/** Records a pause between two events of a path, in milliseconds. */
+		readonly recordPause: (path: readonly PathStage[], pauseMs: number) => void;
+	};
 
 type Flight = {
 	path: readonly PathStage[];
@@ -67,9 +61,7 @@
 	progressAt: number;
 	#flight: Flight | undefined;
 	#lastEvent: string | undefined;
-	#replacements = 0;
-	/** Present time of the last order onto another path, in milliseconds. */
-	#replacedAt = Number.NEGATIVE_INFINITY;
+	readonly #replacement: PathReplacement;
 	readonly #excluded = new Set<BackendId>();
 	readonly #releaseWatch: () => void;
 
@@ -78,6 +70,7 @@
 		protected override readonly desk: StreamDeskContext,
 	) {
 		super(call, desk);
+		this.#replacement = new PathReplacement(call, desk);
 		this.progressAt = call.arrivedAt;
 		this.#lastEvent = call.facts.lastEvent;
 		this.#releaseWatch = desk.registerStream(this);
@@ -207,39 +200,14 @@
 		);
 	}
 
-	/**
-	 * Orders the running request onto other stages after its first one. Which
-	 * engine is at fault may not be known; then all others are replaced.
-	 */
+	/** Has the running request go on at other stages after its first one. */
 	async #replacePath(
 		flight: Flight,
 		first: PathStage,
 		suspects: ReadonlySet<BackendId>,
 	): Promise<void> {
-		const excluded = new Set([...suspects].filter((id) => id !== first.id));
-		const path = this.desk.fleet.choosePathAfter(
-			first,
-			this.call.service,
-			excluded,
-		);
-		const now = this.desk.readClock();
-		const isAllowed =
-			this.#replacements < maxReplacements &&
-			now - this.#replacedAt > replacePauseMs;
-		if (!path || !isAllowed) {
-			return;
-		}
-
-		this.#replacements++;
-		this.#replacedAt = now;
-		const outcome = await this.desk.replacePath(first.address, {
-			request: this.call.facts.request,
-			path,
-			timeoutMs: replaceMs,
-		});
-		const result = outcome.isOk() ? outcome.value : outcome.error.kind;
-		this.desk.journal.recordReplacement(this.call, formatStages(path), result);
-		if (result === 'accepted' && this.#flight === flight) {
+		const path = await this.#replacement.run(first, suspects);
+		if (path && this.#flight === flight) {
 			flight.releaseWork();
 			flight.path = path;
 			flight.releaseWork = this.desk.fleet.registerWork(path, this.#tokens);
