--- a/packages/bramleystage-gateway/src/__tests__/group.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/group.test.ts
@@ -26,7 +26,7 @@
 test('members that could not be read after a change are read again', async () => {
 	let reads = 0;
 	const store: Partial<StorePort> = {
-		joinGroup: async () => ok({generation: 1}),
+		joinGroup: async () => ok({generation: 1, era: 1}),
 		async listMembers() {
 			reads++;
 			return reads === 1 ? err({kind: 'lost', detail: 'cut'}) : ok(members);
@@ -55,3 +55,38 @@
 	// Members that were read are not read again until the group changes.
 	expect(reads).toBe(2);
 });
+
+test('after the store was restored, members are read again and the fencing token rises', async () => {
+	let era = 1;
+	let reads = 0;
+	const store: Partial<StorePort> = {
+		joinGroup: async () => ok({generation: era === 1 ? 9 : 2, era}),
+		async listMembers() {
+			reads++;
+			return ok(era === 1 ? members : [self]);
+		},
+	};
+	const group = new GatewayGroup({
+		store: store as StorePort,
+		self,
+		seeds: [],
+		memberMs: 30,
+		windowMs: 1000,
+		isStoreUnreachable: () => false,
+		readListReadAt: () => 0,
+		findPeerState: () => undefined,
+		lifeCycle,
+		logger,
+		readClock: () => performance.now(),
+	});
+	await waitFor(50);
+	expect(group.size).toBe(3);
+	const fenceBefore = group.fence;
+	era = 2;
+	await waitFor(50);
+	expect(group.size).toBe(1);
+	expect(reads).toBe(2);
+	expect(group.fence).toBeGreaterThan(fenceBefore);
+	// Members that the copy lacks still spend their shares.
+	expect(group.computeBudgetShare(performance.now())).toBeCloseTo(1 / 3);
+});
--- a/packages/bramleystage-gateway/src/__tests__/peer-news.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-news.test.ts
@@ -86,3 +86,12 @@
 	);
 	expect(applyPeerUpdate(createPeerState(), update).backAt).toBe(100 + 4000);
 });
+
+test('a follower learns the era of the store', () => {
+	const ping = {beatAt: 100, arrivedAt: 5000};
+	const restored = {...state, storeEra: 3};
+	const update = peerUpdateSchema.parse(
+		buildPeerUpdate(restored, new Map(), ping, 5000),
+	);
+	expect(applyPeerUpdate(createPeerState(), update).storeEra).toBe(3);
+});
--- /dev/null
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -0,0 +1,166 @@
+/** Decides placement against engines in memory, without network. */
+import {
+	type Backend,
+	LifeCycle,
+	toBackendId,
+	toDataCentreId,
+	toModelName,
+	toServiceName,
+	waitFor,
+} from 'bramleystage';
+import {ok} from 'neverthrow';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {Fleet} from '../fleet.js';
+import type {GatewayGroup} from '../gateway-group.js';
+import {startPlacement} from '../placement-controller.js';
+import type {EnginePort} from '../platform-port.js';
+
+const logger = {
+	error: () => undefined,
+	warn: () => undefined,
+	info: () => undefined,
+	debug: () => undefined,
+};
+const service = {
+	name: toServiceName('models'),
+	maxConnections: 100,
+	pipeline: {
+		model: toModelName('guide'),
+		layers: 8,
+		layerMegabytes: 100,
+		kvTokenBytes: 8000,
+		slots: 100,
+		stepMs: 1,
+		prefillTokensPerMs: 100,
+		tokensPerEvent: 2,
+		activationBytes: 1000,
+		linkMbps: 1000,
+		loadMs: 60_000,
+		kinds: new Map([
+			['big', {megabytes: 900, stepFactor: 1, prefillFactor: 1}],
+		]),
+	},
+};
+const createEngine = (
+	name: string,
+	layers?: {from: number; to: number},
+): Backend => ({
+	id: toBackendId(name),
+	service: service.name,
+	address: `10.0.0.1:${name.length}`,
+	dataCentre: toDataCentreId('a'),
+	isDraining: false,
+	kind: 'big',
+	layers,
+	models: [],
+	slots: 100,
+	bornAt: 1,
+});
+
+let lifeCycle: LifeCycle;
+let fleet: Fleet;
+
+beforeEach(() => {
+	lifeCycle = new LifeCycle();
+	fleet = new Fleet({
+		dataCentre: toDataCentreId('a'),
+		logger,
+		readClock: () => performance.now(),
+		countGateways: () => 1,
+	});
+});
+
+afterEach(async () => {
+	await lifeCycle.stop();
+});
+
+/**
+ * Starts placement by leaders that share the engines, which load for longer than
+ * the test lasts. Returns the orders that they got and the count of those that
+ * each accepted. Reports may lag behind the orders.
+ */
+function startLeaders(leaders: number, reportLagMs = 0) {
+	const orders: Array<{address: string; expectedOrders: number}> = [];
+	const counts = new Map<string, number>();
+	const reported = new Map<string, number>();
+	const engines: EnginePort = {
+		readReport: async (address) =>
+			ok({
+				orderCount: reported.get(address) ?? 0,
+				isBusy: reported.has(address),
+				queued: 0,
+				running: 0,
+				cacheUsed: 0,
+				cacheTotal: 0,
+				slowness: 1,
+				stalled: [],
+				bornAt: 1,
+				isLeaving: false,
+			}),
+		async orderLayers(address, {expectedOrders}) {
+			orders.push({address, expectedOrders});
+			const count = counts.get(address) ?? 0;
+			if (count !== expectedOrders) {
+				return ok('conflict');
+			}
+
+			counts.set(address, count + 1);
+			lifeCycle.registerTimeout(reportLagMs, () => {
+				reported.set(address, count + 1);
+			});
+			return ok('accepted');
+		},
+		replacePath: async () => ok('rejected'),
+	};
+	for (let count = 0; count < leaders; count++) {
+		startPlacement({
+			fleet,
+			group: {isLeader: true, fence: 1} as unknown as GatewayGroup,
+			engines,
+			listServices: () => [service],
+			lifeCycle,
+			logger,
+			readClock: () => performance.now(),
+		});
+	}
+
+	return {orders, counts};
+}
+
+test('an engine whose report lags behind its order gets one order', async () => {
+	const engines = [
+		createEngine('full', {from: 0, to: 4}),
+		createEngine('idle'),
+	];
+	fleet.replace(engines, 0);
+	const {orders} = startLeaders(1, 300);
+	await waitFor(1500);
+	expect(orders).toHaveLength(1);
+});
+
+test.each([0, 300])(
+	'two leaders at the time of a hand-over make an engine carry out one order (reports %i ms late)',
+	async (reportLagMs) => {
+		const engines = [
+			createEngine('full', {from: 0, to: 4}),
+			createEngine('idle'),
+		];
+		fleet.replace(engines, 0);
+		const {counts} = startLeaders(2, reportLagMs);
+		await waitFor(1500);
+		expect([...counts.values()]).toEqual([1]);
+	},
+);
+
+test('an engine that leaves gets no order, and its layers go to another one', async () => {
+	const engines = [
+		createEngine('x', {from: 0, to: 4}),
+		createEngine('xx', {from: 4, to: 8}),
+		createEngine('xxx'),
+	];
+	fleet.replace(engines, 0);
+	fleet.recordLeaving(toBackendId('x'));
+	const {orders} = startLeaders(1);
+	await waitFor(800);
+	expect(orders.map(({address}) => address)).toEqual(['10.0.0.1:3']);
+});
--- a/packages/bramleystage-gateway/src/backend-follower.ts
+++ b/packages/bramleystage-gateway/src/backend-follower.ts
@@ -41,8 +41,36 @@
 		}
 	};
 
-	/** Reads the complete list; `keepsMissing` keeps missing entries, as needed right after an outage. */
-	const load = async (startedAt: number, keepsMissing: boolean) => {
+	/** Era in which `next` is valid. */
+	let nextEra: number | undefined;
+
+	/** Applies a complete read; `keepsMissing` keeps missing entries, as needed right after an outage. */
+	const applyList = (
+		{changes}: BackendsRead,
+		startedAt: number,
+		keepsMissing: boolean,
+	) => {
+		if (fleet.isListRestored) {
+			fleet.applyRestored(changes, startedAt);
+		} else if (keepsMissing) {
+			fleet.apply(changes, startedAt);
+		} else {
+			const listed = changes.flatMap(({backend}) => backend ?? []);
+			fleet.replace(listed, startedAt);
+			return;
+		}
+
+		if (!keepsMissing) {
+			const present = new Set(changes.map(({id}) => id));
+			const missing = [...fleet.snapshots.value.backends.keys()]
+				.filter((id) => !present.has(id))
+				.map((id) => ({id}));
+			fleet.apply(missing, startedAt);
+		}
+	};
+
+	/** Reads the complete list. */
+	const load = async (startedAt: number) => {
 		const read = await store.loadBackends();
 		if (read.isErr()) {
 			replaceAt = readClock() + lapsedEntryGraceMs;
@@ -50,15 +78,22 @@
 		}
 
 		logSkipped(read.value);
-		next = read.value.next;
-		if (keepsMissing) {
-			fleet.apply(read.value.changes, startedAt);
-		} else {
-			replaceAt = undefined;
-			const listed = read.value.changes.flatMap(({backend}) => backend ?? []);
-			fleet.replace(listed, startedAt);
+		const {era} = read.value;
+		fleet.recordStoreEra(era);
+		if (fleet.restoredAt !== undefined) {
+			// Entries that the copy lacks are written again, as after an outage.
+			const completeAt = fleet.restoredAt + lapsedEntryGraceMs;
+			replaceAt = startedAt < completeAt ? completeAt : replaceAt;
 		}
 
+		if (next === undefined || era !== nextEra) {
+			next = read.value.next;
+			nextEra = era;
+		}
+
+		const keepsMissing = replaceAt !== undefined && startedAt < replaceAt;
+		replaceAt = keepsMissing ? replaceAt : undefined;
+		applyList(read.value, startedAt, keepsMissing);
 		return readIntervalMs;
 	};
 
@@ -76,11 +111,18 @@
 		ownReadAt = startedAt;
 		const isReplaceDue = replaceAt !== undefined && startedAt >= replaceAt;
 		if (next === undefined || isReplaceDue) {
-			return load(startedAt, replaceAt !== undefined && !isReplaceDue);
+			return load(startedAt);
 		}
 
 		const read = await store.readBackends(next);
 		if (read.isOk()) {
+			fleet.recordStoreEra(read.value.era);
+			if (read.value.era !== nextEra) {
+				// The offset belongs to records that the store no longer has.
+				next = undefined;
+				return 0;
+			}
+
 			logSkipped(read.value);
 			next = read.value.next;
 			fleet.apply(read.value.changes, startedAt);
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -6,6 +6,7 @@
 import {
 	type AttemptHistory,
 	type AttemptOutcome,
+	type BackendId,
 	createFailure,
 	decideAfterAttempt,
 	type Failure,
@@ -15,7 +16,7 @@
 import {type Call, isRepeatable} from './call.js';
 import type {Fleet} from './fleet.js';
 import type {RequestRecorder} from './request-recorder.js';
-import type {HeaderPort, Headers} from './platform-port.js';
+import type {AnswerMetadata, HeaderPort, Headers} from './platform-port.js';
 
 export type RunContext = {
 	readonly fleet: Fleet;
@@ -28,8 +29,11 @@
 	readonly isStopping: () => boolean;
 };
 
-/** Time after which a refused caller may retry, in seconds. */
-const retryAfterSeconds = 0.4;
+/** Least time after which a refused caller may retry, in milliseconds. */
+const minRetryAfterMs = 400;
+const msPerSecond = 1000;
+/** Status of a server that refuses a request for now. */
+const refusedStatus = 503;
 /** Hop-by-hop headers, which concern one connection only. */
 const hopByHop = new Set([
 	'connection',
@@ -92,6 +96,11 @@
 			return;
 		}
 
+		this.handleNoBackend();
+	}
+
+	/** Fails the request, as no backend server is usable. */
+	protected handleNoBackend(): void {
 		const result = this.call.service.pipeline ? 'noPipeline' : 'noBackend';
 		this.failWith(
 			this.#history.mayHaveRun
@@ -105,6 +114,21 @@
 		this.#history = {...this.#history, sent: this.#history.sent + 1};
 	}
 
+	/** Records what a server's answer says about its further use. */
+	protected recordServerState(
+		id: BackendId,
+		{isLeaving, retryAfter}: AnswerMetadata,
+		status: number,
+	): void {
+		if (isLeaving) {
+			this.context.fleet.recordLeaving(id);
+		}
+
+		if (status === refusedStatus && retryAfter !== undefined) {
+			this.context.fleet.health.recordPause(id, retryAfter);
+		}
+	}
+
 	/** Records the end of an attempt without a usable answer; `isServerGone` if its server no longer runs. */
 	protected recordOutcome(
 		outcome: AttemptOutcome,
@@ -136,6 +160,7 @@
 				isRepeatable: isRepeatable(this.call),
 				maxAttempts: this.call.route.maxAttempts,
 				remainingMs: this.remainingMs(),
+				isAnswerStarted: this.answerStartedAt !== undefined,
 			},
 			() => this.context.trySpendRetry(this.call.service.name),
 		);
@@ -145,7 +170,14 @@
 		result: 'noPipeline' | 'noBackend' | 'deadlineUnreachable' | 'queueFull',
 		detail: string,
 	): Failure {
-		return createFailure(result, detail, {retryAfterSeconds});
+		const isUnserved = result === 'noPipeline' || result === 'noBackend';
+		const pauseMs = isUnserved
+			? this.context.fleet.computePauseMs(this.call.service)
+			: undefined;
+		const retryAfterMs = Math.max(minRetryAfterMs, pauseMs ?? 0);
+		return createFailure(result, detail, {
+			retryAfterSeconds: Math.ceil(retryAfterMs) / msPerSecond,
+		});
 	}
 
 	/** Fails the request after an attempt that is not repeated. */
--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -14,6 +14,7 @@
 	type Route,
 	type RouteIndex,
 	type RoutingConfiguration,
+	waitFor,
 } from 'bramleystage';
 import {writeErrorResponse} from './error-response.js';
 import type {Call} from './call.js';
@@ -46,7 +47,10 @@
 };
 
 export type CallerServer = {
-	readonly server: http.Server;
+	/** Counts the requests whose head was read and whose answer has not ended. */
+	readonly countOpenRequests: () => number;
+	/** Accepts no further connections, and waits until the requests that are arriving on open ones were answered. */
+	readonly drain: (timeoutMs: number) => Promise<void>;
 	/** Applies the routes and the timeouts of a configuration. */
 	readonly update: (configuration: RoutingConfiguration) => void;
 };
@@ -56,6 +60,7 @@
 	options: CallerServerOptions,
 ): Promise<CallerServer> {
 	let index: RouteIndex = new Map();
+	let openRequests = 0;
 	const server = http.createServer(
 		{
 			maxHeaderSize: parserHeaderBytes,
@@ -64,6 +69,10 @@
 			noDelay: true,
 		},
 		(request, response) => {
+			openRequests++;
+			response.once('close', () => {
+				openRequests--;
+			});
 			void handleRequest(options, index, request, response);
 		},
 	);
@@ -77,7 +86,15 @@
 		server.closeAllConnections();
 	});
 	return {
-		server,
+		countOpenRequests: () => openRequests,
+		async drain(timeoutMs) {
+			const closed = new Promise<void>((resolve) => {
+				server.close(() => {
+					resolve();
+				});
+			});
+			await Promise.race([closed, waitFor(timeoutMs)]);
+		},
 		update(configuration) {
 			index = buildRouteIndex(configuration.routes);
 			server.keepAliveTimeout =
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -1,8 +1,9 @@
 /**
  * Follows the operator's configuration: one long poll is always open, unless
  * another gateway polls and sends the version that it has. A version is only
- * ever replaced by a newer one. Failed calls are retried after a short delay; if
- * the store no longer keeps the offset, the newest configuration is loaded.
+ * ever replaced by a newer one, also after the store was restored from an older
+ * copy. Failed calls are retried after a short delay; if the store no longer keeps
+ * the offset, or was restored, the newest configuration is loaded.
  */
 import {
 	type LifeCycle,
@@ -21,6 +22,8 @@
 const pollTimeoutMs = 700;
 /** Delay after a failed call, in milliseconds. */
 const retryDelayMs = 150;
+/** Delay of the next read while the store lacks a version that peers have, in milliseconds. */
+const lostVersionDelayMs = 600;
 /** Age of the last check at which the store is read here although another gateway polls it, in milliseconds. */
 const maxPeerAgeMs = 1100;
 /** How often the newest version is loaded regardless of the polls, in milliseconds. */
@@ -30,8 +33,8 @@
 	readonly configurations: BehaviorSubject<RoutingConfiguration | undefined>;
 	/** Steady-clock time as of which there was no newer version, in milliseconds. */
 	readonly readAt: () => number;
-	/** Whether peers have a newer version and the store is unreachable from here. */
-	readonly isPartitioned: () => boolean;
+	/** Whether peers have a newer version that the store does not give to this gateway. */
+	readonly needsPeers: () => boolean;
 	/** Applies a peer's configuration if it is newer. */
 	readonly acceptConfiguration: (configuration: RoutingConfiguration) => void;
 	/** Records a peer's version and the steady-clock time as of which the peer read it. */
@@ -42,6 +45,8 @@
 	readonly store: StorePort;
 	/** Whether another gateway polls the store and sends updates. */
 	readonly isInformedByPeer: () => boolean;
+	/** Called with the era of each answer of the store. */
+	readonly recordStoreEra: (era: number) => void;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
@@ -51,7 +56,14 @@
 export function followConfiguration(
 	options: ConfigurationFollowerOptions,
 ): ConfigurationFollower {
-	const {store, isInformedByPeer, lifeCycle, logger, readClock} = options;
+	const {
+		store,
+		isInformedByPeer,
+		recordStoreEra,
+		lifeCycle,
+		logger,
+		readClock,
+	} = options;
 	const configurations = new BehaviorSubject<RoutingConfiguration | undefined>(
 		undefined,
 	);
@@ -84,7 +96,11 @@
 
 	let wake = () => undefined as void;
 	let next: number | undefined;
+	/** Era in which `next` is valid. */
+	let nextEra: number | undefined;
 	let loadedAt = Number.NEGATIVE_INFINITY;
+	/** Version that a complete read did not have although a peer announced it. */
+	let missedVersion = -1;
 	/** Reads the store once; returns the delay until the next read, in milliseconds. */
 	const step = async (): Promise<number> => {
 		const startedAt = readClock();
@@ -95,6 +111,8 @@
 			return delayMs;
 		}
 
+		const announcedBefore = announced;
+
 		const isFullRead =
 			next === undefined ||
 			isBehind ||
@@ -110,10 +128,28 @@
 
 		readAt = Math.max(readAt, isFullRead ? startedAt : readClock());
 		loadedAt = isFullRead ? startedAt : loadedAt;
-		next = read.value.next;
+		const {era} = read.value;
+		recordStoreEra(era);
 		applyRead(read.value);
 		isStoreLost = recordContact(logger, isStoreLost, undefined);
-		return announced > readVersion() ? retryDelayMs : 0;
+		if (!isFullRead && era !== nextEra) {
+			// The offset belongs to records that the store no longer has.
+			next = undefined;
+			return 0;
+		}
+
+		next = read.value.next;
+		nextEra = era;
+		if (announced <= readVersion()) {
+			return 0;
+		}
+
+		if (isFullRead) {
+			missedVersion = announcedBefore;
+		}
+
+		// A version that the store has lost comes from the peers.
+		return missedVersion > readVersion() ? lostVersionDelayMs : retryDelayMs;
 	};
 
 	/** Waits for a time, or until a peer announces a newer version. */
@@ -138,7 +174,9 @@
 		configurations,
 		acceptConfiguration,
 		readAt: () => readAt,
-		isPartitioned: () => isStoreLost && announced > readVersion(),
+		needsPeers: () =>
+			announced > readVersion() &&
+			(isStoreLost || missedVersion > readVersion()),
 		acceptVersion(version, versionReadAt) {
 			if (version > Math.max(announced, readVersion())) {
 				announced = version;
--- a/packages/bramleystage-gateway/src/event-splitter.ts
+++ b/packages/bramleystage-gateway/src/event-splitter.ts
@@ -6,6 +6,8 @@
 	readonly bytes: Buffer;
 	/** Ids of the events, in order; events without an id are left out. */
 	readonly ids: readonly string[];
+	/** Whether an event carries data; a comment that keeps the connection open does not. */
+	readonly hasData: boolean;
 };
 
 export class EventSplitter {
@@ -31,12 +33,33 @@
 		const end = last + separator.length;
 		this.#pending = bytes.subarray(end);
 		const complete = bytes.subarray(0, end);
-		return {bytes: complete, ids: listEventIds(complete)};
+		const text = complete.toString('latin1');
+		return {
+			bytes: complete,
+			ids: listEventIds(text),
+			hasData: /^data:/mv.test(text),
+		};
 	}
 }
 
-function listEventIds(events: Buffer): string[] {
-	return [...events.toString('latin1').matchAll(/^id: ?(.*)$/gmv)].map(
-		(match) => match[1] ?? '',
-	);
+function listEventIds(events: string): string[] {
+	return [...events.matchAll(/^id: ?(.*)$/gmv)].map((match) => match[1] ?? '');
+}
+
+/** Whether numbered events follow the last one without a gap or a repetition. */
+export function isConsecutive(
+	lastId: string | undefined,
+	ids: readonly string[],
+): boolean {
+	let last = lastId;
+	for (const id of ids) {
+		const isNext = last === undefined || Number(id) === Number(last) + 1;
+		if (!isNext && !Number.isNaN(Number(id))) {
+			return false;
+		}
+
+		last = id;
+	}
+
+	return true;
 }
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -1,37 +1,39 @@
 /**
  * The gateway's view of the backend servers, and the choice among them. It
- * combines the platform's list, the successes and failures that requests saw at
- * each server (outlier avoidance), and the cost of each path.
+ * combines the platform's list, what requests saw of each server
+ * (backend-health.ts), and the cost of each path.
  */
 import {
-	type Avoidance,
 	type Backend,
 	type BackendChange,
 	type BackendId,
 	type BackendsSnapshot,
 	applyBackendChanges,
+	applyLeaving,
 	applyReportedLayers,
+	applyRestoredBackends,
 	choosePath,
 	choosePathFromStage,
-	createAvoidance,
 	createBackends,
+	createStoreEra,
 	type DataCentreId,
 	type GatewayService,
-	isAvoided,
+	isListRestored,
+	isRemovedInstance,
 	type LayerRange,
 	type Logger,
 	type PathEngine,
 	type PathStage,
 	pickLowest,
 	type PipelineModel,
-	recordSuccess,
-	recordFailure,
-	removeFailures,
+	recordStoreEra,
 	replaceBackends,
 	type ServiceName,
-	type FailureSignal,
+	type StoreEraState,
 } from 'bramleystage';
 import {BehaviorSubject} from 'rxjs';
+import {BackendHealth} from './backend-health.js';
+import {recordBackendChanges} from './backend-log.js';
 import {PathCosts} from './path-costs.js';
 
 export type FleetOptions = {
@@ -42,17 +44,22 @@
 	readonly countGateways: () => number;
 };
 
-/** Consecutive avoidances after which a server that is still listed is assumed to be lost. */
-const minLostFailures = 3;
-
 export class Fleet {
 	readonly snapshots = new BehaviorSubject<BackendsSnapshot>(createBackends());
-	#avoidance: Avoidance = createAvoidance();
+	readonly health: BackendHealth;
+	#storeEra: StoreEraState = createStoreEra();
 	readonly #costs: PathCosts;
 	#readAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: FleetOptions) {
 		this.#costs = new PathCosts(options.countGateways, options.readClock);
+		this.health = new BackendHealth({
+			...options,
+			describeBackend: (id) => ({
+				address: this.snapshots.value.backends.get(id)?.address,
+				list_age_ms: Math.round(options.readClock() - this.#readAt),
+			}),
+		});
 	}
 
 	/** Steady-clock time as of which the list is known, in milliseconds. */
@@ -64,12 +71,66 @@
 		return this.snapshots.value.backends.size > 0;
 	}
 
+	/** Newest era of the platform's store; undefined before the first answer. */
+	get storeEra(): number | undefined {
+		return this.#storeEra.era;
+	}
+
+	/** Steady-clock time at which the store was seen to be restored from an older copy, in milliseconds; undefined if it was not. */
+	get restoredAt(): number | undefined {
+		return this.#storeEra.restoredAt;
+	}
+
+	/** Whether the list may still show entries from before the store was restored from a copy. */
+	get isListRestored(): boolean {
+		return isListRestored(this.#storeEra, this.options.readClock());
+	}
+
+	/** Records the era that an answer of the store or a peer has shown. */
+	recordStoreEra(era: number): void {
+		const previous = this.#storeEra.era;
+		const now = this.options.readClock();
+		this.#storeEra = recordStoreEra(this.#storeEra, era, now);
+		if (previous !== undefined && previous !== this.#storeEra.era) {
+			this.options.logger.warn('store.restored', {era, previous});
+		}
+	}
+
 	/** Applies changes of the list; `readAt` is the steady-clock time of the read, in milliseconds. */
 	apply(changes: readonly BackendChange[], readAt: number): void {
 		this.#readAt = Math.max(this.#readAt, readAt);
 		this.#publish(applyBackendChanges(this.snapshots.value, changes));
 	}
 
+	/** Applies entries of a list that was restored from an older copy. */
+	applyRestored(changes: readonly BackendChange[], readAt: number): void {
+		this.#readAt = Math.max(this.#readAt, readAt);
+		this.#publish(applyRestoredBackends(this.snapshots.value, changes));
+	}
+
+	/** Records that a backend server has said that it leaves. */
+	recordLeaving(id: BackendId): void {
+		const next = applyLeaving(this.snapshots.value, id);
+		if (next !== this.snapshots.value) {
+			this.options.logger.info('backend.leaving', {
+				backend: id,
+				address: next.backends.get(id)?.address,
+			});
+			this.#publish(next);
+		}
+	}
+
+	/**
+	 * Computes the time after which a service without a usable server takes work
+	 * again, in milliseconds; undefined if pauses are not the reason.
+	 */
+	computePauseMs({name, pipeline}: GatewayService): number | undefined {
+		const ids = this.#listOpen(name).map(({id}) => id);
+		const isReason =
+			pipeline !== undefined || ids.every((id) => this.health.isPaused(id));
+		return isReason ? this.health.computePauseMs(ids) : undefined;
+	}
+
 	/** Records the layers that a backend server reports for itself. */
 	recordLayers(id: BackendId, layers: LayerRange): void {
 		this.#publish(applyReportedLayers(this.snapshots.value, id, layers));
@@ -81,13 +142,24 @@
 		this.#publish(replaceBackends(this.snapshots.value, listed));
 	}
 
+	/** Replaces the list by a peer's, without the instances that the peer may have from a restored list. */
+	replaceByPeerList(listed: readonly Backend[], readAt: number): void {
+		const {value} = this.snapshots;
+		this.replace(
+			this.isListRestored
+				? listed.filter((entry) => !isRemovedInstance(value, entry))
+				: listed,
+			readAt,
+		);
+	}
+
 	/** Lists the backend servers of a service that accept new work; `includeAvoided` adds avoided ones that are reachable. */
 	listUsable(service: ServiceName, includeAvoided: boolean): Backend[] {
+		const {health} = this;
 		const isUsable = ({id}: Backend) =>
-			!this.isAvoided(id) || (includeAvoided && !this.isUnreachable(id));
-		return [...this.snapshots.value.backends.values()].filter(
-			(backend) =>
-				backend.service === service && !backend.isDraining && isUsable(backend),
+			!health.isAvoided(id) || (includeAvoided && !health.isUnreachable(id));
+		return this.#listOpen(service).filter(
+			(backend) => !health.isPaused(backend.id) && isUsable(backend),
 		);
 	}
 
@@ -96,12 +168,10 @@
 		service: ServiceName,
 		excluded: ReadonlySet<BackendId>,
 	): Backend | undefined {
-		const all = [...this.snapshots.value.backends.values()].filter(
-			(backend) => backend.service === service && !backend.isDraining,
-		);
-		const now = this.options.readClock();
+		const {health} = this;
+		const all = this.#listOpen(service).filter(({id}) => !health.isPaused(id));
 		const preferred = all.filter(
-			({id}) => !isAvoided(this.#avoidance, id, now) && !excluded.has(id),
+			({id}) => !health.isAvoided(id) && !excluded.has(id),
 		);
 		const untried = all.filter(({id}) => !excluded.has(id));
 		const candidates = [preferred, untried].find((list) => list.length > 0);
@@ -132,35 +202,27 @@
 		);
 	}
 
-	/** Chooses new stages after the first one, for a request that continues at its first engine. */
+	/**
+	 * Chooses new stages after the first one, for a request that continues at its
+	 * first engine, which may be leaving or paused.
+	 */
 	choosePathAfter(
 		first: PathStage,
 		service: GatewayService,
 		excluded: ReadonlySet<BackendId>,
 	): PathStage[] | undefined {
 		const model = service.pipeline;
-		return (
-			model &&
-			choosePathFromStage(
-				first,
-				this.#listPathEngines(service.name, model, excluded),
-				model.layers,
-				(from, to) => this.#costs.computeHopCost(model, from, to),
-			)
-		);
-	}
-
-	/** Whether a server keeps failing although it is still listed. */
-	isLost(id: BackendId): boolean {
-		return (
-			(this.#avoidance.get(id)?.consecutiveAvoidances ?? 0) >= minLostFailures
-		);
-	}
+		const own = this.snapshots.value.backends.get(first.id);
+		if (!model || !own) {
+			return undefined;
+		}
 
-	/** Whether requests recently failed to reach a server. */
-	isUnreachable(id: BackendId): boolean {
-		return (
-			this.isAvoided(id) && this.#avoidance.get(id)?.sign === 'unreachable'
+		const others = this.#listPathEngines(service.name, model, excluded);
+		return choosePathFromStage(
+			{...first, dataCentre: own.dataCentre},
+			others,
+			model.layers,
+			(from, to) => this.#costs.computeHopCost(model, from, to),
 		);
 	}
 
@@ -185,30 +247,6 @@
 		return this.#costs.registerWork(stages, tokens);
 	}
 
-	/** Records a sign of trouble at a server; `reason` only appears in the log. */
-	recordFailure(id: BackendId, sign: FailureSignal, reason: string): void {
-		const now = this.options.readClock();
-		const next = recordFailure(this.#avoidance, id, sign, now);
-		if (next !== this.#avoidance && isAvoided(next, id, now)) {
-			const ms = Math.round((next.get(id)?.avoidedUntil ?? now) - now);
-			this.options.logger.warn('backend.avoided', {
-				backend: id,
-				address: this.snapshots.value.backends.get(id)?.address,
-				list_age_ms: Math.round(now - this.#readAt),
-				sign,
-				reason,
-				for_ms: ms,
-			});
-		}
-
-		this.#avoidance = next;
-	}
-
-	recordSuccess(id: BackendId): void {
-		const now = this.options.readClock();
-		this.#avoidance = recordSuccess(this.#avoidance, id, now);
-	}
-
 	findByAddress(address: string): Backend | undefined {
 		for (const backend of this.snapshots.value.backends.values()) {
 			if (backend.address === address) {
@@ -219,8 +257,11 @@
 		return undefined;
 	}
 
-	isAvoided(id: BackendId): boolean {
-		return isAvoided(this.#avoidance, id, this.options.readClock());
+	/** Lists the backend servers of a service that are not leaving. */
+	#listOpen(service: ServiceName): Backend[] {
+		return [...this.snapshots.value.backends.values()].filter(
+			(backend) => backend.service === service && !backend.isDraining,
+		);
 	}
 
 	#listPathEngines(
@@ -240,29 +281,11 @@
 			return;
 		}
 
-		for (const [id, backend] of next.backends) {
+		recordBackendChanges(this.options.logger, previous.backends, next.backends);
+		for (const [id, {bornAt}] of next.backends) {
 			const known = previous.backends.get(id);
-			if (known !== backend) {
-				this.options.logger.info('backend.listed', {
-					backend: id,
-					service: backend.service,
-					address: backend.address,
-					data_centre: backend.dataCentre,
-					draining: backend.isDraining,
-					kind: backend.kind,
-					layers:
-						backend.layers && `${backend.layers.from}-${backend.layers.to}`,
-				});
-				if (known?.bornAt !== backend.bornAt) {
-					this.#avoidance = removeFailures(this.#avoidance, id);
-				}
-			}
-		}
-
-		for (const id of previous.backends.keys()) {
-			if (!next.backends.has(id)) {
-				const {address} = previous.backends.get(id) ?? {};
-				this.options.logger.info('backend.removed', {backend: id, address});
+			if (known?.bornAt !== bornAt) {
+				this.health.removeRecords(id);
 			}
 		}
 
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -27,6 +27,8 @@
 const maxLeaderLagMs = 2500;
 /** Number of gateways that is assumed until the group has been read. */
 const assumedGroupSize = 6;
+/** Bound of the group's generations within one era of the store. */
+const generationsPerEra = 2 ** 24;
 
 export type GatewayGroupOptions = {
 	readonly store: StorePort;
@@ -50,9 +52,10 @@
 };
 
 export class GatewayGroup {
+	#era = 0;
 	#generation = 0;
-	/** Generation of the group whose members were read. */
-	#membersGeneration = 0;
+	/** Era and generation of the group whose members were read. */
+	#membersFence = 0;
 	#members: readonly string[] = [];
 	#isLeader = false;
 	#isLeaving = false;
@@ -67,8 +70,9 @@
 		void this.#watchLeader();
 	}
 
-	get generation(): number {
-		return this.#generation;
+	/** Fencing token of this gateway's orders; it rises also when the store starts over from an older copy. */
+	get fence(): number {
+		return this.#era * generationsPerEra + this.#generation;
 	}
 
 	/** Whether this gateway is the order leader. */
@@ -119,20 +123,9 @@
 			if (joined.isErr()) {
 				logger.debug('group.unreachable', {detail: joined.error.detail});
 			} else {
-				this.#budgetShare = recordRenewal(
-					this.#budgetShare,
-					this.options,
-					sentAt,
-				);
-			}
-
-			if (
-				joined.isOk() &&
-				joined.value.generation !== this.#membersGeneration
-			) {
-				this.#generation = joined.value.generation;
+				({generation: this.#generation, era: this.#era} = joined.value);
 				// eslint-disable-next-line no-await-in-loop
-				await this.#readMembers();
+				await this.#handleRenewal(sentAt);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -140,16 +133,23 @@
 		}
 	}
 
-	async #readMembers(): Promise<void> {
-		const {store, logger} = this.options;
+	/** Records a successful renewal, which counts only together with the members of its generation. */
+	async #handleRenewal(sentAt: number): Promise<void> {
+		const {store, logger, self, readClock} = this.options;
+		if (this.fence === this.#membersFence) {
+			this.#recordRenewal(sentAt);
+			return;
+		}
+
+		const {fence} = this;
 		const members = await store.listMembers();
 		if (members.isErr()) {
 			logger.warn('group.unread', {detail: members.error.detail});
 			return;
 		}
 
-		const {self, readClock} = this.options;
-		this.#membersGeneration = this.#generation;
+		this.#recordRenewal(sentAt);
+		this.#membersFence = fence;
 		this.#members = members.value;
 		// A new member gets no share before the others have renewed their membership.
 		this.#budgetShare = recordMembers(
@@ -163,6 +163,10 @@
 		});
 	}
 
+	#recordRenewal(sentAt: number): void {
+		this.#budgetShare = recordRenewal(this.#budgetShare, this.options, sentAt);
+	}
+
 	async #watchLeader(): Promise<void> {
 		const {lifeCycle, logger} = this.options;
 		while (!lifeCycle.isStopped) {
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -98,6 +98,9 @@
 	const follower = followConfiguration({
 		store,
 		isInformedByPeer,
+		recordStoreEra(era) {
+			fleet.recordStoreEra(era);
+		},
 		lifeCycle,
 		logger,
 		readClock,
@@ -122,6 +125,7 @@
 	});
 	const readState = (): GatewayState => ({
 		...(drainTimes && {backAt: computeSuccessorServingAt(drainTimes)}),
+		storeEra: fleet.storeEra,
 		version: configurations.value?.version ?? -1,
 		configurationReadAt: follower.readAt(),
 		listReadAt: fleet.readAt,
@@ -163,7 +167,6 @@
 		(now) => group.computeBudgetShare(now),
 		readClock,
 	);
-	let inFlight = 0;
 	const context = {
 		fleet,
 		headers,
@@ -172,7 +175,7 @@
 		readClock,
 		isStopping,
 		registerStream: (stream: StreamRun) => monitor.register(stream),
-		isUnreachable: ({id}: PathStage) => fleet.isUnreachable(id),
+		isUnreachable: ({id}: PathStage) => fleet.health.isUnreachable(id),
 		replacePath: engines.replacePath,
 		readReport: engines.readReport,
 		checkFaultyEngine(stage: PathStage) {
@@ -204,10 +207,6 @@
 			return;
 		}
 
-		inFlight++;
-		call.response.once('close', () => {
-			inFlight--;
-		});
 		retryBudget.recordRequest(call.service.name);
 		const run = call.service.pipeline
 			? new StreamRun(call, context)
@@ -245,19 +244,25 @@
 	return {
 		async drain() {
 			drainTimes = {stoppingAt: readClock(), graceMs: settings.graceMs};
-			logger.info('gateway.stopping', {in_flight: inFlight});
+			logger.info('gateway.stopping', {
+				in_flight: callers.countOpenRequests(),
+			});
 			publisher.publish();
 			void group.leave();
 			const endAt = computeEndAt(drainTimes);
 			const acceptUntil = computeAcceptUntil(drainTimes);
-			const isBusy = () => inFlight > 0 || readClock() < acceptUntil;
+			const isBusy = () =>
+				callers.countOpenRequests() > 0 || readClock() < acceptUntil;
 			while (isBusy() && readClock() < endAt) {
 				// Polls until all requests have ended.
 				// eslint-disable-next-line no-await-in-loop
 				await waitFor(drainCheckMs);
 			}
 
-			logger.info('gateway.stopped', {in_flight: inFlight});
+			await callers.drain(endAt - readClock());
+			logger.info('gateway.stopped', {
+				in_flight: callers.countOpenRequests(),
+			});
 			await lifeCycle.stop();
 		},
 		async stop() {
--- a/packages/bramleystage-gateway/src/index.ts
+++ b/packages/bramleystage-gateway/src/index.ts
@@ -15,6 +15,7 @@
 	OrderOutcome,
 	PlatformPort,
 	SkippedRecord,
+	StoreEra,
 	StoreFailure,
 	StoreOffset,
 	StorePort,
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -62,22 +62,27 @@
 
 	/** Applies the state that a followed peer has sent. */
 	acceptUpdate({
+		storeEra,
 		version,
 		configurationReadAt,
 		listReadAt,
 		backends,
 	}: GatewayState) {
 		const {follower, fleet} = this.options;
+		if (storeEra !== undefined) {
+			fleet.recordStoreEra(storeEra);
+		}
+
 		follower.acceptVersion(version, configurationReadAt);
 		if (listReadAt > fleet.readAt) {
-			fleet.replace([...backends.values()], listReadAt);
+			fleet.replaceByPeerList([...backends.values()], listReadAt);
 		}
 	}
 
 	async #queryPeers(now: number): Promise<void> {
 		const {follower, fleet, listPeers} = this.options;
 		const isFresh =
-			!follower.isPartitioned() &&
+			!follower.needsPeers() &&
 			now - follower.readAt() < maxFreshAgeMs &&
 			now - fleet.readAt < maxFreshAgeMs;
 		const peers = listPeers();
@@ -126,7 +131,7 @@
 				from: address,
 				age_ms: Math.round(list.ageMs),
 			});
-			fleet.replace(list.backends, readClock() - list.ageMs);
+			fleet.replaceByPeerList(list.backends, readClock() - list.ageMs);
 		}
 	}
 }
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -39,6 +39,8 @@
 export const peerUpdateSchema = z.object({
 	/** Time until the gateway serves again, in milliseconds; null if it is not stopping. */
 	backInMs: z.number().nullable(),
+	/** Newest era of the store that the gateway knows; null if none. */
+	storeEra: z.int().nullable(),
 	/** Version of the newest configuration; -1 if none is known. */
 	version: z.int(),
 	/** Time since the configuration was read from the store, in milliseconds; null if never. */
@@ -62,6 +64,8 @@
 export type GatewayState = {
 	/** Time at which it serves again; absent if it is not stopping. */
 	readonly backAt?: number;
+	/** Newest era of the store; absent before its first answer. */
+	readonly storeEra?: number;
 	readonly version: number;
 	/** Time as of which the configuration is known. */
 	readonly configurationReadAt: number;
@@ -83,6 +87,7 @@
 	const {backends} = state;
 	return {
 		backInMs: state.backAt === undefined ? null : state.backAt - now,
+		storeEra: state.storeEra ?? null,
 		version: state.version,
 		configurationAgeMs: computeAge(now, state.configurationReadAt),
 		listAgeMs: computeAge(now, state.listReadAt),
@@ -137,6 +142,7 @@
 
 	return {
 		...(update.backInMs !== null && {backAt: writtenAt + update.backInMs}),
+		...(update.storeEra !== null && {storeEra: update.storeEra}),
 		version: update.version,
 		configurationReadAt: toReadAt(update.configurationAgeMs),
 		listReadAt: toReadAt(update.listAgeMs),
--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -7,6 +7,7 @@
 import {
 	type Backend,
 	type BackendId,
+	type EnginePlacement,
 	type GatewayService,
 	type LayerOrder,
 	type LayerRange,
@@ -113,15 +114,7 @@
 
 		const orders = planLayerOrders(
 			pipeline,
-			backends.map((backend) => ({
-				id: backend.id,
-				dataCentre: backend.dataCentre,
-				kind: backend.kind ?? '',
-				layers: backend.layers,
-				ordered: this.#pending.get(backend.id)?.layers,
-				isUsable: !backend.isDraining && !this.options.fleet.isLost(backend.id),
-				isSuspect: this.options.fleet.isUnreachable(backend.id),
-			})),
+			backends.map((backend) => this.#describeEngine(backend)),
 		);
 		const byId = new Map(backends.map((backend) => [backend.id, backend]));
 		for (const order of orders) {
@@ -139,6 +132,25 @@
 		}
 	}
 
+	#describeEngine({
+		id,
+		dataCentre,
+		kind = '',
+		layers,
+		isDraining,
+	}: Backend): EnginePlacement {
+		const {fleet} = this.options;
+		return {
+			id,
+			dataCentre,
+			kind,
+			layers,
+			pendingLayers: this.#pending.get(id)?.layers,
+			isUsable: !isDraining && !fleet.health.isLost(id),
+			isSuspect: fleet.health.isUnreachable(id),
+		};
+	}
+
 	/** Drops a pending order that has taken effect or has timed out. */
 	#clearPending({id, layers}: Backend, now: number): void {
 		const pending = this.#pending.get(id);
@@ -180,13 +192,22 @@
 		{id, address}: Backend,
 		{layers, reason}: LayerOrder,
 	): Promise<void> {
-		const {engines, logger, group} = this.options;
+		const {engines, logger, group, fleet} = this.options;
+		if (fleet.health.isPaused(id)) {
+			return;
+		}
+
 		const report = await engines.readReport(address, engineTimeoutMs);
 		if (report.isErr()) {
 			logger.warn('order.unsent', {backend: id, detail: report.error.detail});
 			return;
 		}
 
+		if (report.value.isLeaving) {
+			fleet.recordLeaving(id);
+			return;
+		}
+
 		if (report.value.isBusy || !group.isLeader) {
 			return;
 		}
@@ -194,7 +215,7 @@
 		const outcome = await engines.orderLayers(address, {
 			layers,
 			expectedOrders: report.value.orderCount,
-			fence: group.generation,
+			fence: group.fence,
 			timeoutMs: engineTimeoutMs,
 		});
 		if (outcome.isOk() && outcome.value === 'accepted') {
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -128,7 +128,7 @@
 		{isSent, detail}: AttemptFailure,
 	): void {
 		this.#release(active);
-		this.context.fleet.recordFailure(
+		this.context.fleet.health.recordFailure(
 			active.backend.id,
 			isSent ? 'cut' : 'unreachable',
 			detail,
@@ -145,8 +145,9 @@
 		}
 
 		const metadata = this.context.headers.readAnswerHeaders(head.headers);
+		this.recordServerState(active.backend.id, metadata, head.status);
 		if (metadata.isNotRun || head.status === 421) {
-			this.context.fleet.recordFailure(
+			this.context.fleet.health.recordFailure(
 				active.backend.id,
 				head.status === 421 ? 'replaced' : 'refused',
 				`Status ${head.status}.`,
@@ -157,7 +158,7 @@
 
 		const isSameRequest = metadata.request === this.call.metadata.request;
 		if (!isSameRequest || !metadata.isStamped) {
-			this.context.fleet.recordFailure(
+			this.context.fleet.health.recordFailure(
 				active.backend.id,
 				'failed',
 				'The answer belongs to another request.',
@@ -195,7 +196,7 @@
 	}
 
 	#forwardAnswer({backend, chunks}: ActiveAttempt, head: AnswerHead): void {
-		this.context.fleet.recordSuccess(backend.id);
+		this.context.fleet.health.recordSuccess(backend.id);
 		this.context.recorder.recordAttempt(this.call, 'answered', this.where, '');
 		this.answerStartedAt = this.context.readClock();
 		const body = Buffer.concat(chunks);
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -34,7 +34,14 @@
 /** A record that could not be read, with the reason for the log. */
 export type SkippedRecord = {readonly key: string; readonly reason: string};
 
+/**
+ * How often the store was restored from an older copy. What it acknowledged
+ * shortly before may be gone, and offsets of one era mean nothing in another.
+ */
+export type StoreEra = number;
+
 export type ConfigurationRead = {
+	readonly era: StoreEra;
 	/** Newest configuration that was read, if there was one. */
 	readonly configuration?: RoutingConfiguration;
 	readonly next: StoreOffset;
@@ -42,13 +49,15 @@
 };
 
 export type BackendsRead = {
+	readonly era: StoreEra;
 	readonly changes: readonly BackendChange[];
 	readonly next: StoreOffset;
 	readonly skipped: readonly SkippedRecord[];
 };
 
 export type Membership = {
-	/** Increases with each change of the group. */
+	readonly era: StoreEra;
+	/** Increases with each change of the group within one era. */
 	readonly generation: number;
 };
 
@@ -100,6 +109,8 @@
 	}>;
 	/** Unix time of its start, in milliseconds; 0 if not reported. */
 	readonly bornAt: number;
+	/** Whether the engine is about to stop. */
+	readonly isLeaving: boolean;
 };
 
 export type OrderOutcome =
@@ -181,6 +192,10 @@
 	readonly isNotRun: boolean;
 	/** `host:port` of the engine of the path that is at fault. */
 	readonly faultyAddress?: string;
+	/** Whether the server is about to stop. */
+	readonly isLeaving: boolean;
+	/** Time for which the server asks for no further requests, as sent; absent if it does not ask. */
+	readonly retryAfter?: string;
 	/** Running and waiting requests, and slots. */
 	readonly load?: {
 		readonly running: number;
--- /dev/null
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -0,0 +1,118 @@
+/**
+ * One attempt of a streaming request: the path of engines that it runs on, its
+ * connection to the first of them, and the events received so far.
+ */
+import type {PathStage} from 'bramleystage';
+import {
+	type AnswerHead,
+	type Attempt,
+	type AttemptHandlers,
+	openAttempt,
+} from './attempt.js';
+import {type Call, computePriority} from './call.js';
+import {EventSplitter} from './event-splitter.js';
+import type {Fleet} from './fleet.js';
+import type {HeaderPort} from './platform-port.js';
+
+/** Timeout for opening a connection, in milliseconds; a live engine accepts one within a few milliseconds. */
+const connectTimeoutMs = 150;
+const streamStatus = 200;
+
+export type StreamAttemptOptions = {
+	readonly call: Call;
+	readonly fleet: Fleet;
+	readonly headers: HeaderPort;
+	readonly path: readonly PathStage[];
+	readonly first: PathStage;
+	readonly remainingMs: number;
+	/** Id of the last event that the caller received. */
+	readonly lastEvent?: string;
+	readonly handlers: AttemptHandlers;
+};
+
+export class StreamAttempt {
+	/** Whether events have arrived since the path was chosen. */
+	hasEvents = false;
+	head: AnswerHead | undefined;
+	readonly splitter = new EventSplitter();
+	/** Body of an answer that is not a stream. */
+	readonly chunks: Buffer[] = [];
+	#path: readonly PathStage[];
+	#releaseWork: () => void;
+	readonly #attempt: Attempt;
+
+	constructor(private readonly options: StreamAttemptOptions) {
+		const {call, fleet, headers, path, first, handlers} = options;
+		this.#path = path;
+		this.#releaseWork = fleet.registerWork(path, countExpectedTokens(call));
+		if (call.service.pipeline) {
+			fleet.recordPrompt(
+				call.service.pipeline,
+				path,
+				call.metadata.promptTokens,
+			);
+		}
+
+		this.#attempt = openAttempt(
+			{
+				address: first.address,
+				method: call.method,
+				target: call.target,
+				headers: headers.buildAttemptHeaders(call.headers, {
+					remainingMs: options.remainingMs,
+					backend: first.id,
+					customer: call.holder?.customer,
+					priority: computePriority(call),
+					path,
+					lastEvent: options.lastEvent,
+				}),
+				body: call.body,
+				connectTimeoutMs,
+			},
+			{
+				...handlers,
+				onHead: (head) => {
+					this.head = head;
+					handlers.onHead(head);
+				},
+			},
+		);
+	}
+
+	/** Stages that the request currently runs on. */
+	get path(): readonly PathStage[] {
+		return this.#path;
+	}
+
+	get isSent(): boolean {
+		return this.#attempt.isSent();
+	}
+
+	/** Whether the answer is a stream of events. */
+	get isStream(): boolean {
+		return this.head?.status === streamStatus;
+	}
+
+	/** Records that the request now runs on another path with the same first stage. */
+	replacePath(path: readonly PathStage[]): void {
+		const {call, fleet} = this.options;
+		this.#releaseWork();
+		this.#path = path;
+		this.#releaseWork = fleet.registerWork(path, countExpectedTokens(call));
+		this.hasEvents = false;
+	}
+
+	/** Releases the engines' load after the end of the answer. */
+	release(): void {
+		this.#releaseWork();
+	}
+
+	/** Closes the connection and releases the engines' load. */
+	cancel(): void {
+		this.#releaseWork();
+		this.#attempt.cancel();
+	}
+}
+
+const countExpectedTokens = ({metadata}: Call): number =>
+	metadata.promptTokens + metadata.maxAnswerTokens / 2;
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -95,13 +95,15 @@
 	}
 
 	/**
-	 * Checks an engine that was reported as the cause of a refusal. If it does not
-	 * answer, the silent streams on its paths fail over.
+	 * Checks an engine that was reported as the cause of a refusal. If it can't be
+	 * reached, the silent streams on its paths fail over; if it only does not
+	 * answer, they do after a longer silence.
 	 */
 	async checkFaultyEngine({id, address}: PathStage): Promise<void> {
 		const {readClock, engines, fleet} = this.options;
 		const lastAt = this.#inspectedAt.get(id) ?? Number.NEGATIVE_INFINITY;
-		if (readClock() - lastAt < faultyEngineCheckIntervalMs) {
+		const isRecent = readClock() - lastAt < faultyEngineCheckIntervalMs;
+		if (isRecent || fleet.health.isPaused(id)) {
 			return;
 		}
 
@@ -111,16 +113,22 @@
 			return;
 		}
 
-		const {detail} = report.error;
-		fleet.recordFailure(id, 'unreachable', `No report: ${detail}`);
+		// An engine that accepted the connection may only be slow to report.
+		const {kind, detail} = report.error;
+		const isUnreachable = kind === 'unreachable';
+		fleet.health.recordFailure(
+			id,
+			isUnreachable ? 'unreachable' : 'slow',
+			`No report: ${detail}`,
+		);
 		const now = readClock();
 		for (const stream of this.#streams) {
 			const isOnPath = stream.path.some((stage) => stage.id === id);
-			const pauseMs = this.#pauses.get(formatPathKey(stream.path)) ?? 0;
-			if (
-				isOnPath &&
-				now - stream.lastProgressAt > faultyEnginePauseFactor * pauseMs
-			) {
+			const key = formatPathKey(stream.path);
+			const limitMs = isUnreachable
+				? faultyEnginePauseFactor * (this.#pauses.get(key) ?? 0)
+				: this.#computeSilenceLimitMs(key);
+			if (isOnPath && now - stream.lastProgressAt > limitMs) {
 				stream.failOver([id], 'An engine on the path does not answer.');
 			}
 		}
@@ -201,19 +209,31 @@
 	/** Reads from the first engine's report which engines do not answer. */
 	async #findSuspects({id, address}: PathStage): Promise<BackendId[]> {
 		const {engines, fleet} = this.options;
+		if (fleet.health.isPaused(id)) {
+			return [];
+		}
+
 		const report = await engines.readReport(address, reportTimeoutMs);
 		if (report.isErr()) {
 			const {detail} = report.error;
-			fleet.recordFailure(id, 'unreachable', `No report: ${detail}`);
+			fleet.health.recordFailure(id, 'unreachable', `No report: ${detail}`);
 			return [id];
 		}
 
+		if (report.value.isLeaving) {
+			fleet.recordLeaving(id);
+		}
+
 		const stalled = new Set(report.value.stalled.map((item) => item.address));
 		const suspects: BackendId[] = [];
 		for (const item of stalled) {
 			const backend = fleet.findByAddress(item);
 			if (backend) {
-				fleet.recordFailure(backend.id, 'unreachable', 'Reported as stalled.');
+				fleet.health.recordFailure(
+					backend.id,
+					'unreachable',
+					'Reported as stalled.',
+				);
 				suspects.push(backend.id);
 			}
 		}
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -6,29 +6,24 @@
 import {
 	type AttemptOutcome,
 	type BackendId,
+	computeResumeDelayMs,
 	createFailure,
 	type PathStage,
 } from 'bramleystage';
-import {
-	type AnswerHead,
-	type Attempt,
-	type AttemptFailure,
-	openAttempt,
-} from './attempt.js';
-import {type Call, computePriority} from './call.js';
+import type {AnswerHead, AttemptFailure} from './attempt.js';
+import type {Call} from './call.js';
 import {CallRun, type RunContext, listEndToEndHeaders} from './call-run.js';
-import {EventSplitter} from './event-splitter.js';
+import {isConsecutive} from './event-splitter.js';
 import {
 	formatStages,
 	PathReplacement,
 	type ReplacementContext,
 } from './path-replacement.js';
 import type {EnginePort} from './platform-port.js';
+import {StreamAttempt} from './stream-attempt.js';
 
 /** Timeout for an engine's report, in milliseconds; a live engine answers within a few milliseconds. */
 const reportTimeoutMs = 150;
-/** Timeout for opening a connection, in milliseconds; a live engine accepts one within a few milliseconds. */
-const connectTimeoutMs = 150;
 
 export type StreamRunContext = RunContext &
 	ReplacementContext & {
@@ -43,27 +38,16 @@
 		readonly recordPause: (path: readonly PathStage[], pauseMs: number) => void;
 	};
 
-type ActiveAttempt = {
-	path: readonly PathStage[];
-	readonly attempt: Attempt;
-	releaseWork: () => void;
-	/** Whether events have arrived since the path was chosen. */
-	hasEvents: boolean;
-	readonly splitter: EventSplitter;
-	readonly sentAt: number;
-	head?: AnswerHead;
-	/** Body of an answer that is not a stream. */
-	readonly chunks: Buffer[];
-};
-
 export class StreamRun extends CallRun {
 	/** Steady-clock time of the last sign of progress, in milliseconds. */
 	lastProgressAt: number;
-	#active: ActiveAttempt | undefined;
+	#active: StreamAttempt | undefined;
 	#lastEvent: string | undefined;
 	readonly #replacement: PathReplacement;
 	readonly #excludedEngines = new Set<BackendId>();
 	readonly #unregister: () => void;
+	#refusedResumptions = 0;
+	#resumeTimer: NodeJS.Timeout | undefined;
 
 	constructor(
 		call: Call,
@@ -113,14 +97,14 @@
 			return;
 		}
 
-		const outcome = active.attempt.isSent() ? 'unknown' : 'notRun';
+		const outcome = active.isSent ? 'unknown' : 'notRun';
 		this.#cancelAttempt(active);
 		this.recordOutcome(outcome, isFirstLost, detail);
 		this.tryNextAttempt();
 	}
 
 	protected isInFlight(): boolean {
-		return this.#active?.attempt.isSent() ?? false;
+		return this.#active?.isSent ?? false;
 	}
 
 	protected openNextAttempt(): boolean {
@@ -134,59 +118,46 @@
 		this.where = formatStages(path);
 		const {call, context} = this;
 		this.lastProgressAt = context.readClock();
-		if (call.service.pipeline) {
-			context.fleet.recordPrompt(
-				call.service.pipeline,
-				path,
-				call.metadata.promptTokens,
-			);
-		}
-
-		const active: ActiveAttempt = {
+		const active: StreamAttempt = new StreamAttempt({
+			call,
+			fleet: context.fleet,
+			headers: context.headers,
 			path,
-			hasEvents: false,
-			splitter: new EventSplitter(),
-			chunks: [],
-			sentAt: this.lastProgressAt,
-			releaseWork: context.fleet.registerWork(path, this.#expectedTokens),
-			attempt: openAttempt(
-				{
-					address: first.address,
-					method: call.method,
-					target: call.target,
-					headers: context.headers.buildAttemptHeaders(call.headers, {
-						remainingMs: this.remainingMs(),
-						backend: first.id,
-						customer: call.holder?.customer,
-						priority: computePriority(call),
-						path,
-						lastEvent: this.#lastEvent,
-					}),
-					body: call.body,
-					connectTimeoutMs,
+			first,
+			remainingMs: this.remainingMs(),
+			lastEvent: this.#lastEvent,
+			handlers: {
+				onHead: (head) => {
+					const metadata = context.headers.readAnswerHeaders(head.headers);
+					this.recordServerState(first.id, metadata, head.status);
+				},
+				onData: (chunk) => {
+					this.#handleData(active, chunk);
 				},
-				{
-					onHead(head) {
-						active.head = head;
-					},
-					onData: (chunk) => {
-						this.#handleData(active, chunk);
-					},
-					onEnd: () => {
-						this.#handleEnd(active);
-					},
-					onFail: (failure) => {
-						this.#handleFailure(active, failure);
-					},
+				onEnd: () => {
+					this.#handleEnd(active);
 				},
-			),
-		};
+				onFail: (failure) => {
+					this.#handleFailure(active, failure);
+				},
+			},
+		});
 		this.#active = active;
 		return true;
 	}
 
+	/** Looks again for a path, if the caller has received a part of the answer. */
+	protected override handleNoBackend(): void {
+		if (this.answerStartedAt === undefined) {
+			super.handleNoBackend();
+		} else {
+			this.#resumeLater();
+		}
+	}
+
 	protected cancelAttempts(): void {
 		this.#unregister();
+		clearTimeout(this.#resumeTimer);
 		if (this.#active) {
 			this.#cancelAttempt(this.#active);
 		}
@@ -203,63 +174,51 @@
 
 	/** Moves the running request onto other stages after its first one. */
 	async #replacePath(
-		active: ActiveAttempt,
+		active: StreamAttempt,
 		first: PathStage,
 		suspects: ReadonlySet<BackendId>,
 	): Promise<void> {
 		const path = await this.#replacement.run(first, suspects);
 		if (path && this.#active === active) {
-			active.releaseWork();
-			active.path = path;
-			active.releaseWork = this.context.fleet.registerWork(
-				path,
-				this.#expectedTokens,
-			);
+			active.replacePath(path);
 			this.where = formatStages(path);
-			active.hasEvents = false;
 			this.lastProgressAt = this.context.readClock();
 		}
 	}
 
-	get #expectedTokens(): number {
-		const {promptTokens, maxAnswerTokens} = this.call.metadata;
-		return promptTokens + maxAnswerTokens / 2;
-	}
-
-	#cancelAttempt(active: ActiveAttempt): void {
-		active.releaseWork();
-		active.attempt.cancel();
+	#cancelAttempt(active: StreamAttempt): void {
+		active.cancel();
 		if (this.#active === active) {
 			this.#active = undefined;
 		}
 	}
 
-	#isStream(active: ActiveAttempt): boolean {
-		return active.head?.status === 200;
-	}
-
-	#handleData(active: ActiveAttempt, chunk: Buffer): void {
-		if (!this.#isStream(active)) {
+	#handleData(active: StreamAttempt, chunk: Buffer): void {
+		if (!active.isStream) {
 			active.chunks.push(chunk);
 			return;
 		}
 
-		const now = this.context.readClock();
-		if (active.hasEvents) {
-			this.context.recordPause(active.path, now - this.lastProgressAt);
-		}
-
-		this.lastProgressAt = now;
 		const events = active.splitter.append(chunk);
 		if (!events) {
 			return;
 		}
 
+		// Parts of an event and comments are no progress: a stalled path may send them.
+		if (events.hasData) {
+			const now = this.context.readClock();
+			if (active.hasEvents) {
+				this.context.recordPause(active.path, now - this.lastProgressAt);
+			}
+
+			this.lastProgressAt = now;
+		}
+
 		if (!this.answerStartedAt && !this.#startAnswer(active)) {
 			return;
 		}
 
-		if (!this.#areIdsConsecutive(events.ids)) {
+		if (!isConsecutive(this.#lastEvent, events.ids)) {
 			this.#cancelAttempt(active);
 			this.failWith(
 				createFailure('backendLost', 'The events are out of order.'),
@@ -267,13 +226,13 @@
 			return;
 		}
 
-		active.hasEvents = true;
+		active.hasEvents ||= events.hasData;
 		this.#lastEvent = events.ids.at(-1) ?? this.#lastEvent;
 		this.call.response.write(events.bytes);
 	}
 
 	/** Writes the answer's head once the first events arrive; returns false if the answer belongs to another request. */
-	#startAnswer(active: ActiveAttempt): boolean {
+	#startAnswer(active: StreamAttempt): boolean {
 		const {head} = active;
 		const metadata =
 			head && this.context.headers.readAnswerHeaders(head.headers);
@@ -296,25 +255,10 @@
 		return true;
 	}
 
-	/** Whether the events follow the caller's last one without a gap or a repetition. */
-	#areIdsConsecutive(ids: readonly string[]): boolean {
-		let last = this.#lastEvent;
-		for (const id of ids) {
-			const isNext = last === undefined || Number(id) === Number(last) + 1;
-			if (!isNext && !Number.isNaN(Number(id))) {
-				return false;
-			}
-
-			last = id;
-		}
-
-		return true;
-	}
-
-	#handleEnd(active: ActiveAttempt): void {
-		active.releaseWork();
+	#handleEnd(active: StreamAttempt): void {
+		active.release();
 		this.#active = undefined;
-		if (!this.#isStream(active)) {
+		if (!active.isStream) {
 			this.#handleNonStreamAnswer(active);
 			return;
 		}
@@ -329,7 +273,7 @@
 		}
 
 		for (const {id} of active.path) {
-			this.context.fleet.recordSuccess(id);
+			this.context.fleet.health.recordSuccess(id);
 		}
 
 		this.context.recorder.recordAttempt(this.call, 'answered', this.where, '');
@@ -338,7 +282,7 @@
 	}
 
 	/** Handles a complete answer that is not a stream. */
-	#handleNonStreamAnswer(active: ActiveAttempt): void {
+	#handleNonStreamAnswer(active: StreamAttempt): void {
 		const {head, path} = active;
 		const metadata =
 			head && this.context.headers.readAnswerHeaders(head.headers);
@@ -354,7 +298,7 @@
 		const faulty = reported ?? (isRefusal ? path[0] : undefined);
 		if (faulty) {
 			this.#excludedEngines.add(faulty.id);
-			this.context.fleet.recordFailure(
+			this.context.fleet.health.recordFailure(
 				faulty.id,
 				head.status === 421 ? 'replaced' : 'refused',
 				`Status ${head.status}.`,
@@ -380,7 +324,7 @@
 		}
 	}
 
-	#forwardAnswer({chunks}: ActiveAttempt, head: AnswerHead): void {
+	#forwardAnswer({chunks}: StreamAttempt, head: AnswerHead): void {
 		this.call.response.writeHead(
 			head.status,
 			listEndToEndHeaders(head.headers).flat(),
@@ -390,14 +334,14 @@
 	}
 
 	#handleFailure(
-		active: ActiveAttempt,
+		active: StreamAttempt,
 		{isSent, detail}: AttemptFailure,
 	): void {
 		this.#cancelAttempt(active);
 		const [first] = active.path;
 		if (first) {
 			this.#excludedEngines.add(first.id);
-			this.context.fleet.recordFailure(
+			this.context.fleet.health.recordFailure(
 				first.id,
 				isSent ? 'cut' : 'unreachable',
 				detail,
@@ -427,11 +371,14 @@
 		outcome: AttemptOutcome,
 		isServerGone: boolean,
 		detail: string,
-		answered?: ActiveAttempt,
+		answered?: StreamAttempt,
 	): void {
 		this.recordOutcome(outcome, isServerGone, detail);
 		const step = this.decideNext(outcome);
-		if (step === 'retry') {
+		const isResumption = this.answerStartedAt !== undefined;
+		if (step === 'retry' && isResumption && outcome === 'notRun') {
+			this.#resumeLater();
+		} else if (step === 'retry') {
 			this.tryNextAttempt();
 		} else if (step === 'forward' && answered?.head) {
 			this.#forwardAnswer(answered, answered.head);
@@ -439,4 +386,12 @@
 			this.failAfterAttempt(detail);
 		}
 	}
+
+	/** Makes the next attempt after a delay that grows with each call. */
+	#resumeLater(): void {
+		this.#refusedResumptions++;
+		this.#resumeTimer = setTimeout(() => {
+			this.tryNextAttempt();
+		}, computeResumeDelayMs(this.#refusedResumptions));
+	}
 }
--- a/packages/bramleystage/src/coordination/__tests__/attempt-policy.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/attempt-policy.test.ts
@@ -1,12 +1,21 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {type AttemptOutcome, decideAfterAttempt} from '../attempt-policy.js';
+import {
+	type AttemptOutcome,
+	computeResumeDelayMs,
+	decideAfterAttempt,
+} from '../attempt-policy.js';
 
 const allowRetry = () => true;
 const denyRetry = () => false;
 const ranHistory = {sent: 1, ran: 1, mayHaveRun: true};
 const notRunHistory = {sent: 1, ran: 0, mayHaveRun: false};
-const bounds = {isRepeatable: false, maxAttempts: 2, remainingMs: 1000};
+const bounds = {
+	isRepeatable: false,
+	maxAttempts: 2,
+	remainingMs: 1000,
+	isAnswerStarted: false,
+};
 
 test('a request that may not be repeated is sent again only if it has not run', () => {
 	expect(decideAfterAttempt('notRun', notRunHistory, bounds, allowRetry)).toBe(
@@ -86,3 +95,20 @@
 		{seed: 3},
 	);
 });
+
+test('a started answer survives refusals that come within a few milliseconds', () => {
+	const started = {...bounds, isRepeatable: true, isAnswerStarted: true};
+	const decide = (sent: number) =>
+		decideAfterAttempt(
+			'notRun',
+			{sent, ran: 1, mayHaveRun: true},
+			started,
+			allowRetry,
+		);
+	expect(decide(5)).toBe('retry');
+	expect(decide(10)).toBe('fail');
+	const delays = [0, 1, 2, 3, 4, 5].map((refusals) =>
+		computeResumeDelayMs(refusals),
+	);
+	expect(delays).toEqual([0, 50, 100, 200, 400, 400]);
+});
--- a/packages/bramleystage/src/coordination/attempt-policy.ts
+++ b/packages/bramleystage/src/coordination/attempt-policy.ts
@@ -29,6 +29,8 @@
 	readonly maxAttempts: number;
 	/** Time left until the request's deadline, in milliseconds. */
 	readonly remainingMs: number;
+	/** Whether the caller has received a part of the answer. */
+	readonly isAnswerStarted: boolean;
 };
 
 /**
@@ -40,6 +42,11 @@
 
 /** Maximum number of attempts of a request, including those that did not run. */
 const maxSentAttempts = 5;
+/** Maximum number of attempts once a part of the answer was sent: without another one, the answer ends incomplete. */
+const maxResumingAttempts = 10;
+/** Delay before a started answer is resumed after the first refusal, in milliseconds; it doubles with each further one. */
+const minResumeDelayMs = 50;
+const maxResumeDelayMs = 400;
 /** Minimum remaining time for another attempt, in milliseconds. */
 const minAttemptMs = 30;
 
@@ -54,7 +61,8 @@
 	trySpendRetry: () => boolean,
 ): AttemptDecision {
 	const mayRepeat =
-		history.sent < maxSentAttempts &&
+		history.sent <
+			(bounds.isAnswerStarted ? maxResumingAttempts : maxSentAttempts) &&
 		bounds.remainingMs >= minAttemptMs &&
 		(outcome === 'notRun'
 			? bounds.isRepeatable || !history.mayHaveRun
@@ -69,3 +77,13 @@
 
 	return history.mayHaveRun ? 'fail' : 'refuse';
 }
+
+/**
+ * Computes the delay before a started answer is resumed again, in milliseconds.
+ * All streams of a lost path resume on the few that are left, and an engine that
+ * refuses some of them takes them a little later.
+ */
+export const computeResumeDelayMs = (refusals: number): number =>
+	refusals === 0
+		? 0
+		: Math.min(maxResumeDelayMs, minResumeDelayMs * 2 ** (refusals - 1));
--- a/packages/bramleystage/src/coordination/layer-path.ts
+++ b/packages/bramleystage/src/coordination/layer-path.ts
@@ -160,24 +160,18 @@
  * already running there. Returns undefined if no path exists.
  */
 export function choosePathFromStage(
-	first: PathStage,
+	first: PathStage & {readonly dataCentre: DataCentreId},
 	engines: readonly PathEngine[],
 	layers: number,
 	computeHopCost: ComputeHopCost,
 ): PathStage[] | undefined {
 	const start = first.layers.to;
-	const own = engines.find(({id}) => id === first.id);
+	const own = {...first, layerCost: 0, firstStageCost: 0};
 	const rest = engines
 		.filter(({id, layers: held}) => id !== first.id && held.to > start)
 		.map((engine) => ({
 			...engine,
 			layers: {...engine.layers, from: Math.max(start, engine.layers.from)},
 		}));
-	return own
-		? choosePath(
-				[{...own, layers: first.layers}, ...rest],
-				layers,
-				computeHopCost,
-			)
-		: undefined;
+	return choosePath([own, ...rest], layers, computeHopCost);
 }
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -658,6 +658,7 @@
 	type AttemptLimits,
 	type AttemptHistory,
 	type AttemptOutcome,
+	computeResumeDelayMs,
 	decideAfterAttempt,
 	type AttemptDecision,
 } from './coordination/attempt-policy.js';
@@ -708,15 +709,33 @@
 } from './coordination/retry-window.js';
 export {
 	applyBackendChanges,
+	applyLeaving,
 	applyReportedLayers,
+	applyRestoredBackends,
 	type Backend,
 	type BackendChange,
 	type BackendsSnapshot,
 	createBackends,
+	isRemovedInstance,
 	type LayerRange,
 	listBackends,
 	replaceBackends,
 } from './state/backends.js';
+export {
+	createStoreEra,
+	isListRestored,
+	recordStoreEra,
+	type StoreEraState,
+} from './state/store-era.js';
+export {
+	createPauses,
+	findFirstPauseEnd,
+	isPaused,
+	parsePauseMs,
+	type Pauses,
+	recordPause,
+	removePause,
+} from './coordination/pauses.js';
 export {
 	type AcceleratorKind,
 	buildRouteIndex,
