Let few gateways read the store while it turns some away

Change: followed gateways that have lost the store are replaced by the next ones. The first eight by address read at once when nobody informs them, the others after 1.8 s, by when they have found a reader. A gateway that is turned away relies on any informed peer and backs off to 1.5 s. Updates name the gateway that read the list, so that two never inform each other in a circle, and carry the members of the group. Before the group is known, a gateway counts on 400 members for the retry budget instead of six.

--- a/packages/bramleystage-gateway/src/__tests__/group.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/group.test.ts
@@ -41,6 +41,8 @@
 		isStoreUnreachable: () => false,
 		readListReadAt: () => 0,
 		findPeerState: () => undefined,
+		findPeerGroup: () => undefined,
+		isInformedByPeer: () => false,
 		lifeCycle,
 		logger,
 		readClock: () => performance.now(),
@@ -75,6 +77,8 @@
 		isStoreUnreachable: () => false,
 		readListReadAt: () => 0,
 		findPeerState: () => undefined,
+		findPeerGroup: () => undefined,
+		isInformedByPeer: () => false,
 		lifeCycle,
 		logger,
 		readClock: () => performance.now(),
@@ -90,3 +94,40 @@
 	// Members that the copy lacks still spend their shares.
 	expect(group.computeBudgetShare(performance.now())).toBeCloseTo(1 / 3);
 });
+
+test('members come from an informed peer, and the store is read if the peer does not have them in time', async () => {
+	let reads = 0;
+	let generation = 1;
+	let peerGroup = {fence: 2 ** 24 + 1, members};
+	const store: Partial<StorePort> = {
+		joinGroup: async () => ok({generation, era: 1}),
+		async listMembers() {
+			reads++;
+			return ok([self]);
+		},
+	};
+	const group = new GatewayGroup({
+		store: store as StorePort,
+		self,
+		seeds: [],
+		memberMs: 150,
+		windowMs: 1000,
+		isStoreUnreachable: () => false,
+		readListReadAt: () => 0,
+		findPeerState: () => undefined,
+		findPeerGroup: () => peerGroup,
+		isInformedByPeer: () => true,
+		lifeCycle,
+		logger,
+		readClock: () => performance.now(),
+	});
+	await waitFor(30);
+	expect([group.size, reads]).toEqual([3, 0]);
+	generation = 2;
+	peerGroup = {fence: 2 ** 24 + 2, members: [self, ...members.slice(1, 2)]};
+	await waitFor(100);
+	expect([group.size, reads]).toEqual([2, 0]);
+	generation = 3;
+	await waitFor(250);
+	expect([group.size, reads]).toEqual([1, 1]);
+});
--- a/packages/bramleystage-gateway/src/backend-follower.ts
+++ b/packages/bramleystage-gateway/src/backend-follower.ts
@@ -7,14 +7,13 @@
 import {type LifeCycle, type Logger, waitFor} from 'bramleystage';
 import type {Fleet} from './fleet.js';
 import type {BackendsRead, StorePort} from './platform-port.js';
+import type {StoreContact} from './store-contact.js';
 
 /** Time between two reads, in milliseconds; a server that leaves must be noticed within two seconds. */
 const readIntervalMs = 600;
-/** Age of the list at which it is read here although another gateway sends it, in milliseconds. */
-const maxPeerListAgeMs = 1100;
 /** Time since the last read above which the complete list is read, in milliseconds. */
 const maxResumeGapMs = 3000;
-/** Delay after a failed read, in milliseconds. */
+/** Delay after a first failed read, in milliseconds. */
 const retryDelayMs = 250;
 /** Time for which missing entries are kept after an outage, in milliseconds: entries that expired meanwhile are back about two seconds after the store. */
 const lapsedEntryGraceMs = 2500;
@@ -22,14 +21,22 @@
 export function followBackends(options: {
 	readonly store: StorePort;
 	readonly fleet: Fleet;
-	/** Whether another gateway reads the list and sends updates. */
-	readonly isInformedByPeer: () => boolean;
+	/** Returns the age of the list at which it is read here, in milliseconds. */
+	readonly readMaxAgeMs: () => number;
+	readonly contact: StoreContact;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
 }): void {
-	const {store, fleet, isInformedByPeer, lifeCycle, logger, readClock} =
+	const {store, fleet, readMaxAgeMs, contact, lifeCycle, logger, readClock} =
 		options;
+	const handleFailure = () => {
+		const now = readClock();
+		contact.recordFailure(now);
+		replaceAt = now + lapsedEntryGraceMs;
+		return contact.computeRetryDelayMs(retryDelayMs);
+	};
+
 	let next: number | undefined;
 	/** Steady-clock time of the last read here, in milliseconds. */
 	let ownReadAt = Number.NEGATIVE_INFINITY;
@@ -73,10 +80,11 @@
 	const load = async (startedAt: number) => {
 		const read = await store.loadBackends();
 		if (read.isErr()) {
-			replaceAt = readClock() + lapsedEntryGraceMs;
-			return retryDelayMs;
+			return handleFailure();
 		}
 
+		contact.recordSuccess();
+
 		logSkipped(read.value);
 		const {era} = read.value;
 		fleet.recordStoreEra(era);
@@ -99,8 +107,8 @@
 
 	const step = async (): Promise<number> => {
 		const startedAt = readClock();
-		const delayMs = fleet.readAt + maxPeerListAgeMs - startedAt;
-		if (isInformedByPeer() && delayMs > 0) {
+		const delayMs = fleet.readAt + readMaxAgeMs() - startedAt;
+		if (delayMs > 0) {
 			return delayMs;
 		}
 
@@ -116,6 +124,7 @@
 
 		const read = await store.readBackends(next);
 		if (read.isOk()) {
+			contact.recordSuccess();
 			fleet.recordStoreEra(read.value.era);
 			if (read.value.era !== nextEra) {
 				// The offset belongs to records that the store no longer has.
@@ -135,8 +144,7 @@
 		}
 
 		logger.warn('backends.unread', {detail: read.error.detail});
-		replaceAt = readClock() + lapsedEntryGraceMs;
-		return retryDelayMs;
+		return handleFailure();
 	};
 
 	void (async () => {
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -17,15 +17,14 @@
 	StoreFailure,
 	StorePort,
 } from './platform-port.js';
+import type {StoreContact} from './store-contact.js';
 
 /** Timeout of a long poll, in milliseconds: bounds the time until a silent connection is noticed. */
 const pollTimeoutMs = 700;
-/** Delay after a failed call, in milliseconds. */
+/** Delay after a first failed call, and before a version is read again that is not there yet, in milliseconds. */
 const retryDelayMs = 150;
 /** Delay of the next read while the store lacks a version that peers have, in milliseconds. */
 const lostVersionDelayMs = 600;
-/** Age of the last check at which the store is read here although another gateway polls it, in milliseconds. */
-const maxPeerAgeMs = 1100;
 /** How often the newest version is loaded regardless of the polls, in milliseconds. */
 const refreshIntervalMs = 5000;
 
@@ -43,10 +42,11 @@
 
 export type ConfigurationFollowerOptions = {
 	readonly store: StorePort;
-	/** Whether another gateway polls the store and sends updates. */
-	readonly isInformedByPeer: () => boolean;
+	/** Returns the age of the last check at which the store is read here, in milliseconds. */
+	readonly readMaxAgeMs: () => number;
 	/** Called with the era of each answer of the store. */
 	readonly recordStoreEra: (era: number) => void;
+	readonly contact: StoreContact;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
@@ -58,8 +58,9 @@
 ): ConfigurationFollower {
 	const {
 		store,
-		isInformedByPeer,
+		readMaxAgeMs,
 		recordStoreEra,
+		contact,
 		lifeCycle,
 		logger,
 		readClock,
@@ -105,8 +106,8 @@
 	const step = async (): Promise<number> => {
 		const startedAt = readClock();
 		const isBehind = announced > readVersion();
-		const delayMs = readAt + maxPeerAgeMs - startedAt;
-		if (isInformedByPeer() && !isBehind && delayMs > 0) {
+		const delayMs = readAt + readMaxAgeMs() - startedAt;
+		if (!isBehind && delayMs > 0) {
 			next = undefined;
 			return delayMs;
 		}
@@ -123,11 +124,17 @@
 		if (read.isErr()) {
 			isStoreLost = recordContact(logger, isStoreLost, read.error);
 			next = undefined;
-			return retryDelayMs;
+			if (read.error.kind === 'expired') {
+				return retryDelayMs;
+			}
+
+			contact.recordFailure(readClock());
+			return contact.computeRetryDelayMs(retryDelayMs);
 		}
 
 		readAt = Math.max(readAt, isFullRead ? startedAt : readClock());
 		loadedAt = isFullRead ? startedAt : loadedAt;
+		contact.recordSuccess();
 		const {era} = read.value;
 		recordStoreEra(era);
 		applyRead(read.value);
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -47,12 +47,13 @@
 export class Fleet {
 	readonly snapshots = new BehaviorSubject<BackendsSnapshot>(createBackends());
 	readonly health: BackendHealth;
+	readonly costs: PathCosts;
 	#storeEra: StoreEraState = createStoreEra();
-	readonly #costs: PathCosts;
 	#readAt = Number.NEGATIVE_INFINITY;
+	#reader: string | undefined;
 
 	constructor(private readonly options: FleetOptions) {
-		this.#costs = new PathCosts(options.countGateways, options.readClock);
+		this.costs = new PathCosts(options.countGateways, options.readClock);
 		this.health = new BackendHealth({
 			...options,
 			describeBackend: (id) => ({
@@ -67,6 +68,11 @@
 		return this.#readAt;
 	}
 
+	/** `host:port` of the gateway that read the list; undefined if this one did. */
+	get reader(): string | undefined {
+		return this.#reader;
+	}
+
 	get hasBackends(): boolean {
 		return this.snapshots.value.backends.size > 0;
 	}
@@ -98,13 +104,13 @@
 
 	/** Applies changes of the list; `readAt` is the steady-clock time of the read, in milliseconds. */
 	apply(changes: readonly BackendChange[], readAt: number): void {
-		this.#readAt = Math.max(this.#readAt, readAt);
+		this.#recordRead(readAt);
 		this.#publish(applyBackendChanges(this.snapshots.value, changes));
 	}
 
 	/** Applies entries of a list that was restored from an older copy. */
 	applyRestored(changes: readonly BackendChange[], readAt: number): void {
-		this.#readAt = Math.max(this.#readAt, readAt);
+		this.#recordRead(readAt);
 		this.#publish(applyRestoredBackends(this.snapshots.value, changes));
 	}
 
@@ -138,12 +144,16 @@
 
 	/** Replaces the complete list; `readAt` is the steady-clock time of the read, in milliseconds. */
 	replace(listed: readonly Backend[], readAt: number): void {
-		this.#readAt = Math.max(this.#readAt, readAt);
+		this.#recordRead(readAt);
 		this.#publish(replaceBackends(this.snapshots.value, listed));
 	}
 
 	/** Replaces the list by a peer's, without the instances that the peer may have from a restored list. */
-	replaceByPeerList(listed: readonly Backend[], readAt: number): void {
+	replaceByPeerList(
+		listed: readonly Backend[],
+		readAt: number,
+		reader: string | undefined,
+	): void {
 		const {value} = this.snapshots;
 		this.replace(
 			this.isListRestored
@@ -151,6 +161,7 @@
 				: listed,
 			readAt,
 		);
+		this.#reader = reader;
 	}
 
 	/** Lists the backend servers of a service that accept new work; `includeAvoided` adds avoided ones that are reachable. */
@@ -176,7 +187,7 @@
 		const untried = all.filter(({id}) => !excluded.has(id));
 		const candidates = [preferred, untried].find((list) => list.length > 0);
 		const score = (backend: Backend) =>
-			this.#costs.countRequests(backend.id) +
+			this.costs.countRequests(backend.id) +
 			(backend.dataCentre === this.options.dataCentre ? 0 : 0.5);
 		return candidates && pickLowest(candidates, score);
 	}
@@ -193,7 +204,7 @@
 
 		const choose = (engines: readonly PathEngine[]) =>
 			choosePath(engines, model.layers, (from, to) =>
-				this.#costs.computeHopCost(model, from, to),
+				this.costs.computeHopCost(model, from, to),
 			);
 		// Falls back to engines that only refused work or did not complete an answer: better than no path.
 		return (
@@ -222,7 +233,7 @@
 			{...first, dataCentre: own.dataCentre},
 			others,
 			model.layers,
-			(from, to) => this.#costs.computeHopCost(model, from, to),
+			(from, to) => this.costs.computeHopCost(model, from, to),
 		);
 	}
 
@@ -236,25 +247,12 @@
 		const dataCentres = stages.flatMap(
 			({id}) => backends.get(id)?.dataCentre ?? [],
 		);
-		this.#costs.recordPrompt(model, dataCentres, tokens);
-	}
-
-	/** Counts a request as in flight at the stages until the returned function is called. */
-	registerWork(
-		stages: ReadonlyArray<Pick<PathStage, 'id' | 'layers'>>,
-		tokens: number,
-	): () => void {
-		return this.#costs.registerWork(stages, tokens);
+		this.costs.recordPrompt(model, dataCentres, tokens);
 	}
 
 	findByAddress(address: string): Backend | undefined {
-		for (const backend of this.snapshots.value.backends.values()) {
-			if (backend.address === address) {
-				return backend;
-			}
-		}
-
-		return undefined;
+		const backends = [...this.snapshots.value.backends.values()];
+		return backends.find((backend) => backend.address === address);
 	}
 
 	/** Lists the backend servers of a service that are not leaving. */
@@ -272,7 +270,12 @@
 	): PathEngine[] {
 		return this.listUsable(service, includeAvoided)
 			.filter(({id}) => !excluded.has(id))
-			.flatMap((backend) => this.#costs.buildPathEngine(backend, model) ?? []);
+			.flatMap((backend) => this.costs.buildPathEngine(backend, model) ?? []);
+	}
+
+	#recordRead(readAt: number): void {
+		this.#readAt = Math.max(this.#readAt, readAt);
+		this.#reader = undefined;
 	}
 
 	#publish(next: BackendsSnapshot): void {
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -16,17 +16,21 @@
 	waitFor,
 } from 'bramleystage';
 import {sendPeerQuery} from './peer-exchange.js';
-import type {PeerState} from './peer-update.js';
+import type {GroupState, PeerState} from './peer-update.js';
 import type {StorePort} from './platform-port.js';
 
+/** Renewals that may wait for a peer to read the members, so that the last one that counted is within the time after which the store drops a silent member. */
+const maxWaitedRenewals = 1;
 /** Renewals of the membership within the time after which the store drops a silent member. */
 const renewalsPerMemberTtl = 3;
 /** How often the order leader is determined, in milliseconds. */
 const leaderCheckIntervalMs = 500;
 /** How much older the order leader's list may be than this gateway's, in milliseconds. */
 const maxLeaderLagMs = 2500;
-/** Number of gateways that is assumed until the group has been read. */
+/** Number of gateways that is assumed for the load until the group has been read. */
 const assumedGroupSize = 6;
+/** Number of gateways that is assumed for the retry budget until the group has been read: the most that are supported. */
+const maxGroupSize = 400;
 /** Bound of the group's generations within one era of the store. */
 const generationsPerEra = 2 ** 24;
 
@@ -46,6 +50,10 @@
 	readonly readListReadAt: () => number;
 	/** Returns the last known state of a followed peer; undefined if it is silent or not followed. */
 	readonly findPeerState: (address: string) => PeerState | undefined;
+	/** Finds the newest state of the group that a followed peer knows. */
+	readonly findPeerGroup: () => GroupState | undefined;
+	/** Whether another gateway reads the store and sends updates. */
+	readonly isInformedByPeer: () => boolean;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
@@ -54,18 +62,16 @@
 export class GatewayGroup {
 	#era = 0;
 	#generation = 0;
-	/** Era and generation of the group whose members were read. */
-	#membersFence = 0;
-	#members: readonly string[] = [];
+	/** Members as last read, here or by a peer. */
+	#state: GroupState | undefined;
+	/** Renewals in a row that found the group changed and left it to a peer to read the members. */
+	#waitedRenewals = 0;
 	#isLeader = false;
 	#isLeaving = false;
 	#budgetShare: BudgetShare;
 
 	constructor(private readonly options: GatewayGroupOptions) {
-		this.#budgetShare = createBudgetShare(
-			assumedGroupSize,
-			options.readClock(),
-		);
+		this.#budgetShare = createBudgetShare(maxGroupSize, options.readClock());
 		void this.#renew();
 		void this.#watchLeader();
 	}
@@ -75,6 +81,11 @@
 		return this.#era * generationsPerEra + this.#generation;
 	}
 
+	/** Members of the group, as of their last read; undefined before the first one. */
+	get state(): GroupState | undefined {
+		return this.#state;
+	}
+
 	/** Whether this gateway is the order leader. */
 	get isLeader(): boolean {
 		return this.#isLeader;
@@ -83,14 +94,21 @@
 	/** Lists the known addresses of the other gateways, sorted. */
 	listPeers(): string[] {
 		const {self, seeds} = this.options;
-		return [...new Set([...this.#members, ...seeds])]
+		return [...new Set([...(this.#state?.members ?? []), ...seeds])]
 			.filter((address) => address !== self)
 			.toSorted();
 	}
 
-	/** Number of gateways that share the load and the budgets. */
+	/** Number of known gateways before this one by address. */
+	get rank(): number {
+		const {self} = this.options;
+		return this.listPeers().filter((address) => address < self).length;
+	}
+
+	/** Number of gateways that share the load. */
 	get size(): number {
-		return this.#members.length > 0 ? this.#members.length : assumedGroupSize;
+		const count = this.#state?.members.length ?? 0;
+		return count > 0 ? count : assumedGroupSize;
 	}
 
 	/** Computes the share of a budget of all gateways that this one may spend, 0 to 1. */
@@ -122,6 +140,7 @@
 			const joined = await store.joinGroup(self, this.#generation);
 			if (joined.isErr()) {
 				logger.debug('group.unreachable', {detail: joined.error.detail});
+				this.#applyPeerGroup();
 			} else {
 				({generation: this.#generation, era: this.#era} = joined.value);
 				// eslint-disable-next-line no-await-in-loop
@@ -135,31 +154,54 @@
 
 	/** Records a successful renewal, which counts only together with the members of its generation. */
 	async #handleRenewal(sentAt: number): Promise<void> {
-		const {store, logger, self, readClock} = this.options;
-		if (this.fence === this.#membersFence) {
+		const {isInformedByPeer, store, logger} = this.options;
+		const {fence} = this;
+		this.#applyPeerGroup();
+		if (this.#state && this.#state.fence >= fence) {
+			this.#waitedRenewals = 0;
 			this.#recordRenewal(sentAt);
 			return;
 		}
 
-		const {fence} = this;
+		if (isInformedByPeer() && this.#waitedRenewals < maxWaitedRenewals) {
+			this.#waitedRenewals++;
+			return;
+		}
+
 		const members = await store.listMembers();
 		if (members.isErr()) {
 			logger.warn('group.unread', {detail: members.error.detail});
 			return;
 		}
 
+		this.#waitedRenewals = 0;
 		this.#recordRenewal(sentAt);
-		this.#membersFence = fence;
-		this.#members = members.value;
+		this.#applyMembers({fence, members: members.value});
+	}
+
+	#applyPeerGroup(): void {
+		const peerGroup = this.options.findPeerGroup();
+		if (peerGroup) {
+			this.#applyMembers(peerGroup);
+		}
+	}
+
+	#applyMembers(state: GroupState): void {
+		if (this.#state && this.#state.fence >= state.fence) {
+			return;
+		}
+
+		const {self, readClock, logger} = this.options;
+		this.#state = state;
 		// A new member gets no share before the others have renewed their membership.
 		this.#budgetShare = recordMembers(
 			this.#budgetShare,
-			[...members.value, self],
+			[...state.members, self],
 			readClock(),
 		);
 		logger.info('group.changed', {
-			generation: this.#generation,
-			members: members.value.join(','),
+			fence: state.fence,
+			members: state.members.join(','),
 		});
 	}
 
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -3,12 +3,10 @@
  * engines and plain services, using the configuration and the list of backend
  * servers in the platform's store. It keeps no durable state.
  */
-import http from 'node:http';
 import {
 	LifeCycle,
 	listenForOperators,
 	type Logger,
-	parseAddress,
 	type PathStage,
 	type ServiceName,
 	waitFor,
@@ -25,6 +23,7 @@
 import {PeerSync} from './peer-sync.js';
 import {listenForPeers} from './peer-exchange.js';
 import {PeerLinks} from './peer-links.js';
+import {computeOwnReadAgeMs} from './peer-selection.js';
 import type {GatewayState} from './peer-update.js';
 import {PeerPublisher} from './peer-publisher.js';
 import {startPlacement} from './placement-controller.js';
@@ -37,6 +36,8 @@
 	decideDrainRefusal,
 	type DrainTimes,
 } from './drain-policy.js';
+import {listenForReadinessChecks} from './readiness-server.js';
+import {StoreContact} from './store-contact.js';
 import {StreamRun} from './stream-run.js';
 import {StreamMonitor} from './stream-monitor.js';
 
@@ -89,18 +90,24 @@
 		isStoreUnreachable: () => peerLinks.isStoreUnreachable,
 		readListReadAt: () => fleet.readAt,
 		findPeerState: (address) => peerLinks.findPeerState(address),
+		findPeerGroup: () => peerLinks.findGroup(),
+		isInformedByPeer: () => isInformedByPeer(),
 		lifeCycle,
 		logger,
 		readClock,
 	});
+	const contact = new StoreContact();
 	const isInformedByPeer = () =>
-		peerLinks.hasPublisherBefore(settings.peerListen);
+		peerLinks.hasPublisher(settings.peerListen, contact.isLost(readClock()));
+	const readMaxAgeMs = () =>
+		computeOwnReadAgeMs(isInformedByPeer(), group.rank);
 	const follower = followConfiguration({
 		store,
-		isInformedByPeer,
+		readMaxAgeMs,
 		recordStoreEra(era) {
 			fleet.recordStoreEra(era);
 		},
+		contact,
 		lifeCycle,
 		logger,
 		readClock,
@@ -109,7 +116,8 @@
 	followBackends({
 		store,
 		fleet,
-		isInformedByPeer,
+		readMaxAgeMs,
+		contact,
 		lifeCycle,
 		logger,
 		readClock,
@@ -126,6 +134,8 @@
 	const readState = (): GatewayState => ({
 		...(drainTimes && {backAt: computeSuccessorServingAt(drainTimes)}),
 		storeEra: fleet.storeEra,
+		...(fleet.hasBackends && {reader: fleet.reader ?? settings.peerListen}),
+		group: group.state,
 		version: configurations.value?.version ?? -1,
 		configurationReadAt: follower.readAt(),
 		listReadAt: fleet.readAt,
@@ -270,23 +280,3 @@
 		},
 	};
 }
-
-async function listenForReadinessChecks(
-	address: string,
-	isReady: () => boolean,
-	lifeCycle: LifeCycle,
-): Promise<void> {
-	const server = http.createServer((_request, response) => {
-		response.writeHead(isReady() ? 200 : 503, {'content-length': 0});
-		response.end();
-	});
-	const {host, port} = parseAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
-	lifeCycle.register(() => {
-		server.close();
-		server.closeAllConnections();
-	});
-}
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -31,13 +31,14 @@
 
 export class PeerLink {
 	state: PeerState = createPeerState();
+	/** Steady-clock time at which the connection was opened, in milliseconds. */
+	readonly openedAt: number;
 	readonly #lifeCycle = new LifeCycle();
 	readonly #socket: Socket;
-	readonly #openedAt: number;
 
 	constructor(private readonly options: PeerLinkOptions) {
 		const {address, readClock} = options;
-		this.#openedAt = readClock();
+		this.openedAt = readClock();
 		this.#socket = connect({...parseAddress(address), noDelay: true});
 		this.#socket.on('connect', () => {
 			this.#sendPing();
@@ -76,7 +77,7 @@
 
 	/** Whether an update came recently or the connection was opened recently. */
 	isAlive(now: number): boolean {
-		return now - Math.max(this.state.aliveAt, this.#openedAt) < maxSilenceMs;
+		return now - Math.max(this.state.aliveAt, this.openedAt) < maxSilenceMs;
 	}
 
 	/** Whether any update has been received. */
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -1,18 +1,15 @@
-/**
- * Selects the gateways that this one follows: the first two others by address
- * that answer. As all gateways select alike, the same two send updates to nearly
- * all others, and each of the two follows the other one.
- */
+/** The connections to the gateways that this one follows, and what they tell. */
 import type {LifeCycle, Logger} from 'bramleystage';
 import {PeerLink} from './peer-link.js';
-import type {PeerState} from './peer-update.js';
+import {
+	isStalePeer,
+	type PeerRecord,
+	selectFollowedPeers,
+} from './peer-selection.js';
+import type {GroupState, PeerState} from './peer-update.js';
 
-/** Gateways that each one follows; if one is lost, the other remains. */
-const maxFollowedPeers = 2;
 /** How often the followed gateways are selected again, in milliseconds. */
 const selectIntervalMs = 200;
-/** Time for which a lost gateway is not selected, in milliseconds. */
-const lostPeerBackoffMs = 2000;
 
 export type PeerLinksOptions = {
 	/** Returns the addresses of the other gateways, sorted. */
@@ -30,8 +27,7 @@
 
 export class PeerLinks {
 	readonly #links = new Map<string, PeerLink>();
-	/** Steady-clock time at which each lost peer was lost, in milliseconds. */
-	readonly #lostAt = new Map<string, number>();
+	readonly #records = new Map<string, PeerRecord>();
 
 	constructor(private readonly options: PeerLinksOptions) {
 		options.lifeCycle.registerInterval(selectIntervalMs, () => {
@@ -52,13 +48,19 @@
 			: undefined;
 	}
 
-	/** Whether a followed peer that precedes `self` by address has recently read the store and sends updates. */
-	hasPublisherBefore(self: string): boolean {
+	/**
+	 * Whether a followed peer is informed of the store, not by this gateway, and
+	 * sends updates. Only peers that precede this gateway by address count, unless
+	 * this one has lost the store.
+	 */
+	hasPublisher(self: string, isStoreLost: boolean): boolean {
 		const since = this.options.readClock() - maxFreshAgeMs;
 		return [...this.#links.keys()].some((address) => {
-			const state = address < self ? this.findPeerState(address) : undefined;
+			const isCandidate = isStoreLost || address < self;
+			const state = isCandidate ? this.findPeerState(address) : undefined;
 			return (
 				state !== undefined &&
+				state.reader !== self &&
 				state.listReadAt > since &&
 				state.configurationReadAt > since
 			);
@@ -76,6 +78,14 @@
 			: this.options.listPeers().length === 0;
 	}
 
+	/** Finds the newest state of the group that a followed peer knows. */
+	findGroup(): GroupState | undefined {
+		const groups = [...this.#links.keys()].flatMap(
+			(address) => this.findPeerState(address)?.group ?? [],
+		);
+		return groups.toSorted((a, b) => b.fence - a.fence)[0];
+	}
+
 	/** Finds the steady-clock time at which the first followed peer serves; in the past if one serves now. */
 	findServingAt(): number | undefined {
 		const times = [...this.#links.keys()].flatMap((address) => {
@@ -86,13 +96,18 @@
 	}
 
 	#selectPeers(now: number): void {
-		const wanted = this.options
-			.listPeers()
-			.filter((address) => {
-				const lostAt = this.#lostAt.get(address);
-				return lostAt === undefined || now - lostAt > lostPeerBackoffMs;
-			})
-			.slice(0, maxFollowedPeers);
+		for (const [address, link] of this.#links) {
+			const {listReadAt} = link.state;
+			if (isStalePeer({followedAt: link.openedAt, listReadAt}, now)) {
+				this.#records.set(address, {staleAt: now});
+			}
+		}
+
+		const wanted = selectFollowedPeers(
+			this.options.listPeers(),
+			this.#records,
+			now,
+		);
 		for (const [address, link] of this.#links) {
 			if (!wanted.includes(address)) {
 				this.#links.delete(address);
@@ -117,7 +132,7 @@
 			onEnd: () => {
 				if (this.#links.get(address) === link) {
 					this.#links.delete(address);
-					this.#lostAt.set(address, readClock());
+					this.#records.set(address, {lostAt: readClock()});
 				}
 			},
 		});
--- a/packages/bramleystage-gateway/src/peer-publisher.ts
+++ b/packages/bramleystage-gateway/src/peer-publisher.ts
@@ -1,10 +1,15 @@
 /** Sends peer updates to the gateways that follow this one, at each change and at each ping. */
 import type {Socket} from 'node:net';
-import {type Backend, type BackendId, encodeValueFrame} from 'bramleystage';
-import {type Ping, buildPeerUpdate, type GatewayState} from './peer-update.js';
+import {encodeValueFrame} from 'bramleystage';
+import {
+	type Ping,
+	buildPeerUpdate,
+	type GatewayState,
+	type SentState,
+} from './peer-update.js';
 
 type Follower = {
-	lastSent: ReadonlyMap<BackendId, Backend>;
+	lastSent: SentState;
 	lastPing: {readonly beatAt: number; readonly arrivedAt: number};
 };
 
@@ -25,7 +30,10 @@
 		if (follower) {
 			follower.lastPing = ping;
 		} else {
-			this.#followers.set(socket, {lastSent: new Map(), lastPing: ping});
+			this.#followers.set(socket, {
+				lastSent: {backends: new Map()},
+				lastPing: ping,
+			});
 			socket.on('close', () => {
 				this.#followers.delete(socket);
 			});
@@ -56,7 +64,7 @@
 			follower.lastPing,
 			readClock(),
 		);
-		follower.lastSent = state.backends;
+		follower.lastSent = state;
 		socket.write(encodeValueFrame(update));
 	}
 }
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -63,6 +63,7 @@
 	/** Applies the state that a followed peer has sent. */
 	acceptUpdate({
 		storeEra,
+		reader,
 		version,
 		configurationReadAt,
 		listReadAt,
@@ -75,7 +76,7 @@
 
 		follower.acceptVersion(version, configurationReadAt);
 		if (listReadAt > fleet.readAt) {
-			fleet.replaceByPeerList([...backends.values()], listReadAt);
+			fleet.replaceByPeerList([...backends.values()], listReadAt, reader);
 		}
 	}
 
@@ -131,7 +132,7 @@
 				from: address,
 				age_ms: Math.round(list.ageMs),
 			});
-			fleet.replaceByPeerList(list.backends, readClock() - list.ageMs);
+			fleet.replaceByPeerList(list.backends, readClock() - list.ageMs, address);
 		}
 	}
 }
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -6,8 +6,6 @@
  * even if the connection delayed it.
  */
 import {
-	type Backend,
-	type BackendId,
 	backendIdSchema,
 	type BackendsSnapshot,
 	dataCentreIdSchema,
@@ -41,6 +39,10 @@
 	backInMs: z.number().nullable(),
 	/** Newest era of the store that the gateway knows; null if none. */
 	storeEra: z.int().nullable(),
+	/** Gateway that read the list from the store; null if the list was never read. */
+	reader: z.string().nullable(),
+	/** Members of the gateways' group, if they changed since the last update. */
+	group: z.object({fence: z.number(), members: z.array(z.string())}).nullable(),
 	/** Version of the newest configuration; -1 if none is known. */
 	version: z.int(),
 	/** Time since the configuration was read from the store, in milliseconds; null if never. */
@@ -60,12 +62,26 @@
 export type Ping = z.infer<typeof pingSchema>;
 export type PeerUpdate = z.infer<typeof peerUpdateSchema>;
 
+/** Members of the gateways' group. */
+export type GroupState = {
+	/** Rises with each change of the group and each restoration of the store. */
+	readonly fence: number;
+	readonly members: readonly string[];
+};
+
+/** What was sent to a follower before. */
+export type SentState = Pick<GatewayState, 'backends' | 'group'>;
+
 /** What a gateway knows from the store; times are in milliseconds of its steady clock. */
 export type GatewayState = {
 	/** Time at which it serves again; absent if it is not stopping. */
 	readonly backAt?: number;
 	/** Newest era of the store; absent before its first answer. */
 	readonly storeEra?: number;
+	/** `host:port` of the gateway that read the list from the store; absent before the first read. */
+	readonly reader?: string;
+	/** Absent before the group was read. */
+	readonly group?: GroupState;
 	readonly version: number;
 	/** Time as of which the configuration is known. */
 	readonly configurationReadAt: number;
@@ -77,24 +93,29 @@
 const computeAge = (now: number, readAt: number) =>
 	Number.isFinite(readAt) ? now - readAt : null;
 
-/** Builds the update for a follower; `lastSent` has the backend servers that were sent to it before. */
+/** Builds the update for a follower; `lastSent` is what was sent to it before. */
 export function buildPeerUpdate(
 	state: GatewayState,
-	lastSent: ReadonlyMap<BackendId, Backend>,
+	lastSent: SentState,
 	ping: {readonly beatAt: number; readonly arrivedAt: number},
 	now: number,
 ): PeerUpdate {
-	const {backends} = state;
+	const {backends, group} = state;
 	return {
 		backInMs: state.backAt === undefined ? null : state.backAt - now,
 		storeEra: state.storeEra ?? null,
+		reader: state.reader ?? null,
+		group:
+			group && group.fence !== lastSent.group?.fence
+				? {...group, members: [...group.members]}
+				: null,
 		version: state.version,
 		configurationAgeMs: computeAge(now, state.configurationReadAt),
 		listAgeMs: computeAge(now, state.listReadAt),
 		changed: [...backends.values()].filter(
-			(backend) => lastSent.get(backend.id) !== backend,
+			(backend) => lastSent.backends.get(backend.id) !== backend,
 		),
-		removed: [...lastSent.keys()].filter((id) => !backends.has(id)),
+		removed: [...lastSent.backends.keys()].filter((id) => !backends.has(id)),
 		beatAt: ping.beatAt,
 		heldMs: now - ping.arrivedAt,
 	};
@@ -143,6 +164,8 @@
 	return {
 		...(update.backInMs !== null && {backAt: writtenAt + update.backInMs}),
 		...(update.storeEra !== null && {storeEra: update.storeEra}),
+		...(update.reader !== null && {reader: update.reader}),
+		group: update.group ?? state.group,
 		version: update.version,
 		configurationReadAt: toReadAt(update.configurationAgeMs),
 		listReadAt: toReadAt(update.listAgeMs),
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -61,7 +61,7 @@
 		const active: ActiveAttempt = {
 			backend,
 			chunks: [],
-			releaseWork: context.fleet.registerWork(
+			releaseWork: context.fleet.costs.registerWork(
 				[{id: backend.id, layers: {from: 0, to: 0}}],
 				0,
 			),
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -44,7 +44,10 @@
 	constructor(private readonly options: StreamAttemptOptions) {
 		const {call, fleet, headers, path, first, handlers} = options;
 		this.#path = path;
-		this.#releaseWork = fleet.registerWork(path, countExpectedTokens(call));
+		this.#releaseWork = fleet.costs.registerWork(
+			path,
+			countExpectedTokens(call),
+		);
 		if (call.service.pipeline) {
 			fleet.recordPrompt(
 				call.service.pipeline,
@@ -98,7 +101,10 @@
 		const {call, fleet} = this.options;
 		this.#releaseWork();
 		this.#path = path;
-		this.#releaseWork = fleet.registerWork(path, countExpectedTokens(call));
+		this.#releaseWork = fleet.costs.registerWork(
+			path,
+			countExpectedTokens(call),
+		);
 		this.hasEvents = false;
 	}
 
