Leave servers that answer errors; open a connection for each service call

Cause: an error answered by a server was no sign of trouble, so a server that fails all its requests stayed the least loaded one; a stream was sent to the same engine again. And where many gateways share the load, each sends a server a request every few seconds, so that signs never add up. Change: a 5xx other than 504 counts as a failure, the engine is left out of the stream's further attempts, and a single error is enough if the server had no success in the last 1.5 s. It is then avoided for 4 to 8 s.

Agents kept connections for idempotent calls to plain services. A late second copy of an answer was taken for that of the next call, of another caller. Each call has its own connection now.

Ruled out: raising the weight of refusals as well, since a full server refuses too.

--- a/packages/bramleystage-agent/src/service-client.ts
+++ b/packages/bramleystage-agent/src/service-client.ts
@@ -11,8 +11,12 @@
 import type {Result} from 'neverthrow';
 
 export class ServiceClient {
-	readonly #pooledConnections = new http.Agent({keepAlive: true});
-	readonly #singleUseConnections = new http.Agent({keepAlive: false});
+	/**
+	 * Opens a connection for each call. On a kept-alive one, a late second copy of
+	 * an answer would be taken for the next call's, and the service may close it
+	 * while a call is sent.
+	 */
+	readonly #connections = new http.Agent({keepAlive: false});
 
 	constructor(private readonly url: string) {}
 
@@ -27,11 +31,7 @@
 			url: `${this.url}${call.path}`,
 			headers: mergeHeaders(call.headers),
 			body: call.body.length > 0 ? call.body : undefined,
-			// The service may close a kept-alive connection while a call is sent, and a call that
-			// isn't idempotent can't be retried.
-			agent: call.idempotent
-				? this.#pooledConnections
-				: this.#singleUseConnections,
+			agent: this.#connections,
 			timeoutMs,
 			signal,
 		});
@@ -47,8 +47,7 @@
 	}
 
 	close(): void {
-		this.#pooledConnections.destroy();
-		this.#singleUseConnections.destroy();
+		this.#connections.destroy();
 	}
 }
 
--- a/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
@@ -1,3 +1,4 @@
+import net from 'node:net';
 import {Worker} from 'node:worker_threads';
 import {afterEach, expect, test} from 'vitest';
 import {type AttemptFailure, openAttempt} from '../attempt.js';
@@ -75,3 +76,30 @@
 	expect(failure).toBeUndefined();
 	expect(text).toBe('part');
 });
+
+test('a second copy of an answer that arrives late is not the answer of the next attempt', async () => {
+	let answers = 0;
+	const server = net.createServer((socket) => {
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			const body = `answer ${++answers}`;
+			const bytes = `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+			socket.write(bytes);
+			setTimeout(() => {
+				socket.write(bytes);
+			}, 10);
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as net.AddressInfo;
+	const texts: string[] = [];
+	for (let count = 0; count < 2; count++) {
+		const {text} = await readAnswer(port);
+		texts.push(text);
+	}
+
+	server.close();
+	expect(texts).toEqual(['answer 1', 'answer 2']);
+});
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -32,6 +32,12 @@
 /** Least time after which a refused caller may retry, in milliseconds. */
 const minRetryAfterMs = 400;
 const msPerSecond = 1000;
+/** Lowest status of a server's error. */
+export const minErrorStatus = 500;
+/** Status of a server that gave up at the request's deadline. */
+const deadlineStatus = 504;
+/** Status of a server that another one has replaced at its address. */
+export const replacedStatus = 421;
 /** Status of a server that refuses a request for now. */
 const refusedStatus = 503;
 /** Hop-by-hop headers, which concern one connection only. */
@@ -47,6 +53,10 @@
 export const listEndToEndHeaders = (headers: Headers): Headers =>
 	headers.filter(([name]) => !hopByHop.has(name.toLowerCase()));
 
+/** Whether a status shows trouble of the server, and not only that the time was over. */
+export const isServerError = (status: number): boolean =>
+	status >= minErrorStatus && status !== deadlineStatus;
+
 export abstract class CallRun {
 	protected isFinished = false;
 	protected answerStartedAt: number | undefined;
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -12,7 +12,14 @@
 	openAttempt,
 } from './attempt.js';
 import {type Call, computePriority} from './call.js';
-import {CallRun, type RunContext, listEndToEndHeaders} from './call-run.js';
+import {
+	CallRun,
+	isServerError,
+	listEndToEndHeaders,
+	minErrorStatus,
+	replacedStatus,
+	type RunContext,
+} from './call-run.js';
 
 /** Timeout for opening a connection, in milliseconds; a live server accepts one within a few milliseconds. */
 const connectTimeoutMs = 100;
@@ -146,10 +153,10 @@
 
 		const metadata = this.context.headers.readAnswerHeaders(head.headers);
 		this.recordServerState(active.backend.id, metadata, head.status);
-		if (metadata.isNotRun || head.status === 421) {
+		if (metadata.isNotRun || head.status === replacedStatus) {
 			this.context.fleet.health.recordFailure(
 				active.backend.id,
-				head.status === 421 ? 'replaced' : 'refused',
+				head.status === replacedStatus ? 'replaced' : 'refused',
 				`Status ${head.status}.`,
 			);
 			this.#handleOutcome('notRun', `Status ${head.status}.`);
@@ -167,12 +174,23 @@
 			return;
 		}
 
-		if (head.status >= 500 && this.call.route.kind === 'idempotent') {
-			this.#handleOutcome('failed', `Status ${head.status}.`, active);
+		const {health} = this.context.fleet;
+		if (head.status < minErrorStatus) {
+			health.recordSuccess(active.backend.id);
+			this.#forwardAnswer(active, head);
 			return;
 		}
 
-		this.#forwardAnswer(active, head);
+		const detail = `Status ${head.status}.`;
+		if (isServerError(head.status)) {
+			health.recordFailure(active.backend.id, 'failed', detail);
+		}
+
+		if (this.call.route.kind === 'idempotent') {
+			this.#handleOutcome('failed', detail, active);
+		} else {
+			this.#forwardAnswer(active, head);
+		}
 	}
 
 	#handleOutcome(
@@ -195,8 +213,7 @@
 		}
 	}
 
-	#forwardAnswer({backend, chunks}: ActiveAttempt, head: AnswerHead): void {
-		this.context.fleet.health.recordSuccess(backend.id);
+	#forwardAnswer({chunks}: ActiveAttempt, head: AnswerHead): void {
 		this.context.recorder.recordAttempt(this.call, 'answered', this.where, '');
 		this.answerStartedAt = this.context.readClock();
 		const body = Buffer.concat(chunks);
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -12,7 +12,14 @@
 } from 'bramleystage';
 import type {AnswerHead, AttemptFailure} from './attempt.js';
 import type {Call} from './call.js';
-import {CallRun, type RunContext, listEndToEndHeaders} from './call-run.js';
+import {
+	CallRun,
+	isServerError,
+	listEndToEndHeaders,
+	minErrorStatus,
+	replacedStatus,
+	type RunContext,
+} from './call-run.js';
 import {isConsecutive} from './event-splitter.js';
 import {
 	formatStages,
@@ -294,13 +301,15 @@
 		const reported = path.find(
 			({address}) => address === metadata.faultyAddress,
 		);
-		const isRefusal = metadata.isNotRun || head.status === 421;
-		const faulty = reported ?? (isRefusal ? path[0] : undefined);
+		const isRefusal = metadata.isNotRun || head.status === replacedStatus;
+		const isError = isServerError(head.status);
+		const faulty = reported ?? (isRefusal || isError ? path[0] : undefined);
 		if (faulty) {
 			this.#excludedEngines.add(faulty.id);
+			const otherSign = isRefusal ? 'refused' : 'failed';
 			this.context.fleet.health.recordFailure(
 				faulty.id,
-				head.status === 421 ? 'replaced' : 'refused',
+				head.status === replacedStatus ? 'replaced' : otherSign,
 				`Status ${head.status}.`,
 			);
 			if (reported && head.status === 503) {
@@ -317,7 +326,7 @@
 			!metadata.isStamped
 		) {
 			this.#handleOutcome('unknown', false, detail);
-		} else if (head.status >= 500) {
+		} else if (head.status >= minErrorStatus) {
 			this.#handleOutcome('failed', false, detail, active);
 		} else {
 			this.#forwardAnswer(active, head);
--- a/packages/bramleystage/src/coordination/avoidance.ts
+++ b/packages/bramleystage/src/coordination/avoidance.ts
@@ -4,6 +4,9 @@
  * weaker signals must add up within a short time. Each consecutive avoidance
  * lasts twice as long, up to a limit. A success reduces the score and ends the
  * doubling.
+ *
+ * One of many gateways sends a server only a few requests, too few for signals to
+ * add up. So an error is enough by itself if the server had no success lately.
  */
 import type {BackendId} from '../protocol/ids.js';
 
@@ -32,9 +35,11 @@
 	/** Decayed sum of the weights of recent signals, as of `scoredAt`. */
 	readonly score: number;
 	readonly scoredAt: number;
+	/** Time of the last success, in milliseconds. */
+	readonly succeededAt?: number;
 };
 
-/** What is known of each backend server; servers without recent failures are absent. */
+/** What is known of each backend server; servers without an answer so far are absent. */
 export type Avoidance = ReadonlyMap<BackendId, AvoidanceEntry>;
 
 /** Weight of each signal; a server is avoided once its score reaches 1. */
@@ -56,10 +61,17 @@
 	slow: 700,
 };
 const maxAvoidMs = 6000;
+/** Time since the last success after which a single error is enough, in milliseconds. */
+const loneErrorMs = 1500;
+/** Length of the first avoidance after such an error, in milliseconds: several times the gap between two requests of one of many gateways. */
+const loneErrorAvoidMs = 4000;
+const maxLoneErrorAvoidMs = 8000;
 /** Time in which the score halves, in milliseconds. */
 const halfLifeMs = 500;
 /** Factor by which a success reduces the score. */
 const successFactor = 0.6;
+/** Scores below this are dropped. */
+const minScore = 0.05;
 
 export const createAvoidance = (): Avoidance => new Map();
 
@@ -78,7 +90,12 @@
 		return avoidance;
 	}
 
-	const score = computeScore(previous, now) + signalWeights[sign];
+	const succeededAt = previous?.succeededAt;
+	const isLoneError =
+		sign === 'failed' &&
+		(succeededAt === undefined || now - succeededAt > loneErrorMs);
+	const score =
+		computeScore(previous, now) + (isLoneError ? 1 : signalWeights[sign]);
 	const consecutiveAvoidances = previous?.consecutiveAvoidances ?? 0;
 	if (score < 1) {
 		const entry = {
@@ -87,13 +104,15 @@
 			sign,
 			score,
 			scoredAt: now,
+			succeededAt,
 		};
 		return new Map(avoidance).set(id, entry);
 	}
 
+	const baseMs = isLoneError ? loneErrorAvoidMs : baseAvoidMs[sign];
 	const avoidMs = Math.min(
-		maxAvoidMs,
-		baseAvoidMs[sign] * 2 ** consecutiveAvoidances,
+		isLoneError ? maxLoneErrorAvoidMs : maxAvoidMs,
+		baseMs * 2 ** consecutiveAvoidances,
 	);
 	const entry = {
 		avoidedUntil: now + avoidMs,
@@ -101,6 +120,7 @@
 		sign,
 		score: 0,
 		scoredAt: now,
+		succeededAt,
 	};
 	return new Map(avoidance).set(id, entry);
 }
@@ -112,24 +132,18 @@
 	now: number,
 ): Avoidance {
 	const previous = avoidance.get(id);
-	if (!previous || previous.avoidedUntil > now) {
+	if (previous && previous.avoidedUntil > now) {
 		return avoidance;
 	}
 
-	const next = new Map(avoidance);
 	const score = computeScore(previous, now) * successFactor;
-	if (score < 0.05) {
-		next.delete(id);
-	} else {
-		next.set(id, {
-			avoidedUntil: 0,
-			consecutiveAvoidances: 0,
-			score,
-			scoredAt: now,
-		});
-	}
-
-	return next;
+	return new Map(avoidance).set(id, {
+		avoidedUntil: 0,
+		consecutiveAvoidances: 0,
+		score: score < minScore ? 0 : score,
+		scoredAt: now,
+		succeededAt: now,
+	});
 }
 
 /** Removes all recorded failures of a backend server, for example after it restarted. */
