Ask refusing paths again after a delay; spread the returns of refused callers

When all paths had refused a stream, it was sent over them again within 15 ms until its attempts were used up, and its caller, told to return after 400 ms like all others, came back with the whole crowd. Change: once only paths are left that refused, the next attempt waits 50 ms, doubling to 400; if no path is there at all, the caller is refused at once. Refused callers return after 250 ms or when the first pause ends, plus a drawn time of up to as much again, within a second and a third of their time. Ruled out: waiting for a path that does not exist, since loads take seconds.

--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -7,6 +7,7 @@
 	type AttemptHistory,
 	type AttemptOutcome,
 	type BackendId,
+	computeReturnMs,
 	createFailure,
 	decideAfterAttempt,
 	type Failure,
@@ -27,10 +28,9 @@
 	readonly readClock: () => number;
 	/** Whether the process is draining. */
 	readonly isStopping: () => boolean;
+	readonly drawRandom: () => number;
 };
 
-/** Least time after which a refused caller may retry, in milliseconds. */
-const minRetryAfterMs = 400;
 const msPerSecond = 1000;
 /** Lowest status of a server's error. */
 export const minErrorStatus = 500;
@@ -181,12 +181,17 @@
 		detail: string,
 	): Failure {
 		const isUnserved = result === 'noPipeline' || result === 'noBackend';
-		const pauseMs = isUnserved
-			? this.context.fleet.computePauseMs(this.call.service)
-			: undefined;
-		const retryAfterMs = Math.max(minRetryAfterMs, pauseMs ?? 0);
+		const returnMs = computeReturnMs(
+			{
+				roomInMs: isUnserved
+					? this.context.fleet.computePauseMs(this.call.service)
+					: undefined,
+				remainingMs: this.remainingMs(),
+			},
+			this.context.drawRandom,
+		);
 		return createFailure(result, detail, {
-			retryAfterSeconds: Math.ceil(retryAfterMs) / msPerSecond,
+			retryAfterSeconds: returnMs / msPerSecond,
 		});
 	}
 
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -184,6 +184,7 @@
 		trySpendRetry: (service: ServiceName) => retryBudget.trySpendRetry(service),
 		readClock,
 		isStopping,
+		drawRandom: Math.random,
 		registerStream: (stream: StreamRun) => monitor.register(stream),
 		isUnreachable: ({id}: PathStage) => fleet.health.isUnreachable(id),
 		replacePath: engines.replacePath,
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -53,7 +53,7 @@
 	readonly #replacement: PathReplacement;
 	readonly #excludedEngines = new Set<BackendId>();
 	readonly #unregister: () => void;
-	#refusedResumptions = 0;
+	#delayedAttempts = 0;
 	#resumeTimer: NodeJS.Timeout | undefined;
 
 	constructor(
@@ -153,12 +153,19 @@
 		return true;
 	}
 
-	/** Looks again for a path, if the caller has received a part of the answer. */
+	/**
+	 * Waits for a path, if the caller has received a part of the answer or if only
+	 * paths are left that this request has just found unusable.
+	 */
 	protected override handleNoBackend(): void {
-		if (this.answerStartedAt === undefined) {
-			super.handleNoBackend();
-		} else {
+		const {fleet} = this.context;
+		const isWaiting =
+			this.answerStartedAt !== undefined ||
+			fleet.choosePath(this.call.service, new Set()) !== undefined;
+		if (isWaiting) {
 			this.#resumeLater();
+		} else {
+			super.handleNoBackend();
 		}
 	}
 
@@ -171,11 +178,9 @@
 	}
 
 	#choosePath() {
-		const {fleet} = this.context;
-		const {service} = this.call;
-		return (
-			fleet.choosePath(service, this.#excludedEngines) ??
-			(this.#active ? undefined : fleet.choosePath(service, new Set()))
+		return this.context.fleet.choosePath(
+			this.call.service,
+			this.#excludedEngines,
 		);
 	}
 
@@ -396,11 +401,12 @@
 		}
 	}
 
-	/** Makes the next attempt after a delay that grows with each call. */
+	/** Makes the next attempt, over any path, after a delay that grows with each call. */
 	#resumeLater(): void {
-		this.#refusedResumptions++;
+		this.#delayedAttempts++;
 		this.#resumeTimer = setTimeout(() => {
+			this.#excludedEngines.clear();
 			this.tryNextAttempt();
-		}, computeResumeDelayMs(this.#refusedResumptions));
+		}, computeResumeDelayMs(this.#delayedAttempts));
 	}
 }
--- /dev/null
+++ b/packages/bramleystage/src/coordination/__tests__/return-time.test.ts
@@ -0,0 +1,43 @@
+import * as fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {computeReturnMs} from '../return-time.js';
+
+test('a caller returns when there is room, and not before', () => {
+	fc.assert(
+		fc.property(
+			fc.nat({max: 20_000}),
+			fc.nat({max: 30_000}),
+			fc.double({min: 0, max: 1, noNaN: true}),
+			(roomInMs, remainingMs, random) => {
+				const times = {roomInMs, remainingMs};
+				const returnMs = computeReturnMs(times, () => random);
+				expect(returnMs).toBeGreaterThanOrEqual(roomInMs);
+				expect(returnMs).toBeLessThanOrEqual(Math.max(500, roomInMs + 1001));
+			},
+		),
+	);
+});
+
+test('a caller is never asked to wait for longer than a third of its time for the sake of the crowd', () => {
+	expect(computeReturnMs({remainingMs: 900}, () => 1)).toBe(300);
+	expect(computeReturnMs({remainingMs: 300}, () => 1)).toBe(250);
+});
+
+test('load pattern: a crowd that is refused at once comes back spread out', () => {
+	const callers = 600;
+	const windowMs = 50;
+	const returns = new Map<number, number>();
+	for (let caller = 0; caller < callers; caller++) {
+		const returnMs = computeReturnMs(
+			{remainingMs: 20_000, roomInMs: 2000},
+			() => caller / callers,
+		);
+		const window = Math.floor(returnMs / windowMs);
+		returns.set(window, (returns.get(window) ?? 0) + 1);
+	}
+
+	// All 600 came in one window before.
+	expect(Math.max(...returns.values())).toBeLessThanOrEqual(
+		callers / (1000 / windowMs) + 1,
+	);
+});
--- a/packages/bramleystage/src/coordination/attempt-policy.ts
+++ b/packages/bramleystage/src/coordination/attempt-policy.ts
@@ -44,7 +44,7 @@
 const maxSentAttempts = 5;
 /** Maximum number of attempts once a part of the answer was sent: without another one, the answer ends incomplete. */
 const maxResumingAttempts = 10;
-/** Delay before a started answer is resumed after the first refusal, in milliseconds; it doubles with each further one. */
+/** First delay before another attempt over paths that refused one, in milliseconds; it doubles with each further one. */
 const minResumeDelayMs = 50;
 const maxResumeDelayMs = 400;
 /** Minimum remaining time for another attempt, in milliseconds. */
@@ -79,9 +79,9 @@
 }
 
 /**
- * Computes the delay before a started answer is resumed again, in milliseconds.
- * All streams of a lost path resume on the few that are left, and an engine that
- * refuses some of them takes them a little later.
+ * Computes the delay before another attempt over paths that refused one, in
+ * milliseconds. All streams of a lost path go to the few that are left, and an
+ * engine that refuses some of them takes them a little later.
  */
 export const computeResumeDelayMs = (refusals: number): number =>
 	refusals === 0
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -736,6 +736,7 @@
 	recordPause,
 	removePause,
 } from './coordination/pauses.js';
+export {computeReturnMs} from './coordination/return-time.js';
 export {
 	type AcceleratorKind,
 	buildRouteIndex,
