Plan an engine again soon if it certainly took no order; keep pauses in order polls

Cause, found by a new test: an engine that got no order, as it was paused, busy, silent or refused it, stayed pending for its whole load time, since the planner hears of pending orders again. It is planned again after 750 ms now; an order without an answer stays pending, as it may still be carried out. The polls after an order and the report read after a cut also leave a paused engine alone: many streams cut together would have read it more than twice. Ruled out: treating a paused engine as suspect, which loads its layers elsewhere. Test: an engine that asked for a pause (fails with the orders unchanged).

--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -83,9 +83,12 @@
 	const orders: Array<{address: string; expectedOrders: number}> = [];
 	const counts = new Map<string, number>();
 	const reported = new Map<string, number>();
+	/** Steady-clock times at which reports were read, in milliseconds. */
+	const readTimes: number[] = [];
 	const engines: EnginePort = {
-		readReport: async (address) =>
-			ok({
+		async readReport(address) {
+			readTimes.push(performance.now());
+			return ok({
 				orderCount: reported.get(address) ?? 0,
 				isBusy: reported.has(address),
 				queued: 0,
@@ -96,7 +99,8 @@
 				stalled: [],
 				bornAt: 1,
 				isLeaving: false,
-			}),
+			});
+		},
 		async orderLayers(address, {expectedOrders}) {
 			orders.push({address, expectedOrders});
 			const count = counts.get(address) ?? 0;
@@ -124,7 +128,7 @@
 		});
 	}
 
-	return {orders, counts};
+	return {orders, counts, readTimes};
 }
 
 test('an engine whose report lags behind its order gets one order', async () => {
@@ -152,6 +156,20 @@
 	},
 );
 
+test('an engine that asked for a pause gets neither orders nor reads of its report until the end', async () => {
+	const engines = [
+		createEngine('full', {from: 0, to: 4}),
+		createEngine('idle'),
+	];
+	fleet.replace(engines, 0);
+	fleet.health.recordPause(toBackendId('idle'), '0.6');
+	const {orders, readTimes} = startLeaders(1);
+	const startedAt = performance.now();
+	await waitFor(1600);
+	expect(orders).toHaveLength(1);
+	expect(Math.min(...readTimes) - startedAt).toBeGreaterThan(500);
+});
+
 test('an engine that leaves gets no order, and its layers go to another one', async () => {
 	const engines = [
 		createEngine('x', {from: 0, to: 4}),
--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -30,6 +30,8 @@
 const engineTimeoutMs = 500;
 /** An order stays pending for the load time of its layers plus this slack, in milliseconds. */
 const orderSlackMs = 1500;
+/** Time until an engine that did not take an order is planned again, in milliseconds. */
+const orderRetryMs = 750;
 
 /** How often the report of an engine with a pending order is polled, in milliseconds. */
 const confirmIntervalMs = 400;
@@ -174,13 +176,13 @@
 					return;
 				}
 
-				const report = await this.options.engines.readReport(
-					address,
-					engineTimeoutMs,
-				);
-				const layers = report.isOk() ? report.value.layers : undefined;
+				const {engines, fleet} = this.options;
+				const report = fleet.health.isPaused(id)
+					? undefined
+					: await engines.readReport(address, engineTimeoutMs);
+				const layers = report?.isOk() ? report.value.layers : undefined;
 				if (layers && isSameRange(layers, pending.layers)) {
-					this.options.fleet.recordLayers(id, layers);
+					fleet.recordLayers(id, layers);
 				} else {
 					this.#confirm(id, address);
 				}
@@ -188,38 +190,26 @@
 		});
 	}
 
-	async #send(
-		{id, address}: Backend,
-		{layers, reason}: LayerOrder,
-	): Promise<void> {
-		const {engines, logger, group, fleet} = this.options;
-		if (fleet.health.isPaused(id)) {
-			return;
-		}
-
-		const report = await engines.readReport(address, engineTimeoutMs);
-		if (report.isErr()) {
-			logger.warn('order.unsent', {backend: id, detail: report.error.detail});
-			return;
-		}
-
-		if (report.value.isLeaving) {
-			fleet.recordLeaving(id);
-			return;
-		}
-
-		if (report.value.isBusy || !group.isLeader) {
+	async #send(backend: Backend, order: LayerOrder): Promise<void> {
+		const expectedOrders = await this.#readExpectedOrders(backend);
+		if (expectedOrders === undefined) {
+			this.#shortenPending(backend.id);
 			return;
 		}
 
+		const {engines, logger, group} = this.options;
+		const {id, address} = backend;
+		const {layers, reason} = order;
 		const outcome = await engines.orderLayers(address, {
 			layers,
-			expectedOrders: report.value.orderCount,
+			expectedOrders,
 			fence: group.fence,
 			timeoutMs: engineTimeoutMs,
 		});
 		if (outcome.isOk() && outcome.value === 'accepted') {
 			this.#confirm(id, address);
+		} else if (outcome.isOk()) {
+			this.#shortenPending(id);
 		}
 
 		logger.info('order.sent', {
@@ -227,9 +217,47 @@
 			address,
 			layers: `${layers.from}-${layers.to}`,
 			reason,
-			expected_orders: report.value.orderCount,
+			expected_orders: expectedOrders,
 			outcome: outcome.isOk() ? outcome.value : outcome.error.kind,
 			detail: outcome.isErr() ? outcome.error.detail : undefined,
 		});
 	}
+
+	/** Reads how many orders an engine has accepted; undefined if it takes no order now. */
+	async #readExpectedOrders({
+		id,
+		address,
+	}: Backend): Promise<number | undefined> {
+		const {engines, logger, group, fleet} = this.options;
+		if (fleet.health.isPaused(id)) {
+			return undefined;
+		}
+
+		const report = await engines.readReport(address, engineTimeoutMs);
+		if (report.isErr()) {
+			logger.warn('order.unsent', {backend: id, detail: report.error.detail});
+			return undefined;
+		}
+
+		if (report.value.isLeaving) {
+			fleet.recordLeaving(id);
+			return undefined;
+		}
+
+		return report.value.isBusy || !group.isLeader
+			? undefined
+			: report.value.orderCount;
+	}
+
+	/** Lets an engine that certainly did not take an order be planned again soon. */
+	#shortenPending(id: BackendId): void {
+		const pending = this.#pending.get(id);
+		if (pending) {
+			const until = this.options.readClock() + orderRetryMs;
+			this.#pending.set(id, {
+				...pending,
+				until: Math.min(until, pending.until),
+			});
+		}
+	}
 }
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -372,12 +372,13 @@
 
 	/** Handles the loss of the last allowed attempt, which does not count if its engine is gone. */
 	async #handleLastCutAttempt(first: PathStage, detail: string): Promise<void> {
-		const report = await this.context.readReport(
-			first.address,
-			reportTimeoutMs,
-		);
+		const {fleet, readReport} = this.context;
+		const report = fleet.health.isPaused(first.id)
+			? undefined
+			: await readReport(first.address, reportTimeoutMs);
+		const isGone = report?.isErr() ?? false;
 		if (!this.isFinished) {
-			this.#handleOutcome('unknown', report.isErr(), detail);
+			this.#handleOutcome('unknown', isGone, detail);
 		}
 	}
 
