--- a/packages/bramleystage-gateway/src/backend-follower.ts
+++ b/packages/bramleystage-gateway/src/backend-follower.ts
@@ -30,14 +30,9 @@
 }): void {
 	const {store, fleet, readMaxAgeMs, contact, lifeCycle, logger, readClock} =
 		options;
-	const handleFailure = () => {
-		const now = readClock();
-		contact.recordFailure(now);
-		replaceAt = now + lapsedEntryGraceMs;
-		return contact.computeRetryDelayMs(retryDelayMs);
-	};
-
 	let next: number | undefined;
+	/** Era in which `next` is valid. */
+	let nextEra: number | undefined;
 	/** Steady-clock time of the last read here, in milliseconds. */
 	let ownReadAt = Number.NEGATIVE_INFINITY;
 	/** Steady-clock time from which a complete read replaces the list after an outage, in milliseconds. */
@@ -48,8 +43,13 @@
 		}
 	};
 
-	/** Era in which `next` is valid. */
-	let nextEra: number | undefined;
+	/** Records a failed read; returns the delay until the next one, in milliseconds. */
+	const handleFailure = () => {
+		const now = readClock();
+		contact.recordFailure(now);
+		replaceAt = now + lapsedEntryGraceMs;
+		return contact.computeRetryDelayMs(retryDelayMs);
+	};
 
 	/** Applies a complete read; `keepsMissing` keeps missing entries, as needed right after an outage. */
 	const applyList = (
@@ -76,7 +76,7 @@
 		}
 	};
 
-	/** Reads the complete list. */
+	/** Reads the complete list; returns the delay until the next read, in milliseconds. */
 	const load = async (startedAt: number) => {
 		const read = await store.loadBackends();
 		if (read.isErr()) {
@@ -84,7 +84,6 @@
 		}
 
 		contact.recordSuccess();
-
 		logSkipped(read.value);
 		const {era} = read.value;
 		fleet.recordStoreEra(era);
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -113,7 +113,6 @@
 		}
 
 		const announcedBefore = announced;
-
 		const isFullRead =
 			next === undefined ||
 			isBehind ||
