Let a started answer wait for the retry budget

Change: once a part of the answer was sent, the stream asks the budget again with the delays between refusing paths, until it is allowed or its time is over. Nothing is sent without the budget. Ruled out: keeping a part of the budget for started answers, which leaves other requests none at the time of a loss. Test: attempt-policy, a started answer and a spent budget (fails before).

--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -396,7 +396,11 @@
 		this.recordOutcome(outcome, isServerGone, detail);
 		const step = this.decideNext(outcome);
 		const isResumption = this.answerStartedAt !== undefined;
-		if (step === 'retry' && isResumption && outcome === 'notRun') {
+		if (step === 'wait') {
+			this.#resumeLater(() =>
+				this.context.trySpendRetry(this.call.service.name),
+			);
+		} else if (step === 'retry' && isResumption && outcome === 'notRun') {
 			this.#resumeLater();
 		} else if (step === 'retry') {
 			this.tryNextAttempt();
@@ -407,10 +411,15 @@
 		}
 	}
 
-	/** Makes the next attempt, over any path, after a delay that grows with each call. */
-	#resumeLater(): void {
+	/** Makes the next attempt, over any path, after a delay that grows with each call; waits on while it is not allowed. */
+	#resumeLater(tryAllow = () => true): void {
 		this.#delayedAttempts++;
 		this.#resumeTimer = setTimeout(() => {
+			if (!tryAllow()) {
+				this.#resumeLater(tryAllow);
+				return;
+			}
+
 			this.#excludedEngines.clear();
 			this.tryNextAttempt();
 		}, computeResumeDelayMs(this.#delayedAttempts));
--- a/packages/bramleystage/src/coordination/__tests__/attempt-policy.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/attempt-policy.test.ts
@@ -112,3 +112,17 @@
 	);
 	expect(delays).toEqual([0, 50, 100, 200, 400, 400]);
 });
+
+test('a started answer waits for the retry budget instead of ending incomplete', () => {
+	const started = {...bounds, isRepeatable: true, isAnswerStarted: true};
+	expect(decideAfterAttempt('notRun', ranHistory, started, denyRetry)).toBe(
+		'wait',
+	);
+	expect(decideAfterAttempt('unknown', ranHistory, started, denyRetry)).toBe(
+		'wait',
+	);
+	const isLate = {...started, remainingMs: 20};
+	expect(decideAfterAttempt('notRun', ranHistory, isLate, denyRetry)).toBe(
+		'fail',
+	);
+});
--- a/packages/bramleystage/src/coordination/attempt-policy.ts
+++ b/packages/bramleystage/src/coordination/attempt-policy.ts
@@ -36,9 +36,10 @@
 /**
  * What follows a failed attempt: `retry` sends the request again, `refuse`
  * answers that it has not run, `fail` answers that it may have run, and `forward`
- * forwards the server's error to the caller.
+ * forwards the server's error to the caller. `wait` asks the retry budget again
+ * later, as a started answer would otherwise end incomplete.
  */
-export type AttemptDecision = 'retry' | 'refuse' | 'fail' | 'forward';
+export type AttemptDecision = 'retry' | 'refuse' | 'fail' | 'forward' | 'wait';
 
 /** Maximum number of attempts of a request, including those that did not run. */
 const maxSentAttempts = 5;
@@ -71,6 +72,10 @@
 		return 'retry';
 	}
 
+	if (mayRepeat && bounds.isAnswerStarted) {
+		return 'wait';
+	}
+
 	if (outcome === 'failed') {
 		return 'forward';
 	}
