--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -4,16 +4,11 @@
 	type PathStage,
 	toBackendId,
 	toDataCentreId,
-	waitFor,
 } from 'bramleystage';
-import {err, ok} from 'neverthrow';
+import {err} from 'neverthrow';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {Fleet} from '../fleet.js';
-import type {
-	EngineFailure,
-	EnginePort,
-	EngineReport,
-} from '../platform-port.js';
+import type {EngineFailure, EnginePort} from '../platform-port.js';
 import {StreamMonitor} from '../stream-monitor.js';
 import type {StreamRun} from '../stream-run.js';
 
@@ -89,44 +84,3 @@
 	expect(await countFailOvers('unreachable', 2 * pauseMs)).toBe(1);
 	expect(await countFailOvers('unreachable', pauseMs)).toBe(0);
 });
-
-test.each([
-	{gapTargetMs: 300, isLeft: true},
-	{gapTargetMs: 200, isLeft: false},
-])(
-	'a silent path without a suspect is left if its pauses were short for callers who accept $gapTargetMs ms',
-	async ({gapTargetMs, isLeft}) => {
-		const report: Partial<EngineReport> = {stalled: [], isLeaving: false};
-		const engines: Partial<EnginePort> = {
-			readReport: async () => ok(report as EngineReport),
-		};
-		const readClock = () => now;
-		const monitor = new StreamMonitor({
-			fleet: new Fleet({
-				dataCentre: toDataCentreId('a'),
-				logger,
-				readClock,
-				countGateways: () => 1,
-			}),
-			engines: engines as EnginePort,
-			logger,
-			lifeCycle,
-			readClock,
-		});
-		let failOvers = 0;
-		const stream: Partial<StreamRun> = {
-			path,
-			gapTargetMs,
-			hasEvents: true,
-			lastProgressAt: now - 250,
-			failOver() {
-				failOvers++;
-			},
-		};
-		monitor.register(stream as StreamRun);
-		// Events of three tokens on slow accelerators.
-		monitor.recordPause(path, 75);
-		await waitFor(60);
-		expect(failOvers > 0).toBe(isLeft);
-	},
-);
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -31,8 +31,8 @@
 const reportTimeoutMs = 150;
 /** Least time between two inspections of one path, in milliseconds. */
 const inspectIntervalMs = 150;
-/** Share of the pause that callers accept, below which the smoothed pause of a fast path is. */
-const fastPauseShare = 0.3;
+/** Smoothed pause below which a path counts as fast, in milliseconds. */
+const fastPauseMs = 60;
 /** Least pause between events that estimates assume, in milliseconds. */
 const minAssumedPauseMs = 40;
 /** Weight of a new pause in a path's smoothed pause (EWMA). */
@@ -177,12 +177,7 @@
 		this.#inspectedAt.set(key, readClock());
 		// If streams that had events have stopped, prefill on the path has stopped too.
 		const hadEvents = streams.some(({hasEvents}) => hasEvents);
-		const gapTargetMs = Math.min(
-			...streams.map((stream) => stream.gapTargetMs),
-		);
-		const wasFast =
-			(this.#pauses.get(key) ?? this.#overallPause) <
-			fastPauseShare * gapTargetMs;
+		const wasFast = (this.#pauses.get(key) ?? this.#overallPause) < fastPauseMs;
 		const suspects = await this.#findSuspects(first);
 		logger.warn('path.silent', {
 			first: first.address,
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -72,11 +72,6 @@
 		return this.#active?.path ?? [];
 	}
 
-	/** Longest pause between two events that the caller accepts, in milliseconds. */
-	get gapTargetMs(): number {
-		return this.call.route.eventGapTargetMs;
-	}
-
 	/** Whether events have arrived on the current path since it was chosen. */
 	get hasEvents(): boolean {
 		return this.#active?.hasEvents ?? false;
