--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -51,13 +51,27 @@
 const drainCheckMs = 100;
 const readClock = () => performance.now();
 
-/** Starts a gateway; resolves once it is listening. */
+/** Starts a gateway; resolves once it is listening. If it can't listen, nothing of it is left running. */
 export async function startGateway(
 	settings: GatewaySettings,
 	platform: PlatformPort,
 	logger: Logger,
 ): Promise<RunningGateway> {
 	const lifeCycle = new LifeCycle();
+	try {
+		return await openGateway(settings, platform, logger, lifeCycle);
+	} catch (error) {
+		await lifeCycle.stop();
+		throw error;
+	}
+}
+
+async function openGateway(
+	settings: GatewaySettings,
+	platform: PlatformPort,
+	logger: Logger,
+	lifeCycle: LifeCycle,
+): Promise<RunningGateway> {
 	const {store, engines, headers} = platform;
 	let drainTimes: DrainTimes | undefined;
 	const isStopping = () => drainTimes !== undefined;
