Leave a refused order pending for its load time

'Plan an engine again soon' repeated refused orders every 750 ms, and an engine that refuses one mostly refuses the next. Change: only an engine that was sent no order is planned again soon. Ruled out: reports as the cause; they are read before each order.

--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -30,7 +30,7 @@
 const engineTimeoutMs = 500;
 /** An order stays pending for the load time of its layers plus this slack, in milliseconds. */
 const orderSlackMs = 1500;
-/** Time until an engine that did not take an order is planned again, in milliseconds. */
+/** Time until an engine that was sent no order is planned again, in milliseconds. */
 const orderRetryMs = 750;
 
 /** How often the report of an engine with a pending order is polled, in milliseconds. */
@@ -208,8 +208,6 @@
 		});
 		if (outcome.isOk() && outcome.value === 'accepted') {
 			this.#confirm(id, address);
-		} else if (outcome.isOk()) {
-			this.#shortenPending(id);
 		}
 
 		logger.info('order.sent', {
@@ -249,7 +247,7 @@
 			: report.value.orderCount;
 	}
 
-	/** Lets an engine that certainly did not take an order be planned again soon. */
+	/** Lets an engine that was sent no order be planned again soon. */
 	#shortenPending(id: BackendId): void {
 		const pending = this.#pending.get(id);
 		if (pending) {
