Resume a started answer until its runs or its time are used up

Callers saw streams end in the middle of the answer although they had most of their time left. Cause: the number of attempts, also of those that never reached an engine, was bounded, and over a full link each fails after 150 ms. Change: a started answer has no limit on attempts that did not run; their rate is bounded by the delay between them (400 ms at most), each takes from the retry budget, and runs stay within the route's limit. Ruled out: a higher count, which ends the same answer a little later. Test: attempt-policy, failed before (8 tests, 1 failed), passes now.

--- a/packages/bramleystage/src/coordination/attempt-policy.ts
+++ b/packages/bramleystage/src/coordination/attempt-policy.ts
@@ -41,10 +41,11 @@
  */
 export type AttemptDecision = 'retry' | 'refuse' | 'fail' | 'forward' | 'wait';
 
-/** Maximum number of attempts of a request, including those that did not run. */
+/**
+ * Maximum number of attempts of a request, including those that did not run. A
+ * started answer has no such limit: without another attempt it ends incomplete.
+ */
 const maxSentAttempts = 5;
-/** Maximum number of attempts once a part of the answer was sent: without another one, the answer ends incomplete. */
-const maxResumingAttempts = 10;
 /** First delay before another attempt over paths that refused one, in milliseconds; it doubles with each further one. */
 const minResumeDelayMs = 50;
 const maxResumeDelayMs = 400;
@@ -62,8 +63,7 @@
 	trySpendRetry: () => boolean,
 ): AttemptDecision {
 	const mayRepeat =
-		history.sent <
-			(bounds.isAnswerStarted ? maxResumingAttempts : maxSentAttempts) &&
+		(bounds.isAnswerStarted || history.sent < maxSentAttempts) &&
 		bounds.remainingMs >= minAttemptMs &&
 		(outcome === 'notRun'
 			? bounds.isRepeatable || !history.mayHaveRun
