--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -34,6 +34,8 @@
 	readonly readAt: () => number;
 	/** Whether peers have a newer version that the store does not give to this gateway. */
 	readonly needsPeers: () => boolean;
+	/** Whether a load from the store is under way. */
+	readonly isLoading: () => boolean;
 	/** Applies a peer's configuration if it is newer. */
 	readonly acceptConfiguration: (configuration: RoutingConfiguration) => void;
 	/** Records a peer's version and the steady-clock time as of which the peer read it. */
@@ -180,6 +182,7 @@
 		configurations,
 		acceptConfiguration,
 		readAt: () => readAt,
+		isLoading: () => false,
 		needsPeers: () =>
 			announced > readVersion() &&
 			(isStoreLost || missedVersion > readVersion()),
