Count a transfer as ended when its connection closes

The stand-in counted a transfer that the gateway had given up as in flight until its next piece was due, up to 100 ms later, and so saw two where the second began after the first was closed. It counts the connections that are open now, which also covers the time between the last byte and the end. Pieces are half as large, so that an answer of 7 s has no silence of 400 ms.

--- a/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
@@ -140,6 +140,17 @@
 	expect(record.begun).toBe(1);
 });
 
+// Guards against a link too slow for the usual time, on which each transfer would be given up.
+test('a configuration arrives also over a link that takes over twice the time in which it is due', async () => {
+	const {record, follower, slowPeers} = await startGateway([
+		{answerMs: 7000},
+		{answerMs: 7000},
+	]);
+	publish(slowPeers, 7);
+	await waitUntil(() => follower.configurations.value?.version === 7, 15_000);
+	expect(record).toMatchObject({maxInFlight: 1, begun: 2});
+});
+
 // Guards against a peer that falls silent in the middle and holds up the others.
 test('a peer that stalls is left for the next one', async () => {
 	const {record, follower, slowPeers} = await startGateway([
--- a/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
@@ -23,7 +23,7 @@
 
 /** Answers above this size carry a configuration, in bytes. */
 const largeAnswerBytes = 10_000;
-const piecesPerAnswer = 15;
+const piecesPerAnswer = 30;
 const readClock = () => performance.now();
 
 export const silentLogger: Logger = {
@@ -248,8 +248,16 @@
 	signal: AbortSignal,
 	write: (piece: Buffer) => void,
 ) {
+	if (signal.aborted) {
+		return;
+	}
+
 	record.begun++;
 	record.inFlight++;
+	// The client closes the connection at the end of the answer, or when it gives it up.
+	signal.addEventListener('abort', () => {
+		record.inFlight--;
+	});
 	record.maxInFlight = Math.max(record.maxInFlight, record.inFlight);
 	onLargeAnswer?.();
 	const isTrickle = fault === 'trickle';
@@ -267,7 +275,6 @@
 		await wait(pauseMs);
 	}
 
-	record.inFlight--;
 	if (sent >= answer.length) {
 		record.endedAt.push(readClock());
 	}
