Limit the store's answers by their silence instead of their whole time

Callers of gateways on slow links were served late or refused, and streams were cut, for eight seconds after a large version of the configuration: each load was aborted 0.7 s after its begin though bytes arrived all the time, logged as store.lost, and begun again, so that the link stayed full.

A request has a limit on the time without a byte of the answer beside the one on the whole time. Before it gives up, a process that did not run for a while reads what has arrived. The detail of a failure names the limit; it was "aborted" when the body had begun.

Ruled out: a higher limit on the whole time alone, as then a silent connection is noticed too late for a second try; and socket.setTimeout(), which leaves out the wait for a free connection and ends calls whose answer has arrived meanwhile. The 16 MiB limit of a body stays as it was.

--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -62,14 +62,18 @@
 };
 
 export type StorePort = {
-	/** Reads the newest configuration. */
-	readonly loadConfiguration: () => Promise<
-		Result<ConfigurationRead, StoreFailure>
-	>;
-	/** Waits up to `waitMs` milliseconds for configurations from an offset on (long poll). */
+	/** Reads the newest configuration; `onArrival` is called when bytes of it arrive. */
+	readonly loadConfiguration: (
+		onArrival?: () => void,
+	) => Promise<Result<ConfigurationRead, StoreFailure>>;
+	/**
+	 * Waits up to `waitMs` milliseconds for configurations from an offset on (long
+	 * poll); `onArrival` is called when bytes of the answer arrive.
+	 */
 	readonly awaitConfiguration: (
 		from: StoreOffset,
 		waitMs: number,
+		onArrival?: () => void,
 	) => Promise<Result<ConfigurationRead, StoreFailure>>;
 	/** Reads the complete list of backend servers. */
 	readonly loadBackends: () => Promise<Result<BackendsRead, StoreFailure>>;
--- a/packages/bramleystage/src/transport/http-client.ts
+++ b/packages/bramleystage/src/transport/http-client.ts
@@ -1,6 +1,6 @@
 /**
- * HTTP requests with Node's `http`, with a limit on the response body and a
- * timeout.
+ * HTTP requests with Node's `http`, with limits on the size of the response body,
+ * on its silence, and on the whole time.
  */
 import http, {type Agent, type IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
@@ -12,6 +12,14 @@
 	readonly body?: Uint8Array | string;
 	/** Limits the time until the response has ended. */
 	readonly timeoutMs: number;
+	/**
+	 * Limits the time without a byte of the response, the wait for its head
+	 * included; only `timeoutMs` does if undefined. A consumer that stops reading
+	 * makes the response silent.
+	 */
+	readonly silenceMs?: number;
+	/** Called when bytes of the response have arrived. */
+	readonly onArrival?: () => void;
 	/**
 	 * Node's shared agent, which reuses connections, if undefined; false opens a
 	 * connection for this request only.
@@ -93,11 +101,15 @@
 ): Promise<Result<OpenHttpResponse, HttpError>> {
 	return new Promise((resolve) => {
 		let isConnected = false;
-		let isTimedOut = false;
+		let timeoutDetail: string | undefined;
 		const toHttpError = (error: Error): HttpError => ({
-			kind: selectErrorKind(isTimedOut, isConnected, options.signal?.aborted),
+			kind: selectErrorKind(
+				timeoutDetail !== undefined,
+				isConnected,
+				options.signal?.aborted,
+			),
 			sent: isConnected,
-			detail: error.message,
+			detail: timeoutDetail ?? error.message,
 		});
 		const request = http.request(options.url, {
 			method: options.method,
@@ -105,14 +117,18 @@
 			agent: options.agent,
 			signal: options.signal,
 		});
-		const timer = setTimeout(() => {
-			isTimedOut = true;
-			request.destroy(new Error(`No answer within ${options.timeoutMs} ms.`));
-		}, options.timeoutMs);
+		const limits = startResponseLimits(options, (detail) => {
+			timeoutDetail ??= detail;
+			request.destroy(new Error(detail));
+		});
 		request.on('close', () => {
-			clearTimeout(timer);
+			limits.stop();
 		});
 		request.on('socket', (socket) => {
+			socket.on('data', limits.recordArrival);
+			request.on('close', () => {
+				socket.off('data', limits.recordArrival);
+			});
 			if (!socket.connecting) {
 				isConnected = true;
 				return;
@@ -132,6 +148,42 @@
 	});
 }
 
+/** Starts the limits on a response's time; `giveUp` is called with the reason when one is exceeded. */
+function startResponseLimits(
+	{timeoutMs, silenceMs, onArrival}: HttpRequest,
+	giveUp: (detail: string) => void,
+) {
+	let arrivalCount = 0;
+	let isStopped = false;
+	const timer = setTimeout(() => {
+		giveUp(`No answer within ${timeoutMs} ms.`);
+	}, timeoutMs);
+	const silenceTimer =
+		silenceMs === undefined
+			? undefined
+			: setTimeout(() => {
+					const countBefore = arrivalCount;
+					// A process that did not run for a while first reads what has arrived.
+					setImmediate(() => {
+						if (!isStopped && arrivalCount === countBefore) {
+							giveUp(`No byte of the answer for ${silenceMs} ms.`);
+						}
+					});
+				}, silenceMs);
+	return {
+		recordArrival() {
+			arrivalCount++;
+			silenceTimer?.refresh();
+			onArrival?.();
+		},
+		stop() {
+			isStopped = true;
+			clearTimeout(timer);
+			clearTimeout(silenceTimer);
+		},
+	};
+}
+
 function selectErrorKind(
 	isTimedOut: boolean,
 	isConnected: boolean,
