Peers are not needed for the configuration while the store sends it

A gateway on a slow link whose call to the store had failed once queried two peers every 250 ms beside the next load from the store, each for the whole configuration, so the link stayed full. needsPeers() is false while a load is under way. After a failed call a load counts from its first bytes on, and for at most 2 s, so that a peer can still bring the change into force in time if the bytes trickle. isLoading() tells the same to those who ask peers for other reasons.

A version that a peer has sent meanwhile is not applied again, as before; a test shows it, and another that one call of the store is open at a time.

--- /dev/null
+++ b/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
@@ -0,0 +1,167 @@
+/** When a gateway needs peers for the configuration while the store's answer is under way. */
+import {LifeCycle, type RoutingConfiguration} from 'bramleystage';
+import {err, ok} from 'neverthrow';
+import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {
+	type ConfigurationFollower,
+	followConfiguration,
+} from '../configuration-follower.js';
+import type {ConfigurationRead, StorePort} from '../platform-port.js';
+import {StoreContact} from '../store-contact.js';
+
+type Answer = Awaited<ReturnType<StorePort['loadConfiguration']>>;
+
+/** A call of the store under way; `arrive` reports bytes. */
+type Call = {
+	readonly name: 'load' | 'await';
+	readonly from?: number;
+	readonly arrive: () => void;
+	readonly answer: (answer: Answer) => Promise<void>;
+};
+
+const lost = err({kind: 'lost' as const, detail: 'away'});
+
+const buildRead = (version: number, next: number, era = 1) =>
+	ok<ConfigurationRead>({
+		era,
+		configuration: {version, routes: []} as unknown as RoutingConfiguration,
+		next,
+		skipped: [],
+	});
+
+const buildEmptyRead = (next: number, era = 1) =>
+	ok<ConfigurationRead>({era, next, skipped: []});
+
+let lifeCycle: LifeCycle;
+let calls: Call[];
+let follower: ConfigurationFollower;
+let events: string[];
+let readMaxAgeMs: number;
+
+/** Lets promises settle. */
+const settle = async () => vi.advanceTimersByTimeAsync(0);
+
+const takeCall = () => {
+	const call = calls.shift();
+	if (!call) {
+		throw new Error('The store was not called.');
+	}
+
+	return call;
+};
+
+beforeEach(() => {
+	vi.useFakeTimers();
+	lifeCycle = new LifeCycle();
+	calls = [];
+	events = [];
+	readMaxAgeMs = 0;
+	const call = async (
+		name: Call['name'],
+		onArrival: (() => void) | undefined,
+		from?: number,
+	) =>
+		new Promise<Answer>((resolve) => {
+			calls.push({
+				name,
+				from,
+				arrive() {
+					onArrival?.();
+				},
+				async answer(answer) {
+					onArrival?.();
+					resolve(answer);
+					await settle();
+				},
+			});
+		});
+	const log = (event: string) => {
+		events.push(event);
+	};
+
+	follower = followConfiguration({
+		store: {
+			loadConfiguration: async (onArrival?: () => void) =>
+				call('load', onArrival),
+			awaitConfiguration: async (
+				from: number,
+				_: number,
+				onArrival?: () => void,
+			) => call('await', onArrival, from),
+		} as unknown as StorePort,
+		readMaxAgeMs: () => readMaxAgeMs,
+		recordStoreEra: () => undefined,
+		contact: new StoreContact(),
+		lifeCycle,
+		logger: {error: log, warn: log, info: log, debug: log},
+		readClock: () => performance.now(),
+	});
+});
+
+afterEach(async () => {
+	vi.useRealTimers();
+	await lifeCycle.stop();
+});
+
+// Guards against peers that are queried beside a load that brings the version.
+test('while a load is under way, peers are not needed', async () => {
+	expect(follower.isLoading()).toBe(true);
+	await takeCall().answer(lost);
+	expect(follower.isLoading()).toBe(false);
+	follower.acceptVersion(7, performance.now());
+	expect(follower.needsPeers()).toBe(true);
+	await settle();
+	const second = takeCall();
+	// After a failed call, only bytes show that the store answers.
+	expect(follower.isLoading()).toBe(false);
+	expect(follower.needsPeers()).toBe(true);
+	second.arrive();
+	expect(follower.isLoading()).toBe(true);
+	expect(follower.needsPeers()).toBe(false);
+	await second.answer(buildRead(7, 3));
+	expect(follower.isLoading()).toBe(false);
+	expect(follower.needsPeers()).toBe(false);
+});
+
+test('a load that takes too long for a change in time no longer makes peers unnecessary', async () => {
+	await takeCall().answer(lost);
+	follower.acceptVersion(7, performance.now());
+	await settle();
+	const call = takeCall();
+	call.arrive();
+	await vi.advanceTimersByTimeAsync(1900);
+	call.arrive();
+	expect(follower.needsPeers()).toBe(false);
+	await vi.advanceTimersByTimeAsync(200);
+	call.arrive();
+	expect(follower.isLoading()).toBe(false);
+	expect(follower.needsPeers()).toBe(true);
+});
+
+test('a version that came from a peer during the load is applied once', async () => {
+	const peerRead = buildRead(7, 3)._unsafeUnwrap();
+	if (peerRead.configuration) {
+		follower.acceptConfiguration(peerRead.configuration);
+	}
+
+	await takeCall().answer(buildRead(7, 3));
+	expect(
+		events.filter((event) => event === 'configuration.applied'),
+	).toHaveLength(1);
+	expect(calls).toHaveLength(1);
+});
+
+test('a poll without bytes is no load, and one call is open at a time', async () => {
+	await takeCall().answer(buildRead(1, 3));
+	expect(calls).toHaveLength(1);
+	const poll = takeCall();
+	expect(poll).toMatchObject({name: 'await', from: 3});
+	expect(follower.isLoading()).toBe(false);
+	poll.arrive();
+	expect(follower.isLoading()).toBe(true);
+	follower.acceptVersion(2, performance.now());
+	await vi.advanceTimersByTimeAsync(1000);
+	expect(calls).toHaveLength(0);
+	await poll.answer(buildEmptyRead(3));
+	expect(follower.isLoading()).toBe(false);
+});
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -19,7 +19,7 @@
 } from './platform-port.js';
 import type {StoreContact} from './store-contact.js';
 
-/** Timeout of a long poll, in milliseconds: bounds the time until a silent connection is noticed. */
+/** Time for which a long poll waits, in milliseconds: bounds the time until a silent connection is noticed. */
 const pollTimeoutMs = 700;
 /** Delay after a first failed call, and before a version is read again that is not there yet, in milliseconds. */
 const retryDelayMs = 150;
@@ -27,6 +27,8 @@
 const lostVersionDelayMs = 600;
 /** How often the newest version is loaded regardless of the polls, in milliseconds. */
 const refreshIntervalMs = 5000;
+/** Time for which a load from the store makes peers unnecessary, in milliseconds: after it a peer can still bring a change into force in time. */
+const loadGraceMs = 2000;
 
 export type ConfigurationFollower = {
 	readonly configurations: BehaviorSubject<RoutingConfiguration | undefined>;
@@ -34,6 +36,8 @@
 	readonly readAt: () => number;
 	/** Whether peers have a newer version that the store does not give to this gateway. */
 	readonly needsPeers: () => boolean;
+	/** Whether a load from the store is under way. One that takes unusually long does not count. */
+	readonly isLoading: () => boolean;
 	/** Applies a peer's configuration if it is newer. */
 	readonly acceptConfiguration: (configuration: RoutingConfiguration) => void;
 	/** Records a peer's version and the steady-clock time as of which the peer read it. */
@@ -102,6 +106,14 @@
 	let loadedAt = Number.NEGATIVE_INFINITY;
 	/** Version that a complete read did not have although a peer announced it. */
 	let missedVersion = -1;
+	/** When the load under way began or, after a failed call, when its first bytes arrived; steady-clock time in milliseconds. */
+	let loadingSince: number | undefined;
+	const isLoading = () =>
+		loadingSince !== undefined && readClock() - loadingSince < loadGraceMs;
+	const recordArrival = () => {
+		loadingSince ??= readClock();
+	};
+
 	/** Reads the store once; returns the delay until the next read, in milliseconds. */
 	const step = async (): Promise<number> => {
 		const startedAt = readClock();
@@ -117,9 +129,11 @@
 			next === undefined ||
 			isBehind ||
 			startedAt - loadedAt > refreshIntervalMs;
+		loadingSince = isFullRead && !isStoreLost ? startedAt : undefined;
 		const read = await (isFullRead || next === undefined
-			? store.loadConfiguration()
-			: store.awaitConfiguration(next, pollTimeoutMs));
+			? store.loadConfiguration(recordArrival)
+			: store.awaitConfiguration(next, pollTimeoutMs, recordArrival));
+		loadingSince = undefined;
 		if (read.isErr()) {
 			isStoreLost = recordContact(logger, isStoreLost, read.error);
 			next = undefined;
@@ -180,7 +194,9 @@
 		configurations,
 		acceptConfiguration,
 		readAt: () => readAt,
+		isLoading,
 		needsPeers: () =>
+			!isLoading() &&
 			announced > readVersion() &&
 			(isStoreLost || missedVersion > readVersion()),
 		acceptVersion(version, versionReadAt) {
