A version that was polled is as old as its first bytes

A gateway that received a large version from a poll over a slow link claimed to know the newest one as of the end of the transfer, to itself and to those that follow it, though versions may have been written in the seconds of the transfer. The time of the first bytes counts. A load counts from its begin, and an empty page from its end, as before.

--- a/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
@@ -165,3 +165,15 @@
 	await poll.answer(buildEmptyRead(3));
 	expect(follower.isLoading()).toBe(false);
 });
+
+// Guards against an age that leaves out the time of a slow transfer.
+test('the version is as old as the first bytes of the answer', async () => {
+	await takeCall().answer(buildRead(1, 3));
+	const poll = takeCall();
+	await vi.advanceTimersByTimeAsync(300);
+	poll.arrive();
+	const arrivedAt = performance.now();
+	await vi.advanceTimersByTimeAsync(1500);
+	await poll.answer(buildRead(2, 4));
+	expect(follower.readAt()).toBe(arrivedAt);
+});
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -133,6 +133,7 @@
 		const read = await (isFullRead || next === undefined
 			? store.loadConfiguration(recordArrival)
 			: store.awaitConfiguration(next, pollTimeoutMs, recordArrival));
+		const arrivedAt = loadingSince;
 		loadingSince = undefined;
 		if (read.isErr()) {
 			isStoreLost = recordContact(logger, isStoreLost, read.error);
@@ -145,7 +146,10 @@
 			return contact.computeRetryDelayMs(retryDelayMs);
 		}
 
-		readAt = Math.max(readAt, isFullRead ? startedAt : readClock());
+		// A page with a configuration may have taken long; newer versions may have come meanwhile.
+		const pageReadAt = read.value.configuration && arrivedAt;
+		const readSince = isFullRead ? startedAt : (pageReadAt ?? readClock());
+		readAt = Math.max(readAt, readSince);
 		loadedAt = isFullRead ? startedAt : loadedAt;
 		contact.recordSuccess();
 		const {era} = read.value;
