A gateway that hears of the next version reads only its record

A gateway that a peer informs dropped its offset in the store's log. So it loaded the newest configuration in base64 (a third more bytes than the record) for each version, and again, though nothing had changed, whenever the peer's data was over 1.1 s old, as it is on a full link or while the peer itself receives a large version.

It keeps the offset and reads on there, if at most one version is new since and the offset is at most 5 minutes old, so that the bytes stay bounded; otherwise, after an answer of another era, an expired offset, or a page without the announced version, it loads the newest as before. The interval of complete loads counts from the end of the time in which a peer informed it. An expired offset is logged as configuration.expired: the store answered, so it is not lost, and peers are not asked.

Ruled out: reading on regardless of the number of new versions, as each record carries the whole configuration, so that several are more than the newest in base64. Not covered: versions written between the announcement and the read come with it.

Tests: ten new cases of configuration-follower.test.ts; six of them failed before, all pass now. platform, bramleystage-gateway and transport: 23 files, 120 tests pass.

--- a/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
@@ -177,3 +177,113 @@
 	await poll.answer(buildRead(2, 4));
 	expect(follower.readAt()).toBe(arrivedAt);
 });
+
+/** Loads version 1, then lets a peer inform the gateway. */
+async function startInformed() {
+	await takeCall().answer(buildRead(1, 3));
+	readMaxAgeMs = 1100;
+	await takeCall().answer(buildEmptyRead(3));
+	expect(calls).toHaveLength(0);
+}
+
+/** Lets time pass in which a peer confirms the version in force. */
+async function advanceInformed(durationMs: number) {
+	for (let passedMs = 0; passedMs < durationMs; passedMs += 500) {
+		follower.acceptVersion(1, performance.now());
+		await vi.advanceTimersByTimeAsync(500);
+	}
+}
+
+// Guards against loading the whole topic in base64 for one new record.
+test('a gateway that hears of the next version reads on where it stopped', async () => {
+	await startInformed();
+	await advanceInformed(30_000);
+	expect(calls).toHaveLength(0);
+	follower.acceptVersion(2, performance.now());
+	await settle();
+	const call = takeCall();
+	expect(call).toMatchObject({name: 'await', from: 3});
+	expect(follower.isLoading()).toBe(true);
+	await call.answer(buildRead(2, 4));
+	expect(follower.configurations.value?.version).toBe(2);
+	expect(calls).toHaveLength(0);
+});
+
+// Guards against loading the configuration that is in force each time a peer is late.
+test('a gateway whose peer is late polls where it stopped', async () => {
+	await startInformed();
+	await advanceInformed(10_000);
+	await vi.advanceTimersByTimeAsync(1200);
+	expect(takeCall()).toMatchObject({name: 'await', from: 3});
+});
+
+test('the newest version is loaded when several are new', async () => {
+	await startInformed();
+	follower.acceptVersion(3, performance.now());
+	await settle();
+	expect(takeCall().name).toBe('load');
+});
+
+test('the newest version is loaded when the offset is old', async () => {
+	await startInformed();
+	await advanceInformed(301_000);
+	follower.acceptVersion(2, performance.now());
+	await settle();
+	expect(takeCall().name).toBe('load');
+});
+
+test('the newest version is loaded when one came from a peer and the next is new', async () => {
+	await startInformed();
+	follower.acceptConfiguration({
+		version: 2,
+		routes: [],
+	} as unknown as RoutingConfiguration);
+	follower.acceptVersion(3, performance.now());
+	await settle();
+	expect(takeCall().name).toBe('load');
+});
+
+test.for([
+	{
+		name: 'an offset that has expired',
+		answer: err({kind: 'expired' as const, detail: 'gone'}),
+	},
+	{name: 'an offset of another era', answer: buildEmptyRead(3, 2)},
+	{name: 'a page without the announced version', answer: buildEmptyRead(3)},
+])('after $name, the newest version is loaded', async ({answer}) => {
+	await startInformed();
+	follower.acceptVersion(2, performance.now());
+	await settle();
+	await takeCall().answer(answer);
+	await vi.advanceTimersByTimeAsync(150);
+	const call = takeCall();
+	expect(call.name).toBe('load');
+	await call.answer(buildRead(2, 4, 2));
+	expect(follower.configurations.value?.version).toBe(2);
+	expect(events).not.toContain('store.lost');
+	expect(follower.needsPeers()).toBe(false);
+});
+
+test('a version that the store lacks is asked of peers', async () => {
+	await startInformed();
+	follower.acceptVersion(2, performance.now());
+	await settle();
+	await takeCall().answer(buildEmptyRead(3));
+	await vi.advanceTimersByTimeAsync(150);
+	await takeCall().answer(buildRead(1, 3));
+	expect(follower.needsPeers()).toBe(true);
+	await vi.advanceTimersByTimeAsync(600);
+	expect(takeCall().name).toBe('load');
+});
+
+test('a gateway that polls by itself loads the newest version at intervals', async () => {
+	await takeCall().answer(buildRead(1, 3));
+	for (let count = 0; count < 7; count++) {
+		const poll = takeCall();
+		expect(poll.name).toBe('await');
+		await vi.advanceTimersByTimeAsync(750);
+		await poll.answer(buildEmptyRead(3));
+	}
+
+	expect(takeCall().name).toBe('load');
+});
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -1,9 +1,10 @@
 /**
  * Follows the operator's configuration: one long poll is always open, unless
- * another gateway polls and sends the version that it has. A version is only
- * ever replaced by a newer one, also after the store was restored from an older
- * copy. Failed calls are retried after a short delay; if the store no longer keeps
- * the offset, or was restored, the newest configuration is loaded.
+ * another gateway polls and sends the version that it has. A gateway that hears
+ * of the next version reads on where it stopped; if several are new, the store no
+ * longer keeps the offset, or was restored, the newest configuration is loaded. A
+ * version is only ever replaced by a newer one, also after the store was restored
+ * from an older copy. Failed calls are retried after a short delay.
  */
 import {
 	type LifeCycle,
@@ -14,7 +15,9 @@
 import {BehaviorSubject} from 'rxjs';
 import type {
 	ConfigurationRead,
+	StoreEra,
 	StoreFailure,
+	StoreOffset,
 	StorePort,
 } from './platform-port.js';
 import type {StoreContact} from './store-contact.js';
@@ -25,8 +28,12 @@
 const retryDelayMs = 150;
 /** Delay of the next read while the store lacks a version that peers have, in milliseconds. */
 const lostVersionDelayMs = 600;
-/** How often the newest version is loaded regardless of the polls, in milliseconds. */
+/** Time for which the store waits for the record of a version that a peer announced, in milliseconds. */
+const announcedWaitMs = 150;
+/** How often a gateway that polls loads the newest version regardless of the polls, in milliseconds. */
 const refreshIntervalMs = 5000;
+/** Age of an offset up to which reading continues there, in milliseconds: bounds the records of other keys that are read too. */
+const maxResumeAgeMs = 300_000;
 /** Time for which a load from the store makes peers unnecessary, in milliseconds: after it a peer can still bring a change into force in time. */
 const loadGraceMs = 2000;
 
@@ -56,6 +63,16 @@
 	readonly readClock: () => number;
 };
 
+type ReadPosition = {
+	readonly next: StoreOffset;
+	/** Era in which `next` is valid. */
+	readonly era: StoreEra;
+	/** Version in force after the read. */
+	readonly version: number;
+	/** When the read began; steady-clock time in milliseconds. */
+	readonly readAt: number;
+};
+
 /** Starts following the configuration until the life cycle stops. */
 export function followConfiguration(
 	options: ConfigurationFollowerOptions,
@@ -100,10 +117,10 @@
 	};
 
 	let wake = () => undefined as void;
-	let next: number | undefined;
-	/** Era in which `next` is valid. */
-	let nextEra: number | undefined;
-	let loadedAt = Number.NEGATIVE_INFINITY;
+	/** Where reading continues; undefined if the newest version is to be loaded. */
+	let position: ReadPosition | undefined;
+	/** When this gateway or the one that informs it last had its turn to refresh; steady-clock time in milliseconds. */
+	let refreshedAt = Number.NEGATIVE_INFINITY;
 	/** Version that a complete read did not have although a peer announced it. */
 	let missedVersion = -1;
 	/** When the load under way began or, after a failed call, when its first bytes arrived; steady-clock time in milliseconds. */
@@ -120,28 +137,36 @@
 		const isBehind = announced > readVersion();
 		const delayMs = readAt + readMaxAgeMs() - startedAt;
 		if (!isBehind && delayMs > 0) {
-			next = undefined;
+			refreshedAt = startedAt;
 			return delayMs;
 		}
 
 		const announcedBefore = announced;
-		const isFullRead =
-			next === undefined ||
-			isBehind ||
-			startedAt - loadedAt > refreshIntervalMs;
-		loadingSince = isFullRead && !isStoreLost ? startedAt : undefined;
-		const read = await (isFullRead || next === undefined
+		const from = choosePosition(
+			position,
+			{version: Math.max(announced, readVersion()), refreshedAt},
+			startedAt,
+		);
+		const isFullRead = from === undefined;
+		loadingSince =
+			(isFullRead || isBehind) && !isStoreLost ? startedAt : undefined;
+		const read = await (isFullRead
 			? store.loadConfiguration(recordArrival)
-			: store.awaitConfiguration(next, pollTimeoutMs, recordArrival));
+			: store.awaitConfiguration(
+					from.next,
+					isBehind ? announcedWaitMs : pollTimeoutMs,
+					recordArrival,
+				));
 		const arrivedAt = loadingSince;
 		loadingSince = undefined;
 		if (read.isErr()) {
-			isStoreLost = recordContact(logger, isStoreLost, read.error);
-			next = undefined;
+			position = undefined;
 			if (read.error.kind === 'expired') {
+				logger.info('configuration.expired', {detail: read.error.detail});
 				return retryDelayMs;
 			}
 
+			isStoreLost = recordContact(logger, isStoreLost, read.error);
 			contact.recordFailure(readClock());
 			return contact.computeRetryDelayMs(retryDelayMs);
 		}
@@ -150,24 +175,25 @@
 		const pageReadAt = read.value.configuration && arrivedAt;
 		const readSince = isFullRead ? startedAt : (pageReadAt ?? readClock());
 		readAt = Math.max(readAt, readSince);
-		loadedAt = isFullRead ? startedAt : loadedAt;
+		refreshedAt = isFullRead ? startedAt : refreshedAt;
 		contact.recordSuccess();
-		const {era} = read.value;
+		const {era, next} = read.value;
 		recordStoreEra(era);
 		applyRead(read.value);
 		isStoreLost = recordContact(logger, isStoreLost, undefined);
-		if (!isFullRead && era !== nextEra) {
+		if (from && era !== from.era) {
 			// The offset belongs to records that the store no longer has.
-			next = undefined;
+			position = undefined;
 			return 0;
 		}
 
-		next = read.value.next;
-		nextEra = era;
 		if (announced <= readVersion()) {
+			position = {next, era, version: readVersion(), readAt: startedAt};
 			return 0;
 		}
 
+		position = undefined;
+
 		if (isFullRead) {
 			missedVersion = announcedBefore;
 		}
@@ -214,6 +240,20 @@
 	};
 }
 
+/** Chooses to read on at a position if that gives one new version at most; undefined if the newest is to be loaded. */
+function choosePosition(
+	position: ReadPosition | undefined,
+	{version, refreshedAt}: {version: number; refreshedAt: number},
+	now: number,
+): ReadPosition | undefined {
+	return position &&
+		version <= position.version + 1 &&
+		now - position.readAt <= maxResumeAgeMs &&
+		now - refreshedAt <= refreshIntervalMs
+		? position
+		: undefined;
+}
+
 /** Logs when the store becomes unreachable or reachable again; returns whether it is unreachable. */
 function recordContact(
 	logger: Logger,
