Ask one peer at a time for a configuration

Callers of gateways on links of 14 Mbit/s were served late or refused for 8 s beside a change of the configuration: the link was full, and engines and streams on it seemed dead. Each gateway received each version several times.

Cause: two peers were queried every 250 ms, also while the answers of earlier queries were under way, and so up to a dozen copies were under way beside each other.

The configuration and the list of backend servers now have a query each, and each is asked of one peer at a time. The query for the list names a version that no peer exceeds, as the group's query does, so a gateway of an older build does not send its configuration along either; both queries have the fields they had. Nothing is asked while the store is loading a configuration, and a transfer ends when a version from the store has made it needless, or when the gateway stops.

An answer is given up after 400 ms without a byte. After 3 s, in which a change must be in force, it is awaited further only if the next 3 s would bring the rest at the same rate: asking anew would not be faster. If it would not, the next answer gets twice the time, up to 12 s, so that a slower link gets its configuration too.

Ruled out by the tests: the time to encode and decode. Their answers are slow on the way only, and the copies pile up all the same.

--- a/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
@@ -205,3 +205,14 @@
 		inForceMs,
 	);
 });
+
+// Guards against the rest of a transfer that nobody needs any more and that fills the link.
+test('a transfer ends when the store has given the version', async () => {
+	const {record, follower, slowPeers} = await startGateway([{}, {}]);
+	publish(slowPeers, 7);
+	await waitUntil(() => record.inFlight > 0, inForceMs);
+	follower.configurations.next(buildConfiguration(7, routeCount));
+	await waitUntil(() => record.inFlight === 0, answerMs / 3);
+	await wait(600);
+	expect(record).toMatchObject({begun: 1, endedAt: []});
+});
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -8,17 +8,15 @@
 import {connect, createServer, type Socket} from 'node:net';
 import {
 	type Backend,
-	createFailure,
 	encodeValueFrame,
-	type Failure,
 	type LifeCycle,
 	type Logger,
 	parseAddress,
 	type RoutingConfiguration,
 } from 'bramleystage';
-import {err, type Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
-import {checkValue, listenForFrames} from './peer-frames.js';
+import {checkValue, listenForFrames, readFrameBytes} from './peer-frames.js';
 import {backendSchema, type Ping, pingSchema} from './peer-update.js';
 
 const querySchema = z.object({
@@ -64,8 +62,10 @@
 	};
 };
 
-/** Timeout of a query, in milliseconds; peers are within a region. */
-const queryTimeoutMs = 400;
+/** Time without a byte after which a query has failed, in milliseconds; peers are within a region. */
+const maxSilenceMs = 400;
+/** Time after which an answer under way must be worth waiting for, in milliseconds: a change is in force by then. */
+export const answerSpanMs = 3000;
 /** Time without data after which a connection is closed, in milliseconds: several pings. */
 const idleTimeoutMs = 3000;
 
@@ -121,33 +121,92 @@
 	});
 }
 
-/** Sends a query to another gateway and waits for its answer. */
+export type PeerQueryOptions = {
+	/** Time after which an answer under way must be worth waiting for, in milliseconds. */
+	readonly spanMs?: number;
+	/** Gives the query up. */
+	readonly signal?: AbortSignal;
+};
+
+export type PeerQueryFailure = {
+	readonly detail: string;
+	/** Bytes of the answer that arrived. */
+	readonly arrivedBytes: number;
+};
+
+/**
+ * Whether an answer is worth waiting for at the end of a span: if the next span
+ * brings as much as this one did, the rest arrives in it. An answer that is asked
+ * for anew would not be there sooner.
+ */
+const isWorthAwaiting = (
+	missingBytes: number,
+	arrivedInSpanBytes: number,
+): boolean => missingBytes <= arrivedInSpanBytes;
+
+/**
+ * Sends a query to another gateway and waits for its answer. A peer that is silent
+ * or very slow is given up.
+ */
 export async function sendPeerQuery(
 	address: string,
 	query: PeerQuery,
-): Promise<Result<PeerAnswer, Failure>> {
-	const socket = connect({...parseAddress(address), noDelay: true});
-	const answer = await new Promise<Result<PeerAnswer, Failure>>((resolve) => {
-		const fail = (detail: string) => {
-			resolve(err(createFailure('badFrame', detail)));
-		};
+	{spanMs = answerSpanMs, signal}: PeerQueryOptions = {},
+): Promise<Result<PeerAnswer, PeerQueryFailure>> {
+	const socket = connect({...parseAddress(address), noDelay: true, signal});
+	let answerBytes: number | undefined;
+	let spanTimer: NodeJS.Timeout | undefined;
+	const answer = await new Promise<Result<PeerAnswer, PeerQueryFailure>>(
+		(resolve) => {
+			const fail = (detail: string) => {
+				const arrivedBytes = socket.bytesRead;
+				resolve(
+					err({
+						detail: `${detail} Arrived: ${arrivedBytes} of ${answerBytes ?? 'unknown'} bytes.`,
+						arrivedBytes,
+					}),
+				);
+			};
 
-		socket.setTimeout(queryTimeoutMs, () => {
-			fail(`No answer within ${queryTimeoutMs} ms.`);
-		});
-		socket.on('error', (error) => {
-			fail(error.message);
-		});
-		socket.on('close', () => {
-			fail('The connection closed before a complete answer.');
-		});
-		socket.on('connect', () => {
-			socket.write(encodeValueFrame(query));
-		});
-		listenForFrames(socket, (value) => {
-			resolve(value.andThen((decoded) => checkValue(decoded, answerSchema)));
-		});
-	});
+			let beforeSpanBytes = 0;
+			spanTimer = setInterval(() => {
+				const {bytesRead} = socket;
+				const missingBytes =
+					(answerBytes ?? Number.POSITIVE_INFINITY) - bytesRead;
+				if (!isWorthAwaiting(missingBytes, bytesRead - beforeSpanBytes)) {
+					fail(`Too slow in ${spanMs} ms.`);
+				}
+
+				beforeSpanBytes = bytesRead;
+			}, spanMs);
+			socket.setTimeout(maxSilenceMs, () => {
+				fail(`No byte for ${maxSilenceMs} ms.`);
+			});
+			socket.on('error', (error) => {
+				fail(error.message);
+			});
+			socket.on('close', () => {
+				fail('The connection closed before a complete answer.');
+			});
+			socket.on('connect', () => {
+				socket.write(encodeValueFrame(query));
+			});
+			socket.once('data', (start) => {
+				answerBytes = readFrameBytes(start);
+			});
+			listenForFrames(socket, (value) => {
+				const checked = value.andThen((decoded) =>
+					checkValue(decoded, answerSchema),
+				);
+				if (checked.isOk()) {
+					resolve(ok(checked.value));
+				} else {
+					fail(checked.error.detail);
+				}
+			});
+		},
+	);
+	clearInterval(spanTimer);
 	socket.destroy();
 	return answer;
 }
--- a/packages/bramleystage-gateway/src/peer-frames.ts
+++ b/packages/bramleystage-gateway/src/peer-frames.ts
@@ -34,6 +34,16 @@
 	});
 }
 
+/** Bytes of the length that a frame begins with. */
+const lengthBytes = 4;
+
+/** Reads the size of a frame from its first bytes; undefined if they are too few. */
+export function readFrameBytes(start: Buffer): number | undefined {
+	return start.length < lengthBytes
+		? undefined
+		: lengthBytes + start.readUInt32BE(0);
+}
+
 /** Checks a decoded value against a schema; fails with `badFrame`. */
 export function checkValue<T>(
 	value: unknown,
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -2,24 +2,33 @@
  * Synchronizes the configuration and the list of backend servers with peers. It
  * applies the updates of followed peers and answers queries. While this gateway
  * can't read the platform's store, it queries peers itself: after a start during
- * an outage, or when the store serves other hosts but not this one.
+ * an outage, or when the store serves other hosts but not this one. The
+ * configuration and the list are asked for by queries of their own, and each from
+ * one peer at a time: copies beside each other would only fill the link.
  */
 import type {LifeCycle, Logger} from 'bramleystage';
 import type {ConfigurationFollower} from './configuration-follower.js';
 import type {Fleet} from './fleet.js';
 import {
+	answerSpanMs,
 	sendPeerQuery,
 	type PeerAnswer,
 	type PeerQuery,
+	type PeerQueryFailure,
 } from './peer-exchange.js';
 import type {GatewayState} from './peer-update.js';
 
-/** How often peers are queried while the store does not answer, in milliseconds. */
+/** How often it is checked whether peers are to be queried, in milliseconds. */
 const queryIntervalMs = 250;
-/** Peers queried at the same time. */
-const peersPerQuery = 2;
+/** Peers that are queried one after the other, until one has something newer. */
+const peersPerRound = 2;
 /** Age of the configuration or the list above which peers are queried, in milliseconds: two reads are missing by then. */
 const maxFreshAgeMs = 1500;
+/** Upper limit of the time for which a slow answer is awaited, in milliseconds. */
+const maxAnswerSpanMs = 4 * answerSpanMs;
+
+/** What a query asks for. */
+type Subject = 'configuration' | 'list';
 
 export type PeerSyncOptions = {
 	readonly follower: ConfigurationFollower;
@@ -33,11 +42,30 @@
 };
 
 export class PeerSync {
-	#roundNumber = 0;
+	#queryNumber = 0;
+	/** Cancels the queries under way. */
+	readonly #rounds = new Map<Subject, AbortController>();
+	/** Time after which a configuration under way must be worth waiting for, in milliseconds; it doubles with each one that was not. */
+	#configurationSpanMs = answerSpanMs;
 
 	constructor(private readonly options: PeerSyncOptions) {
-		options.lifeCycle.registerInterval(queryIntervalMs, () => {
-			void this.#queryPeers(options.readClock());
+		const {follower, lifeCycle, readClock} = options;
+		lifeCycle.registerInterval(queryIntervalMs, () => {
+			const now = readClock();
+			void this.#runRound('configuration', now);
+			void this.#runRound('list', now);
+		});
+		const subscription = follower.configurations.subscribe(() => {
+			// The store may have given what a query is under way for.
+			if (!this.#isNeeded('configuration', readClock())) {
+				this.#rounds.get('configuration')?.abort();
+			}
+		});
+		lifeCycle.register(() => {
+			subscription.unsubscribe();
+			for (const round of this.#rounds.values()) {
+				round.abort();
+			}
 		});
 	}
 
@@ -80,59 +108,133 @@
 		}
 	}
 
-	async #queryPeers(now: number): Promise<void> {
-		const {follower, fleet, listPeers} = this.options;
-		const isFresh =
-			!follower.needsPeers() &&
-			now - follower.readAt() < maxFreshAgeMs &&
-			now - fleet.readAt < maxFreshAgeMs;
-		const peers = listPeers();
-		if (isFresh || peers.length === 0) {
+	/** Whether the state here is so old, or lacks so much, that peers may have a newer one. */
+	#isNeeded(subject: Subject, now: number): boolean {
+		const {follower, fleet} = this.options;
+		return subject === 'list'
+			? now - fleet.readAt >= maxFreshAgeMs
+			: follower.needsPeers() || now - follower.readAt() >= maxFreshAgeMs;
+	}
+
+	/** Queries the next peers one after the other, unless queries for the same are under way. */
+	async #runRound(subject: Subject, now: number): Promise<void> {
+		const {follower, listPeers, readClock} = this.options;
+		const isWanted = (at: number) =>
+			this.#isNeeded(subject, at) &&
+			!(subject === 'configuration' && follower.isLoading());
+		if (this.#rounds.has(subject) || !isWanted(now)) {
 			return;
 		}
 
-		const query = {
-			version: follower.configurations.value?.version ?? -1,
-			listAgeMs: Number.isFinite(fleet.readAt) ? now - fleet.readAt : null,
-		};
-		this.#roundNumber++;
-		const count = Math.min(peersPerQuery, peers.length);
-		const selected = Array.from(
-			{length: count},
-			(_, index) =>
-				peers[(this.#roundNumber * count + index) % peers.length] ?? '',
-		);
-		await Promise.all(
-			selected.map(async (address) => {
-				const answer = await sendPeerQuery(address, query);
-				if (answer.isOk()) {
-					this.#applyAnswer(address, answer.value);
-				} else {
-					this.options.logger.debug('peer.unreachable', {
-						address,
-						detail: answer.error.detail,
-					});
+		const round = new AbortController();
+		this.#rounds.set(subject, round);
+		const peers = listPeers();
+		const count = Math.min(peersPerRound, peers.length);
+		try {
+			for (let index = 0; index < count && isWanted(readClock()); index++) {
+				this.#queryNumber++;
+				const address = peers[this.#queryNumber % peers.length] ?? '';
+				// One peer is queried at a time.
+				// eslint-disable-next-line no-await-in-loop
+				const isDone = await this.#queryPeer(
+					address,
+					subject,
+					readClock(),
+					round.signal,
+				);
+				if (isDone) {
+					return;
 				}
-			}),
+			}
+		} finally {
+			this.#rounds.delete(subject);
+		}
+	}
+
+	/** Queries one peer; returns whether no other one need be queried in this round. */
+	async #queryPeer(
+		address: string,
+		subject: Subject,
+		now: number,
+		signal: AbortSignal,
+	): Promise<boolean> {
+		const spanMs =
+			subject === 'configuration' ? this.#configurationSpanMs : answerSpanMs;
+		const answer = await sendPeerQuery(
+			address,
+			this.#buildQuery(subject, now),
+			{spanMs, signal},
 		);
+		if (answer.isOk()) {
+			return this.#applyAnswer(address, answer.value);
+		}
+
+		if (signal.aborted) {
+			return true;
+		}
+
+		if (
+			subject === 'configuration' &&
+			this.options.readClock() - now >= spanMs
+		) {
+			this.#configurationSpanMs = Math.min(maxAnswerSpanMs, 2 * spanMs);
+		}
+
+		this.#logFailure(address, subject, answer.error);
+		return false;
 	}
 
-	#applyAnswer(address: string, {configuration, list}: PeerAnswer): void {
+	/** Builds a query whose answer has nothing but the subject; peers send only what is newer. */
+	#buildQuery(subject: Subject, now: number): PeerQuery {
+		const {follower, fleet} = this.options;
+		return subject === 'configuration'
+			? {version: follower.configurations.value?.version ?? -1, listAgeMs: 0}
+			: {
+					version: Number.MAX_SAFE_INTEGER,
+					listAgeMs: Number.isFinite(fleet.readAt) ? now - fleet.readAt : null,
+				};
+	}
+
+	/** Applies what is newer in an answer; returns whether anything is. */
+	#applyAnswer(address: string, {configuration, list}: PeerAnswer): boolean {
 		const {follower, fleet, logger, readClock} = this.options;
-		if (configuration) {
+		const version = follower.configurations.value?.version ?? -1;
+		const hasNewerVersion =
+			configuration !== undefined && configuration.version > version;
+		if (hasNewerVersion) {
 			logger.info('configuration.received', {
 				from: address,
 				version: configuration.version,
 			});
+			this.#configurationSpanMs = answerSpanMs;
 			follower.acceptConfiguration(configuration);
 		}
 
-		if (list && readClock() - list.ageMs > fleet.readAt) {
+		const hasNewerList =
+			list !== undefined && readClock() - list.ageMs > fleet.readAt;
+		if (hasNewerList) {
 			logger.info('backends.received', {
 				from: address,
 				age_ms: Math.round(list.ageMs),
 			});
 			fleet.replaceByPeerList(list.backends, readClock() - list.ageMs, address);
 		}
+
+		return hasNewerVersion || hasNewerList;
+	}
+
+	/** Logs a failed query; one whose answer had begun has cost a part of the link. */
+	#logFailure(
+		address: string,
+		subject: Subject,
+		{detail, arrivedBytes}: PeerQueryFailure,
+	): void {
+		const {logger} = this.options;
+		const fields = {address, subject, detail};
+		if (arrivedBytes > 0) {
+			logger.info('peer.unfinished', fields);
+		} else {
+			logger.debug('peer.unreachable', fields);
+		}
 	}
 }
