Measure the delay of the gateway's own link

The round trips of the pings to followed gateways now give the delay of the own link: the least over the peers, at most 350 ms, 0 without a peer. It is the gauge bramleystage_gateway_link_delay_seconds and the lines link.slow and link.normal, and stands in backend.avoided and path.silent.

A connection that is being opened counts as a ping, and pings of a peer that fell silent count for a second more: else a link that delays messages by more than 900 ms would show no delay while its peers are chosen again.

--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -67,6 +67,7 @@
 		logger,
 		readClock: () => performance.now(),
 		countGateways: () => 1,
+		readLinkDelayMs: () => 0,
 	});
 });
 
--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -49,6 +49,7 @@
 		logger,
 		readClock,
 		countGateways: () => 1,
+		readLinkDelayMs: () => 0,
 	});
 	const engines: Partial<EnginePort> = {
 		readReport: async () => err({kind, detail: 'no answer'}),
@@ -59,6 +60,7 @@
 		logger,
 		lifeCycle,
 		readClock,
+		readLinkDelayMs: () => 0,
 	});
 	let failOvers = 0;
 	const stream: Partial<StreamRun> = {
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -26,6 +26,8 @@
 	/** Spends one retry of the service's retry budget; returns false if none is left. */
 	readonly trySpendRetry: (service: ServiceName) => boolean;
 	readonly readClock: () => number;
+	/** Returns the delay of the own network link, in milliseconds. */
+	readonly readLinkDelayMs: () => number;
 	/** Whether the process is draining. */
 	readonly isStopping: () => boolean;
 	readonly drawRandom: () => number;
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -42,6 +42,7 @@
 	readonly readClock: () => number;
 	/** Number of gateways that share the load. */
 	readonly countGateways: () => number;
+	readonly readLinkDelayMs: () => number;
 };
 
 export class Fleet {
@@ -59,6 +60,7 @@
 			describeBackend: (id) => ({
 				address: this.snapshots.value.backends.get(id)?.address,
 				list_age_ms: Math.round(options.readClock() - this.#readAt),
+				link_delay_ms: Math.round(options.readLinkDelayMs()) || undefined,
 			}),
 		});
 	}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -9,7 +9,6 @@
 	type Logger,
 	type PathStage,
 	type ServiceName,
-	waitFor,
 } from 'bramleystage';
 import {writeErrorResponse} from './error-response.js';
 import {followBackends} from './backend-follower.js';
@@ -32,10 +31,11 @@
 import {
 	computeSuccessorServingAt,
 	computeEndAt,
-	computeAcceptUntil,
 	decideDrainRefusal,
 	type DrainTimes,
 } from './drain-policy.js';
+import {waitForOpenRequests} from './drain-wait.js';
+import {OwnLink} from './own-link.js';
 import {listenForReadinessChecks} from './readiness-server.js';
 import {StoreContact} from './store-contact.js';
 import {StreamRun} from './stream-run.js';
@@ -47,8 +47,6 @@
 	readonly stop: () => Promise<void>;
 };
 
-/** How often a draining gateway checks whether all requests have ended, in milliseconds. */
-const drainCheckMs = 100;
 const readClock = () => performance.now();
 
 /** Starts a gateway; resolves once it is listening. If it can't listen, nothing of it is left running. */
@@ -75,22 +73,28 @@
 	const {store, engines, headers} = platform;
 	let drainTimes: DrainTimes | undefined;
 	const isStopping = () => drainTimes !== undefined;
+	const readLinkDelayMs = () => ownLink.delayMs;
 	const fleet: Fleet = new Fleet({
 		dataCentre: settings.dataCentre,
 		logger,
 		readClock,
 		countGateways: () => group.size,
+		readLinkDelayMs,
 	});
 	const recorder = new RequestRecorder(
 		logger,
 		readClock,
 		() => readClock() - fleet.readAt,
 	);
+	const ownLink = new OwnLink({recorder, lifeCycle, logger, readClock});
 	const peerLinks: PeerLinks = new PeerLinks({
 		listPeers: () => group.listPeers(),
 		onUpdate(state) {
 			peerSync.acceptUpdate(state);
 		},
+		recordLinkEvent(event) {
+			ownLink.record(event);
+		},
 		lifeCycle,
 		logger,
 		readClock,
@@ -185,6 +189,7 @@
 		logger,
 		lifeCycle,
 		readClock,
+		readLinkDelayMs,
 	});
 	const retryBudget = new RetryBudget(
 		settings,
@@ -197,6 +202,7 @@
 		recorder,
 		trySpendRetry: (service: ServiceName) => retryBudget.trySpendRetry(service),
 		readClock,
+		readLinkDelayMs,
 		isStopping,
 		drawRandom: Math.random,
 		registerStream: (stream: StreamRun) => monitor.register(stream),
@@ -274,17 +280,12 @@
 			});
 			publisher.publish();
 			void group.leave();
-			const endAt = computeEndAt(drainTimes);
-			const acceptUntil = computeAcceptUntil(drainTimes);
-			const isBusy = () =>
-				callers.countOpenRequests() > 0 || readClock() < acceptUntil;
-			while (isBusy() && readClock() < endAt) {
-				// Polls until all requests have ended.
-				// eslint-disable-next-line no-await-in-loop
-				await waitFor(drainCheckMs);
-			}
-
-			await callers.drain(endAt - readClock());
+			await waitForOpenRequests(
+				drainTimes,
+				() => callers.countOpenRequests(),
+				readClock,
+			);
+			await callers.drain(computeEndAt(drainTimes) - readClock());
 			logger.info('gateway.stopped', {
 				in_flight: callers.countOpenRequests(),
 			});
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -3,6 +3,7 @@
 import {
 	encodeValueFrame,
 	LifeCycle,
+	type LinkEvent,
 	type Logger,
 	parseAddress,
 } from 'bramleystage';
@@ -25,6 +26,8 @@
 	readonly logger: Logger;
 	readonly readClock: () => number;
 	readonly onUpdate: (state: PeerState) => void;
+	/** Receives what the connection shows of the own link's delay. */
+	readonly recordLinkEvent: (event: LinkEvent) => void;
 	/** Called once, when the connection has ended. */
 	readonly onEnd: () => void;
 };
@@ -37,10 +40,16 @@
 	readonly #socket: Socket;
 
 	constructor(private readonly options: PeerLinkOptions) {
-		const {address, readClock} = options;
+		const {address, readClock, recordLinkEvent} = options;
 		this.openedAt = readClock();
+		recordLinkEvent({
+			kind: 'pingSent',
+			peer: address,
+			sentAt: this.openedAt,
+		});
 		this.#socket = connect({...parseAddress(address), noDelay: true});
 		this.#socket.on('connect', () => {
+			this.#recordAnswer(this.openedAt, 0);
 			this.#sendPing();
 		});
 		this.#socket.on('error', (error) => {
@@ -51,6 +60,11 @@
 		});
 		this.#socket.on('close', () => {
 			void this.#lifeCycle.stop();
+			// An end after a silence may come from the own link, so its pings still count.
+			if (this.isAlive(readClock())) {
+				recordLinkEvent({kind: 'peerClosed', peer: address});
+			}
+
 			options.onEnd();
 		});
 		listenForFrames(this.#socket, (value) => {
@@ -63,6 +77,8 @@
 				return;
 			}
 
+			const {beatAt, heldMs} = update.value;
+			this.#recordAnswer(beatAt, heldMs);
 			this.state = applyPeerUpdate(this.state, update.value);
 			options.onUpdate(this.state);
 		});
@@ -91,7 +107,22 @@
 
 	#sendPing(): void {
 		if (this.#socket.writable && !this.#socket.connecting) {
-			this.#socket.write(encodeValueFrame({beatAt: this.options.readClock()}));
+			const beatAt = this.options.readClock();
+			this.options.recordLinkEvent({
+				kind: 'pingSent',
+				peer: this.options.address,
+				sentAt: beatAt,
+			});
+			this.#socket.write(encodeValueFrame({beatAt}));
 		}
 	}
+
+	#recordAnswer(sentAt: number, heldMs: number): void {
+		this.options.recordLinkEvent({
+			kind: 'pingRepeated',
+			peer: this.options.address,
+			sentAt,
+			heldMs,
+		});
+	}
 }
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -1,5 +1,5 @@
 /** The connections to the gateways that this one follows, and what they tell. */
-import type {LifeCycle, Logger} from 'bramleystage';
+import type {LifeCycle, LinkEvent, Logger} from 'bramleystage';
 import {PeerLink} from './peer-link.js';
 import {
 	isStalePeer,
@@ -15,6 +15,8 @@
 	/** Returns the addresses of the other gateways, sorted. */
 	readonly listPeers: () => readonly string[];
 	readonly onUpdate: (state: PeerState) => void;
+	/** Receives what the connections show of the own link's delay. */
+	readonly recordLinkEvent: (event: LinkEvent) => void;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
@@ -123,12 +125,13 @@
 	}
 
 	#open(address: string): void {
-		const {logger, readClock, onUpdate} = this.options;
+		const {logger, readClock, onUpdate, recordLinkEvent} = this.options;
 		const link: PeerLink = new PeerLink({
 			address,
 			logger,
 			readClock,
 			onUpdate,
+			recordLinkEvent,
 			onEnd: () => {
 				if (this.#links.get(address) === link) {
 					this.#links.delete(address);
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -48,6 +48,8 @@
 	readonly logger: Logger;
 	readonly lifeCycle: LifeCycle;
 	readonly readClock: () => number;
+	/** Returns the delay of the own network link, in milliseconds. */
+	readonly readLinkDelayMs: () => number;
 };
 
 export class StreamMonitor {
@@ -167,7 +169,7 @@
 		key: string,
 		streams: readonly StreamRun[],
 	): Promise<void> {
-		const {readClock, logger} = this.options;
+		const {readClock, readLinkDelayMs, logger} = this.options;
 		const [first] = streams[0]?.path ?? [];
 		const lastAt = this.#inspectedAt.get(key) ?? Number.NEGATIVE_INFINITY;
 		if (!first || readClock() - lastAt < inspectIntervalMs) {
@@ -184,6 +186,7 @@
 			streams: streams.length,
 			pause_ms: Math.round(this.#pauses.get(key) ?? 0),
 			suspects: suspects.join(','),
+			link_delay_ms: Math.round(readLinkDelayMs()) || undefined,
 		});
 		const now = readClock();
 		for (const stream of streams) {
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -736,6 +736,15 @@
 	recordPause,
 	removePause,
 } from './coordination/pauses.js';
+export {
+	applyLinkEvent,
+	computeLinkDelayMs,
+	createLinkDelay,
+	createLinkPace,
+	decideLinkPace,
+	type LinkEvent,
+	maxLinkDelayMs,
+} from './coordination/link-delay.js';
 export {computeReturnMs} from './coordination/return-time.js';
 export {
 	type AcceleratorKind,
