--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -1,14 +1,20 @@
 /** Engines that are silent or slow to report, without network. */
 import {
 	LifeCycle,
+	maxLinkDelayMs,
 	type PathStage,
 	toBackendId,
 	toDataCentreId,
+	waitFor,
 } from 'bramleystage';
-import {err} from 'neverthrow';
-import {afterEach, beforeEach, expect, test} from 'vitest';
+import {err, ok} from 'neverthrow';
+import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {Fleet} from '../fleet.js';
-import type {EngineFailure, EnginePort} from '../platform-port.js';
+import type {
+	EngineFailure,
+	EnginePort,
+	EngineReport,
+} from '../platform-port.js';
 import {StreamMonitor} from '../stream-monitor.js';
 import type {StreamRun} from '../stream-run.js';
 
@@ -36,12 +42,14 @@
 
 afterEach(async () => {
 	await lifeCycle.stop();
+	vi.useRealTimers();
 });
 
 /** Checks the second engine after a refusal named it; returns how often the path's stream failed over. */
 async function countFailOvers(
 	kind: EngineFailure['kind'],
 	silentMs: number,
+	linkDelayMs = 0,
 ): Promise<number> {
 	const readClock = () => now;
 	const fleet = new Fleet({
@@ -49,7 +57,7 @@
 		logger,
 		readClock,
 		countGateways: () => 1,
-		readLinkDelayMs: () => 0,
+		readLinkDelayMs: () => linkDelayMs,
 	});
 	const engines: Partial<EnginePort> = {
 		readReport: async () => err({kind, detail: 'no answer'}),
@@ -60,7 +68,7 @@
 		logger,
 		lifeCycle,
 		readClock,
-		readLinkDelayMs: () => 0,
+		readLinkDelayMs: () => linkDelayMs,
 	});
 	let failOvers = 0;
 	const stream: Partial<StreamRun> = {
@@ -86,3 +94,155 @@
 	expect(await countFailOvers('unreachable', 2 * pauseMs)).toBe(1);
 	expect(await countFailOvers('unreachable', pauseMs)).toBe(0);
 });
+
+const report: EngineReport = {
+	orderCount: 0,
+	isBusy: false,
+	queued: 0,
+	running: 1,
+	cacheUsed: 0,
+	cacheTotal: 100,
+	slowness: 1,
+	stalled: [],
+	bornAt: 1,
+	isLeaving: false,
+};
+
+type SilenceCase = {
+	readonly silentMs: number;
+	/** Time until the engine's report arrives, in milliseconds; infinite for a dead engine. */
+	readonly reportMs: number;
+	/** Delay of the own link, in milliseconds, some time after the begin. */
+	readonly readDelay: (elapsedMs: number) => number;
+	readonly hasEvents?: boolean;
+};
+
+/** Watches a stream of a fast path, which stays silent, over one inspection of its path. */
+async function runInspection({
+	silentMs,
+	reportMs,
+	readDelay,
+	hasEvents = true,
+}: SilenceCase) {
+	vi.useFakeTimers();
+	const readClock = () => performance.now();
+	const startedAt = readClock();
+	const readLinkDelayMs = () => readDelay(readClock() - startedAt);
+	const fleet = new Fleet({
+		dataCentre: toDataCentreId('a'),
+		logger,
+		readClock,
+		countGateways: () => 1,
+		readLinkDelayMs,
+	});
+	const timeouts: number[] = [];
+	const engines: Partial<EnginePort> = {
+		async readReport(_address, timeoutMs) {
+			timeouts.push(timeoutMs);
+			const isInTime = reportMs <= timeoutMs;
+			await waitFor(Math.min(reportMs, timeoutMs));
+			return isInTime
+				? ok(report)
+				: err({
+						kind: 'unreachable',
+						detail: `No answer within ${timeoutMs} ms.`,
+					});
+		},
+	};
+	const monitor = new StreamMonitor({
+		fleet,
+		engines: engines as EnginePort,
+		logger,
+		lifeCycle,
+		readClock,
+		readLinkDelayMs,
+	});
+	let failOvers = 0;
+	const stream: Partial<StreamRun> = {
+		path,
+		hasEvents,
+		lastProgressAt: startedAt - silentMs,
+		failOver() {
+			failOvers++;
+		},
+	};
+	const unregister = monitor.register(stream as StreamRun);
+	monitor.recordPause(path, 20);
+	// One check; without the stream there is no second inspection.
+	await vi.advanceTimersByTimeAsync(25);
+	unregister();
+	await vi.advanceTimersByTimeAsync(1000);
+	return {failOvers, isAvoided: fleet.health.isAvoided(path[0].id), timeouts};
+}
+
+test('streams that are silent no longer than the own link is delayed stay on their path', async () => {
+	const slow = await runInspection({
+		silentMs: 150,
+		reportMs: 200,
+		readDelay: () => 200,
+	});
+	expect(slow).toMatchObject({failOvers: 0, isAvoided: false});
+});
+
+test('streams leave a dead engine behind a sound link as soon as ever', async () => {
+	const dead = {reportMs: Number.POSITIVE_INFINITY, readDelay: () => 0};
+	const left = {failOvers: 1, isAvoided: true, timeouts: [150]};
+	expect(await runInspection({...dead, silentMs: 150})).toEqual(left);
+	// The check comes 20 ms after the begin.
+	expect(await runInspection({...dead, silentMs: 61})).toEqual(left);
+	const none = {failOvers: 0, isAvoided: false, timeouts: []};
+	expect(await runInspection({...dead, silentMs: 60})).toEqual(none);
+	const first = {...dead, hasEvents: false};
+	expect(await runInspection({...first, silentMs: 331})).toEqual(left);
+	expect(await runInspection({...first, silentMs: 330})).toEqual(none);
+});
+
+test('streams leave a dead engine behind a slow link later by no more than the delay', async () => {
+	const dead = {
+		reportMs: Number.POSITIVE_INFINITY,
+		readDelay: () => maxLinkDelayMs,
+	};
+	const left = {
+		failOvers: 1,
+		isAvoided: true,
+		timeouts: [150 + maxLinkDelayMs],
+	};
+	const limitMs = 60 + maxLinkDelayMs;
+	expect(await runInspection({...dead, silentMs: limitMs + 1})).toEqual(left);
+	expect(await runInspection({...dead, silentMs: limitMs})).toMatchObject({
+		failOvers: 0,
+		isAvoided: false,
+	});
+	const first = {...dead, hasEvents: false};
+	const firstMs = 330 + maxLinkDelayMs;
+	expect(await runInspection({...first, silentMs: firstMs + 1})).toEqual(left);
+	expect(await runInspection({...first, silentMs: firstMs})).toMatchObject({
+		failOvers: 0,
+		isAvoided: false,
+	});
+});
+
+test('a report that is late by the delay of the own link is no sign against its engine', async () => {
+	const late = await runInspection({
+		silentMs: 1000,
+		reportMs: 150 + 200,
+		readDelay: () => 200,
+	});
+	expect(late.isAvoided).toBe(false);
+});
+
+test('a link that becomes slow while a report is read is no sign against its engine', async () => {
+	const late = await runInspection({
+		silentMs: 100,
+		reportMs: 300,
+		readDelay: (elapsedMs) => (elapsedMs < 60 ? 0 : 200),
+	});
+	expect(late).toMatchObject({failOvers: 0, isAvoided: false});
+});
+
+test('streams stay with a faulty engine that is silent no longer than the own link is delayed', async () => {
+	expect(await countFailOvers('unreachable', 2 * pauseMs, 200)).toBe(0);
+	expect(await countFailOvers('unreachable', 2 * pauseMs + 200, 200)).toBe(1);
+	expect(await countFailOvers('lost', 3 * pauseMs, 200)).toBe(0);
+	expect(await countFailOvers('lost', 3 * pauseMs + 200, 200)).toBe(1);
+});
