Allow for the delay of the own link before engines count as silent

While the links of 13 gateways were full, these gateways avoided all engines, moved running streams onto engines that seemed lost too, and refused callers with 503. Connections (150 ms, 100 ms for plain services), reports (150 ms) and events took longer than their limits, and each limit took the delay of the own link for the death of the other side.

Each of these limits, and the one of path replacement, is now longer by the measured delay of the own link, 0 to 350 ms. If that delay has risen by more than 20 ms while a report was awaited, its lateness decides nothing, and the next inspection of the path waits for the longest time. Over a sound link all limits are as before.

The limits on silence move from stream-monitor.ts to path-silence.ts. stream-run.ts changes in one line, which passes the delay to its attempt.

--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -240,6 +240,15 @@
 	expect(late).toMatchObject({failOvers: 0, isAvoided: false});
 });
 
+test('the small variations of a sound link do not keep streams on a dead engine', async () => {
+	const left = await runInspection({
+		silentMs: 100,
+		reportMs: Number.POSITIVE_INFINITY,
+		readDelay: (elapsedMs) => (elapsedMs < 60 ? 0 : 5),
+	});
+	expect(left).toEqual({failOvers: 1, isAvoided: true, timeouts: [150]});
+});
+
 test('streams stay with a faulty engine that is silent no longer than the own link is delayed', async () => {
 	expect(await countFailOvers('unreachable', 2 * pauseMs, 200)).toBe(0);
 	expect(await countFailOvers('unreachable', 2 * pauseMs + 200, 200)).toBe(1);
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -60,7 +60,7 @@
 			describeBackend: (id) => ({
 				address: this.snapshots.value.backends.get(id)?.address,
 				list_age_ms: Math.round(options.readClock() - this.#readAt),
-				link_delay_ms: Math.round(options.readLinkDelayMs()) || undefined,
+				link_delay_ms: options.readLinkDelayMs() || undefined,
 			}),
 		});
 	}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -208,7 +208,8 @@
 		registerStream: (stream: StreamRun) => monitor.register(stream),
 		isUnreachable: ({id}: PathStage) => fleet.health.isUnreachable(id),
 		replacePath: engines.replacePath,
-		readReport: engines.readReport,
+		readReport: async (address: string, timeoutMs: number) =>
+			engines.readReport(address, timeoutMs + readLinkDelayMs()),
 		checkFaultyEngine(stage: PathStage) {
 			void monitor.checkFaultyEngine(stage);
 		},
--- a/packages/bramleystage-gateway/src/own-link.ts
+++ b/packages/bramleystage-gateway/src/own-link.ts
@@ -40,9 +40,11 @@
 		});
 	}
 
-	/** Delay of the own link at present, in milliseconds; 0 without followed gateways. */
+	/** Delay of the own link at present, in whole milliseconds; 0 without followed gateways. */
 	get delayMs(): number {
-		return computeLinkDelayMs(this.#delay, this.options.readClock());
+		return Math.round(
+			computeLinkDelayMs(this.#delay, this.options.readClock()),
+		);
 	}
 
 	record(event: LinkEvent): void {
@@ -50,14 +52,14 @@
 	}
 
 	#check(now: number): void {
-		const delayMs = computeLinkDelayMs(this.#delay, now);
+		const {delayMs} = this;
 		const {isSlow} = this.#pace;
 		this.#pace = decideLinkPace(this.#pace, delayMs, now);
 		if (this.#pace.isSlow === isSlow) {
 			return;
 		}
 
-		const fields = {delay_ms: Math.round(delayMs)};
+		const fields = {delay_ms: delayMs};
 		if (isSlow) {
 			this.options.logger.info('link.normal', fields);
 		} else {
--- a/packages/bramleystage-gateway/src/path-replacement.ts
+++ b/packages/bramleystage-gateway/src/path-replacement.ts
@@ -20,6 +20,8 @@
 	readonly recorder: RequestRecorder;
 	readonly replacePath: EnginePort['replacePath'];
 	readonly readClock: () => number;
+	/** Returns the delay of the own network link, in milliseconds. */
+	readonly readLinkDelayMs: () => number;
 };
 
 /** Formats the stages of a path for the log, as `host:port=from-to` separated by commas. */
@@ -48,7 +50,8 @@
 		first: PathStage,
 		suspects: ReadonlySet<BackendId>,
 	): Promise<PathStage[] | undefined> {
-		const {fleet, recorder, replacePath, readClock} = this.context;
+		const {fleet, recorder, replacePath, readClock, readLinkDelayMs} =
+			this.context;
 		const excluded = new Set([...suspects].filter((id) => id !== first.id));
 		const path = fleet.choosePathAfter(first, this.call.service, excluded);
 		const now = readClock();
@@ -64,7 +67,7 @@
 		const outcome = await replacePath(first.address, {
 			request: this.call.metadata.request,
 			path,
-			timeoutMs: replaceTimeoutMs,
+			timeoutMs: replaceTimeoutMs + readLinkDelayMs(),
 		});
 		const result = outcome.isOk() ? outcome.value : outcome.error.kind;
 		recorder.recordReplacement(this.call, formatStages(path), result);
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -21,7 +21,7 @@
 	type RunContext,
 } from './call-run.js';
 
-/** Timeout for opening a connection, in milliseconds; a live server accepts one within a few milliseconds. */
+/** Timeout for opening a connection over a sound link, in milliseconds; a live server accepts one within a few milliseconds. */
 const connectTimeoutMs = 100;
 /** Share of the target latency after which a repeatable request is hedged. */
 const hedgeDelayShare = 0.5;
@@ -84,7 +84,7 @@
 						priority: computePriority(call),
 					}),
 					body: call.body,
-					connectTimeoutMs,
+					connectTimeoutMs: connectTimeoutMs + context.readLinkDelayMs(),
 				},
 				{
 					onHead(head) {
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -14,7 +14,7 @@
 import type {Fleet} from './fleet.js';
 import type {HeaderPort} from './platform-port.js';
 
-/** Timeout for opening a connection, in milliseconds; a live engine accepts one within a few milliseconds. */
+/** Timeout for opening a connection over a sound link, in milliseconds; a live engine accepts one within a few milliseconds. */
 const connectTimeoutMs = 150;
 const streamStatus = 200;
 
@@ -25,6 +25,8 @@
 	readonly path: readonly PathStage[];
 	readonly first: PathStage;
 	readonly remainingMs: number;
+	/** Delay of the own network link, in milliseconds. */
+	readonly linkDelayMs: number;
 	/** Id of the last event that the caller received. */
 	readonly lastEvent?: string;
 	readonly handlers: AttemptHandlers;
@@ -70,7 +72,7 @@
 					lastEvent: options.lastEvent,
 				}),
 				body: call.body,
-				connectTimeoutMs,
+				connectTimeoutMs: connectTimeoutMs + options.linkDelayMs,
 			},
 			{
 				...handlers,
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -7,29 +7,31 @@
 	type BackendId,
 	type LifeCycle,
 	type Logger,
+	maxLinkDelayMs,
 	type PathStage,
 	splitBy,
 } from 'bramleystage';
 import type {Call} from './call.js';
 import type {Fleet} from './fleet.js';
+import {
+	computeSilenceLimits,
+	isPathSilent,
+	type SilenceLimits,
+} from './path-silence.js';
 import type {EnginePort} from './platform-port.js';
 import type {StreamRun} from './stream-run.js';
 
 /** How often the streams are checked, in milliseconds. */
 const checkIntervalMs = 20;
-/** Silence after which streams that had events leave a path, in milliseconds: a new path must start within the pause that users accept. */
-const minSilenceMs = 80;
-/** Multiple of the smoothed pause that counts as silence on a slow path. */
-const silencePauseFactor = 2.5;
-/** Multiple of the smoothed pause that counts as silence on a path with an engine that does not answer. */
-const faultyEnginePauseFactor = 1.3;
 /** Least time between two checks of an engine that refusals report as faulty, in milliseconds. */
 const faultyEngineCheckIntervalMs = 400;
-/** Silence after which streams without an event yet leave a path, in milliseconds; longer, as prefill of a long prompt takes time. */
-const firstEventSilenceMs = 350;
 /** Timeout for an engine's report, in milliseconds; a live engine answers within a few milliseconds. */
 const reportTimeoutMs = 150;
-/** Least time between two inspections of one path, in milliseconds. */
+/** By how much a timer may fire early, in milliseconds. */
+const timerPrecisionMs = 1;
+/** Rise of the own link's delay during a report that may have made it late, in milliseconds; a sound link varies by less. */
+const minDelayRiseMs = 20;
+/** Least time between two inspections of one path over a sound link, in milliseconds. */
 const inspectIntervalMs = 150;
 /** Smoothed pause below which a path counts as fast, in milliseconds. */
 const fastPauseMs = 60;
@@ -56,6 +58,8 @@
 	readonly #streams = new Set<StreamRun>();
 	/** Steady-clock time of the last inspection of each path or engine, in milliseconds. */
 	readonly #inspectedAt = new Map<string, number>();
+	/** Paths and engines whose last report may have been late only because of the own link. */
+	readonly #undecided = new Set<string>();
 	/** Smoothed pause between events of each path, in milliseconds. */
 	readonly #pauses = new Map<string, number>();
 	/** Smoothed pause between events of all paths, in milliseconds. */
@@ -102,7 +106,7 @@
 	 * answer, they do after a longer silence.
 	 */
 	async checkFaultyEngine({id, address}: PathStage): Promise<void> {
-		const {readClock, engines, fleet} = this.options;
+		const {readClock, fleet} = this.options;
 		const lastAt = this.#inspectedAt.get(id) ?? Number.NEGATIVE_INFINITY;
 		const isRecent = readClock() - lastAt < faultyEngineCheckIntervalMs;
 		if (isRecent || fleet.health.isPaused(id)) {
@@ -110,8 +114,8 @@
 		}
 
 		this.#inspectedAt.set(id, readClock());
-		const report = await engines.readReport(address, reportTimeoutMs);
-		if (report.isOk()) {
+		const report = await this.#readReport(id, address);
+		if (!report?.isErr()) {
 			return;
 		}
 
@@ -126,10 +130,8 @@
 		const now = readClock();
 		for (const stream of this.#streams) {
 			const isOnPath = stream.path.some((stage) => stage.id === id);
-			const key = formatPathKey(stream.path);
-			const limitMs = isUnreachable
-				? faultyEnginePauseFactor * (this.#pauses.get(key) ?? 0)
-				: this.#computeSilenceLimitMs(key);
+			const limits = this.#computeLimits(formatPathKey(stream.path));
+			const limitMs = isUnreachable ? limits.unreachableMs : limits.startedMs;
 			if (isOnPath && now - stream.lastProgressAt > limitMs) {
 				stream.failOver([id], 'An engine on the path does not answer.');
 			}
@@ -151,17 +153,16 @@
 		for (const [key, streams] of splitBy(active, ({path}) =>
 			formatPathKey(path),
 		)) {
-			if (isPathSilent(streams, this.#computeSilenceLimitMs(key), now)) {
+			if (isPathSilent(streams, this.#computeLimits(key), now)) {
 				void this.#handleSilence(key, streams);
 			}
 		}
 	}
 
-	/** Computes the silence after which a path counts as silent, in milliseconds. */
-	#computeSilenceLimitMs(key: string): number {
-		return Math.max(
-			minSilenceMs,
-			silencePauseFactor * (this.#pauses.get(key) ?? 0),
+	#computeLimits(key: string): SilenceLimits {
+		return computeSilenceLimits(
+			this.#pauses.get(key) ?? 0,
+			this.options.readLinkDelayMs(),
 		);
 	}
 
@@ -172,7 +173,8 @@
 		const {readClock, readLinkDelayMs, logger} = this.options;
 		const [first] = streams[0]?.path ?? [];
 		const lastAt = this.#inspectedAt.get(key) ?? Number.NEGATIVE_INFINITY;
-		if (!first || readClock() - lastAt < inspectIntervalMs) {
+		const intervalMs = inspectIntervalMs + readLinkDelayMs();
+		if (!first || readClock() - lastAt < intervalMs) {
 			return;
 		}
 
@@ -180,22 +182,27 @@
 		// If streams that had events have stopped, prefill on the path has stopped too.
 		const hadEvents = streams.some(({hasEvents}) => hasEvents);
 		const wasFast = (this.#pauses.get(key) ?? this.#overallPause) < fastPauseMs;
-		const suspects = await this.#findSuspects(first);
+		const suspects = await this.#findSuspects(key, first);
 		logger.warn('path.silent', {
 			first: first.address,
 			streams: streams.length,
 			pause_ms: Math.round(this.#pauses.get(key) ?? 0),
-			suspects: suspects.join(','),
-			link_delay_ms: Math.round(readLinkDelayMs()) || undefined,
+			suspects: suspects?.join(','),
+			link_delay_ms: readLinkDelayMs() || undefined,
 		});
+		if (!suspects) {
+			return;
+		}
+
 		const now = readClock();
+		const limits = this.#computeLimits(key);
 		for (const stream of streams) {
 			const isStreamSilent =
 				formatPathKey(stream.path) === key &&
 				now - stream.lastProgressAt >
 					(stream.hasEvents || hadEvents
-						? this.#computeSilenceLimitMs(key)
-						: firstEventSilenceMs);
+						? limits.startedMs
+						: limits.firstEventMs);
 			const path = stream.path.map(({id}) => id);
 			const isAffected = path.some((id) => suspects.includes(id));
 			// Without a suspect, streams leave a path only if it used to be fast: under load all paths are slow.
@@ -209,14 +216,21 @@
 		}
 	}
 
-	/** Reads from the first engine's report which engines do not answer. */
-	async #findSuspects({id, address}: PathStage): Promise<BackendId[]> {
-		const {engines, fleet} = this.options;
+	/** Reads from the first engine's report which engines do not answer; undefined if the own link may have delayed it. */
+	async #findSuspects(
+		key: string,
+		{id, address}: PathStage,
+	): Promise<BackendId[] | undefined> {
+		const {fleet} = this.options;
 		if (fleet.health.isPaused(id)) {
 			return [];
 		}
 
-		const report = await engines.readReport(address, reportTimeoutMs);
+		const report = await this.#readReport(key, address);
+		if (!report) {
+			return undefined;
+		}
+
 		if (report.isErr()) {
 			const {detail} = report.error;
 			fleet.health.recordFailure(id, 'unreachable', `No report: ${detail}`);
@@ -243,30 +257,30 @@
 
 		return suspects;
 	}
-}
 
-const formatPathKey = (path: readonly PathStage[]) =>
-	path.map(({id, layers}) => `${id}=${layers.to}`).join(',');
+	/**
+	 * Reads an engine's report for the inspection of a path or engine. Returns
+	 * undefined if the delay of the own link has risen meanwhile, so that the report
+	 * may still be under way; the next one then gets the longest time.
+	 */
+	async #readReport(key: string, address: string) {
+		const {engines, readClock, readLinkDelayMs} = this.options;
+		const startedAt = readClock();
+		const delayMs = this.#undecided.delete(key)
+			? maxLinkDelayMs
+			: readLinkDelayMs();
+		const timeoutMs = reportTimeoutMs + delayMs;
+		const report = await engines.readReport(address, timeoutMs);
+		const isLate = readClock() - startedAt >= timeoutMs - timerPrecisionMs;
+		const hasRisen = readLinkDelayMs() > delayMs + minDelayRiseMs;
+		if (report.isErr() && isLate && hasRisen) {
+			this.#undecided.add(key);
+			return undefined;
+		}
 
-/**
- * Whether the streams of one path have made no progress for too long. Streams
- * that had events on this path decide; those still in prefill count only if
- * there are no others.
- */
-function isPathSilent(
-	streams: readonly StreamRun[],
-	silenceLimitMs: number,
-	now: number,
-): boolean {
-	const started = streams.filter(({hasEvents}) => hasEvents);
-	const areStartedSilent = started.every(
-		({lastProgressAt}) => now - lastProgressAt > silenceLimitMs,
-	);
-	if (started.length > 0) {
-		return areStartedSilent;
+		return report;
 	}
-
-	return streams.some(
-		({lastProgressAt}) => now - lastProgressAt > firstEventSilenceMs,
-	);
 }
+
+const formatPathKey = (path: readonly PathStage[]) =>
+	path.map(({id, layers}) => `${id}=${layers.to}`).join(',');
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -132,6 +132,7 @@
 			path,
 			first,
 			remainingMs: this.remainingMs(),
+			linkDelayMs: context.readLinkDelayMs(),
 			lastEvent: this.#lastEvent,
 			handlers: {
 				onHead: (head) => {
