--- a/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
@@ -130,6 +130,7 @@
 		logger: silentLogger,
 		readClock,
 		countGateways: () => 3,
+		readLinkDelayMs: () => 0,
 	});
 
 /** What passes over the links of all peers of one test. */
