--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -5,12 +5,7 @@
  * first one is slow.
  */
 import type {AttemptOutcome, Backend, BackendId} from 'bramleystage';
-import {
-	type AnswerHead,
-	type Attempt,
-	type AttemptFailure,
-	openAttempt,
-} from './attempt.js';
+import {type AnswerHead, type Attempt, type AttemptFailure} from './attempt.js';
 import {type Call, computePriority} from './call.js';
 import {
 	CallRun,
@@ -20,6 +15,7 @@
 	replacedStatus,
 	type RunContext,
 } from './call-run.js';
+import {openTimedAttempt} from './timed-attempt.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live server accepts one within a few milliseconds. */
 const connectTimeoutMs = 100;
@@ -72,7 +68,7 @@
 				[{id: backend.id, layers: {from: 0, to: 0}}],
 				0,
 			),
-			attempt: openAttempt(
+			attempt: openTimedAttempt(
 				{
 					address: backend.address,
 					method: call.method,
@@ -84,7 +80,11 @@
 						priority: computePriority(call),
 					}),
 					body: call.body,
-					connectTimeoutMs: connectTimeoutMs + context.readLinkDelayMs(),
+				},
+				{
+					timeoutMs: connectTimeoutMs,
+					readLinkDelayMs: context.readLinkDelayMs,
+					readClock: context.readClock,
 				},
 				{
 					onHead(head) {
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -7,12 +7,12 @@
 	type AnswerHead,
 	type Attempt,
 	type AttemptHandlers,
-	openAttempt,
 } from './attempt.js';
 import {type Call, computePriority} from './call.js';
 import {EventSplitter} from './event-splitter.js';
 import type {Fleet} from './fleet.js';
 import type {HeaderPort} from './platform-port.js';
+import {openTimedAttempt} from './timed-attempt.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live engine accepts one within a few milliseconds. */
 const connectTimeoutMs = 150;
@@ -25,8 +25,9 @@
 	readonly path: readonly PathStage[];
 	readonly first: PathStage;
 	readonly remainingMs: number;
-	/** Delay of the own network link, in milliseconds. */
-	readonly linkDelayMs: number;
+	/** Returns the delay of the own network link, in milliseconds. */
+	readonly readLinkDelayMs: () => number;
+	readonly readClock: () => number;
 	/** Id of the last event that the caller received. */
 	readonly lastEvent?: string;
 	readonly handlers: AttemptHandlers;
@@ -58,7 +59,7 @@
 			);
 		}
 
-		this.#attempt = openAttempt(
+		this.#attempt = openTimedAttempt(
 			{
 				address: first.address,
 				method: call.method,
@@ -72,7 +73,11 @@
 					lastEvent: options.lastEvent,
 				}),
 				body: call.body,
-				connectTimeoutMs: connectTimeoutMs + options.linkDelayMs,
+			},
+			{
+				timeoutMs: connectTimeoutMs,
+				readLinkDelayMs: options.readLinkDelayMs,
+				readClock: options.readClock,
 			},
 			{
 				...handlers,
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -132,7 +132,8 @@
 			path,
 			first,
 			remainingMs: this.remainingMs(),
-			linkDelayMs: context.readLinkDelayMs(),
+			readLinkDelayMs: context.readLinkDelayMs,
+			readClock: context.readClock,
 			lastEvent: this.#lastEvent,
 			handlers: {
 				onHead: (head) => {
--- /dev/null
+++ b/packages/bramleystage-gateway/src/timed-attempt.ts
@@ -0,0 +1,73 @@
+/**
+ * Opens attempts whose time limit for the connection is longer by the delay of the
+ * own network link, as it is known when the limit is reached: the link may have
+ * become slow after the attempt began.
+ */
+import {maxLinkDelayMs} from 'bramleystage';
+import {
+	type Attempt,
+	type AttemptHandlers,
+	type AttemptRequest,
+	openAttempt,
+} from './attempt.js';
+
+/** By how much a timer may fire early, in milliseconds. */
+const timerPrecisionMs = 1;
+
+export type ConnectLimit = {
+	/** Time limit for opening a connection over a sound link, in milliseconds. */
+	readonly timeoutMs: number;
+	/** Returns the delay of the own network link, in milliseconds. */
+	readonly readLinkDelayMs: () => number;
+	readonly readClock: () => number;
+};
+
+/** Sends a request and reports its answer or failure to the handlers. */
+export function openTimedAttempt(
+	request: Omit<AttemptRequest, 'connectTimeoutMs'>,
+	{timeoutMs, readLinkDelayMs, readClock}: ConnectLimit,
+	handlers: AttemptHandlers,
+): Attempt {
+	const startedAt = readClock();
+	const attempt = openAttempt(
+		{...request, connectTimeoutMs: timeoutMs + maxLinkDelayMs},
+		{
+			...handlers,
+			onEnd() {
+				clearTimeout(timer);
+				handlers.onEnd();
+			},
+			onFail(failure) {
+				clearTimeout(timer);
+				handlers.onFail(failure);
+			},
+		},
+	);
+	const checkConnection = () => {
+		if (attempt.isSent()) {
+			return;
+		}
+
+		const waitedMs = readClock() - startedAt;
+		const leftMs = timeoutMs + readLinkDelayMs() - waitedMs;
+		if (leftMs > timerPrecisionMs) {
+			timer = setTimeout(checkConnection, leftMs);
+			return;
+		}
+
+		attempt.cancel();
+		handlers.onFail({
+			isSent: false,
+			detail: `No connection within ${Math.round(waitedMs)} ms.`,
+		});
+	};
+
+	let timer = setTimeout(checkConnection, timeoutMs);
+	return {
+		...attempt,
+		cancel() {
+			clearTimeout(timer);
+			attempt.cancel();
+		},
+	};
+}
