Tests of backend servers that send bytes without end

A stand-in on bare sockets sends heads, framing, bodies and events that never end, at the speed of the loopback, bounded to 160 MiB and 2.5 s a connection.

It does not bound spaces before a header's value, line breaks before a head, informational heads, zeros of a chunk size and many short chunk extensions. While informational heads arrive, a sound stream of another caller came late (2.8 s) or was cut.

--- /dev/null
+++ b/packages/bramleystage-gateway/src/__tests__/event-splitter.test.ts
@@ -0,0 +1,39 @@
+import {expect, test} from 'vitest';
+import {EventSplitter} from '../event-splitter.js';
+
+const toBytes = (text: string) => Buffer.from(text);
+
+/** Measures the time to take an event in pieces of the given size, in milliseconds. */
+function measureSplit(eventBytes: number, pieceBytes: number): number {
+	const splitter = new EventSplitter();
+	const piece = Buffer.alloc(pieceBytes, 'x');
+	const startedAt = performance.now();
+	for (let sent = 0; sent < eventBytes; sent += pieceBytes) {
+		splitter.append(piece);
+	}
+
+	return performance.now() - startedAt;
+}
+
+test('events in pieces of any size are the same', () => {
+	const text = ': hello\n\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda';
+	for (let size = 1; size <= text.length; size++) {
+		const splitter = new EventSplitter();
+		let bytes = '';
+		const ids: string[] = [];
+		for (let at = 0; at < text.length; at += size) {
+			const events = splitter.append(toBytes(text.slice(at, at + size)));
+			bytes += events?.bytes.toString() ?? '';
+			ids.push(...(events?.ids ?? []));
+		}
+
+		expect(bytes).toBe(text.slice(0, -'id: 3\nda'.length));
+		expect(ids).toEqual(['1', '2']);
+		expect(splitter.hasPartial).toBe(true);
+	}
+});
+
+test('the time for an event in small pieces grows with its length, not with its square', () => {
+	measureSplit(64 * 1024, 16);
+	expect(measureSplit(200 * 1024, 16)).toBeLessThan(200);
+});
--- a/packages/bramleystage-stand-ins/src/index.ts
+++ b/packages/bramleystage-stand-ins/src/index.ts
@@ -19,6 +19,16 @@
 	type StepOutput,
 } from './engine-schema.js';
 export {listStepInputs, SequenceStore} from './engine-sequences.js';
+export {
+	buildEndlessBodies,
+	buildEndlessHeads,
+	buildEndlessStreams,
+	type EndlessAnswer,
+	type EndlessConnection,
+	type EndlessServer,
+	type EndlessServerOptions,
+	startEndlessServer,
+} from './endless-server.js';
 export {
 	defaultLoadLagMs,
 	defaultMaxBatchSteps,
