Close connections whose bytes bring no answer

Callers of a request that must not be repeated waited for their deadline (504 after 5 s in the tests) while a server sent spaces before a header's value, line breaks or informational heads before a head, zeros of a chunk's size, or short chunk extensions. The connection stayed open at the speed of the network, and under informational heads other callers' sound streams were late or cut.

Cause: Node's parser bounds the bytes of one head and of one chunk extension, not these. Ruled out: counting informational heads alone, which leaves the other four.

--- a/packages/bramleystage-gateway/src/attempt.ts
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -4,7 +4,7 @@
  * closes idle connections cannot make it unclear whether the request ran.
  */
 import http, {type IncomingMessage} from 'node:http';
-import {listHeaders, parseAddress} from 'bramleystage';
+import {listHeaders, parseAddress, registerAnswerGuard} from 'bramleystage';
 import type {Headers} from './platform-port.js';
 
 export type AttemptRequest = {
@@ -90,6 +90,7 @@
 			clearTimeout(connectTimer);
 		});
 	});
+	const countBody = registerAnswerGuard(outgoing, fail);
 	outgoing.on('error', (error) => {
 		fail(error.message);
 	});
@@ -102,6 +103,9 @@
 			status: response.statusCode ?? 0,
 			headers: listHeaders(response),
 		});
+		response.on('data', (chunk: Buffer) => {
+			countBody(chunk.length);
+		});
 		listenForBody(response, handlers, {
 			isFinished: () => isFinished,
 			isComplete: () =>
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -548,6 +548,10 @@
 	formatAddress,
 	parseAddress,
 } from './transport/address.js';
+export {
+	maxFramingBytes,
+	registerAnswerGuard,
+} from './transport/answer-guard.js';
 export {
 	decodeFrameBody,
 	encodeFrame,
@@ -556,6 +560,7 @@
 	FrameDecoder,
 	maxFrameBytes,
 } from './transport/framing.js';
+export {GrowingBuffer} from './transport/growing-buffer.js';
 export {
 	HeartbeatScheduler,
 	type HeartbeatTiming,
