Bound answers that are held until they are complete

A server that sends chunks of one byte costs an object for each.

Cause: bodies were kept as lists of chunks without a bound. They are copied into one buffer now, bounded to 4 MiB an answer, each piece counting 64 bytes beside its own, and to 32 MiB for the process, past which the longest answer fails. The attempt fails as sent: another server for what may be repeated, else 502.

Ruled out: a bound by count of bytes alone; a chunk of one byte takes so long that 4 MiB of them reach the deadline.

--- a/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
@@ -46,6 +46,7 @@
 				headers: [['Host', 'test']],
 				body: Buffer.alloc(0),
 				connectTimeoutMs: 1000,
+				isHeld: () => false,
 			},
 			{
 				onHead: () => undefined,
--- a/packages/bramleystage-gateway/src/attempt.ts
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -5,6 +5,7 @@
  */
 import http, {type IncomingMessage} from 'node:http';
 import {listHeaders, parseAddress, registerAnswerGuard} from 'bramleystage';
+import {type HeldAnswer, HeldAnswers} from './held-answers.js';
 import type {Headers} from './platform-port.js';
 
 export type AttemptRequest = {
@@ -16,6 +17,8 @@
 	readonly body: Buffer;
 	/** Timeout for opening the connection, in milliseconds. */
 	readonly connectTimeoutMs: number;
+	/** Whether an answer of this status is held until it is complete, and its length bounded. */
+	readonly isHeld: (status: number) => boolean;
 };
 
 export type AttemptFailure = {
@@ -32,6 +35,7 @@
 /** Exactly one of `onEnd` and `onFail` is called, unless the attempt is cancelled. */
 export type AttemptHandlers = {
 	readonly onHead: (head: AnswerHead) => void;
+	/** A held answer arrives as one chunk. */
 	readonly onData: (chunk: Buffer) => void;
 	/** The answer is complete. */
 	readonly onEnd: () => void;
@@ -44,6 +48,8 @@
 	readonly isSent: () => boolean;
 };
 
+const heldAnswers = new HeldAnswers();
+
 /** Sends a request and reports its answer or failure to the handlers. */
 export function openAttempt(
 	request: AttemptRequest,
@@ -52,10 +58,15 @@
 	let isSent = false;
 	let isFinished = false;
 	let wasReset = false;
+	let held: HeldAnswer | undefined;
 	const finish = (action: () => void) => {
 		if (!isFinished) {
 			isFinished = true;
 			clearTimeout(connectTimer);
+			if (held) {
+				heldAnswers.remove(held);
+			}
+
 			action();
 		}
 	};
@@ -99,18 +110,36 @@
 			return;
 		}
 
-		handlers.onHead({
-			status: response.statusCode ?? 0,
-			headers: listHeaders(response),
-		});
-		response.on('data', (chunk: Buffer) => {
-			countBody(chunk.length);
-		});
-		listenForBody(response, handlers, {
-			isFinished: () => isFinished,
+		const status = response.statusCode ?? 0;
+		handlers.onHead({status, headers: listHeaders(response)});
+		if (!isFinished && request.isHeld(status)) {
+			held = heldAnswers.register(fail);
+		}
+
+		listenForBody(response, {
+			handleData(chunk) {
+				countBody(chunk.length);
+				if (isFinished) {
+					return;
+				}
+
+				if (held) {
+					heldAnswers.append(held, chunk);
+				} else {
+					handlers.onData(chunk);
+				}
+			},
+			handleEnd() {
+				finish(() => {
+					if (held) {
+						handlers.onData(held.body.take());
+					}
+
+					handlers.onEnd();
+				});
+			},
 			isComplete: () =>
 				response.complete && !(wasReset && isUnframed(response)),
-			finish,
 			fail,
 		});
 	});
@@ -127,22 +156,17 @@
 
 function listenForBody(
 	response: IncomingMessage,
-	handlers: AttemptHandlers,
 	state: {
-		isFinished: () => boolean;
+		handleData: (chunk: Buffer) => void;
 		isComplete: () => boolean;
-		finish: (action: () => void) => void;
+		handleEnd: () => void;
 		fail: (detail: string) => void;
 	},
 ) {
-	response.on('data', (chunk: Buffer) => {
-		if (!state.isFinished()) {
-			handlers.onData(chunk);
-		}
-	});
+	response.on('data', state.handleData);
 	response.on('end', () => {
 		if (state.isComplete()) {
-			state.finish(handlers.onEnd);
+			state.handleEnd();
 		} else {
 			state.fail('The answer was truncated.');
 		}
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -85,6 +85,7 @@
 					}),
 					body: call.body,
 					connectTimeoutMs,
+					isHeld: () => true,
 				},
 				{
 					onHead(head) {
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -71,6 +71,7 @@
 				}),
 				body: call.body,
 				connectTimeoutMs,
+				isHeld: (status) => status !== streamStatus,
 			},
 			{
 				...handlers,
