Bound a stream's events, and split them in linear time

Cause: EventSplitter concatenated what was pending with each piece. It searches only the new bytes now and collects them in a GrowingBuffer. An event, and the comments between two events with data, may have 256 KiB, a stream 16 MiB. Past that the attempt fails as one that was cut: the stream resumes elsewhere if it may, else it ends with 502 or incomplete.

Ruled out: the silence of the path alone; it lets a stream that must not be resumed wait, and events with data count as progress. EventSplitter gives a Result, which its tests unwrap.

--- a/packages/bramleystage-gateway/src/__tests__/event-splitter.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/event-splitter.test.ts
@@ -9,7 +9,7 @@
 	const piece = Buffer.alloc(pieceBytes, 'x');
 	const startedAt = performance.now();
 	for (let sent = 0; sent < eventBytes; sent += pieceBytes) {
-		splitter.append(piece);
+		splitter.append(piece)._unsafeUnwrap();
 	}
 
 	return performance.now() - startedAt;
@@ -22,7 +22,9 @@
 		let bytes = '';
 		const ids: string[] = [];
 		for (let at = 0; at < text.length; at += size) {
-			const events = splitter.append(toBytes(text.slice(at, at + size)));
+			const events = splitter
+				.append(toBytes(text.slice(at, at + size)))
+				._unsafeUnwrap();
 			bytes += events?.bytes.toString() ?? '';
 			ids.push(...(events?.ids ?? []));
 		}
@@ -37,3 +39,34 @@
 	measureSplit(64 * 1024, 16);
 	expect(measureSplit(200 * 1024, 16)).toBeLessThan(200);
 });
+
+test('an event, comments or a stream over its bound is an error', () => {
+	const countAccepted = (text: string) => {
+		const splitter = new EventSplitter();
+		let count = 0;
+		while (count < 20_000_000 && splitter.append(toBytes(text)).isOk()) {
+			count += text.length;
+		}
+
+		return count;
+	};
+
+	const event = 'x'.repeat(10_000);
+	expect(countAccepted(event)).toBeGreaterThan(250_000);
+	expect(countAccepted(event)).toBeLessThan(300_000);
+	const comments = `${': wait'.repeat(1000)}\n\n`;
+	expect(countAccepted(comments)).toBeGreaterThan(250_000);
+	expect(countAccepted(comments)).toBeLessThan(300_000);
+	const events = `${'data: x\n\n'.repeat(1000)}`;
+	expect(countAccepted(events)).toBeGreaterThan(16_000_000);
+	expect(countAccepted(events)).toBeLessThan(17_000_000);
+});
+
+test('comments between events with data are not added up', () => {
+	const splitter = new EventSplitter();
+	const comments = toBytes(`: ${'x'.repeat(100_000)}\n\n`);
+	for (let count = 0; count < 10; count++) {
+		expect(splitter.append(comments).isOk()).toBe(true);
+		expect(splitter.append(toBytes('data: x\n\n')).isOk()).toBe(true);
+	}
+});
--- a/packages/bramleystage-gateway/src/event-splitter.ts
+++ b/packages/bramleystage-gateway/src/event-splitter.ts
@@ -1,6 +1,19 @@
-/** Splits a `text/event-stream` into complete events, so that none is forwarded in part. */
+/**
+ * Splits a `text/event-stream` into complete events, so that none is forwarded in
+ * part, and bounds what a server may send. The time grows with the bytes alone:
+ * bytes of an incomplete event are searched once.
+ */
+import {GrowingBuffer} from 'bramleystage';
+import {err, ok, type Result} from 'neverthrow';
+import {pieceCostBytes} from './held-answers.js';
+
+/** Bytes of one event, and bytes of comments between two events with data. */
+const maxEventBytes = 256 * 1024;
+/** Bytes of a whole stream, with the costs of its pieces. */
+const maxStreamBytes = 16 * 1024 * 1024;
 
 const separator = Buffer.from('\n\n');
+const lineFeed = 0x0a;
 
 export type CompleteEvents = {
 	readonly bytes: Buffer;
@@ -11,34 +24,64 @@
 };
 
 export class EventSplitter {
-	#pending: Buffer = Buffer.alloc(0);
+	readonly #pending = new GrowingBuffer();
+	/** Bytes of complete events since the last one with data. */
+	#commentBytes = 0;
+	#streamBytes = 0;
 
 	/** Whether bytes of an incomplete event are buffered. */
 	get hasPartial(): boolean {
 		return this.#pending.length > 0;
 	}
 
-	/** Appends the next bytes; returns the events that are now complete, or undefined if there are none. */
-	append(chunk: Buffer): CompleteEvents | undefined {
-		const bytes =
-			this.#pending.length === 0
-				? chunk
-				: Buffer.concat([this.#pending, chunk]);
-		const last = bytes.lastIndexOf(separator);
-		if (last === -1) {
-			this.#pending = bytes;
-			return undefined;
+	/**
+	 * Appends the next bytes; returns the events that are now complete, undefined
+	 * if there are none, or which bound the stream exceeds.
+	 */
+	append(chunk: Buffer): Result<CompleteEvents | undefined, string> {
+		this.#streamBytes += chunk.length + pieceCostBytes;
+		const end = this.#findEnd(chunk);
+		const events = end === 0 ? undefined : this.#takeEvents(chunk, end);
+		if (end < chunk.length) {
+			this.#pending.append(chunk.subarray(end));
+		}
+
+		return this.#checkBounds().map(() => events);
+	}
+
+	/** Finds where the last complete event ends in the chunk; 0 if none does. */
+	#findEnd(chunk: Buffer): number {
+		const last = chunk.lastIndexOf(separator);
+		if (last !== -1) {
+			return last + separator.length;
+		}
+
+		const isSplitSeparator =
+			this.#pending.bytes.at(-1) === lineFeed && chunk[0] === lineFeed;
+		return isSplitSeparator ? 1 : 0;
+	}
+
+	#takeEvents(chunk: Buffer, end: number): CompleteEvents {
+		this.#pending.append(chunk.subarray(0, end));
+		const bytes = this.#pending.take();
+		const text = bytes.toString('latin1');
+		const hasData = /^data:/mv.test(text);
+		this.#commentBytes = hasData ? 0 : this.#commentBytes + bytes.length;
+		return {bytes, ids: listEventIds(text), hasData};
+	}
+
+	#checkBounds(): Result<void, string> {
+		if (this.#pending.length > maxEventBytes) {
+			return err(`An event is over ${maxEventBytes} bytes.`);
+		}
+
+		if (this.#commentBytes > maxEventBytes) {
+			return err(`Over ${maxEventBytes} bytes came without an event.`);
 		}
 
-		const end = last + separator.length;
-		this.#pending = bytes.subarray(end);
-		const complete = bytes.subarray(0, end);
-		const text = complete.toString('latin1');
-		return {
-			bytes: complete,
-			ids: listEventIds(text),
-			hasData: /^data:/mv.test(text),
-		};
+		return this.#streamBytes > maxStreamBytes
+			? err(`The stream is over ${maxStreamBytes} bytes.`)
+			: ok();
 	}
 }
 
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -211,7 +211,13 @@
 			return;
 		}
 
-		const events = active.splitter.append(chunk);
+		const split = active.splitter.append(chunk);
+		if (split.isErr()) {
+			this.#handleFailure(active, {isSent: true, detail: split.error});
+			return;
+		}
+
+		const events = split.value;
 		if (!events) {
 			return;
 		}
