Bound what an engine may send an agent beside outputs

While an engine sent a line, lines that are no output, empty lines or outputs of unknown steps without end, a step took 3.0 to 9.8 s to fail or the connection stayed open, and all bytes of a line were kept.

Cause: the lines came from readline, which has no bound and parses on; each line that is no output costs about 0.2 ms, most of it zod's error. An answer is given up now after 4 MiB or 1000 lines without an output for a pending step, and its steps are retried or fail as unknown like those of a lost connection. An offer and the answer to the end of a sequence may have 256 KiB.

Ruled out: 10,000 such lines; empty ones then took 7 s for three attempts.

--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -7,7 +7,6 @@
  * run.
  */
 import http from 'node:http';
-import readline from 'node:readline';
 import {
 	createFailure,
 	type HttpError,
@@ -29,6 +28,7 @@
 	type SequenceName,
 	type StepResult,
 } from './engine-steps.js';
+import {LineSplitter} from './line-splitter.js';
 
 const engineSchema = z.object({
 	model: modelNameSchema,
@@ -63,15 +63,22 @@
 const maxStepRequests = 3;
 /** How long outputs are still read after the timeout, in milliseconds. */
 const lateOutputGraceMs = 5000;
+/** Bytes of an offer, and of the answer to the end of a sequence. */
+const maxControlAnswerBytes = 256 * 1024;
+/** Bytes that may arrive without an output for a pending step, an incomplete line among them. */
+const maxUnusedBytes = 4 * 1024 * 1024;
+/** Lines that may arrive without one; late outputs of steps that were retried are some hundred. */
+const maxUnusedLines = 1000;
 const msPerSecond = 1000;
 
-const createConnections = (keepAlive: boolean) =>
-	new http.Agent({keepAlive, noDelay: true, timeout: idleConnectionMs});
+const connectionOptions = {noDelay: true, timeout: idleConnectionMs};
+const createStepConnections = () =>
+	new http.Agent({...connectionOptions, keepAlive: true});
 
 export class EngineClient {
 	/** Connections for steps; replaced when one of them seems unresponsive. */
-	#stepConnections = createConnections(true);
-	readonly #controlConnections = createConnections(false);
+	#stepConnections = createStepConnections();
+	readonly #controlConnections = new http.Agent(connectionOptions);
 	readonly #pendingSteps = new Map<string, PendingStep>();
 	#unsentSteps: PendingStep[] = [];
 	#pendingLayerTokens = 0;
@@ -89,6 +96,7 @@
 			url: `${this.url}/v1/engine`,
 			agent: this.#controlConnections,
 			timeoutMs: controlTimeoutMs,
+			maxBodyBytes: maxControlAnswerBytes,
 		});
 		if (response.isErr()) {
 			return undefined;
@@ -122,6 +130,7 @@
 			method: 'DELETE',
 			url: `${this.url}/v1/sequences/${name}`,
 			timeoutMs: controlTimeoutMs,
+			maxBodyBytes: maxControlAnswerBytes,
 		};
 		const response = await sendHttpRequest({
 			...request,
@@ -157,7 +166,7 @@
 		const maxTimesSent = Math.max(...batch.map(({timesSent}) => timesSent));
 		const abort = new AbortController();
 		let timer = setTimeout(() => {
-			this.#stepConnections = createConnections(true);
+			this.#stepConnections = createStepConnections();
 			this.#retryUnanswered(batch, createTimeoutError());
 			timer = setTimeout(() => {
 				abort.abort();
@@ -186,25 +195,51 @@
 
 		const {response, toHttpError} = opened.value;
 		try {
-			for await (const line of readline.createInterface({input: response})) {
-				this.#resolveLine(line);
-			}
-
-			return toHttpError(
-				new Error('The engine returned no output for the step.'),
-			);
+			const error = await this.#resolveLines(response);
+			return toHttpError(error);
 		} catch (error) {
 			return toHttpError(error as Error);
 		}
 	}
 
-	#resolveLine(line: string): void {
+	/**
+	 * Resolves steps by the lines of an answer; resolves to why the others have no
+	 * output. Leaving the loop closes the connection.
+	 */
+	async #resolveLines(response: AsyncIterable<Buffer>): Promise<Error> {
+		const lines = new LineSplitter();
+		let unusedBytes = 0;
+		let unusedLines = 0;
+		for await (const chunk of response) {
+			for (const line of lines.append(chunk)) {
+				const isUsed = this.#resolveLine(line);
+				unusedBytes = isUsed ? 0 : unusedBytes + line.length;
+				unusedLines = isUsed ? 0 : unusedLines + 1;
+				if (unusedLines > maxUnusedLines) {
+					return createExcessError();
+				}
+			}
+
+			if (unusedBytes + lines.pendingBytes > maxUnusedBytes) {
+				return createExcessError();
+			}
+		}
+
+		this.#resolveLine(lines.takeRest());
+		return new Error('The engine returned no output for the step.');
+	}
+
+	/** Resolves the pending step that a line has the output of; returns whether there is one. */
+	#resolveLine(line: string): boolean {
 		const output = parseOutputLine(line);
-		if (output) {
-			const pending = this.#pendingSteps.get(output.key);
-			this.#pendingSteps.delete(output.key);
-			pending?.resolve(output.result);
+		const pending = output && this.#pendingSteps.get(output.key);
+		if (!pending) {
+			return false;
 		}
+
+		this.#pendingSteps.delete(output.key);
+		pending.resolve(output.result);
+		return true;
 	}
 
 	/**
@@ -242,6 +277,9 @@
 	detail: 'The engine returned no output before the timeout.',
 });
 
+const createExcessError = () =>
+	new Error('The engine sent too much that is no output.');
+
 const createStepFailure = (error: HttpError) =>
 	createFailure('backendLost', `${error.kind}: ${error.detail}`, {
 		outcome: error.sent ? 'unknown' : 'not-run',
