Close an engine's kept connection when bytes arrive between answers

An engine that went on sending after a complete answer kept its connection to the agent open without end: the bytes were read and dropped, and as they came the connection never counted as idle. What callers saw of it was not measured.

Cause: Node's agent does not watch a kept connection for data. Any byte that arrives on one now closes it, and the next step has a new one. Ruled out: a connection for each request, as steps come for each token. Test: one of endless-answers.test.ts failed before and passes now.

--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -18,6 +18,7 @@
 } from 'bramleystage';
 import {err} from 'neverthrow';
 import * as z from 'zod';
+import {EngineConnections} from './engine-connections.js';
 import {
 	countLayerTokens,
 	createStepBody,
@@ -73,7 +74,7 @@
 
 const connectionOptions = {noDelay: true, timeout: idleConnectionMs};
 const createStepConnections = () =>
-	new http.Agent({...connectionOptions, keepAlive: true});
+	new EngineConnections({...connectionOptions, keepAlive: true});
 
 export class EngineClient {
 	/** Connections for steps; replaced when one of them seems unresponsive. */
