Refuse events whose id no header can hold

After an event with an id such as U+0001, a gateway that resumed the stream stopped on an uncaught exception ("Invalid character in header content"), and with it all its requests.

Cause: the id of the last event was sent on as a header of the next attempt, whose client throws. An id that is not printable text of 256 bytes at most now fails the attempt before its events are forwarded. Ruled out: the heads of answers; the parser refuses control characters there. Tests: "event-id" of endless-answers.test.ts ended with that exception before and passes now; event-splitter.test.ts has the ids.

--- a/packages/bramleystage-gateway/src/__tests__/event-splitter.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/event-splitter.test.ts
@@ -70,3 +70,10 @@
 		expect(splitter.append(toBytes('data: x\n\n')).isOk()).toBe(true);
 	}
 });
+
+test('an id that no header can hold is an error', () => {
+	for (const id of ['\u0001', 'é', 'x'.repeat(257)]) {
+		const event = toBytes(`id: ${id}\ndata: x\n\n`);
+		expect(new EventSplitter().append(event).isErr()).toBe(true);
+	}
+});
--- a/packages/bramleystage-gateway/src/event-splitter.ts
+++ b/packages/bramleystage-gateway/src/event-splitter.ts
@@ -12,6 +12,9 @@
 /** Bytes of a whole stream, with the costs of its pieces. */
 const maxStreamBytes = 16 * 1024 * 1024;
 
+/** Ids that a later attempt can name in a header. */
+const idPattern = /^[ -~]{0,256}$/v;
+
 const separator = Buffer.from('\n\n');
 const lineFeed = 0x0a;
 
@@ -46,6 +49,10 @@
 			this.#pending.append(chunk.subarray(end));
 		}
 
+		if (events && !events.ids.every((id) => idPattern.test(id))) {
+			return err('The id of an event is not printable text.');
+		}
+
 		return this.#checkBounds().map(() => events);
 	}
 
--- a/packages/bramleystage-stand-ins/src/endless-server.ts
+++ b/packages/bramleystage-stand-ins/src/endless-server.ts
@@ -86,6 +86,7 @@
 		'one-event': {start: `${head}id: 1\ndata: `, filler: 'x'},
 		'one-event-of-lines': {start: `${head}id: 1\n`, filler: 'data: x\n'},
 		comments: {start: head, filler: ': wait\n\n'},
+		'event-id': {start: `${head}id: \u0001\ndata: x\n\n`, filler: ': wait\n\n'},
 		events: {start: head, filler: 'data: x\n\n'},
 		'error-body': {start: buildHeadOfStatus(500, marks), filler: 'x'},
 		'refusal-body': {start: buildHeadOfStatus(503, marks), filler: 'x'},
