Fail attempts whose answer has a status below 200

The client of Node gives answers of status 000 to 199 as complete ones, which an answer to a caller cannot have: writing such a head throws (below 100) or starts no answer. They fail the attempt as sent now.

--- a/packages/bramleystage-gateway/src/attempt.ts
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -48,6 +48,9 @@
 	readonly isSent: () => boolean;
 };
 
+/** Lowest status that ends a request. */
+const minStatus = 200;
+
 const heldAnswers = new HeldAnswers();
 
 /** Sends a request and reports its answer or failure to the handlers. */
@@ -111,6 +114,11 @@
 		}
 
 		const status = response.statusCode ?? 0;
+		if (status < minStatus) {
+			fail(`Status ${status} ends no request.`);
+			return;
+		}
+
 		handlers.onHead({status, headers: listHeaders(response)});
 		if (!isFinished && request.isHeld(status)) {
 			held = heldAnswers.register(fail);
