--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -80,6 +80,7 @@
 						priority: computePriority(call),
 					}),
 					body: call.body,
+					isHeld: () => true,
 				},
 				{
 					timeoutMs: connectTimeoutMs,
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -73,6 +73,7 @@
 					lastEvent: options.lastEvent,
 				}),
 				body: call.body,
+				isHeld: (status) => status !== streamStatus,
 			},
 			{
 				timeoutMs: connectTimeoutMs,
