Close connections of HTTP calls whose bytes bring no answer

An engine's report or order and a service's or an engine's answer to an agent could send spaces before a header's value, line breaks, zeros of a chunk's size or short chunk extensions without end at the speed of the network: Node's parser does not bound these. Each call ended only at its time limit, and the process was busy until then. The guard of the gateway's attempts watches the common HTTP client as well.

--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -194,9 +194,9 @@
 			return opened.error;
 		}
 
-		const {response, toHttpError} = opened.value;
+		const {response, toHttpError, countBody} = opened.value;
 		try {
-			const error = await this.#resolveLines(response);
+			const error = await this.#resolveLines(response, countBody);
 			return toHttpError(error);
 		} catch (error) {
 			return toHttpError(error as Error);
@@ -207,11 +207,15 @@
 	 * Resolves steps by the lines of an answer; resolves to why the others have no
 	 * output. Leaving the loop closes the connection.
 	 */
-	async #resolveLines(response: AsyncIterable<Buffer>): Promise<Error> {
+	async #resolveLines(
+		response: AsyncIterable<Buffer>,
+		countBody: (bytes: number) => void,
+	): Promise<Error> {
 		const lines = new LineSplitter();
 		let unusedBytes = 0;
 		let unusedLines = 0;
 		for await (const chunk of response) {
+			countBody(chunk.length);
 			for (const line of lines.append(chunk)) {
 				const isUsed = this.#resolveLine(line);
 				unusedBytes = isUsed ? 0 : unusedBytes + line.length;
--- a/packages/bramleystage/src/transport/http-client.ts
+++ b/packages/bramleystage/src/transport/http-client.ts
@@ -4,6 +4,7 @@
  */
 import http, {type Agent, type IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {registerAnswerGuard} from './answer-guard.js';
 
 export type HttpRequest = {
 	readonly method: string;
@@ -57,13 +58,14 @@
 		return err(opened.error);
 	}
 
-	const {response, toHttpError} = opened.value;
+	const {response, toHttpError, countBody} = opened.value;
 	const chunks: Buffer[] = [];
 	let size = 0;
 	const limit = options.maxBodyBytes ?? defaultMaxBodyBytes;
 	try {
 		for await (const chunk of response as AsyncIterable<Buffer>) {
 			size += chunk.length;
+			countBody(chunk.length);
 			if (size > limit) {
 				response.destroy();
 				return err({
@@ -93,6 +95,8 @@
 export type OpenHttpResponse = {
 	readonly response: IncomingMessage;
 	readonly toHttpError: (error: Error) => HttpError;
+	/** Must be told each length of the body that is read. */
+	readonly countBody: (bytes: number) => void;
 };
 
 /** Sends a request and resolves when the headers of the response have arrived. */
@@ -121,6 +125,9 @@
 			timeoutDetail ??= detail;
 			request.destroy(new Error(detail));
 		});
+		const countBody = registerAnswerGuard(request, (detail) => {
+			request.destroy(new Error(detail));
+		});
 		request.on('close', () => {
 			limits.stop();
 		});
@@ -142,7 +149,7 @@
 			resolve(err(toHttpError(error)));
 		});
 		request.on('response', (response) => {
-			resolve(ok({response, toHttpError}));
+			resolve(ok({response, toHttpError, countBody}));
 		});
 		request.end(options.body);
 	});
