Ask all other peers before one that failed is asked again

With two peers, the queries for the list and for the configuration took turns in one count, so that the one for the configuration went to the same peer each time. If that one had stalled or sent its bytes too slowly, it was asked again at once. Seen in a run of the package's tests: 'a peer that trickles is left for the next one' failed at 4.5 s, once in the whole run and twice of two when run alone.

Each subject has a count of its own. The new test asks two peers of which either one stalls: three transfers were begun, of which two were to the stalled peer; now at most two. It fails before this change, as the test above does, and both pass after it.

--- a/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
@@ -170,6 +170,24 @@
 	expect(record).toMatchObject({maxInFlight: 1, begun: 2});
 });
 
+// Guards against a bad peer that is asked again while there are others.
+test('a peer that stalled is asked again only after all others', async () => {
+	for (const stalling of [0, 1]) {
+		const {record, follower, slowPeers} = await startGateway(
+			[0, 1].map((index) =>
+				index === stalling ? {fault: 'stall' as const} : {answerMs: 100},
+			),
+		);
+		publish(slowPeers, 7);
+
+		await waitUntil(
+			() => follower.configurations.value?.version === 7,
+			inForceMs,
+		);
+		expect(record.begun).toBeLessThanOrEqual(2);
+	}
+});
+
 // Guards against a peer whose bytes come too slowly ever to make up a configuration.
 test('a peer that trickles is left for the next one', async () => {
 	const {record, follower, slowPeers} = await startGateway([
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -42,7 +42,8 @@
 };
 
 export class PeerSync {
-	#queryNumber = 0;
+	/** Number of queries for each subject; each peer is queried once before any is again. */
+	readonly #queryCounts: Record<Subject, number> = {configuration: 0, list: 0};
 	/** Cancels the queries under way. */
 	readonly #rounds = new Map<Subject, AbortController>();
 	/** Time after which a configuration under way must be worth waiting for, in milliseconds; it doubles with each one that was not. */
@@ -132,8 +133,8 @@
 		const count = Math.min(peersPerRound, peers.length);
 		try {
 			for (let index = 0; index < count && isWanted(readClock()); index++) {
-				this.#queryNumber++;
-				const address = peers[this.#queryNumber % peers.length] ?? '';
+				const address = peers[this.#queryCounts[subject] % peers.length] ?? '';
+				this.#queryCounts[subject]++;
 				// One peer is queried at a time.
 				// eslint-disable-next-line no-await-in-loop
 				const isDone = await this.#queryPeer(
