Send configurations between gateways compressed

A configuration between gateways repeats the keys of each route, and was encoded for each query anew. A query now says whether its sender reads the compressed form: a deflated frame, made once for each configuration off the event loop and kept as long as the configuration is. A query of an older build has no such field and gets the plain form; the plain answer of an older build is read as before. What inflates to more than a frame may have is refused without being held.

The test configurations' names come from a hash: the former generator repeated itself, which a compression finds.

--- a/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
@@ -2,6 +2,7 @@
  * A gateway that answers peers, behind a relay that passes on each large answer
  * slowly, or a part of it only, as a full link or a paused process does.
  */
+import {createHash} from 'node:crypto';
 import {once} from 'node:events';
 import {connect, createServer, type AddressInfo} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
@@ -33,14 +34,16 @@
 	debug: () => undefined,
 };
 
-/** Draws a name of 12 letters, the same ones in each run. */
+/** Draws names of 12 letters, the same ones in each run. */
 function createNameSource(): () => string {
-	let state = 42;
-	return () =>
-		Array.from({length: 12}, () => {
-			state = (state * 1_103_515_245 + 12_345) % 2 ** 31;
-			return String.fromCodePoint(97 + (Math.floor(state / 65_536) % 26));
-		}).join('');
+	let count = 0;
+	return () => {
+		count++;
+		const bytes = createHash('sha256').update(String(count)).digest();
+		return String.fromCodePoint(
+			...bytes.subarray(0, 12).map((byte) => 97 + (byte % 26)),
+		);
+	};
 }
 
 /** Builds a configuration whose routes have hosts, paths and targets of random names. */
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -9,6 +9,7 @@
 import {
 	type Backend,
 	encodeValueFrame,
+	type Failure,
 	type LifeCycle,
 	type Logger,
 	parseAddress,
@@ -16,6 +17,7 @@
 } from 'bramleystage';
 import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
+import {ConfigurationEncoder, decodeCompressed} from './configuration-codec.js';
 import {checkValue, listenForFrames, readFrameBytes} from './peer-frames.js';
 import {backendSchema, type Ping, pingSchema} from './peer-update.js';
 
@@ -24,6 +26,8 @@
 	version: z.int(),
 	/** Age of the sender's list, in milliseconds, or null if it has none; the answer has a list only if it is newer. */
 	listAgeMs: z.number().nullable(),
+	/** Whether a configuration may come compressed; absent from gateways of older builds. */
+	acceptsCompressed: z.boolean().optional(),
 });
 
 /** Checks only the outer shape of a configuration, as peers run the same program. */
@@ -42,6 +46,10 @@
 	listAgeMs: z.number().nullable(),
 	isStopping: z.boolean(),
 	configuration: configurationSchema.optional(),
+	/** Stands in for `configuration` (configuration-codec.ts). */
+	compressedConfiguration: z
+		.custom<Uint8Array>((value) => value instanceof Uint8Array)
+		.optional(),
 	list: z
 		.object({backends: z.array(backendSchema), ageMs: z.number()})
 		.optional(),
@@ -50,6 +58,7 @@
 const requestSchema = z.union([pingSchema, querySchema]);
 
 export type PeerQuery = z.infer<typeof querySchema>;
+type WireAnswer = z.infer<typeof answerSchema>;
 export type PeerAnswer = {
 	/** Time since the list was read from the store, in milliseconds; null if never. */
 	readonly listAgeMs: number | null;
@@ -82,6 +91,7 @@
 	logger: Logger,
 ): Promise<void> {
 	const sockets = new Set<Socket>();
+	const encoder = new ConfigurationEncoder();
 	const server = createServer((socket) => {
 		sockets.add(socket);
 		socket.setNoDelay(true);
@@ -104,7 +114,10 @@
 			} else if ('beatAt' in request.value) {
 				handlers.acceptPing(socket, request.value);
 			} else {
-				socket.end(encodeValueFrame(handlers.answer(request.value)));
+				const answer = handlers.answer(request.value);
+				void buildWireAnswer(request.value, answer, encoder, logger).then(
+					(built) => socket.end(encodeValueFrame(built)),
+				);
 			}
 		});
 	});
@@ -121,6 +134,42 @@
 	});
 }
 
+/** Compresses the configuration of an answer if the sender of the query can read that. */
+async function buildWireAnswer(
+	query: PeerQuery,
+	answer: PeerAnswer,
+	encoder: ConfigurationEncoder,
+	logger: Logger,
+): Promise<PeerAnswer | WireAnswer> {
+	const {configuration, ...others} = answer;
+	if (!configuration || !query.acceptsCompressed) {
+		return answer;
+	}
+
+	const encoded = await encoder.encode(configuration);
+	if (encoded.isErr()) {
+		logger.warn('configuration.uncompressed', {detail: encoded.error.detail});
+		return answer;
+	}
+
+	return {...others, compressedConfiguration: encoded.value};
+}
+
+/** Gives an answer its configuration if that came compressed. */
+async function decodeAnswer({
+	compressedConfiguration,
+	...answer
+}: WireAnswer): Promise<Result<PeerAnswer, Failure>> {
+	if (!compressedConfiguration) {
+		return ok(answer);
+	}
+
+	const value = await decodeCompressed(compressedConfiguration);
+	return value
+		.andThen((decoded) => checkValue(decoded, configurationSchema))
+		.map((configuration) => ({...answer, configuration}));
+}
+
 export type PeerQueryOptions = {
 	/** Time after which an answer under way must be worth waiting for, in milliseconds. */
 	readonly spanMs?: number;
@@ -156,7 +205,7 @@
 	const socket = connect({...parseAddress(address), noDelay: true, signal});
 	let answerBytes: number | undefined;
 	let spanTimer: NodeJS.Timeout | undefined;
-	const answer = await new Promise<Result<PeerAnswer, PeerQueryFailure>>(
+	const answer = await new Promise<Result<WireAnswer, PeerQueryFailure>>(
 		(resolve) => {
 			const fail = (detail: string) => {
 				const arrivedBytes = socket.bytesRead;
@@ -208,5 +257,13 @@
 	);
 	clearInterval(spanTimer);
 	socket.destroy();
-	return answer;
+	if (answer.isErr()) {
+		return err(answer.error);
+	}
+
+	const decoded = await decodeAnswer(answer.value);
+	return decoded.mapErr(({detail}) => ({
+		detail,
+		arrivedBytes: socket.bytesRead,
+	}));
 }
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -189,7 +189,11 @@
 	#buildQuery(subject: Subject, now: number): PeerQuery {
 		const {follower, fleet} = this.options;
 		return subject === 'configuration'
-			? {version: follower.configurations.value?.version ?? -1, listAgeMs: 0}
+			? {
+					version: follower.configurations.value?.version ?? -1,
+					listAgeMs: 0,
+					acceptsCompressed: true,
+				}
 			: {
 					version: Number.MAX_SAFE_INTEGER,
 					listAgeMs: Number.isFinite(fleet.readAt) ? now - fleet.readAt : null,
