Begin the queries of each gateway at another peer

Gateways that lose the store together began their queries at the first of the same sorted list, so that one peer's link carried the configuration for all of them. Each now begins at a peer that it draws when it starts. The new test of three gateways that draw different places fails before this change, with the first peer asked by all three, and passes after it.

--- a/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
@@ -33,7 +33,10 @@
 /** Starts peers, and one gateway that gets everything from them. */
 async function startGateway(
 	peers: ReadonlyArray<Partial<SlowPeerOptions>>,
-	isStoreLoading = false,
+	{
+		isStoreLoading = false,
+		drawRandom = () => 0,
+	}: {isStoreLoading?: boolean; drawRandom?: () => number} = {},
 ) {
 	const record = createLinkRecord();
 	const slowPeers: SlowPeer[] = await Promise.all(
@@ -63,6 +66,7 @@
 		lifeCycle,
 		logger,
 		readClock,
+		drawRandom,
 	});
 	return {record, follower, fleet, slowPeers, logged, startedAt: readClock()};
 }
@@ -209,10 +213,9 @@
 
 // Guards against copies from peers beside the same configuration from the store.
 test('no configuration is asked of peers while the store is loading one', async () => {
-	const {record, follower, fleet, slowPeers} = await startGateway(
-		[{}, {}],
-		true,
-	);
+	const {record, follower, fleet, slowPeers} = await startGateway([{}, {}], {
+		isStoreLoading: true,
+	});
 	publish(slowPeers, 7);
 	await waitUntil(() => fleet.hasBackends, inForceMs);
 	await wait(600);
@@ -234,3 +237,24 @@
 	await wait(600);
 	expect(record).toMatchObject({begun: 1, endedAt: []});
 });
+
+// Guards against one gateway whose link is full because all others ask it first.
+test('gateways that lose the store together ask different peers first', async () => {
+	const asked: number[] = [];
+	for (const place of [0, 0.3, 0.7]) {
+		const {follower, slowPeers} = await startGateway(
+			[0, 1, 2].map((index) => ({
+				answerMs: 100,
+				onLargeAnswer: () => asked.push(index),
+			})),
+			{drawRandom: () => place},
+		);
+		publish(slowPeers, 7);
+		await waitUntil(
+			() => follower.configurations.value?.version === 7,
+			inForceMs,
+		);
+	}
+
+	expect(asked).toEqual([0, 0, 2]);
+});
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -39,9 +39,13 @@
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
+	/** Returns a number from 0 to below 1, for the first peer that is queried. */
+	readonly drawRandom?: () => number;
 };
 
 export class PeerSync {
+	/** Place of the first peer that is queried among all peers, 0 to 1: gateways that lose the store together do not all query the same one. */
+	readonly #firstPlace: number;
 	/** Number of queries for each subject; each peer is queried once before any is again. */
 	readonly #queryCounts: Record<Subject, number> = {configuration: 0, list: 0};
 	/** Cancels the queries under way. */
@@ -50,7 +54,8 @@
 	#configurationSpanMs = answerSpanMs;
 
 	constructor(private readonly options: PeerSyncOptions) {
-		const {follower, lifeCycle, readClock} = options;
+		const {follower, lifeCycle, readClock, drawRandom = Math.random} = options;
+		this.#firstPlace = drawRandom();
 		lifeCycle.registerInterval(queryIntervalMs, () => {
 			const now = readClock();
 			void this.#runRound('configuration', now);
@@ -133,7 +138,9 @@
 		const count = Math.min(peersPerRound, peers.length);
 		try {
 			for (let index = 0; index < count && isWanted(readClock()); index++) {
-				const address = peers[this.#queryCounts[subject] % peers.length] ?? '';
+				const first = Math.floor(this.#firstPlace * peers.length);
+				const address =
+					peers[(first + this.#queryCounts[subject]) % peers.length] ?? '';
 				this.#queryCounts[subject]++;
 				// One peer is queried at a time.
 				// eslint-disable-next-line no-await-in-loop
