--- a/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
@@ -25,9 +25,12 @@
 const readClock = () => performance.now();
 
 let lifeCycle = new LifeCycle();
+/** What failed queries of the running test saw. */
+const unfinished: unknown[] = [];
 afterEach(async () => {
 	await lifeCycle.stop();
 	lifeCycle = new LifeCycle();
+	unfinished.length = 0;
 });
 
 /** Starts peers, and one gateway that gets everything from them. */
@@ -83,7 +86,9 @@
 	const until = readClock() + maxMs;
 	while (!condition()) {
 		if (readClock() > until) {
-			throw new Error(`Not so within ${maxMs} ms.`);
+			throw new Error(
+				`Not so within ${maxMs} ms. ${JSON.stringify(unfinished)}`,
+			);
 		}
 
 		await wait(5);
