--- a/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
@@ -25,15 +25,21 @@
 const readClock = () => performance.now();
 
 let lifeCycle = new LifeCycle();
+/** What failed queries of the running test saw. */
+const unfinished: unknown[] = [];
 afterEach(async () => {
 	await lifeCycle.stop();
 	lifeCycle = new LifeCycle();
+	unfinished.length = 0;
 });
 
 /** Starts peers, and one gateway that gets everything from them. */
 async function startGateway(
 	peers: ReadonlyArray<Partial<SlowPeerOptions>>,
-	isStoreLoading = false,
+	{
+		isStoreLoading = false,
+		drawRandom = () => 0,
+	}: {isStoreLoading?: boolean; drawRandom?: () => number} = {},
 ) {
 	const record = createLinkRecord();
 	const slowPeers: SlowPeer[] = await Promise.all(
@@ -63,6 +69,7 @@
 		lifeCycle,
 		logger,
 		readClock,
+		drawRandom,
 	});
 	return {record, follower, fleet, slowPeers, logged, startedAt: readClock()};
 }
@@ -79,7 +86,9 @@
 	const until = readClock() + maxMs;
 	while (!condition()) {
 		if (readClock() > until) {
-			throw new Error(`Not so within ${maxMs} ms.`);
+			throw new Error(
+				`Not so within ${maxMs} ms. ${JSON.stringify(unfinished)}`,
+			);
 		}
 
 		await wait(5);
@@ -170,6 +179,24 @@
 	expect(record).toMatchObject({maxInFlight: 1, begun: 2});
 });
 
+// Guards against a bad peer that is asked again while there are others.
+test('a peer that stalled is asked again only after all others', async () => {
+	for (const stalling of [0, 1]) {
+		const {record, follower, slowPeers} = await startGateway(
+			[0, 1].map((index) =>
+				index === stalling ? {fault: 'stall' as const} : {answerMs: 100},
+			),
+		);
+		publish(slowPeers, 7);
+
+		await waitUntil(
+			() => follower.configurations.value?.version === 7,
+			inForceMs,
+		);
+		expect(record.begun).toBeLessThanOrEqual(2);
+	}
+});
+
 // Guards against a peer whose bytes come too slowly ever to make up a configuration.
 test('a peer that trickles is left for the next one', async () => {
 	const {record, follower, slowPeers} = await startGateway([
@@ -191,10 +218,9 @@
 
 // Guards against copies from peers beside the same configuration from the store.
 test('no configuration is asked of peers while the store is loading one', async () => {
-	const {record, follower, fleet, slowPeers} = await startGateway(
-		[{}, {}],
-		true,
-	);
+	const {record, follower, fleet, slowPeers} = await startGateway([{}, {}], {
+		isStoreLoading: true,
+	});
 	publish(slowPeers, 7);
 	await waitUntil(() => fleet.hasBackends, inForceMs);
 	await wait(600);
@@ -216,3 +242,24 @@
 	await wait(600);
 	expect(record).toMatchObject({begun: 1, endedAt: []});
 });
+
+// Guards against one gateway whose link is full because all others ask it first.
+test('gateways that lose the store together ask different peers first', async () => {
+	const asked: number[] = [];
+	for (const place of [0, 0.3, 0.7]) {
+		const {follower, slowPeers} = await startGateway(
+			[0, 1, 2].map((index) => ({
+				answerMs: 100,
+				onLargeAnswer: () => asked.push(index),
+			})),
+			{drawRandom: () => place},
+		);
+		publish(slowPeers, 7);
+		await waitUntil(
+			() => follower.configurations.value?.version === 7,
+			inForceMs,
+		);
+	}
+
+	expect(asked).toEqual([0, 0, 2]);
+});
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -39,17 +39,23 @@
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
+	/** Returns a number from 0 to below 1, for the first peer that is queried. */
+	readonly drawRandom?: () => number;
 };
 
 export class PeerSync {
-	#queryNumber = 0;
+	/** Place of the first peer that is queried among all peers, 0 to 1: gateways that lose the store together do not all query the same one. */
+	readonly #firstPlace: number;
+	/** Number of queries for each subject; each peer is queried once before any is again. */
+	readonly #queryCounts: Record<Subject, number> = {configuration: 0, list: 0};
 	/** Cancels the queries under way. */
 	readonly #rounds = new Map<Subject, AbortController>();
 	/** Time after which a configuration under way must be worth waiting for, in milliseconds; it doubles with each one that was not. */
 	#configurationSpanMs = answerSpanMs;
 
 	constructor(private readonly options: PeerSyncOptions) {
-		const {follower, lifeCycle, readClock} = options;
+		const {follower, lifeCycle, readClock, drawRandom = Math.random} = options;
+		this.#firstPlace = drawRandom();
 		lifeCycle.registerInterval(queryIntervalMs, () => {
 			const now = readClock();
 			void this.#runRound('configuration', now);
@@ -132,8 +138,10 @@
 		const count = Math.min(peersPerRound, peers.length);
 		try {
 			for (let index = 0; index < count && isWanted(readClock()); index++) {
-				this.#queryNumber++;
-				const address = peers[this.#queryNumber % peers.length] ?? '';
+				const first = Math.floor(this.#firstPlace * peers.length);
+				const address =
+					peers[(first + this.#queryCounts[subject]) % peers.length] ?? '';
+				this.#queryCounts[subject]++;
 				// One peer is queried at a time.
 				// eslint-disable-next-line no-await-in-loop
 				const isDone = await this.#queryPeer(
@@ -188,7 +196,11 @@
 	#buildQuery(subject: Subject, now: number): PeerQuery {
 		const {follower, fleet} = this.options;
 		return subject === 'configuration'
-			? {version: follower.configurations.value?.version ?? -1, listAgeMs: 0}
+			? {
+					version: follower.configurations.value?.version ?? -1,
+					listAgeMs: 0,
+					acceptsCompressed: true,
+				}
 			: {
 					version: Number.MAX_SAFE_INTEGER,
 					listAgeMs: Number.isFinite(fleet.readAt) ? now - fleet.readAt : null,
