Resume a started answer whose engine leaves out an event

Callers saw a stream end in the middle of the answer as soon as an engine left out or repeated an event, though another run was allowed and time was left. The events that are out of order were never forwarded; the attempt now ends like one that was cut, so that the engine is recorded as failing and the stream goes on after the last event that the caller has. Test: gateway.test.ts, failed before (2 of 8 events), passes now; 29 of 29.

--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -7,7 +7,6 @@
 	type AttemptOutcome,
 	type BackendId,
 	computeResumeDelayMs,
-	createFailure,
 	type PathStage,
 } from 'bramleystage';
 import type {AnswerHead, AttemptFailure} from './attempt.js';
@@ -239,10 +238,10 @@
 		}
 
 		if (!isConsecutive(this.#lastEvent, events.ids)) {
-			this.#cancelAttempt(active);
-			this.failWith(
-				createFailure('backendLost', 'The events are out of order.'),
-			);
+			this.#handleFailure(active, {
+				isSent: true,
+				detail: 'The events are out of order.',
+			});
 			return;
 		}
 
