--- a/packages/bramleystage-stand-ins/src/platform.ts
+++ b/packages/bramleystage-stand-ins/src/platform.ts
@@ -7,6 +7,7 @@
 import type {IncomingMessage} from 'node:http';
 import {parseJson, writeJson} from 'bramleystage';
 import * as z from 'zod';
+import {PacedLink} from './paced-link.js';
 import {
 	type RequestHandler,
 	serveStandIn,
@@ -21,6 +22,8 @@
 	/** Time until a change of the host list is visible, in milliseconds. */
 	readonly hostLagMs: number;
 	readonly weightReadsPerSecond: number;
+	/** Bytes of records that all replies together carry in a second; unlimited if undefined. */
+	readonly recordBytesPerSecond?: number;
 };
 
 export const defaultPlatformOptions: PlatformOptions = {
@@ -129,6 +132,11 @@
 	const allowAppend = createRateLimit(options.appendsPerSecond);
 	const allowWeightRead = createRateLimit(options.weightReadsPerSecond);
 
+	const link =
+		options.recordBytesPerSecond === undefined
+			? undefined
+			: new PacedLink(options.recordBytesPerSecond);
+
 	const findOrCreateStream = (name: string) => {
 		const stream = streams.get(name) ?? new LogStream(options.retainedRecords);
 		streams.set(name, stream);
@@ -165,7 +173,12 @@
 			records.length > 0
 				? (records.at(-1)?.offset ?? 0) + 1
 				: Math.max(from, stream.first);
-		writeJson(response, 200, {first: stream.first, next, records});
+		const batch = {first: stream.first, next, records};
+		if (link) {
+			await link.sendJson(response, batch);
+		} else {
+			writeJson(response, 200, batch);
+		}
 	};
 
 	const handleHostRequest: RequestHandler = ({method, url, body, response}) => {
