--- /dev/null
+++ b/packages/bramleystage-command/src/__tests__/slow-log.test.ts
@@ -0,0 +1,115 @@
+/** The platform's log over a link so slow that a batch is under way for seconds. */
+import {
+	createLogger,
+	createSnapshotParts,
+	createTable,
+	editRecordSchema,
+	foldRecord,
+	LifeCycle,
+	PlatformClient,
+	readNewestSnapshot,
+	type TableSnapshot,
+	tableSnapshotStream,
+	tableStream,
+	toLogOffset,
+} from 'bramleystage';
+import {
+	defaultPlatformOptions,
+	type PlatformOptions,
+	startPlatformStandIn,
+} from 'bramleystage-stand-ins';
+import {afterEach, expect, test, vi} from 'vitest';
+
+const recordBytesPerSecond = 40_000;
+/** Longer than the wait for an answer over a sound link. */
+const transferMs = 3000;
+const textBytes = (recordBytesPerSecond * transferMs) / 1000;
+
+const lifeCycles: LifeCycle[] = [];
+
+afterEach(async () => {
+	await Promise.all(lifeCycles.splice(0).map(async (each) => each.stop()));
+	vi.restoreAllMocks();
+});
+
+const createLifeCycle = () => {
+	const lifeCycle = new LifeCycle();
+	lifeCycles.push(lifeCycle);
+	return lifeCycle;
+};
+
+async function startPlatform(options: Partial<PlatformOptions> = {}) {
+	const platform = await startPlatformStandIn({
+		...defaultPlatformOptions,
+		recordBytesPerSecond,
+		...options,
+	});
+	createLifeCycle().register(async () => platform.close());
+	return {platform, client: new PlatformClient(platform.address)};
+}
+
+/** Builds a table with one edit, of so many rows that its snapshot is under way for `transferMs`. */
+function buildLargeTable(): TableSnapshot {
+	const rowBytes = 150;
+	const record = editRecordSchema.parse({
+		kind: 'edit',
+		format: 1,
+		edit: 'large',
+		author: 'Ayşe',
+		at: '',
+		changes: Array.from({length: textBytes / rowBytes}, (_, index) => ({
+			row: `customer/${'c'.repeat(40)}${index}`,
+			against: null,
+			cells: {weight: '1'},
+		})),
+	});
+	return foldRecord(createTable(), toLogOffset(0), record).table;
+}
+
+async function appendLargeSnapshot(client: PlatformClient) {
+	const table = buildLargeTable();
+	for (const part of createSnapshotParts(table)) {
+		await client.append(tableSnapshotStream, part);
+	}
+
+	return table;
+}
+
+// Guards against a batch that makes progress being given up and begun again for ever.
+test('a batch that is under way for longer than an answer may take to begin is read', async () => {
+	const {client} = await startPlatform();
+	await client.append(tableStream, 'x'.repeat(textBytes));
+	const startedAt = performance.now();
+	const batch = await client.readRecords(tableStream, toLogOffset(0));
+	expect(batch._unsafeUnwrap().records).toHaveLength(1);
+	expect(performance.now() - startedAt).toBeGreaterThan(0.9 * transferMs);
+});
+
+// Guards against a table that can't be restored because its snapshot takes too long.
+test('the newest snapshot is read over a slow link', async () => {
+	const {client} = await startPlatform();
+	const table = await appendLargeSnapshot(client);
+	const found = await readNewestSnapshot(client);
+	expect(table.rows.size).toBeGreaterThan(0);
+	expect(found._unsafeUnwrap().table?.rows.size).toBe(table.rows.size);
+});
+
+// Guards against waiting for ever for a log that does not answer.
+test('a read that the log leaves unanswered ends after two seconds', async () => {
+	const {platform, client} = await startPlatform();
+	platform.setFaults({slowMs: 60_000});
+	const startedAt = performance.now();
+	const batch = await client.readRecords(tableStream, toLogOffset(0));
+	expect(batch._unsafeUnwrapErr().detail).toContain('2000 ms');
+	expect(performance.now() - startedAt).toBeLessThan(4000);
+});
+
+// Guards against a read without an end on a link that passes on a little all the time.
+test('a batch that never ends is given up after the total time', async () => {
+	const {client} = await startPlatform({recordBytesPerSecond: 100});
+	await client.append(tableStream, 'x'.repeat(textBytes));
+	const batch = await client.readRecords(tableStream, toLogOffset(0), 0, {
+		timeoutMs: 1000,
+	});
+	expect(batch._unsafeUnwrapErr().detail).toBe('No answer within 1000 ms.');
+});
