Give up a batch of the log only when it is silent

On a slow link a process never restored its table: entries stayed stale and refused callers, and operators saw logUnavailable.

A read ends 2 s after its wait without a byte, or after 60 s more than its wait in total, so that a link which passes on a little all the time doesn't hold it for ever. The reader of the table keeps its 10 s for both.

Ruled out: a longer limit in total alone, since a log that does not answer would be noticed as late.

--- a/packages/bramleystage-command/src/__tests__/slow-log.test.ts
+++ b/packages/bramleystage-command/src/__tests__/slow-log.test.ts
@@ -113,3 +113,17 @@
 	});
 	expect(batch._unsafeUnwrapErr().detail).toBe('No answer within 1000 ms.');
 });
+
+// Guards against a stopping process that waits for a snapshot on a slow link.
+test('a read of snapshots ends with its signal', async () => {
+	const {client} = await startPlatform();
+	await appendLargeSnapshot(client);
+	const abort = new AbortController();
+	setTimeout(() => {
+		abort.abort();
+	}, 500);
+	const startedAt = performance.now();
+	const found = await readNewestSnapshot(client, toLogOffset(0), abort.signal);
+	expect(found.isErr()).toBe(true);
+	expect(performance.now() - startedAt).toBeLessThan(transferMs / 2);
+});
--- a/packages/bramleystage/src/transport/platform-client.ts
+++ b/packages/bramleystage/src/transport/platform-client.ts
@@ -13,7 +13,7 @@
 	toLogOffset,
 } from '../protocol/ids.js';
 import type {ListedHost} from '../state/hosts.js';
-import {sendHttpRequest} from './http-client.js';
+import {type HttpRequest, sendHttpRequest} from './http-client.js';
 import {parseJson} from './http-server.js';
 import {waitFor} from './session-pool.js';
 
@@ -54,13 +54,21 @@
 	| {readonly type: 'records'; readonly batch: LogRecords}
 	| {readonly type: 'failed'; readonly error: PlatformError};
 
+/** Limits and observers of a read, as in `HttpRequest`; the client's own limits if left out. */
+export type ReadOptions = Partial<
+	Pick<HttpRequest, 'signal' | 'silenceMs' | 'timeoutMs' | 'onArrival'>
+>;
+
 /**
  * Maximum number of records in one read; fewer mean that the read reached the
  * end of the stream.
  */
 export const maxRecordsPerRead = 1000;
 
+/** Limit of a call with a short answer, and of the silence of an answer with records, in milliseconds. */
 const requestTimeoutMs = 2000;
+/** Limit of the whole transfer of an answer with records, in milliseconds; the largest answer, 16 MiB, takes 54 s at 2.5 Mbit/s. */
+const transferTimeoutMs = 60_000;
 const longPollMs = 10_000;
 const retryDelayMs = 200;
 
@@ -83,19 +91,24 @@
 
 	/**
 	 * Reads records from an offset on; the log waits up to `waitMs` for the
-	 * first.
+	 * first. An answer that keeps arriving is awaited: begun again, it would share
+	 * a slow link with what is left of the one before.
 	 */
 	async readRecords(
 		stream: string,
 		from: LogOffset,
 		waitMs = 0,
-		options: {signal?: AbortSignal; timeoutMs?: number} = {},
+		options: ReadOptions = {},
 	): Promise<Result<LogRecords, PlatformError>> {
 		return this.#send(
 			'GET',
 			`/v1/logs/${stream}/records?from=${from}&wait_ms=${waitMs}`,
 			recordsSchema,
-			{timeoutMs: waitMs + requestTimeoutMs, ...options},
+			{
+				silenceMs: waitMs + requestTimeoutMs,
+				timeoutMs: waitMs + transferTimeoutMs,
+				...options,
+			},
 		);
 	}
 
@@ -141,7 +154,7 @@
 		method: string,
 		path: string,
 		schema: Schema,
-		options: {body?: string; timeoutMs?: number; signal?: AbortSignal} = {},
+		options: ReadOptions & {readonly body?: string} = {},
 	): Promise<Result<z.infer<Schema>, PlatformError>> {
 		const response = await sendHttpRequest({
 			method,
--- a/packages/bramleystage/src/transport/table-follower.ts
+++ b/packages/bramleystage/src/transport/table-follower.ts
@@ -6,7 +6,11 @@
  * over their sessions with the entries.
  */
 import {BehaviorSubject, Subject} from 'rxjs';
-import type {DataCentreId, LogOffset} from '../protocol/ids.js';
+import {
+	type DataCentreId,
+	type LogOffset,
+	toLogOffset,
+} from '../protocol/ids.js';
 import type {Message} from '../protocol/messages.js';
 import type {TableReport} from '../protocol/table-messages.js';
 import {
@@ -68,6 +72,7 @@
 	#requestedAt = Number.NEGATIVE_INFINITY;
 	#isLoaded = false;
 	readonly #recentRecords = new RecentTableRecords();
+	readonly #abort = new AbortController();
 
 	constructor(private readonly options: TableFollowerOptions) {
 		const {platform, lifeCycle, logger, readClock} = options;
@@ -85,6 +90,7 @@
 		});
 		lifeCycle.register(() => {
 			reader.close();
+			this.#abort.abort();
 		});
 	}
 
@@ -212,7 +218,9 @@
 	async #restoreFromSnapshot(): Promise<void> {
 		const {platform, logger} = this.options;
 		logger.warn('table.records_expired', {next: this.table.value.next});
-		const found = platform && (await readNewestSnapshot(platform));
+		const found =
+			platform &&
+			(await readNewestSnapshot(platform, toLogOffset(0), this.#abort.signal));
 		if (found?.isOk()) {
 			this.#replaceTable(found.value.table);
 		}
--- a/packages/bramleystage/src/transport/table-log-reader.ts
+++ b/packages/bramleystage/src/transport/table-log-reader.ts
@@ -66,7 +66,7 @@
 			tableStream,
 			readNext(),
 			logWaitMs,
-			{signal, timeoutMs: readTimeoutMs},
+			{signal, silenceMs: readTimeoutMs, timeoutMs: readTimeoutMs},
 		);
 		this.#openReads--;
 		if (signal.aborted) {
--- a/packages/bramleystage/src/transport/table-snapshot-stream.ts
+++ b/packages/bramleystage/src/transport/table-snapshot-stream.ts
@@ -27,11 +27,12 @@
 
 /**
  * Reads the snapshot stream from an offset to its end and returns the newest
- * complete snapshot.
+ * complete snapshot. `signal` ends the read.
  */
 export async function readNewestSnapshot(
 	platform: PlatformClient,
 	start: LogOffset = toLogOffset(0),
+	signal?: AbortSignal,
 ): Promise<Result<NewestSnapshot, PlatformError>> {
 	let from = start;
 	let collected: CollectedSnapshotParts = new Map();
@@ -39,7 +40,9 @@
 	let skipped = 0;
 	/* eslint-disable no-await-in-loop -- each read starts where the previous one ended */
 	for (;;) {
-		const batch = await platform.readRecords(tableSnapshotStream, from);
+		const batch = await platform.readRecords(tableSnapshotStream, from, 0, {
+			signal,
+		});
 		if (batch.isErr()) {
 			return err(batch.error);
 		}
--- a/packages/bramleystage/src/transport/table-snapshot-writer.ts
+++ b/packages/bramleystage/src/transport/table-snapshot-writer.ts
@@ -41,8 +41,13 @@
 	#snapshotOffset: LogOffset = toLogOffset(0);
 	#snapshotAt: number | undefined;
 	#isChecking = false;
+	readonly #abort = new AbortController();
 
-	constructor(private readonly options: TableSnapshotWriterOptions) {}
+	constructor(private readonly options: TableSnapshotWriterOptions) {
+		options.lifeCycle.register(() => {
+			this.#abort.abort();
+		});
+	}
 
 	/** Checks at an interval until the life cycle stops. */
 	start(): void {
@@ -84,6 +89,7 @@
 		const found = await readNewestSnapshot(
 			this.options.platform,
 			this.#streamEnd,
+			this.#abort.signal,
 		);
 		if (found.isErr()) {
 			return;
