Count a read of the table as overdue only when it is silent

Beside a large batch on a slow link, a process read the same batch up to four times at once, so each copy got a part of the link and the table came later still. Requests over the same link waited behind them.

Cause: a read was overdue 1 s after it was sent, whatever had arrived. Now it is overdue 1 s after its last byte, or after it was sent if there is none. It is given up after 10 s without a byte; its total is that of the platform's client, where it was 10 s, too short for a batch that is under way for longer.

--- a/packages/bramleystage/src/transport/table-log-reader.ts
+++ b/packages/bramleystage/src/transport/table-log-reader.ts
@@ -1,8 +1,8 @@
 /**
  * Reads the table's stream of the platform's log until closed. When a read is
- * overdue, it stays open and another one is sent on a separate connection: one
- * connection can stall while new ones work, and a slow response is still
- * useful.
+ * silent, it stays open and another one is sent on a separate connection: one
+ * connection can stall while new ones work, and a late response is still useful.
+ * A response that keeps arriving is awaited, as another one would share its link.
  */
 import type {LogOffset} from '../protocol/ids.js';
 import type {LogRecords, PlatformClient} from './platform-client.js';
@@ -12,9 +12,10 @@
 
 /** How long the log may hold a read open while there are no records for it. */
 const logWaitMs = 500;
-/** A read is overdue this long after `logWaitMs`. */
-const overdueAfterMs = 500;
-const readTimeoutMs = 10_000;
+/** A read is overdue after this time without a byte, in milliseconds. */
+const overdueAfterMs = logWaitMs + 500;
+/** A read is given up after this time without a byte, in milliseconds. */
+const readSilenceMs = 10_000;
 const maxConcurrentReads = 4;
 const retryDelayMs = 200;
 
@@ -27,6 +28,17 @@
 	readonly readClock: () => number;
 };
 
+/** A read under way; times are in milliseconds of the steady clock. */
+type OpenRead = {
+	/** When it was sent, or when its last byte arrived. */
+	arrivedAt: number;
+	isEnded: boolean;
+};
+
+/** Computes how long a read may still be silent before it is overdue, in milliseconds. */
+const computeRestMs = ({arrivedAt}: OpenRead, now: number) =>
+	arrivedAt + overdueAfterMs - now;
+
 export class TableLogReader {
 	readonly #abort = new AbortController();
 	#openReads = 0;
@@ -51,13 +63,24 @@
 				continue;
 			}
 
-			const read = this.#read();
-			await Promise.race([read, waitFor(logWaitMs + overdueAfterMs)]);
+			const read = {arrivedAt: this.options.readClock(), isEnded: false};
+			await Promise.race([this.#read(read), this.#waitUntilOverdue(read)]);
+		}
+		/* eslint-enable no-await-in-loop */
+	}
+
+	async #waitUntilOverdue(read: OpenRead): Promise<void> {
+		const {readClock} = this.options;
+		/* eslint-disable no-await-in-loop -- each arrival extends the wait */
+		while (!read.isEnded && computeRestMs(read, readClock()) > 0) {
+			await waitFor(computeRestMs(read, readClock()));
+			// A process that did not run for a while first reads what has arrived.
+			await waitFor(0);
 		}
 		/* eslint-enable no-await-in-loop */
 	}
 
-	async #read(): Promise<void> {
+	async #read(read: OpenRead): Promise<void> {
 		this.#openReads++;
 		const {signal} = this.#abort;
 		const {readClock, readNext, onBatch, onFailure} = this.options;
@@ -66,9 +89,16 @@
 			tableStream,
 			readNext(),
 			logWaitMs,
-			{signal, silenceMs: readTimeoutMs, timeoutMs: readTimeoutMs},
+			{
+				signal,
+				silenceMs: readSilenceMs,
+				onArrival() {
+					read.arrivedAt = readClock();
+				},
+			},
 		);
 		this.#openReads--;
+		read.isEnded = true;
 		if (signal.aborted) {
 			return;
 		}
