--- a/packages/bramleystage-command/src/__tests__/slow-log.test.ts
+++ b/packages/bramleystage-command/src/__tests__/slow-log.test.ts
@@ -6,18 +6,24 @@
 	editRecordSchema,
 	foldRecord,
 	LifeCycle,
+	type LogOffset,
+	type LogRecords,
 	PlatformClient,
 	readNewestSnapshot,
+	TableFollower,
 	type TableSnapshot,
 	tableSnapshotStream,
 	tableStream,
+	toDataCentreId,
 	toLogOffset,
+	waitFor,
 } from 'bramleystage';
 import {
 	defaultPlatformOptions,
 	type PlatformOptions,
 	startPlatformStandIn,
 } from 'bramleystage-stand-ins';
+import {ok, type Result} from 'neverthrow';
 import {afterEach, expect, test, vi} from 'vitest';
 
 const recordBytesPerSecond = 40_000;
@@ -48,8 +54,8 @@
 	return {platform, client: new PlatformClient(platform.address)};
 }
 
-/** Builds a table with one edit, of so many rows that its snapshot is under way for `transferMs`. */
-function buildLargeTable(): TableSnapshot {
+/** Builds a table with one edit, at an offset, of so many rows that its snapshot is under way for `transferMs`. */
+function buildLargeTable(offset: LogOffset): TableSnapshot {
 	const rowBytes = 150;
 	const record = editRecordSchema.parse({
 		kind: 'edit',
@@ -63,11 +69,14 @@
 			cells: {weight: '1'},
 		})),
 	});
-	return foldRecord(createTable(), toLogOffset(0), record).table;
+	return foldRecord({...createTable(), next: offset}, offset, record).table;
 }
 
-async function appendLargeSnapshot(client: PlatformClient) {
-	const table = buildLargeTable();
+async function appendLargeSnapshot(
+	client: PlatformClient,
+	offset = toLogOffset(0),
+) {
+	const table = buildLargeTable(offset);
 	for (const part of createSnapshotParts(table)) {
 		await client.append(tableSnapshotStream, part);
 	}
@@ -127,3 +136,65 @@
 	expect(found.isErr()).toBe(true);
 	expect(performance.now() - startedAt).toBeLessThan(transferMs / 2);
 });
+
+const createFollower = (client: PlatformClient) =>
+	new TableFollower({
+		platform: client,
+		dataCentre: toDataCentreId('izmir-a'),
+		lifeCycle: createLifeCycle(),
+		logger: createLogger('error', {}),
+		readClock: () => performance.now(),
+	});
+
+async function waitUntilTrue(isTrue: () => boolean) {
+	for (let attempt = 0; attempt < 500 && !isTrue(); attempt++) {
+		await waitFor(20);
+	}
+
+	expect(isTrue()).toBe(true);
+}
+
+// Guards against copies of one snapshot that share a slow link with each other.
+test('a table whose records have expired is restored by one read of the snapshot', async () => {
+	const {client} = await startPlatform({retainedRecords: 5});
+	await appendLargeSnapshot(client, toLogOffset(5));
+	for (let index = 0; index < 8; index++) {
+		await client.append(tableStream, index);
+	}
+
+	const readRecords = vi.spyOn(client, 'readRecords');
+	const follower = createFollower(client);
+	await waitUntilTrue(() => follower.table.value.next === 8);
+	const snapshotReads = readRecords.mock.calls.filter(
+		([stream, from]) => stream === tableSnapshotStream && from === 0,
+	);
+	expect(snapshotReads).toHaveLength(1);
+});
+
+// Guards against a second read of the snapshot when late answers also show that records have expired.
+test('late answers begin no read of the snapshot beside another', async () => {
+	const client = new PlatformClient('127.0.0.1:1');
+	const answers: Array<() => void> = [];
+	let snapshotReads = 0;
+	vi.spyOn(client, 'readRecords').mockImplementation(
+		async (stream) =>
+			new Promise<Result<LogRecords, never>>((resolve) => {
+				if (stream === tableStream) {
+					const next = toLogOffset(5);
+					answers.push(() => {
+						resolve(ok({first: next, next, records: []}));
+					});
+				} else {
+					snapshotReads++;
+				}
+			}),
+	);
+	createFollower(client);
+	await waitUntilTrue(() => answers.length === 2);
+	for (const answer of answers) {
+		answer();
+	}
+
+	await waitFor(100);
+	expect(snapshotReads).toBe(1);
+});
--- a/packages/bramleystage/src/transport/__tests__/table-log-reader.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/table-log-reader.test.ts
@@ -89,13 +89,17 @@
 
 type TestReader = {readonly batches: LogRecords[]; readonly failures: string[]};
 
-function startReader({address}: TestLog): TestReader {
+function startReader(
+	{address}: TestLog,
+	handleBatch: () => Promise<void> = async () => undefined,
+): TestReader {
 	const batches: LogRecords[] = [];
 	const failures: string[] = [];
 	const reader = new TableLogReader(new PlatformClient(address), {
 		readNext: () => toLogOffset(batches.at(-1)?.next ?? 0),
 		async onBatch(batch) {
 			batches.push(batch);
+			await handleBatch();
 		},
 		onFailure(detail) {
 			failures.push(detail);
@@ -133,6 +137,17 @@
 	expect(failures).toEqual([]);
 });
 
+// Guards against another read while a batch is being applied, which may read a snapshot over the same link.
+test('no read starts while a batch is being applied', async () => {
+	const log = await startLog((response) => {
+		answerLater(response, 8);
+	});
+	const {batches} = startReader(log, async () => waitFor(3000));
+	await waitUntilTrue(() => batches.length > 0);
+	await waitFor(2000);
+	expect(log.responses).toHaveLength(1);
+});
+
 // Guards against a table that is not read on because one connection has stalled.
 test('a stalled connection keeps no read from a new one, and its late answer is used', async () => {
 	const log = await startLog((response, index) => {
