--- a/packages/bramleystage/src/transport/table-follower.ts
+++ b/packages/bramleystage/src/transport/table-follower.ts
@@ -73,6 +73,8 @@
 	#isLoaded = false;
 	readonly #recentRecords = new RecentTableRecords();
 	readonly #abort = new AbortController();
+	/** Read of the snapshot under way, for all batches that show expired records. */
+	#restoration: Promise<void> | undefined;
 
 	constructor(private readonly options: TableFollowerOptions) {
 		const {platform, lifeCycle, logger, readClock} = options;
@@ -197,7 +199,9 @@
 
 	async #applyBatch(batch: LogRecords, sentAt: number): Promise<void> {
 		if (batch.first > this.table.value.next) {
-			await this.#restoreFromSnapshot();
+			this.#restoration ??= this.#restoreFromSnapshot();
+			await this.#restoration;
+			this.#restoration = undefined;
 		}
 
 		this.#foldRecords(batch.records);
@@ -223,6 +227,8 @@
 			(await readNewestSnapshot(platform, toLogOffset(0), this.#abort.signal));
 		if (found?.isOk()) {
 			this.#replaceTable(found.value.table);
+		} else if (found?.isErr() && !this.#abort.signal.aborted) {
+			logger.warn('table.read_failed', {detail: found.error.detail});
 		}
 	}
 
--- a/packages/bramleystage/src/transport/table-log-reader.ts
+++ b/packages/bramleystage/src/transport/table-log-reader.ts
@@ -64,7 +64,10 @@
 			}
 
 			const read = {arrivedAt: this.options.readClock(), isEnded: false};
-			await Promise.race([this.#read(read), this.#waitUntilOverdue(read)]);
+			const applied = this.#read(read);
+			await Promise.race([applied, this.#waitUntilOverdue(read)]);
+			// Applying a batch may take a read of the snapshot over the same link.
+			await (read.isEnded && applied);
 		}
 		/* eslint-enable no-await-in-loop */
 	}
