--- /dev/null
+++ b/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
@@ -0,0 +1,151 @@
+/** A connection to a followed gateway whose updates are slow, stalled or never whole. */
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {
+	type Backend,
+	encodeValueFrame,
+	toBackendId,
+	toDataCentreId,
+	toServiceName,
+	waitFor,
+} from 'bramleystage';
+import {afterEach, expect, test} from 'vitest';
+import {PeerLink} from '../peer-link.js';
+import {buildPeerUpdate} from '../peer-update.js';
+import {silentLogger} from './slow-peer.js';
+
+const pieceIntervalMs = 100;
+const readClock = () => performance.now();
+
+const cleanUps: Array<() => void> = [];
+
+afterEach(() => {
+	for (const cleanUp of cleanUps.splice(0)) {
+		cleanUp();
+	}
+});
+
+const buildBackend = (index: number): Backend => ({
+	id: toBackendId(String(index)),
+	service: toServiceName('desk'),
+	address: `10.0.0.1:${index}`,
+	dataCentre: toDataCentreId('a'),
+	isDraining: false,
+	models: [],
+	slots: 6,
+	bornAt: 0,
+});
+
+/** Encodes an update with a list of backend servers, written for a ping. */
+const encodeUpdate = (beatAt: number, now: number): Buffer =>
+	encodeValueFrame(
+		buildPeerUpdate(
+			{
+				version: 7,
+				configurationReadAt: now,
+				listReadAt: now,
+				backends: new Map(
+					Array.from({length: 100}, (_, index) => buildBackend(index)).map(
+						(backend) => [backend.id, backend],
+					),
+				),
+			},
+			{backends: new Map()},
+			{beatAt, arrivedAt: now},
+			now,
+		),
+	);
+
+/** Starts a peer that sends as told on each connection, and a link to it. */
+async function startLink(send: (socket: Socket) => Promise<void>) {
+	const server = createServer((socket) => {
+		socket.on('error', () => undefined);
+		socket.resume();
+		cleanUps.push(() => {
+			socket.destroy();
+		});
+		void send(socket);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const startedAt = readClock();
+	let updates = 0;
+	let endedAt: number | undefined;
+	const link = new PeerLink({
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		logger: silentLogger,
+		readClock,
+		onUpdate() {
+			updates++;
+		},
+		recordLinkEvent: () => undefined,
+		onEnd() {
+			endedAt = readClock();
+		},
+	});
+	cleanUps.push(() => {
+		link.close();
+		server.close();
+	});
+	return {
+		link,
+		countUpdates: () => updates,
+		readEndMs: () => (endedAt === undefined ? undefined : endedAt - startedAt),
+	};
+}
+
+/** Sends an update in pieces until it is whole, or only the first `limit` of them. */
+async function sendSlowly(
+	socket: Socket,
+	update: Buffer,
+	{pieces, limit = pieces}: {pieces: number; limit?: number},
+) {
+	const size = Math.ceil(update.length / pieces);
+	for (let index = 0; index < limit && !socket.destroyed; index++) {
+		socket.write(update.subarray(index * size, (index + 1) * size));
+
+		await waitFor(pieceIntervalMs);
+	}
+}
+
+// Guards against a peer on a slow link that is given up, and its list sent again from the start, for ever.
+test('an update that is under way for longer than three pings arrives', async () => {
+	const {countUpdates, readEndMs} = await startLink(async (socket) => {
+		const now = readClock();
+		await sendSlowly(socket, encodeUpdate(now, now), {pieces: 25});
+	});
+	await waitFor(3200);
+	expect(countUpdates()).toBe(1);
+	expect(readEndMs() ?? Number.POSITIVE_INFINITY).toBeGreaterThan(2500);
+});
+
+// Guards against decisions by a state that is older than three pings, because bytes arrive.
+test('a peer whose update is under way does not count as alive', async () => {
+	const {link} = await startLink(async (socket) => {
+		const now = readClock();
+		socket.write(encodeUpdate(now, now));
+		await sendSlowly(socket, encodeUpdate(now, now), {pieces: 25});
+	});
+	await waitFor(500);
+	expect(link.isAlive(readClock())).toBe(true);
+	await waitFor(700);
+	expect(link.isAlive(readClock())).toBe(false);
+	await waitFor(2000);
+	// It has arrived, and is as old as the ping that it repeats.
+	expect(link.isAlive(readClock())).toBe(false);
+});
+
+// Guards against a dead peer that is noticed late.
+test.each([0, 3])(
+	'a peer that is silent after %i pieces is lost',
+	async (limit) => {
+		const {readEndMs} = await startLink(async (socket) => {
+			const now = readClock();
+			const update = encodeUpdate(now, now);
+			await sendSlowly(socket, update, {pieces: 25, limit});
+		});
+		await waitFor(2000);
+		expect(readEndMs()).toBeGreaterThan(800);
+		expect(readEndMs()).toBeLessThan(1800);
+	},
+);
