Count bytes of a peer's update as life of its connection

A gateway on a slow link never got the list of backend servers from the gateways that it follows: it read the store itself, and the peers sent their whole lists again and again, which kept its link full.

Cause: the connection was closed after 900 ms without a complete update. A new one begins with the whole list.

--- a/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
@@ -10,7 +10,7 @@
 	waitFor,
 } from 'bramleystage';
 import {afterEach, expect, test} from 'vitest';
-import {PeerLink} from '../peer-link.js';
+import {isPeerLost, PeerLink} from '../peer-link.js';
 import {buildPeerUpdate} from '../peer-update.js';
 import {silentLogger} from './slow-peer.js';
 
@@ -149,3 +149,23 @@
 		expect(readEndMs()).toBeLessThan(1800);
 	},
 );
+
+// Guards against a peer that is followed for ever because it sends a byte now and then.
+test('a peer that sends bytes without a complete update is lost after twelve seconds', () => {
+	const never = Number.NEGATIVE_INFINITY;
+	const contact = {openedAt: 1000, updateAt: never};
+	expect(isPeerLost({...contact, bytesAt: 12_900}, 12_999)).toBe(false);
+	expect(isPeerLost({...contact, bytesAt: 13_000}, 13_000)).toBe(true);
+	const updated = {openedAt: 1000, updateAt: 5000};
+	expect(isPeerLost({...updated, bytesAt: 16_900}, 16_999)).toBe(false);
+	expect(isPeerLost({...updated, bytesAt: 17_000}, 17_000)).toBe(true);
+});
+
+test('a peer is lost after three pings without a byte, also before the first', () => {
+	const never = Number.NEGATIVE_INFINITY;
+	const contact = {openedAt: 1000, bytesAt: never, updateAt: never};
+	expect(isPeerLost(contact, 1899)).toBe(false);
+	expect(isPeerLost(contact, 1900)).toBe(true);
+	expect(isPeerLost({...contact, bytesAt: 1500}, 2399)).toBe(false);
+	expect(isPeerLost({...contact, bytesAt: 1500}, 2400)).toBe(true);
+});
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -17,8 +17,33 @@
 
 /** How often the peer is pinged for an update, in milliseconds; it sends changes at once. */
 const pingIntervalMs = 300;
-/** Time without an update after which the peer counts as lost, in milliseconds: three pings. */
+/** Time without an update after which the peer's state counts for nothing, and without a byte after which the peer counts as lost, in milliseconds: three pings. */
 const maxSilenceMs = 900;
+/**
+ * Time without a complete update after which the peer counts as lost although
+ * bytes arrive, in milliseconds; a list of 1 MB takes that long at 0.7 Mbit/s.
+ */
+const maxUpdateMs = 12_000;
+
+/** What shows whether a peer is lost; times are in milliseconds of the steady clock. */
+export type PeerContact = {
+	readonly openedAt: number;
+	/** When the last bytes arrived. */
+	readonly bytesAt: number;
+	/** When the last complete update arrived. */
+	readonly updateAt: number;
+};
+
+/**
+ * Decides whether a peer is lost. Bytes of an update that is under way show that
+ * it is not: on a new connection a large list would begin from its first byte.
+ */
+export const isPeerLost = (
+	{openedAt, bytesAt, updateAt}: PeerContact,
+	now: number,
+): boolean =>
+	now - Math.max(openedAt, bytesAt) >= maxSilenceMs ||
+	now - Math.max(openedAt, updateAt) >= maxUpdateMs;
 
 export type PeerLinkOptions = {
 	/** `host:port`. */
@@ -38,6 +63,8 @@
 	readonly openedAt: number;
 	readonly #lifeCycle = new LifeCycle();
 	readonly #socket: Socket;
+	#bytesAt = Number.NEGATIVE_INFINITY;
+	#updateAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: PeerLinkOptions) {
 		const {address, readClock, recordLinkEvent} = options;
@@ -67,6 +94,9 @@
 
 			options.onEnd();
 		});
+		this.#socket.on('data', () => {
+			this.#bytesAt = readClock();
+		});
 		listenForFrames(this.#socket, (value) => {
 			const update = value.andThen((decoded) =>
 				checkValue(decoded, peerUpdateSchema),
@@ -77,21 +107,31 @@
 				return;
 			}
 
+			this.#updateAt = readClock();
 			const {beatAt, heldMs} = update.value;
 			this.#recordAnswer(beatAt, heldMs);
 			this.state = applyPeerUpdate(this.state, update.value);
 			options.onUpdate(this.state);
 		});
 		this.#lifeCycle.registerInterval(pingIntervalMs, () => {
-			if (this.isAlive(readClock())) {
-				this.#sendPing();
-			} else {
+			const contact = {
+				openedAt: this.openedAt,
+				bytesAt: this.#bytesAt,
+				updateAt: this.#updateAt,
+			};
+			if (isPeerLost(contact, readClock())) {
 				this.close();
+			} else {
+				this.#sendPing();
 			}
 		});
 	}
 
-	/** Whether an update came recently or the connection was opened recently. */
+	/**
+	 * Whether the peer was alive recently, as an update shows, or the connection
+	 * was opened recently. Bytes of an update under way don't count, as they tell
+	 * nothing of the peer's state.
+	 */
 	isAlive(now: number): boolean {
 		return now - Math.max(this.state.aliveAt, this.openedAt) < maxSilenceMs;
 	}
