Await a dump that arrives while an edit is watched

Over a slow link, table set and table import reported processes as lagging that had long folded the edit, and each second of the wait sent another copy of the dump.

Cause: the dump of an entry was given up after 1 s in total, and the poll began it again. It is given up after 1 s without a byte. As a whole it may take half of the time that is left of the operator's own limit, so that one without an end leaves time to ask the others again.

The test of a dump under way for 2.5 s failed before and passes now; those of a silent process and of a dump without an end pass on both, as does table.test.ts.

--- a/packages/bramleystage-command/src/table-client.ts
+++ b/packages/bramleystage-command/src/table-client.ts
@@ -38,7 +38,8 @@
 };
 
 const pollIntervalMs = 100;
-const dumpTimeoutMs = 1000;
+/** Time without a byte after which a dump is asked for again, in milliseconds. */
+const dumpSilenceMs = 1000;
 /** Largest number of rows in one record; a larger import is split into several records. */
 const maxRowsInRecord = 2000;
 
@@ -132,7 +133,10 @@
 		const deadline = readClock() + this.options.timeoutMs;
 		/* eslint-disable no-await-in-loop -- polls until all have folded it */
 		for (;;) {
-			const lagging = listLaggingProcesses(await this.#listProcesses(), offset);
+			const processes = await this.#listProcesses(
+				computeDumpTimeoutMs(deadline, readClock()),
+			);
+			const lagging = listLaggingProcesses(processes, offset);
 			if (lagging.length === 0 || readClock() > deadline) {
 				return lagging;
 			}
@@ -152,10 +156,12 @@
 	 * for it; `next` is undefined where no offset is known.
 	 * A host list that can't be read is listed as a process without an offset.
 	 */
-	async #listProcesses(): Promise<ProcessOffset[]> {
+	async #listProcesses(dumpTimeoutMs: number): Promise<ProcessOffset[]> {
 		const [listed, ...dumps] = await Promise.all([
 			this.platform.listHosts(),
-			...this.options.operators.map(async (address) => readDump(address)),
+			...this.options.operators.map(async (address) =>
+				readDump(address, dumpTimeoutMs),
+			),
 		]);
 		const reportedOffsets = new Map<string, LogOffset>();
 		const queried: ProcessOffset[] = [];
@@ -189,14 +195,23 @@
 	}
 }
 
+/**
+ * Computes the limit of a dump as a whole, in milliseconds: half of the time left,
+ * so that one without an end leaves time to ask the other processes again.
+ */
+const computeDumpTimeoutMs = (deadline: number, now: number): number =>
+	Math.max(dumpSilenceMs, (deadline - now) / 2);
+
 /** Reads the table offsets of an entry; undefined if it can't be reached or the dump is invalid. */
 async function readDump(
 	address: string,
+	timeoutMs: number,
 ): Promise<z.infer<typeof dumpSchema> | undefined> {
 	const response = await sendHttpRequest({
 		method: 'GET',
 		url: `http://${address}/dump`,
-		timeoutMs: dumpTimeoutMs,
+		silenceMs: dumpSilenceMs,
+		timeoutMs,
 	});
 	const parsed = dumpSchema.safeParse(
 		response.isOk() ? parseJson(response.value.body.toString()) : undefined,
