Print a state that keeps arriving for more than five seconds

The dump command ended with code 1 on a slow link although the state was arriving, as it gave up after 5 s in total. It gives up after 5 s without a byte, or after 60 s as a whole.

The test of a state under way for 6 s failed before and passes now; that of a process without an answer passes on both.

--- a/packages/bramleystage-command/src/daemon-commands.ts
+++ b/packages/bramleystage-command/src/daemon-commands.ts
@@ -14,7 +14,10 @@
 import {waitForStop} from './process-command.js';
 import {readSettings, registerSettingOptions} from './setting-options.js';
 
-const dumpTimeoutMs = 5000;
+/** Time without a byte of the state after which it is given up, in milliseconds. */
+const dumpSilenceMs = 5000;
+/** Limit of the whole transfer of a state, in milliseconds; the largest one, 16 MiB, takes 54 s at 2.5 Mbit/s. */
+const dumpTimeoutMs = 60_000;
 
 export const entryCommand: CommandModule = {
 	command: 'entry',
@@ -74,6 +77,7 @@
 		const response = await sendHttpRequest({
 			method: 'GET',
 			url: `http://${address}/dump`,
+			silenceMs: dumpSilenceMs,
 			timeoutMs: dumpTimeoutMs,
 		});
 		response.match(
