--- a/packages/bramleystage/src/transport/table-follower.ts
+++ b/packages/bramleystage/src/transport/table-follower.ts
@@ -6,7 +6,11 @@
  * over their sessions with the entries.
  */
 import {BehaviorSubject, Subject} from 'rxjs';
-import type {DataCentreId, LogOffset} from '../protocol/ids.js';
+import {
+	type DataCentreId,
+	type LogOffset,
+	toLogOffset,
+} from '../protocol/ids.js';
 import type {Message} from '../protocol/messages.js';
 import type {TableReport} from '../protocol/table-messages.js';
 import {
@@ -68,6 +72,9 @@
 	#requestedAt = Number.NEGATIVE_INFINITY;
 	#isLoaded = false;
 	readonly #recentRecords = new RecentTableRecords();
+	readonly #abort = new AbortController();
+	/** Read of the snapshot under way, for all batches that show expired records. */
+	#restoration: Promise<void> | undefined;
 
 	constructor(private readonly options: TableFollowerOptions) {
 		const {platform, lifeCycle, logger, readClock} = options;
@@ -85,6 +92,7 @@
 		});
 		lifeCycle.register(() => {
 			reader.close();
+			this.#abort.abort();
 		});
 	}
 
@@ -191,7 +199,9 @@
 
 	async #applyBatch(batch: LogRecords, sentAt: number): Promise<void> {
 		if (batch.first > this.table.value.next) {
-			await this.#restoreFromSnapshot();
+			this.#restoration ??= this.#restoreFromSnapshot();
+			await this.#restoration;
+			this.#restoration = undefined;
 		}
 
 		this.#foldRecords(batch.records);
@@ -212,9 +222,13 @@
 	async #restoreFromSnapshot(): Promise<void> {
 		const {platform, logger} = this.options;
 		logger.warn('table.records_expired', {next: this.table.value.next});
-		const found = platform && (await readNewestSnapshot(platform));
+		const found =
+			platform &&
+			(await readNewestSnapshot(platform, toLogOffset(0), this.#abort.signal));
 		if (found?.isOk()) {
 			this.#replaceTable(found.value.table);
+		} else if (found?.isErr() && !this.#abort.signal.aborted) {
+			logger.warn('table.read_failed', {detail: found.error.detail});
 		}
 	}
 
