Count the age of a peer's list from the query

Ages count from the sending of the query, as those of peer updates do; also when the order leader is looked for.

--- a/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
@@ -263,3 +263,12 @@
 
 	expect(asked).toEqual([0, 0, 2]);
 });
+
+// Guards against an old list that a slow link makes look new, so that it replaces a
+// newer one and shows servers that have left.
+test('a list is as old as it was when the query was sent, however long the answer takes', async () => {
+	const smallAnswerDelayMs = 300;
+	const {fleet} = await startGateway([{smallAnswerDelayMs}]);
+	const listedAt = await waitUntil(() => fleet.hasBackends, inForceMs);
+	expect(fleet.readAt).toBeLessThan(listedAt - smallAnswerDelayMs);
+});
--- a/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
@@ -157,6 +157,8 @@
 	readonly lifeCycle: LifeCycle;
 	/** Time for which a large answer is under way, in milliseconds. */
 	readonly answerMs: number;
+	/** Time for which an answer without a configuration is held up, in milliseconds. */
+	readonly smallAnswerDelayMs?: number;
 	/** `stall` passes on one piece of a large answer, `trickle` a byte in 100 ms. */
 	readonly fault?: 'stall' | 'trickle';
 	readonly onLargeAnswer?: () => void;
@@ -234,7 +236,9 @@
 					client.write(piece);
 				});
 			} else {
-				client.end(answer);
+				setTimeout(() => {
+					client.end(answer);
+				}, options.smallAnswerDelayMs ?? 0);
 			}
 		});
 	});
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -250,6 +250,7 @@
 			return state.backAt === undefined ? state.listReadAt : undefined;
 		}
 
+		const sentAt = readClock();
 		const answer = await sendPeerQuery(address, {
 			version: Number.MAX_SAFE_INTEGER,
 			listAgeMs: 0,
@@ -259,8 +260,6 @@
 		}
 
 		const {listAgeMs} = answer.value;
-		return listAgeMs === null
-			? Number.NEGATIVE_INFINITY
-			: readClock() - listAgeMs;
+		return listAgeMs === null ? Number.NEGATIVE_INFINITY : sentAt - listAgeMs;
 	}
 }
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -174,7 +174,7 @@
 			{spanMs, signal},
 		);
 		if (answer.isOk()) {
-			return this.#applyAnswer(address, answer.value);
+			return this.#applyAnswer(address, answer.value, now);
 		}
 
 		if (signal.aborted) {
@@ -207,8 +207,15 @@
 				};
 	}
 
-	/** Applies what is newer in an answer; returns whether anything is. */
-	#applyAnswer(address: string, {configuration, list}: PeerAnswer): boolean {
+	/**
+	 * Applies what is newer in an answer; returns whether anything is. Ages count
+	 * from the query, as the answer may have been under way for long.
+	 */
+	#applyAnswer(
+		address: string,
+		{configuration, list}: PeerAnswer,
+		sentAt: number,
+	): boolean {
 		const {follower, fleet, logger, readClock} = this.options;
 		const version = follower.configurations.value?.version ?? -1;
 		const hasNewerVersion =
@@ -222,14 +229,14 @@
 			follower.acceptConfiguration(configuration);
 		}
 
-		const hasNewerList =
-			list !== undefined && readClock() - list.ageMs > fleet.readAt;
-		if (hasNewerList) {
+		const listReadAt = list && sentAt - list.ageMs;
+		const hasNewerList = listReadAt !== undefined && listReadAt > fleet.readAt;
+		if (list && hasNewerList) {
 			logger.info('backends.received', {
 				from: address,
-				age_ms: Math.round(list.ageMs),
+				age_ms: Math.round(readClock() - listReadAt),
 			});
-			fleet.replaceByPeerList(list.backends, readClock() - list.ageMs, address);
+			fleet.replaceByPeerList(list.backends, listReadAt, address);
 		}
 
 		return hasNewerVersion || hasNewerList;
