Forget the slow answers of a version that the store brought

After answers of peers that came too slowly, the time for which the next answer is awaited is longer. Each version that comes into force resets it. The stand-in of a slow peer sends twice as many pieces, so that a busy machine's pause of 170 ms is not taken for a peer's silence of 400 ms.

--- a/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
@@ -24,7 +24,7 @@
 
 /** Answers above this size carry a configuration, in bytes. */
 const largeAnswerBytes = 10_000;
-const piecesPerAnswer = 30;
+const piecesPerAnswer = 60;
 const readClock = () => performance.now();
 
 export const silentLogger: Logger = {
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -62,6 +62,7 @@
 			void this.#runRound('list', now);
 		});
 		const subscription = follower.configurations.subscribe(() => {
+			this.#configurationSpanMs = answerSpanMs;
 			// The store may have given what a query is under way for.
 			if (!this.#isNeeded('configuration', readClock())) {
 				this.#rounds.get('configuration')?.abort();
@@ -225,7 +226,6 @@
 				from: address,
 				version: configuration.version,
 			});
-			this.#configurationSpanMs = answerSpanMs;
 			follower.acceptConfiguration(configuration);
 		}
 
