Run a stream that must not be repeated once, also when its engine seems lost

A stream whose route does not allow resumption was sent to another engine when its own was silent and gave no report within 150 ms: a run at a lost engine does not count, and that it must not be repeated was asked only of runs that count. Nothing shows that the first engine did not run it, so it could run twice. Such a stream now stays with its engine, or is ordered onto other stages after it.

--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -10,7 +10,7 @@
 	type PathStage,
 } from 'bramleystage';
 import type {AnswerHead, AttemptFailure} from './attempt.js';
-import type {Call} from './call.js';
+import {type Call, isRepeatable} from './call.js';
 import {
 	CallRun,
 	isServerError,
@@ -90,9 +90,14 @@
 		const [first] = active.path;
 		const isFirstLost =
 			first !== undefined && this.context.isUnreachable(first);
+		// A run at a lost engine leaves the route's count free, but a request that
+		// must not be repeated may have run there all the same.
+		const mayRunAgain = isFirstLost
+			? isRepeatable(this.call)
+			: this.canRunAgain();
 		// Without another path the stream keeps waiting on this one.
 		const mayFailOver =
-			(isFirstLost || this.canRunAgain()) &&
+			mayRunAgain &&
 			this.#choosePath() !== undefined &&
 			this.context.trySpendRetry(this.call.service.name);
 		if (!mayFailOver) {
