Learn which connections were accepted before giving one up

A gateway that did not run for over 100 ms, as small ones do while they take in a large configuration, counted the servers whose connections had been accepted meanwhile as unreachable: Node runs due timers before it reads from the network. The limit for a connection now looks once more after the network was read, as the limits of the store's answers and of silent streams do. Ruled out: a longer limit, which leaves a dead server later at all times.

--- a/packages/bramleystage-gateway/src/timed-attempt.ts
+++ b/packages/bramleystage-gateway/src/timed-attempt.ts
@@ -1,9 +1,9 @@
 /**
  * Opens attempts whose time limit for the connection is longer by the delay of the
  * own network link, as it is known when the limit is reached: the link may have
- * become slow after the attempt began.
+ * become slow after the attempt began. A process that did not run for a while first
+ * learns which connections were accepted meanwhile.
  */
-import {maxLinkDelayMs} from 'bramleystage';
 import {
 	type Attempt,
 	type AttemptHandlers,
@@ -11,6 +11,8 @@
 	openAttempt,
 } from './attempt.js';
 
+/** Longest time of a timer, in milliseconds; the limits here end an attempt before. */
+const maxTimerMs = 2 ** 31 - 1;
 /** By how much a timer may fire early, in milliseconds. */
 const timerPrecisionMs = 1;
 
@@ -30,15 +32,15 @@
 ): Attempt {
 	const startedAt = readClock();
 	const attempt = openAttempt(
-		{...request, connectTimeoutMs: timeoutMs + maxLinkDelayMs},
+		{...request, connectTimeoutMs: maxTimerMs},
 		{
 			...handlers,
 			onEnd() {
-				clearTimeout(timer);
+				stopTimers();
 				handlers.onEnd();
 			},
 			onFail(failure) {
-				clearTimeout(timer);
+				stopTimers();
 				handlers.onFail(failure);
 			},
 		},
@@ -55,18 +57,28 @@
 			return;
 		}
 
-		attempt.cancel();
-		handlers.onFail({
-			isSent: false,
-			detail: `No connection within ${Math.round(waitedMs)} ms.`,
+		immediate = setImmediate(() => {
+			if (!attempt.isSent()) {
+				attempt.cancel();
+				handlers.onFail({
+					isSent: false,
+					detail: `No connection within ${Math.round(waitedMs)} ms.`,
+				});
+			}
 		});
 	};
 
+	let immediate: NodeJS.Immediate | undefined;
 	let timer = setTimeout(checkConnection, timeoutMs);
+	const stopTimers = () => {
+		clearTimeout(timer);
+		clearImmediate(immediate);
+	};
+
 	return {
 		...attempt,
 		cancel() {
-			clearTimeout(timer);
+			stopTimers();
 			attempt.cancel();
 		},
 	};
