Begin the delays of a resumed stream anew after events

A stream that had been resumed once began its second loss with the longest delay between attempts, 400 ms, over the pause that callers accept. Events of the new run reset the delay. Found by the review, by reading; gateway.test.ts 30 of 30, no test of its own.

--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -250,7 +250,11 @@
 			return;
 		}
 
-		active.hasEvents ||= events.hasData;
+		if (events.hasData) {
+			active.hasEvents = true;
+			this.#delayedAttempts = 0;
+		}
+
 		this.#lastEvent = events.ids.at(-1) ?? this.#lastEvent;
 		this.call.response.write(events.bytes);
 	}
