Double the time for a slow peer whenever one was too slow

On a link on which a configuration takes 7 s, a gateway gave up the first answer after 3 s, as it should, and now and then the second one after 3 s again, so that the version came 3 s later. Whether an answer was too slow was asked of the clock, and a timer may fire a millisecond early; the failure says so itself now.

--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -181,6 +181,8 @@
 	readonly detail: string;
 	/** Bytes of the answer that arrived. */
 	readonly arrivedBytes: number;
+	/** Whether the answer was under way, but too slow to be worth waiting for. */
+	readonly isTooSlow: boolean;
 };
 
 /**
@@ -207,12 +209,13 @@
 	let spanTimer: NodeJS.Timeout | undefined;
 	const answer = await new Promise<Result<WireAnswer, PeerQueryFailure>>(
 		(resolve) => {
-			const fail = (detail: string) => {
+			const fail = (detail: string, isTooSlow = false) => {
 				const arrivedBytes = socket.bytesRead;
 				resolve(
 					err({
 						detail: `${detail} Arrived: ${arrivedBytes} of ${answerBytes ?? 'unknown'} bytes.`,
 						arrivedBytes,
+						isTooSlow,
 					}),
 				);
 			};
@@ -223,7 +226,7 @@
 				const missingBytes =
 					(answerBytes ?? Number.POSITIVE_INFINITY) - bytesRead;
 				if (!isWorthAwaiting(missingBytes, bytesRead - beforeSpanBytes)) {
-					fail(`Too slow in ${spanMs} ms.`);
+					fail(`Too slow in ${spanMs} ms.`, true);
 				}
 
 				beforeSpanBytes = bytesRead;
@@ -265,5 +268,6 @@
 	return decoded.mapErr(({detail}) => ({
 		detail,
 		arrivedBytes: socket.bytesRead,
+		isTooSlow: false,
 	}));
 }
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -182,10 +182,7 @@
 			return true;
 		}
 
-		if (
-			subject === 'configuration' &&
-			this.options.readClock() - now >= spanMs
-		) {
+		if (subject === 'configuration' && answer.error.isTooSlow) {
 			this.#configurationSpanMs = Math.min(maxAnswerSpanMs, 2 * spanMs);
 		}
 
