Log of each run of a request its engine, its count and why it isn't counted

The logs of an attempt named neither the engine nor how many runs count towards the route's limit, so the hypotheses on requests that ran on three engines of two (docs/incidents/runs-over-the-limit.md) could not be told apart. Each attempt.ended has backend, runs, max_runs and uncounted now, request.ended has runs, and bramleystage_gateway_runs_total counts runs by the reason. No change of what is decided.

--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -141,21 +141,47 @@
 		}
 	}
 
-	/** Records the end of an attempt without a usable answer; `isServerGone` if its server no longer runs. */
+	/**
+	 * Records the end of an attempt without a usable answer. `uncounted` is the
+	 * reason if its run doesn't count, as its server no longer runs.
+	 */
 	protected recordOutcome(
 		outcome: AttemptOutcome,
-		isServerGone: boolean,
+		backend: BackendId | undefined,
+		uncounted: string | undefined,
 		detail: string,
 	): void {
-		this.context.recorder.recordAttempt(this.call, outcome, this.where, detail);
-		if (outcome !== 'notRun') {
+		const isRun = outcome !== 'notRun';
+		if (isRun) {
 			const {ran} = this.#history;
 			this.#history = {
 				...this.#history,
-				ran: isServerGone ? ran : ran + 1,
+				ran: uncounted === undefined ? ran + 1 : ran,
 				mayHaveRun: true,
 			};
 		}
+
+		this.context.recorder.recordAttempt(this.call, {
+			outcome,
+			backend,
+			where: this.where,
+			detail,
+			runs: this.#history.ran,
+			uncounted: isRun ? uncounted : undefined,
+		});
+	}
+
+	/** Records an attempt whose answer the caller gets. */
+	protected recordAnswer(backend: BackendId | undefined): void {
+		const {ran} = this.#history;
+		this.#history = {...this.#history, ran: ran + 1, mayHaveRun: true};
+		this.context.recorder.recordAttempt(this.call, {
+			outcome: 'answered',
+			backend,
+			where: this.where,
+			detail: '',
+			runs: this.#history.ran,
+		});
 	}
 
 	/** Whether the route allows the request to run once more. */
@@ -227,6 +253,7 @@
 			failure,
 			status,
 			attempts: this.#history.sent,
+			runs: this.#history.ran,
 			where: this.where,
 			firstMs:
 				this.answerStartedAt === undefined
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -235,7 +235,12 @@
 		const refusal = findDrainRefusal(call);
 		if (refusal) {
 			writeErrorResponse(call.response, refusal, true);
-			recorder.recordEnd(call, {failure: refusal, attempts: 0, where: ''});
+			recorder.recordEnd(call, {
+				failure: refusal,
+				attempts: 0,
+				runs: 0,
+				where: '',
+			});
 			return;
 		}
 
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -141,14 +141,18 @@
 			isSent ? 'cut' : 'unreachable',
 			detail,
 		);
-		this.#handleOutcome(isSent ? 'unknown' : 'notRun', detail);
+		this.#handleOutcome(active, isSent ? 'unknown' : 'notRun', detail);
 	}
 
 	#handleAnswer(active: ActiveAttempt): void {
 		this.#release(active);
 		const {head} = active;
 		if (!head) {
-			this.#handleOutcome('unknown', 'The answer ended without a head.');
+			this.#handleOutcome(
+				active,
+				'unknown',
+				'The answer ended without a head.',
+			);
 			return;
 		}
 
@@ -160,7 +164,7 @@
 				head.status === replacedStatus ? 'replaced' : 'refused',
 				`Status ${head.status}.`,
 			);
-			this.#handleOutcome('notRun', `Status ${head.status}.`);
+			this.#handleOutcome(active, 'notRun', `Status ${head.status}.`);
 			return;
 		}
 
@@ -171,7 +175,11 @@
 				'failed',
 				'The answer belongs to another request.',
 			);
-			this.#handleOutcome('unknown', 'The answer belongs to another request.');
+			this.#handleOutcome(
+				active,
+				'unknown',
+				'The answer belongs to another request.',
+			);
 			return;
 		}
 
@@ -188,18 +196,19 @@
 		}
 
 		if (this.call.route.kind === 'idempotent') {
-			this.#handleOutcome('failed', detail, active);
+			this.#handleOutcome(active, 'failed', detail);
 		} else {
 			this.#forwardAnswer(active, head);
 		}
 	}
 
 	#handleOutcome(
+		active: ActiveAttempt,
 		outcome: AttemptOutcome,
 		detail: string,
-		answered?: ActiveAttempt,
 	): void {
-		this.recordOutcome(outcome, false, detail);
+		this.where = active.backend.address;
+		this.recordOutcome(outcome, active.backend.id, undefined, detail);
 		if (this.#activeAttempts.size > 0) {
 			return;
 		}
@@ -207,15 +216,16 @@
 		const step = this.decideNext(outcome);
 		if (step === 'retry') {
 			this.tryNextAttempt();
-		} else if (step === 'forward' && answered?.head) {
-			this.#forwardAnswer(answered, answered.head);
+		} else if (step === 'forward' && active.head) {
+			this.#forwardAnswer(active, active.head);
 		} else {
 			this.failAfterAttempt(detail);
 		}
 	}
 
-	#forwardAnswer({chunks}: ActiveAttempt, head: AnswerHead): void {
-		this.context.recorder.recordAttempt(this.call, 'answered', this.where, '');
+	#forwardAnswer({backend, chunks}: ActiveAttempt, head: AnswerHead): void {
+		this.where = backend.address;
+		this.recordAnswer(backend.id);
 		this.answerStartedAt = this.context.readClock();
 		const body = Buffer.concat(chunks);
 		const {response} = this.call;
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -4,7 +4,13 @@
  * strictly for successes than for failures, and the next line has the count of
  * those left out.
  */
-import {type Failure, type Logger, resultCodes} from 'bramleystage';
+import {
+	type AttemptOutcome,
+	type BackendId,
+	type Failure,
+	type Logger,
+	resultCodes,
+} from 'bramleystage';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {Call} from './call.js';
 
@@ -22,10 +28,25 @@
 	readonly attempts: number;
 	/** Address of the last backend server, or the stages of the last path. */
 	readonly where: string;
+	/** Runs that count towards the route's limit. */
+	readonly runs: number;
 	/** Time to the first event or to the answer, in milliseconds. */
 	readonly firstMs?: number;
 };
 
+/** How one attempt at a backend server ended. */
+export type AttemptEnd = {
+	readonly outcome: AttemptOutcome | 'answered';
+	readonly backend?: BackendId;
+	/** Address of the backend server, or the stages of the path. */
+	readonly where: string;
+	readonly detail: string;
+	/** Runs so far that count towards the route's limit. */
+	readonly runs: number;
+	/** Why the attempt may have run but doesn't count as a run; absent if it counts or has not run. */
+	readonly uncounted?: string;
+};
+
 export class RequestRecorder {
 	readonly registry = new Registry();
 	readonly #requests = new Counter({
@@ -57,6 +78,13 @@
 		registers: [this.registry],
 	});
 
+	readonly #runs = new Counter({
+		name: 'bramleystage_gateway_runs_total',
+		help: "Attempts that may have run, by whether or why not they count towards the route's limit",
+		labelNames: ['counted'],
+		registers: [this.registry],
+	});
+
 	#windowStart = 0;
 	#successLines = 0;
 	#failureLines = 0;
@@ -84,15 +112,21 @@
 	/** Records one attempt at a backend server. */
 	recordAttempt(
 		call: Call,
-		outcome: string,
-		where: string,
-		detail: string,
+		{outcome, backend, where, detail, runs, uncounted}: AttemptEnd,
 	): void {
 		this.#attempts.inc({outcome});
+		if (outcome !== 'notRun') {
+			this.#runs.inc({counted: uncounted ?? 'yes'});
+		}
+
 		if (outcome !== 'answered' && this.#tryAcquireLine('failure')) {
 			this.logger.warn('attempt.ended', {
 				request: call.metadata.request,
 				outcome,
+				backend,
+				runs,
+				max_runs: call.route.maxAttempts,
+				uncounted,
 				where,
 				detail,
 				version: call.version,
@@ -139,6 +173,7 @@
 			status: end.status,
 			detail: end.failure?.detail,
 			attempts: end.attempts,
+			runs: end.runs,
 			where: end.where,
 			first_ms: end.firstMs && Math.round(end.firstMs),
 			duration_ms: Math.round(durationMs),
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -110,7 +110,12 @@
 
 		const outcome = active.isSent ? 'unknown' : 'notRun';
 		this.#cancelAttempt(active);
-		this.recordOutcome(outcome, isFirstLost, detail);
+		this.recordOutcome(
+			outcome,
+			first?.id,
+			isFirstLost ? 'avoidedAsUnreachable' : undefined,
+			detail,
+		);
 		this.tryNextAttempt();
 	}
 
@@ -268,8 +273,8 @@
 		if (!head || !isSameRequest || !metadata?.isStamped) {
 			this.#cancelAttempt(active);
 			this.#handleOutcome(
+				active,
 				'unknown',
-				false,
 				'The answer belongs to another request.',
 			);
 			return false;
@@ -293,8 +298,8 @@
 
 		if (active.splitter.hasPartial || !this.answerStartedAt) {
 			this.#handleOutcome(
+				active,
 				'unknown',
-				false,
 				'The stream ended before an event was complete.',
 			);
 			return;
@@ -304,7 +309,7 @@
 			this.context.fleet.health.recordSuccess(id);
 		}
 
-		this.context.recorder.recordAttempt(this.call, 'answered', this.where, '');
+		this.recordAnswer(active.path[0]?.id);
 		this.call.response.end();
 		this.end({status: 200});
 	}
@@ -315,7 +320,11 @@
 		const metadata =
 			head && this.context.headers.readAnswerHeaders(head.headers);
 		if (!head || !metadata) {
-			this.#handleOutcome('unknown', false, 'The answer ended without a head.');
+			this.#handleOutcome(
+				active,
+				'unknown',
+				'The answer ended without a head.',
+			);
 			return;
 		}
 
@@ -340,15 +349,15 @@
 
 		const detail = `Status ${head.status}.`;
 		if (isRefusal) {
-			this.#handleOutcome('notRun', false, detail);
+			this.#handleOutcome(active, 'notRun', detail);
 		} else if (
 			this.answerStartedAt !== undefined ||
 			metadata.request !== this.call.metadata.request ||
 			!metadata.isStamped
 		) {
-			this.#handleOutcome('unknown', false, detail);
+			this.#handleOutcome(active, 'unknown', detail);
 		} else if (head.status >= minErrorStatus) {
-			this.#handleOutcome('failed', false, detail, active);
+			this.#handleOutcome(active, 'failed', detail);
 		} else {
 			this.#forwardAnswer(active, head);
 		}
@@ -379,32 +388,38 @@
 		}
 
 		if (isSent && !this.canRunAgain() && first) {
-			void this.#handleLastCutAttempt(first, detail);
+			void this.#handleLastCutAttempt(active, first, detail);
 			return;
 		}
 
-		this.#handleOutcome(isSent ? 'unknown' : 'notRun', false, detail);
+		this.#handleOutcome(active, isSent ? 'unknown' : 'notRun', detail);
 	}
 
 	/** Handles the loss of the last allowed attempt, which does not count if its engine is gone. */
-	async #handleLastCutAttempt(first: PathStage, detail: string): Promise<void> {
+	async #handleLastCutAttempt(
+		active: StreamAttempt,
+		first: PathStage,
+		detail: string,
+	): Promise<void> {
 		const {fleet, readReport} = this.context;
 		const report = fleet.health.isPaused(first.id)
 			? undefined
 			: await readReport(first.address, reportTimeoutMs);
-		const isGone = report?.isErr() ?? false;
+		const uncounted = report?.isErr()
+			? `report_${report.error.kind}`
+			: undefined;
 		if (!this.isFinished) {
-			this.#handleOutcome('unknown', isGone, detail);
+			this.#handleOutcome(active, 'unknown', detail, uncounted);
 		}
 	}
 
 	#handleOutcome(
+		active: StreamAttempt,
 		outcome: AttemptOutcome,
-		isServerGone: boolean,
 		detail: string,
-		answered?: StreamAttempt,
+		uncounted?: string,
 	): void {
-		this.recordOutcome(outcome, isServerGone, detail);
+		this.recordOutcome(outcome, active.path[0]?.id, uncounted, detail);
 		const step = this.decideNext(outcome);
 		const isResumption = this.answerStartedAt !== undefined;
 		if (step === 'wait') {
@@ -415,8 +430,8 @@
 			this.#resumeLater();
 		} else if (step === 'retry') {
 			this.tryNextAttempt();
-		} else if (step === 'forward' && answered?.head) {
-			this.#forwardAnswer(answered, answered.head);
+		} else if (step === 'forward' && active.head) {
+			this.#forwardAnswer(active, active.head);
 		} else {
 			this.failAfterAttempt(detail);
 		}
