A run counts towards the route's limit unless its engine has ended

Cause: a failed report was taken for the end of the engine. A timeout of 150 ms made it 'unreachable', and a run at an unreachable engine left the route's count free (failOver); after the last allowed run any error of the report did the same, a timeout or spoiled bytes included (#handleLastCutAttempt).

Now InstanceWatch alone says that an instance has ended, from a refused connection or a later start under its id, which no live instance shows (state/instance-ends.ts). Runs are counted anew at each decision, so evidence that comes later frees the count. All reports are read through InstanceWatch, placement's and the monitor's too; a report that can't be read is a failure of the engine and no longer a sign that it can't be reached. An entry that left and status 421 are no evidence: a leaving engine serves on, and one without the named layers answers 421.

--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -259,7 +259,8 @@
 				continue;
 			}
 
-			if (error.kind !== 'connect' && pending.timesSent < maxStepRequests) {
+			const isUnsent = error.kind === 'connect' || error.kind === 'refused';
+			if (!isUnsent && pending.timesSent < maxStepRequests) {
 				this.#enqueue(pending);
 			} else {
 				this.#pendingSteps.delete(key);
--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -11,6 +11,7 @@
 import {ok} from 'neverthrow';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {Fleet} from '../fleet.js';
+import {InstanceWatch} from '../instance-watch.js';
 import type {GatewayGroup} from '../gateway-group.js';
 import {startPlacement} from '../placement-controller.js';
 import type {EnginePort} from '../platform-port.js';
@@ -117,15 +118,24 @@
 		},
 		replacePath: async () => ok('rejected'),
 	};
+	const readClock = () => performance.now();
+	const instances = new InstanceWatch({
+		fleet,
+		readReport: engines.readReport,
+		lifeCycle,
+		logger,
+		readClock,
+	});
 	for (let count = 0; count < leaders; count++) {
 		startPlacement({
 			fleet,
 			group: {isLeader: true, fence: 1} as unknown as GatewayGroup,
 			engines,
+			instances,
 			listServices: () => [service],
 			lifeCycle,
 			logger,
-			readClock: () => performance.now(),
+			readClock,
 		});
 	}
 
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -8,6 +8,7 @@
 import type {AddressInfo} from 'node:net';
 import {
 	type Backend,
+	LifeCycle,
 	maxLinkDelayMs,
 	toBackendId,
 	toDataCentreId,
@@ -16,10 +17,11 @@
 	toRouteName,
 	toServiceName,
 } from 'bramleystage';
-import {ok} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import type {Call} from '../call.js';
 import {Fleet} from '../fleet.js';
+import {InstanceWatch} from '../instance-watch.js';
 import {PathReplacement} from '../path-replacement.js';
 import {PlainRun} from '../plain-run.js';
 import type {HeaderPort} from '../platform-port.js';
@@ -163,8 +165,16 @@
 		readLinkDelayMs,
 	});
 	fleet.replace([backend], readClock());
+	const lifeCycle = new LifeCycle();
 	const context: Partial<StreamRunContext> = {
 		fleet,
+		instances: new InstanceWatch({
+			fleet,
+			readReport: async () => err({kind: 'unreachable', detail: 'no answer'}),
+			lifeCycle,
+			logger,
+			readClock,
+		}),
 		headers,
 		recorder: new RequestRecorder(logger, readClock, () => 0),
 		trySpendRetry: () => false,
@@ -173,7 +183,6 @@
 		isStopping: () => false,
 		drawRandom: () => 0.5,
 		registerStream: () => () => undefined,
-		isUnreachable: () => false,
 		recordPause: () => undefined,
 	};
 	const callers = http.createServer((callerRequest, response) => {
@@ -195,6 +204,7 @@
 	response.resume();
 	await once(response, 'end');
 	callers.close();
+	await lifeCycle.stop();
 	return {
 		status: response.statusCode,
 		isAvoided: fleet.health.isAvoided(backend.id),
--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -15,6 +15,7 @@
 	EnginePort,
 	EngineReport,
 } from '../platform-port.js';
+import {InstanceWatch} from '../instance-watch.js';
 import {StreamMonitor} from '../stream-monitor.js';
 import type {StreamRun} from '../stream-run.js';
 
@@ -59,12 +60,16 @@
 		countGateways: () => 1,
 		readLinkDelayMs: () => linkDelayMs,
 	});
-	const engines: Partial<EnginePort> = {
-		readReport: async () => err({kind, detail: 'no answer'}),
-	};
+	const readReport = async () => err({kind, detail: 'no answer'});
 	const monitor = new StreamMonitor({
 		fleet,
-		engines: engines as EnginePort,
+		instances: new InstanceWatch({
+			fleet,
+			readReport,
+			lifeCycle,
+			logger,
+			readClock,
+		}),
 		logger,
 		lifeCycle,
 		readClock,
@@ -136,22 +141,27 @@
 		readLinkDelayMs,
 	});
 	const timeouts: number[] = [];
-	const engines: Partial<EnginePort> = {
-		async readReport(_address, timeoutMs) {
-			timeouts.push(timeoutMs);
-			const isInTime = reportMs <= timeoutMs;
-			await waitFor(Math.min(reportMs, timeoutMs));
-			return isInTime
-				? ok(report)
-				: err({
-						kind: 'unreachable',
-						detail: `No answer within ${timeoutMs} ms.`,
-					});
-		},
+	const readReport: EnginePort['readReport'] = async (_address, timeoutMs) => {
+		timeouts.push(timeoutMs);
+		const isInTime = reportMs <= timeoutMs;
+		await waitFor(Math.min(reportMs, timeoutMs));
+		return isInTime
+			? ok(report)
+			: err({
+					kind: 'unreachable',
+					detail: `No answer within ${timeoutMs} ms.`,
+				});
 	};
+
 	const monitor = new StreamMonitor({
 		fleet,
-		engines: engines as EnginePort,
+		instances: new InstanceWatch({
+			fleet,
+			readReport,
+			lifeCycle,
+			logger,
+			readClock,
+		}),
 		logger,
 		lifeCycle,
 		readClock,
--- a/packages/bramleystage-gateway/src/attempt.ts
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -4,7 +4,12 @@
  * closes idle connections cannot make it unclear whether the request ran.
  */
 import http, {type IncomingMessage} from 'node:http';
-import {listHeaders, parseAddress, registerAnswerGuard} from 'bramleystage';
+import {
+	isRefusedConnection,
+	listHeaders,
+	parseAddress,
+	registerAnswerGuard,
+} from 'bramleystage';
 import {type HeldAnswer, HeldAnswers} from './held-answers.js';
 import type {Headers} from './platform-port.js';
 
@@ -24,6 +29,8 @@
 export type AttemptFailure = {
 	/** False only if the server cannot have seen the request. */
 	readonly isSent: boolean;
+	/** Whether nothing listens at the server's address. */
+	readonly isRefused: boolean;
 	readonly detail: string;
 };
 
@@ -83,10 +90,10 @@
 		agent: false,
 		headers: buildHeaders(request) as unknown as http.OutgoingHttpHeaders,
 	});
-	const fail = (detail: string) => {
+	const fail = (detail: string, isRefused = false) => {
 		finish(() => {
 			outgoing.destroy();
-			handlers.onFail({isSent, detail});
+			handlers.onFail({isSent, isRefused, detail});
 		});
 	};
 
@@ -106,7 +113,7 @@
 	});
 	const countBody = registerAnswerGuard(outgoing, fail);
 	outgoing.on('error', (error) => {
-		fail(error.message);
+		fail(error.message, !isSent && isRefusedConnection(error));
 	});
 	outgoing.on('response', (response) => {
 		if (isFinished) {
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -4,23 +4,26 @@
  * kind of answer.
  */
 import {
-	type AttemptHistory,
 	type AttemptOutcome,
 	type BackendId,
 	computeReturnMs,
+	countRuns,
 	createFailure,
 	decideAfterAttempt,
 	type Failure,
+	type InstanceWork,
 	type ServiceName,
 } from 'bramleystage';
 import {writeErrorResponse} from './error-response.js';
 import {type Call, isRepeatable} from './call.js';
 import type {Fleet} from './fleet.js';
-import type {RequestRecorder} from './request-recorder.js';
+import type {InstanceWatch} from './instance-watch.js';
+import type {AttemptEnd, RequestRecorder} from './request-recorder.js';
 import type {AnswerMetadata, HeaderPort, Headers} from './platform-port.js';
 
 export type RunContext = {
 	readonly fleet: Fleet;
+	readonly instances: InstanceWatch;
 	readonly headers: HeaderPort;
 	readonly recorder: RequestRecorder;
 	/** Spends one retry of the service's retry budget; returns false if none is left. */
@@ -41,7 +44,7 @@
 /** Status of a server that another one has replaced at its address. */
 export const replacedStatus = 421;
 /** Status of a server that refuses a request for now. */
-const refusedStatus = 503;
+export const refusedStatus = 503;
 /** Hop-by-hop headers, which concern one connection only. */
 const hopByHop = new Set([
 	'connection',
@@ -63,7 +66,9 @@
 	protected isFinished = false;
 	protected answerStartedAt: number | undefined;
 	protected where = '';
-	#history: AttemptHistory = {sent: 0, ran: 0, mayHaveRun: false};
+	#sentCount = 0;
+	/** Attempts that may have run, in the order of their ends. */
+	#runs: readonly InstanceWork[] = [];
 	readonly #deadlineTimer: NodeJS.Timeout;
 
 	constructor(
@@ -73,7 +78,7 @@
 		this.#deadlineTimer = setTimeout(
 			() => {
 				this.failWith(
-					this.#history.mayHaveRun || this.isInFlight()
+					this.#mayHaveRun || this.isInFlight()
 						? createFailure('deadlinePassed', 'The deadline passed.')
 						: this.buildRefusal('deadlineUnreachable', 'The deadline passed.'),
 				);
@@ -99,7 +104,11 @@
 	}
 
 	protected get attempts(): number {
-		return this.#history.sent;
+		return this.#sentCount;
+	}
+
+	get #mayHaveRun(): boolean {
+		return this.#runs.length > 0;
 	}
 
 	/** Opens an attempt, or fails the request if no backend server is usable and no attempt is in flight. */
@@ -115,7 +124,7 @@
 	protected handleNoBackend(): void {
 		const result = this.call.service.pipeline ? 'noPipeline' : 'noBackend';
 		this.failWith(
-			this.#history.mayHaveRun
+			this.#mayHaveRun
 				? createFailure('backendLost', 'No other backend server is left.')
 				: this.buildRefusal(result, 'No backend server is usable.'),
 		);
@@ -123,7 +132,7 @@
 
 	/** Counts an attempt that is about to be sent. */
 	protected countAttempt(): void {
-		this.#history = {...this.#history, sent: this.#history.sent + 1};
+		this.#sentCount++;
 	}
 
 	/** Records what a server's answer says about its further use. */
@@ -141,59 +150,45 @@
 		}
 	}
 
-	/**
-	 * Records the end of an attempt without a usable answer. `uncounted` is the
-	 * reason if its run doesn't count, as its server no longer runs.
-	 */
+	/** Records the end of an attempt; if it may have run, its run counts unless its instance has ended. */
 	protected recordOutcome(
-		outcome: AttemptOutcome,
-		backend: BackendId | undefined,
-		uncounted: string | undefined,
-		detail: string,
+		outcome: AttemptEnd['outcome'],
+		work: InstanceWork,
+		detail = '',
 	): void {
 		const isRun = outcome !== 'notRun';
 		if (isRun) {
-			const {ran} = this.#history;
-			this.#history = {
-				...this.#history,
-				ran: uncounted === undefined ? ran + 1 : ran,
-				mayHaveRun: true,
-			};
+			this.#runs = [...this.#runs, work];
 		}
 
 		this.context.recorder.recordAttempt(this.call, {
 			outcome,
-			backend,
+			backend: work.id,
 			where: this.where,
 			detail,
-			runs: this.#history.ran,
-			uncounted: isRun ? uncounted : undefined,
-		});
-	}
-
-	/** Records an attempt whose answer the caller gets. */
-	protected recordAnswer(backend: BackendId | undefined): void {
-		const {ran} = this.#history;
-		this.#history = {...this.#history, ran: ran + 1, mayHaveRun: true};
-		this.context.recorder.recordAttempt(this.call, {
-			outcome: 'answered',
-			backend,
-			where: this.where,
-			detail: '',
-			runs: this.#history.ran,
+			runs: this.#countRuns(),
+			uncounted: isRun
+				? this.context.instances.findEndEvidence(work)
+				: undefined,
 		});
 	}
 
-	/** Whether the route allows the request to run once more. */
-	protected canRunAgain(): boolean {
-		const {maxAttempts} = this.call.route;
-		return isRepeatable(this.call) && this.#history.ran + 1 < maxAttempts;
+	/** Whether the route allows the request to run once more, beside an attempt in flight if there is one. */
+	protected canRunAgain(inFlight: readonly InstanceWork[] = []): boolean {
+		return (
+			isRepeatable(this.call) &&
+			this.#countRuns(inFlight) < this.call.route.maxAttempts
+		);
 	}
 
 	protected decideNext(outcome: AttemptOutcome) {
 		return decideAfterAttempt(
 			outcome,
-			this.#history,
+			{
+				sent: this.#sentCount,
+				ran: this.#countRuns(),
+				mayHaveRun: this.#mayHaveRun,
+			},
 			{
 				isRepeatable: isRepeatable(this.call),
 				maxAttempts: this.call.route.maxAttempts,
@@ -226,7 +221,7 @@
 	/** Fails the request after an attempt that is not repeated. */
 	protected failAfterAttempt(detail: string): void {
 		this.failWith(
-			this.#history.mayHaveRun
+			this.#mayHaveRun
 				? createFailure('backendLost', detail)
 				: this.buildRefusal('queueFull', detail),
 		);
@@ -252,8 +247,8 @@
 		this.context.recorder.recordEnd(this.call, {
 			failure,
 			status,
-			attempts: this.#history.sent,
-			runs: this.#history.ran,
+			attempts: this.#sentCount,
+			runs: this.#countRuns(),
 			where: this.where,
 			firstMs:
 				this.answerStartedAt === undefined
@@ -268,4 +263,10 @@
 	protected abstract openNextAttempt(): boolean;
 	/** Cancels the attempts in flight. */
 	protected abstract cancelAttempts(): void;
+
+	#countRuns(inFlight: readonly InstanceWork[] = []): number {
+		return countRuns([...this.#runs, ...inFlight], (run) =>
+			this.context.instances.findEndEvidence(run),
+		);
+	}
 }
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import {followConfiguration} from './configuration-follower.js';
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
+import {InstanceWatch} from './instance-watch.js';
 import {GatewayGroup} from './gateway-group.js';
 import {RequestRecorder} from './request-recorder.js';
 import {PeerSync} from './peer-sync.js';
@@ -81,6 +82,13 @@
 		countGateways: () => group.size,
 		readLinkDelayMs,
 	});
+	const instances = new InstanceWatch({
+		fleet,
+		readReport: engines.readReport,
+		lifeCycle,
+		logger,
+		readClock,
+	});
 	const recorder = new RequestRecorder(
 		logger,
 		readClock,
@@ -178,6 +186,7 @@
 		fleet,
 		group,
 		engines,
+		instances,
 		listServices: () => [...(configurations.value?.services.values() ?? [])],
 		lifeCycle,
 		logger,
@@ -185,7 +194,7 @@
 	});
 	const monitor = new StreamMonitor({
 		fleet,
-		engines,
+		instances,
 		logger,
 		lifeCycle,
 		readClock,
@@ -198,6 +207,7 @@
 	);
 	const context = {
 		fleet,
+		instances,
 		headers,
 		recorder,
 		trySpendRetry: (service: ServiceName) => retryBudget.trySpendRetry(service),
@@ -206,10 +216,7 @@
 		isStopping,
 		drawRandom: Math.random,
 		registerStream: (stream: StreamRun) => monitor.register(stream),
-		isUnreachable: ({id}: PathStage) => fleet.health.isUnreachable(id),
 		replacePath: engines.replacePath,
-		readReport: async (address: string, timeoutMs: number) =>
-			engines.readReport(address, timeoutMs + readLinkDelayMs()),
 		checkFaultyEngine(stage: PathStage) {
 			void monitor.checkFaultyEngine(stage);
 		},
--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -17,6 +17,7 @@
 	planLayerOrders,
 } from 'bramleystage';
 import type {Fleet} from './fleet.js';
+import type {InstanceWatch} from './instance-watch.js';
 import type {GatewayGroup} from './gateway-group.js';
 import type {EnginePort} from './platform-port.js';
 
@@ -44,7 +45,8 @@
 export type PlacementOptions = {
 	readonly fleet: Fleet;
 	readonly group: GatewayGroup;
-	readonly engines: EnginePort;
+	readonly engines: Pick<EnginePort, 'orderLayers'>;
+	readonly instances: Pick<InstanceWatch, 'readReport'>;
 	readonly listServices: () => readonly GatewayService[];
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
@@ -176,10 +178,11 @@
 					return;
 				}
 
-				const {engines, fleet} = this.options;
-				const report = fleet.health.isPaused(id)
-					? undefined
-					: await engines.readReport(address, engineTimeoutMs);
+				const {instances, fleet} = this.options;
+				const report = await instances.readReport(
+					{id, address},
+					engineTimeoutMs,
+				);
 				const layers = report?.isOk() ? report.value.layers : undefined;
 				if (layers && isSameRange(layers, pending.layers)) {
 					fleet.recordLayers(id, layers);
@@ -226,25 +229,19 @@
 		id,
 		address,
 	}: Backend): Promise<number | undefined> {
-		const {engines, logger, group, fleet} = this.options;
-		if (fleet.health.isPaused(id)) {
+		const {instances, logger, group} = this.options;
+		const report = await instances.readReport({id, address}, engineTimeoutMs);
+		if (!report) {
 			return undefined;
 		}
 
-		const report = await engines.readReport(address, engineTimeoutMs);
 		if (report.isErr()) {
 			logger.warn('order.unsent', {backend: id, detail: report.error.detail});
 			return undefined;
 		}
 
-		if (report.value.isLeaving) {
-			fleet.recordLeaving(id);
-			return undefined;
-		}
-
-		return report.value.isBusy || !group.isLeader
-			? undefined
-			: report.value.orderCount;
+		const {isLeaving, isBusy, orderCount} = report.value;
+		return isLeaving || isBusy || !group.isLeader ? undefined : orderCount;
 	}
 
 	/** Lets an engine that was sent no order be planned again soon. */
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -4,7 +4,12 @@
  * that may be repeated is hedged: it also goes to a second server when the
  * first one is slow.
  */
-import type {AttemptOutcome, Backend, BackendId} from 'bramleystage';
+import type {
+	AttemptOutcome,
+	Backend,
+	BackendId,
+	InstanceWork,
+} from 'bramleystage';
 import {type AnswerHead, type Attempt, type AttemptFailure} from './attempt.js';
 import {type Call, computePriority} from './call.js';
 import {
@@ -24,6 +29,7 @@
 
 type ActiveAttempt = {
 	readonly backend: Backend;
+	readonly work: InstanceWork;
 	readonly attempt: Attempt;
 	readonly releaseWork: () => void;
 	head?: AnswerHead;
@@ -63,6 +69,7 @@
 		const {call, context} = this;
 		const active: ActiveAttempt = {
 			backend,
+			work: context.instances.describeWork(backend.id),
 			chunks: [],
 			releaseWork: context.fleet.costs.registerWork(
 				[{id: backend.id, layers: {from: 0, to: 0}}],
@@ -133,9 +140,13 @@
 
 	#handleFailure(
 		active: ActiveAttempt,
-		{isSent, detail}: AttemptFailure,
+		{isSent, isRefused, detail}: AttemptFailure,
 	): void {
 		this.#release(active);
+		if (isRefused) {
+			this.context.instances.recordEnd(active.work, 'connectionRefused');
+		}
+
 		this.context.fleet.health.recordFailure(
 			active.backend.id,
 			isSent ? 'cut' : 'unreachable',
@@ -186,7 +197,7 @@
 		const {health} = this.context.fleet;
 		if (head.status < minErrorStatus) {
 			health.recordSuccess(active.backend.id);
-			this.#forwardAnswer(active, head);
+			this.#acceptAnswer(active, head);
 			return;
 		}
 
@@ -198,7 +209,7 @@
 		if (this.call.route.kind === 'idempotent') {
 			this.#handleOutcome(active, 'failed', detail);
 		} else {
-			this.#forwardAnswer(active, head);
+			this.#acceptAnswer(active, head);
 		}
 	}
 
@@ -208,7 +219,7 @@
 		detail: string,
 	): void {
 		this.where = active.backend.address;
-		this.recordOutcome(outcome, active.backend.id, undefined, detail);
+		this.recordOutcome(outcome, active.work, detail);
 		if (this.#activeAttempts.size > 0) {
 			return;
 		}
@@ -223,9 +234,14 @@
 		}
 	}
 
-	#forwardAnswer({backend, chunks}: ActiveAttempt, head: AnswerHead): void {
-		this.where = backend.address;
-		this.recordAnswer(backend.id);
+	/** Records an answer that is final and forwards it. */
+	#acceptAnswer(active: ActiveAttempt, head: AnswerHead): void {
+		this.where = active.backend.address;
+		this.recordOutcome('answered', active.work);
+		this.#forwardAnswer(active, head);
+	}
+
+	#forwardAnswer({chunks}: ActiveAttempt, head: AnswerHead): void {
 		this.answerStartedAt = this.context.readClock();
 		const body = Buffer.concat(chunks);
 		const {response} = this.call;
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -131,7 +131,15 @@
 
 /** No valid answer; an order may still be carried out later. */
 export type EngineFailure = {
-	readonly kind: 'unreachable' | 'lost' | 'malformed';
+	readonly kind:
+		/** Nothing listens at the engine's address: it has ended. */
+		| 'refused'
+		/** No connection was made in time. */
+		| 'unreachable'
+		/** There was a connection, but no complete answer. */
+		| 'lost'
+		/** The answer violates the protocol. */
+		| 'malformed';
 	readonly detail: string;
 };
 
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -7,6 +7,7 @@
 import {
 	type AttemptOutcome,
 	type BackendId,
+	type EndEvidence,
 	type Failure,
 	type Logger,
 	resultCodes,
@@ -37,14 +38,14 @@
 /** How one attempt at a backend server ended. */
 export type AttemptEnd = {
 	readonly outcome: AttemptOutcome | 'answered';
-	readonly backend?: BackendId;
+	readonly backend: BackendId;
 	/** Address of the backend server, or the stages of the path. */
 	readonly where: string;
 	readonly detail: string;
 	/** Runs so far that count towards the route's limit. */
 	readonly runs: number;
 	/** Why the attempt may have run but doesn't count as a run; absent if it counts or has not run. */
-	readonly uncounted?: string;
+	readonly uncounted?: EndEvidence;
 };
 
 export class RequestRecorder {
--- /dev/null
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -0,0 +1,205 @@
+/**
+ * The part of a streaming request's run that takes the engines' answers: it
+ * forwards complete events to the caller, each once and in order, and tells the run
+ * how an attempt ended.
+ */
+import type {AttemptOutcome, BackendId, PathStage} from 'bramleystage';
+import type {AttemptFailure, AnswerHead} from './attempt.js';
+import type {Call} from './call.js';
+import {CallRun, type RunContext} from './call-run.js';
+import {decideAnswerMeaning, StreamWriter} from './stream-answer.js';
+import type {StreamAttempt} from './stream-attempt.js';
+
+export type StreamAnswerContext = RunContext & {
+	/** Checks an engine that was reported as the cause of a refusal. */
+	readonly checkFaultyEngine: (stage: PathStage) => void;
+	/** Records the pause between two events of a path, in milliseconds. */
+	readonly recordPause: (path: readonly PathStage[], pauseMs: number) => void;
+};
+
+export abstract class StreamAnswerRun extends CallRun {
+	/** Steady-clock time of the last sign of progress, in milliseconds. */
+	lastProgressAt: number;
+	protected active: StreamAttempt | undefined;
+	protected readonly writer: StreamWriter;
+	/** Engines that the next attempts avoid. */
+	protected readonly excludedEngines = new Set<BackendId>();
+	/** Attempts since the last event that were made after a delay. */
+	protected delayedAttempts = 0;
+
+	constructor(
+		call: Call,
+		protected override readonly context: StreamAnswerContext,
+	) {
+		super(call, context);
+		this.lastProgressAt = call.arrivedAt;
+		this.writer = new StreamWriter(call, context.isStopping);
+	}
+
+	protected handleData(active: StreamAttempt, chunk: Buffer): void {
+		if (!active.isStream) {
+			active.chunks.push(chunk);
+			return;
+		}
+
+		const split = active.splitter.append(chunk);
+		if (split.isErr()) {
+			this.#handleBadStream(active, split.error);
+			return;
+		}
+
+		const events = split.value;
+		if (!events) {
+			return;
+		}
+
+		// Parts of an event and comments are no progress: a stalled path may send them.
+		if (events.hasData) {
+			const now = this.context.readClock();
+			if (active.hasEvents) {
+				this.context.recordPause(active.path, now - this.lastProgressAt);
+			}
+
+			this.lastProgressAt = now;
+		}
+
+		if (!this.answerStartedAt && !this.#startAnswer(active)) {
+			return;
+		}
+
+		if (!this.writer.tryWrite(events.bytes, events.ids)) {
+			this.#handleBadStream(active, 'The events are out of order.');
+			return;
+		}
+
+		if (events.hasData) {
+			active.hasEvents = true;
+			this.delayedAttempts = 0;
+		}
+	}
+
+	protected handleEnd(active: StreamAttempt): void {
+		active.release();
+		this.active = undefined;
+		if (!active.isStream) {
+			this.#handleNonStreamAnswer(active);
+			return;
+		}
+
+		if (active.splitter.hasPartial || !this.answerStartedAt) {
+			this.handleOutcome(
+				active,
+				'unknown',
+				'The stream ended before an event was complete.',
+			);
+			return;
+		}
+
+		for (const {id} of active.path) {
+			this.context.fleet.health.recordSuccess(id);
+		}
+
+		this.recordOutcome('answered', active.work);
+		this.call.response.end();
+		this.end({status: 200});
+	}
+
+	protected forwardAnswer({chunks}: StreamAttempt, head: AnswerHead): void {
+		this.writer.writeWhole(head, Buffer.concat(chunks));
+		this.end({status: head.status});
+	}
+
+	protected handleFailure(
+		active: StreamAttempt,
+		{isSent, isRefused, detail}: AttemptFailure,
+	): void {
+		const {fleet, instances} = this.context;
+		this.cancelAttempt(active);
+		const [first] = active.path;
+		if (isRefused) {
+			instances.recordEnd(active.work, 'connectionRefused');
+		}
+
+		if (first) {
+			this.excludedEngines.add(first.id);
+			fleet.health.recordFailure(
+				first.id,
+				isSent ? 'cut' : 'unreachable',
+				detail,
+			);
+		}
+
+		this.handleOutcome(active, isSent ? 'unknown' : 'notRun', detail);
+	}
+
+	/** Closes an attempt's connection. */
+	protected abstract cancelAttempt(active: StreamAttempt): void;
+	/** Handles the end of an attempt that gave no usable answer. */
+	protected abstract handleOutcome(
+		active: StreamAttempt,
+		outcome: AttemptOutcome,
+		detail: string,
+	): void;
+
+	/** Writes the answer's head once the first events arrive; returns false if the answer belongs to another request. */
+	#startAnswer(active: StreamAttempt): boolean {
+		const {head} = active;
+		const metadata =
+			head && this.context.headers.readAnswerHeaders(head.headers);
+		const isSameRequest = metadata?.request === this.call.metadata.request;
+		if (!head || !isSameRequest || !metadata?.isStamped) {
+			this.cancelAttempt(active);
+			this.handleOutcome(
+				active,
+				'unknown',
+				'The answer belongs to another request.',
+			);
+			return false;
+		}
+
+		this.answerStartedAt = this.context.readClock();
+		this.writer.start(head);
+		return true;
+	}
+
+	/** Handles a complete answer that is not a stream. */
+	#handleNonStreamAnswer(active: StreamAttempt): void {
+		const {head, path} = active;
+		if (!head) {
+			this.handleOutcome(active, 'unknown', 'The answer ended without a head.');
+			return;
+		}
+
+		const {headers, fleet, checkFaultyEngine} = this.context;
+		const {outcome, faulty} = decideAnswerMeaning(
+			head,
+			path,
+			this.call,
+			headers,
+		);
+		const detail = `Status ${head.status}.`;
+		if (faulty) {
+			const {stage, sign, isReported} = faulty;
+			this.excludedEngines.add(stage.id);
+			fleet.health.recordFailure(stage.id, sign, detail);
+			if (isReported) {
+				checkFaultyEngine(stage);
+			}
+		}
+
+		if (outcome === 'notRun') {
+			this.handleOutcome(active, outcome, detail);
+		} else if (outcome === 'unknown' || this.answerStartedAt !== undefined) {
+			this.handleOutcome(active, 'unknown', detail);
+		} else if (outcome === 'failed') {
+			this.handleOutcome(active, outcome, detail);
+		} else {
+			this.recordOutcome(outcome, active.work);
+			this.forwardAnswer(active, head);
+		}
+	}
+
+	#handleBadStream(active: StreamAttempt, detail: string): void {
+		this.handleFailure(active, {isSent: true, isRefused: false, detail});
+	}
+}
--- /dev/null
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -0,0 +1,102 @@
+/**
+ * What the answer of an engine to a streaming request means if it is not a stream,
+ * and the writer of a stream to the caller.
+ */
+import type {AttemptOutcome, FailureSignal, PathStage} from 'bramleystage';
+import type {AnswerHead} from './attempt.js';
+import type {Call} from './call.js';
+import {
+	isServerError,
+	listEndToEndHeaders,
+	minErrorStatus,
+	refusedStatus,
+	replacedStatus,
+} from './call-run.js';
+import {isConsecutive} from './event-splitter.js';
+import type {HeaderPort} from './platform-port.js';
+
+/** An engine of the path that an answer shows to be at fault. */
+export type FaultyStage = {
+	readonly stage: PathStage;
+	readonly sign: FailureSignal;
+	/** Whether another engine named it in a refusal. */
+	readonly isReported: boolean;
+};
+
+export type AnswerMeaning = {
+	readonly outcome: AttemptOutcome | 'answered';
+	readonly faulty?: FaultyStage;
+};
+
+/** Decides what a complete answer that is not a stream means. */
+export function decideAnswerMeaning(
+	{status, headers}: AnswerHead,
+	path: readonly PathStage[],
+	call: Call,
+	headerPort: HeaderPort,
+): AnswerMeaning {
+	const metadata = headerPort.readAnswerHeaders(headers);
+	const reported = path.find(({address}) => address === metadata.faultyAddress);
+	const isRefusal = metadata.isNotRun || status === replacedStatus;
+	const stage =
+		reported ?? (isRefusal || isServerError(status) ? path[0] : undefined);
+	const otherSign = isRefusal ? 'refused' : 'failed';
+	const faulty: FaultyStage | undefined = stage && {
+		stage,
+		sign: status === replacedStatus ? 'replaced' : otherSign,
+		isReported: reported !== undefined && status === refusedStatus,
+	};
+	if (isRefusal) {
+		return {outcome: 'notRun', faulty};
+	}
+
+	const isOwn =
+		metadata.request === call.metadata.request && metadata.isStamped;
+	if (!isOwn) {
+		return {outcome: 'unknown', faulty};
+	}
+
+	return {outcome: status >= minErrorStatus ? 'failed' : 'answered', faulty};
+}
+
+/** Writes the events of one stream to its caller, in order and each once. */
+export class StreamWriter {
+	#lastEvent: string | undefined;
+
+	constructor(
+		private readonly call: Call,
+		private readonly isStopping: () => boolean,
+	) {
+		this.#lastEvent = call.metadata.lastEvent;
+	}
+
+	/** Id of the last event that the caller received. */
+	get lastEvent(): string | undefined {
+		return this.#lastEvent;
+	}
+
+	/** Writes the head of a stream. */
+	start({status, headers}: AnswerHead): void {
+		this.call.response.writeHead(status, [
+			...listEndToEndHeaders(headers).flat(),
+			...(this.isStopping() ? ['Connection', 'close'] : []),
+		]);
+	}
+
+	/** Writes complete events; returns false and writes nothing if they don't follow the last one. */
+	tryWrite(bytes: Buffer, ids: readonly string[]): boolean {
+		if (!isConsecutive(this.#lastEvent, ids)) {
+			return false;
+		}
+
+		this.#lastEvent = ids.at(-1) ?? this.#lastEvent;
+		this.call.response.write(bytes);
+		return true;
+	}
+
+	/** Writes a complete answer that is not a stream. */
+	writeWhole({status, headers}: AnswerHead, body: Buffer): void {
+		this.call.response.writeHead(status, listEndToEndHeaders(headers).flat());
+		this.call.response.end(body);
+	}
+}
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a streaming request: the path of engines that it runs on, its
  * connection to the first of them, and the events received so far.
  */
-import type {PathStage} from 'bramleystage';
+import type {InstanceWork, PathStage} from 'bramleystage';
 import {
 	type AnswerHead,
 	type Attempt,
@@ -11,6 +11,7 @@
 import {type Call, computePriority} from './call.js';
 import {EventSplitter} from './event-splitter.js';
 import type {Fleet} from './fleet.js';
+import type {InstanceWatch} from './instance-watch.js';
 import type {HeaderPort} from './platform-port.js';
 import {openTimedAttempt} from './timed-attempt.js';
 
@@ -21,6 +22,7 @@
 export type StreamAttemptOptions = {
 	readonly call: Call;
 	readonly fleet: Fleet;
+	readonly instances: Pick<InstanceWatch, 'describeWork'>;
 	readonly headers: HeaderPort;
 	readonly path: readonly PathStage[];
 	readonly first: PathStage;
@@ -34,6 +36,8 @@
 };
 
 export class StreamAttempt {
+	/** The first engine's instance, which counts as having run the request. */
+	readonly work: InstanceWork;
 	/** Whether events have arrived since the path was chosen. */
 	hasEvents = false;
 	head: AnswerHead | undefined;
@@ -46,6 +50,7 @@
 
 	constructor(private readonly options: StreamAttemptOptions) {
 		const {call, fleet, headers, path, first, handlers} = options;
+		this.work = options.instances.describeWork(first.id);
 		this.#path = path;
 		this.#releaseWork = fleet.costs.registerWork(
 			path,
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -13,12 +13,12 @@
 } from 'bramleystage';
 import type {Call} from './call.js';
 import type {Fleet} from './fleet.js';
+import type {InstanceWatch} from './instance-watch.js';
 import {
 	computeSilenceLimits,
 	isPathSilent,
 	type SilenceLimits,
 } from './path-silence.js';
-import type {EnginePort} from './platform-port.js';
 import type {StreamRun} from './stream-run.js';
 
 /** How often the streams are checked, in milliseconds. */
@@ -46,7 +46,7 @@
 
 export type StreamMonitorOptions = {
 	readonly fleet: Fleet;
-	readonly engines: EnginePort;
+	readonly instances: Pick<InstanceWatch, 'readReport'>;
 	readonly logger: Logger;
 	readonly lifeCycle: LifeCycle;
 	readonly readClock: () => number;
@@ -108,20 +108,19 @@
 	async checkFaultyEngine({id, address}: PathStage): Promise<void> {
 		const {readClock, fleet} = this.options;
 		const lastAt = this.#inspectedAt.get(id) ?? Number.NEGATIVE_INFINITY;
-		const isRecent = readClock() - lastAt < faultyEngineCheckIntervalMs;
-		if (isRecent || fleet.health.isPaused(id)) {
+		if (readClock() - lastAt < faultyEngineCheckIntervalMs) {
 			return;
 		}
 
 		this.#inspectedAt.set(id, readClock());
-		const report = await this.#readReport(id, address);
+		const report = await this.#readReport(id, {id, address});
 		if (!report?.isErr()) {
 			return;
 		}
 
 		// An engine that accepted the connection may only be slow to report.
 		const {kind, detail} = report.error;
-		const isUnreachable = kind === 'unreachable';
+		const isUnreachable = kind === 'unreachable' || kind === 'refused';
 		fleet.health.recordFailure(
 			id,
 			isUnreachable ? 'unreachable' : 'slow',
@@ -219,26 +218,19 @@
 	/** Reads from the first engine's report which engines do not answer; undefined if the own link may have delayed it. */
 	async #findSuspects(
 		key: string,
-		{id, address}: PathStage,
+		first: PathStage,
 	): Promise<BackendId[] | undefined> {
 		const {fleet} = this.options;
-		if (fleet.health.isPaused(id)) {
-			return [];
-		}
-
-		const report = await this.#readReport(key, address);
+		const report = await this.#readReport(key, first);
 		if (!report) {
-			return undefined;
+			return fleet.health.isPaused(first.id) ? [] : undefined;
 		}
 
 		if (report.isErr()) {
-			const {detail} = report.error;
-			fleet.health.recordFailure(id, 'unreachable', `No report: ${detail}`);
-			return [id];
-		}
-
-		if (report.value.isLeaving) {
-			fleet.recordLeaving(id);
+			const {kind, detail} = report.error;
+			const sign = kind === 'malformed' ? 'failed' : 'unreachable';
+			fleet.health.recordFailure(first.id, sign, `No report: ${detail}`);
+			return [first.id];
 		}
 
 		const stalled = new Set(report.value.stalled.map((item) => item.address));
@@ -260,20 +252,20 @@
 
 	/**
 	 * Reads an engine's report for the inspection of a path or engine. Returns
-	 * undefined if the delay of the own link has risen meanwhile, so that the report
+	 * undefined if the engine is paused, or if the delay of the own link has risen meanwhile, so that the report
 	 * may still be under way; the next one then gets the longest time.
 	 */
-	async #readReport(key: string, address: string) {
-		const {engines, readClock, readLinkDelayMs} = this.options;
+	async #readReport(key: string, engine: Pick<PathStage, 'id' | 'address'>) {
+		const {instances, readClock, readLinkDelayMs} = this.options;
 		const startedAt = readClock();
 		const delayMs = this.#undecided.delete(key)
 			? maxLinkDelayMs
 			: readLinkDelayMs();
 		const timeoutMs = reportTimeoutMs + delayMs;
-		const report = await engines.readReport(address, timeoutMs);
+		const report = await instances.readReport(engine, timeoutMs);
 		const isLate = readClock() - startedAt >= timeoutMs - timerPrecisionMs;
 		const hasRisen = readLinkDelayMs() > delayMs + minDelayRiseMs;
-		if (report.isErr() && isLate && hasRisen) {
+		if (report?.isErr() && isLate && hasRisen) {
 			this.#undecided.add(key);
 			return undefined;
 		}
--- a/packages/bramleystage-gateway/src/timed-attempt.ts
+++ b/packages/bramleystage-gateway/src/timed-attempt.ts
@@ -62,6 +62,7 @@
 				attempt.cancel();
 				handlers.onFail({
 					isSent: false,
+					isRefused: false,
 					detail: `No connection within ${Math.round(waitedMs)} ms.`,
 				});
 			}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -570,6 +570,7 @@
 	type HttpResponse,
 	type HttpError,
 	type HttpRequest,
+	isRefusedConnection,
 	listHeaders,
 	type OpenHttpResponse,
 	openHttpResponse,
@@ -705,6 +706,7 @@
 	planLayers,
 	splitLayersByCapacity,
 } from './coordination/layer-plan.js';
+export {countRuns} from './coordination/run-count.js';
 export {
 	createRetryWindow,
 	decideWindowRetry,
@@ -726,6 +728,16 @@
 	listBackends,
 	replaceBackends,
 } from './state/backends.js';
+export {
+	type BackendInstance,
+	createInstanceEnds,
+	type EndEvidence,
+	findEndEvidence,
+	type InstanceEnds,
+	type InstanceWork,
+	isLaterStart,
+	recordInstanceEnd,
+} from './state/instance-ends.js';
 export {
 	createStoreEra,
 	isListRestored,
--- a/packages/bramleystage/src/transport/http-client.ts
+++ b/packages/bramleystage/src/transport/http-client.ts
@@ -42,7 +42,15 @@
  * made, so that the server can't have received the request.
  */
 export type HttpError = {
-	readonly kind: 'connect' | 'timeout' | 'aborted' | 'lost' | 'tooLarge';
+	readonly kind:
+		/** Nothing listens at the address. */
+		| 'refused'
+		/** The connection failed in another way. */
+		| 'connect'
+		| 'timeout'
+		| 'aborted'
+		| 'lost'
+		| 'tooLarge';
 	readonly sent: boolean;
 	readonly detail: string;
 };
@@ -107,11 +115,11 @@
 		let isConnected = false;
 		let timeoutDetail: string | undefined;
 		const toHttpError = (error: Error): HttpError => ({
-			kind: selectErrorKind(
-				timeoutDetail !== undefined,
+			kind: selectErrorKind(error, {
+				isTimedOut: timeoutDetail !== undefined,
 				isConnected,
-				options.signal?.aborted,
-			),
+				isAborted: options.signal?.aborted,
+			}),
 			sent: isConnected,
 			detail: timeoutDetail ?? error.message,
 		});
@@ -155,6 +163,10 @@
 	});
 }
 
+/** Whether an error says that nothing listens at the address. */
+export const isRefusedConnection = (error: Error): boolean =>
+	(error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+
 /** Starts the limits on a response's time; `giveUp` is called with the reason when one is exceeded. */
 function startResponseLimits(
 	{timeoutMs, silenceMs, onArrival}: HttpRequest,
@@ -192,9 +204,16 @@
 }
 
 function selectErrorKind(
-	isTimedOut: boolean,
-	isConnected: boolean,
-	isAborted: boolean | undefined,
+	error: Error,
+	{
+		isTimedOut,
+		isConnected,
+		isAborted,
+	}: {
+		isTimedOut: boolean;
+		isConnected: boolean;
+		isAborted: boolean | undefined;
+	},
 ): HttpError['kind'] {
 	if (isTimedOut) {
 		return 'timeout';
@@ -204,7 +223,11 @@
 		return 'aborted';
 	}
 
-	return isConnected ? 'lost' : 'connect';
+	if (isConnected) {
+		return 'lost';
+	}
+
+	return isRefusedConnection(error) ? 'refused' : 'connect';
 }
 
 /**
