Only a refused connection ends an instance; all counted runs are checked

A later start time took a run off the count although the listed start had been out of date when the request was sent, so that it ran on the later one: 3 runs of 2. And an engine that had left the list was compared with an unknown start, so its end counted for nothing and a started answer ended incomplete. A refused connection alone is certain, whenever it was tried after the request was sent, and needs no start times; the check after the last run asks the engines of all counted runs.

Attempts are opened by a function of the context, so that the property needs no network.

--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -122,7 +122,6 @@
 	const instances = new InstanceWatch({
 		fleet,
 		readReport: engines.readReport,
-		lifeCycle,
 		logger,
 		readClock,
 	});
--- /dev/null
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -0,0 +1,314 @@
+/** How often a stream runs, and if it ends whole, whatever the engines do. */
+import {EventEmitter} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	type Backend,
+	LifeCycle,
+	toBackendId,
+	toDataCentreId,
+	toModelName,
+	toRequestId,
+	toRouteName,
+	toServiceName,
+} from 'bramleystage';
+import * as fc from 'fast-check';
+import {ok} from 'neverthrow';
+import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import type {Call} from '../call.js';
+import {Fleet} from '../fleet.js';
+import {InstanceWatch} from '../instance-watch.js';
+import type {HeaderPort} from '../platform-port.js';
+import {RequestRecorder} from '../request-recorder.js';
+import {StreamMonitor} from '../stream-monitor.js';
+import {StreamRun, type StreamRunContext} from '../stream-run.js';
+import {
+	createOpenAttempt,
+	eventCount,
+	SimulatedEngine,
+	type Trouble,
+	type TroubleKind,
+} from './simulated-engines.js';
+
+const logger = {
+	error: () => undefined,
+	warn: () => undefined,
+	info: () => undefined,
+	debug: () => undefined,
+};
+const request = toRequestId('request-1');
+const service = {
+	name: toServiceName('models'),
+	maxConnections: 100,
+	pipeline: {
+		model: toModelName('guide'),
+		layers: 8,
+		layerMegabytes: 100,
+		kvTokenBytes: 8000,
+		slots: 100,
+		stepMs: 1,
+		prefillTokensPerMs: 100,
+		tokensPerEvent: 2,
+		activationBytes: 1000,
+		linkMbps: 1000,
+		loadMs: 1000,
+		kinds: new Map([
+			['big', {megabytes: 9000, stepFactor: 1, prefillFactor: 1}],
+		]),
+	},
+};
+const headers: HeaderPort = {
+	readCallHeaders: () => undefined,
+	buildAttemptHeaders: () => [],
+	readAnswerHeaders: () => ({
+		request,
+		isStamped: true,
+		isNotRun: false,
+		isLeaving: false,
+	}),
+};
+const engineCount = 4;
+/** How often the gateway reads the list, in milliseconds. */
+const listIntervalMs = 500;
+const deadlineMs = 8000;
+
+/** What a caller receives. */
+// A `ServerResponse` is an emitter too.
+// eslint-disable-next-line unicorn/prefer-event-target
+class CallerResponse extends EventEmitter {
+	headersSent = false;
+	writableEnded = false;
+	destroyed = false;
+	text = '';
+
+	writeHead(): this {
+		this.headersSent = true;
+		return this;
+	}
+
+	write(bytes: Buffer): boolean {
+		this.text += bytes.toString();
+		return true;
+	}
+
+	end(): void {
+		this.writableEnded = true;
+		this.emit('close');
+	}
+
+	destroy(): void {
+		this.destroyed = true;
+		this.emit('close');
+	}
+
+	get events(): number[] {
+		return [...this.text.matchAll(/^id: (\d+)$/gmv)].map(([, id]) =>
+			Number(id),
+		);
+	}
+}
+
+let lifeCycle: LifeCycle;
+
+beforeEach(() => {
+	vi.useFakeTimers();
+	lifeCycle = new LifeCycle();
+});
+
+afterEach(async () => {
+	await lifeCycle.stop();
+	vi.useRealTimers();
+});
+
+const createEntry = (index: number): Backend => ({
+	id: toBackendId(`engine-${index}`),
+	service: service.name,
+	address: `10.0.0.${index}:1`,
+	dataCentre: toDataCentreId('a'),
+	isDraining: false,
+	kind: 'big',
+	layers: {from: 0, to: 8},
+	models: [service.pipeline.model],
+	slots: 100,
+	bornAt: 1,
+});
+
+type StreamCase = {
+	readonly troubles: readonly Trouble[];
+	readonly maxAttempts: number;
+	readonly isBudgetLeft: boolean;
+};
+
+/** Runs one stream while the engines have their troubles. */
+async function runStream({troubles, maxAttempts, isBudgetLeft}: StreamCase) {
+	const readClock = () => performance.now();
+	const startedAt = readClock();
+	const entries = Array.from({length: engineCount}, (_, index) =>
+		createEntry(index),
+	);
+	const engines = entries.map((entry) => new SimulatedEngine(entry, readClock));
+	const byAddress = new Map(
+		engines.map((engine, index) => [entries[index]?.address ?? '', engine]),
+	);
+	const fleet = new Fleet({
+		dataCentre: toDataCentreId('a'),
+		logger,
+		readClock,
+		countGateways: () => 1,
+		readLinkDelayMs: () => 0,
+	});
+	const readList = () => {
+		fleet.replace(
+			engines.flatMap(({entry}) => entry ?? []),
+			readClock(),
+		);
+	};
+
+	readList();
+	lifeCycle.registerInterval(listIntervalMs, readList);
+	const instances = new InstanceWatch({
+		fleet,
+		async readReport(address, timeoutMs) {
+			const engine = byAddress.get(address);
+			if (!engine) {
+				throw new Error(`No engine at ${address}.`);
+			}
+
+			return engine.readReport(timeoutMs);
+		},
+		logger,
+		readClock,
+	});
+	const monitor = new StreamMonitor({
+		fleet,
+		instances,
+		logger,
+		lifeCycle,
+		readClock,
+		readLinkDelayMs: () => 0,
+	});
+	for (const trouble of troubles) {
+		lifeCycle.registerTimeout(trouble.at, () => {
+			engines[trouble.engine]?.handleTrouble(trouble);
+		});
+	}
+
+	const response = new CallerResponse();
+	const context: StreamRunContext = {
+		fleet,
+		instances,
+		openAttempt: createOpenAttempt(
+			byAddress,
+			() => response.events.at(-1) ?? 0,
+		),
+		headers,
+		recorder: new RequestRecorder(logger, readClock, () => 0),
+		trySpendRetry: () => isBudgetLeft,
+		readClock,
+		readLinkDelayMs: () => 0,
+		isStopping: () => false,
+		drawRandom: () => 0.5,
+		replacePath: async () => ok('unknownRequest'),
+		registerStream: (stream) => monitor.register(stream),
+		checkFaultyEngine: () => undefined,
+		recordPause(path, pauseMs) {
+			monitor.recordPause(path, pauseMs);
+		},
+	};
+	const call: Call = {
+		metadata: {request, promptTokens: 10, maxAnswerTokens: 10},
+		route: {
+			name: toRouteName('r'),
+			host: 'test',
+			pathPrefix: '/',
+			kind: 'streaming',
+			timeoutMs: deadlineMs,
+			latencyTargetMs: 500,
+			eventGapTargetMs: 250,
+			priority: 5,
+			targets: [],
+			maxAttempts,
+			isPublic: true,
+			isResumable: true,
+		},
+		service,
+		method: 'POST',
+		target: '/',
+		headers: [],
+		body: Buffer.from('{}'),
+		request: {} as unknown as IncomingMessage,
+		response: response as unknown as ServerResponse,
+		arrivedAt: startedAt,
+		deadlineAt: startedAt + deadlineMs,
+		version: 1,
+	};
+	const countRunning = () =>
+		engines.flatMap((engine) =>
+			engine.runs.filter(({bornAt}) => engine.isRunning(bornAt)),
+		).length;
+	// An engine that has started again doesn't show that its earlier runs are over.
+	const countKnown = () =>
+		engines.flatMap(({hasEnded, runs}) => (hasEnded ? [] : runs)).length;
+	let endedAt = Number.NaN;
+	let runsAtEnd = 0;
+	let knownRunsAtEnd = 0;
+	response.once('close', () => {
+		endedAt = readClock();
+		runsAtEnd = countRunning();
+		knownRunsAtEnd = countKnown();
+	});
+	new StreamRun(call, context).start();
+	await vi.advanceTimersByTimeAsync(deadlineMs + 100);
+	await lifeCycle.stop();
+	lifeCycle = new LifeCycle();
+	return {
+		events: response.events,
+		isWhole: !response.destroyed && response.events.length === eventCount,
+		hasBegun: response.events.length > 0,
+		tookMs: endedAt - startedAt,
+		runsAtEnd,
+		knownRunsAtEnd,
+	};
+}
+
+const troubleArbitrary: fc.Arbitrary<Trouble> = fc.record({
+	kind: fc.constantFrom<TroubleKind>(
+		'spoil',
+		'cut',
+		'pause',
+		'end',
+		'restart',
+		'leave',
+	),
+	engine: fc.nat({max: engineCount - 1}),
+	at: fc.nat({max: 3000}),
+	forMs: fc.integer({min: 100, max: 1500}),
+});
+
+// Guards against runs that were not counted since an engine's report was late or spoiled,
+// and against started answers that ended incomplete although a run was left.
+test('a stream runs on as many live engines as allowed at most, and ends whole while a run is left', async () => {
+	await fc.assert(
+		fc.asyncProperty(
+			fc.record({
+				troubles: fc.array(troubleArbitrary, {maxLength: 12}),
+				maxAttempts: fc.integer({min: 1, max: 3}),
+				isBudgetLeft: fc.boolean(),
+			}),
+			async (streamCase) => {
+				const {events, isWhole, hasBegun, tookMs, runsAtEnd, knownRunsAtEnd} =
+					await runStream(streamCase);
+				const {maxAttempts, isBudgetLeft} = streamCase;
+				expect(runsAtEnd).toBeLessThanOrEqual(maxAttempts);
+				expect(events).toEqual(events.map((_, index) => index + 1));
+				const mayGoOn =
+					isBudgetLeft &&
+					knownRunsAtEnd < maxAttempts &&
+					tookMs < deadlineMs - 50;
+				if (hasBegun && mayGoOn) {
+					expect(isWhole).toBe(true);
+				}
+			},
+		),
+		{seed: 29, numRuns: 300},
+	);
+});
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -26,6 +26,7 @@
 import {PlainRun} from '../plain-run.js';
 import type {HeaderPort} from '../platform-port.js';
 import {RequestRecorder} from '../request-recorder.js';
+import {openTimedAttempt} from '../timed-attempt.js';
 import {StreamRun, type StreamRunContext} from '../stream-run.js';
 
 const logger = {
@@ -171,10 +172,10 @@
 		instances: new InstanceWatch({
 			fleet,
 			readReport: async () => err({kind: 'unreachable', detail: 'no answer'}),
-			lifeCycle,
 			logger,
 			readClock,
 		}),
+		openAttempt: openTimedAttempt,
 		headers,
 		recorder: new RequestRecorder(logger, readClock, () => 0),
 		trySpendRetry: () => false,
--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -66,7 +66,6 @@
 		instances: new InstanceWatch({
 			fleet,
 			readReport,
-			lifeCycle,
 			logger,
 			readClock,
 		}),
@@ -158,7 +157,6 @@
 		instances: new InstanceWatch({
 			fleet,
 			readReport,
-			lifeCycle,
 			logger,
 			readClock,
 		}),
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -7,11 +7,10 @@
 	type AttemptOutcome,
 	type BackendId,
 	computeReturnMs,
-	countRuns,
 	createFailure,
 	decideAfterAttempt,
 	type Failure,
-	type InstanceWork,
+	type SentRequest,
 	type ServiceName,
 } from 'bramleystage';
 import {writeErrorResponse} from './error-response.js';
@@ -19,11 +18,13 @@
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
 import type {AttemptEnd, RequestRecorder} from './request-recorder.js';
+import type {OpenTimedAttempt} from './timed-attempt.js';
 import type {AnswerMetadata, HeaderPort, Headers} from './platform-port.js';
 
 export type RunContext = {
 	readonly fleet: Fleet;
 	readonly instances: InstanceWatch;
+	readonly openAttempt: OpenTimedAttempt;
 	readonly headers: HeaderPort;
 	readonly recorder: RequestRecorder;
 	/** Spends one retry of the service's retry budget; returns false if none is left. */
@@ -68,7 +69,7 @@
 	protected where = '';
 	#sentCount = 0;
 	/** Attempts that may have run, in the order of their ends. */
-	#runs: readonly InstanceWork[] = [];
+	#runs: readonly SentRequest[] = [];
 	readonly #deadlineTimer: NodeJS.Timeout;
 
 	constructor(
@@ -153,31 +154,41 @@
 	/** Records the end of an attempt; if it may have run, its run counts unless its instance has ended. */
 	protected recordOutcome(
 		outcome: AttemptEnd['outcome'],
-		work: InstanceWork,
+		sent: SentRequest,
 		detail = '',
 	): void {
 		const isRun = outcome !== 'notRun';
 		if (isRun) {
-			this.#runs = [...this.#runs, work];
+			this.#runs = [...this.#runs, sent];
 		}
 
 		this.context.recorder.recordAttempt(this.call, {
 			outcome,
-			backend: work.id,
+			backend: sent.id,
 			where: this.where,
 			detail,
-			runs: this.#countRuns(),
-			uncounted: isRun
-				? this.context.instances.findEndEvidence(work)
-				: undefined,
+			runs: this.listCountedRuns().length,
+			isUncounted: isRun && this.context.instances.hasEnded(sent),
 		});
 	}
 
 	/** Whether the route allows the request to run once more, beside an attempt in flight if there is one. */
-	protected canRunAgain(inFlight: readonly InstanceWork[] = []): boolean {
+	protected canRunAgain(inFlight: readonly SentRequest[] = []): boolean {
 		return (
 			isRepeatable(this.call) &&
-			this.#countRuns(inFlight) < this.call.route.maxAttempts
+			this.listCountedRuns(inFlight).length < this.call.route.maxAttempts
+		);
+	}
+
+	/**
+	 * Lists the runs that count towards the route's limit: all but those whose
+	 * instance has ended. What shows its end may come later, so the list may shrink.
+	 */
+	protected listCountedRuns(
+		inFlight: readonly SentRequest[] = [],
+	): readonly SentRequest[] {
+		return [...this.#runs, ...inFlight].filter(
+			(run) => !this.context.instances.hasEnded(run),
 		);
 	}
 
@@ -186,7 +197,7 @@
 			outcome,
 			{
 				sent: this.#sentCount,
-				ran: this.#countRuns(),
+				ran: this.listCountedRuns().length,
 				mayHaveRun: this.#mayHaveRun,
 			},
 			{
@@ -248,7 +259,7 @@
 			failure,
 			status,
 			attempts: this.#sentCount,
-			runs: this.#countRuns(),
+			runs: this.listCountedRuns().length,
 			where: this.where,
 			firstMs:
 				this.answerStartedAt === undefined
@@ -263,10 +274,4 @@
 	protected abstract openNextAttempt(): boolean;
 	/** Cancels the attempts in flight. */
 	protected abstract cancelAttempts(): void;
-
-	#countRuns(inFlight: readonly InstanceWork[] = []): number {
-		return countRuns([...this.#runs, ...inFlight], (run) =>
-			this.context.instances.findEndEvidence(run),
-		);
-	}
 }
--- a/packages/bramleystage-gateway/src/engine-check.ts
+++ b/packages/bramleystage-gateway/src/engine-check.ts
@@ -1,9 +1,9 @@
 /**
- * Finds out whether the engine of a run that was cut off has ended. A report or a
+ * Finds out whether engines on which a request ran have ended. A report or a
  * refused connection tells; an engine that does not answer may only be paused, so
  * it is queried again for a while.
  */
-import type {PathStage} from 'bramleystage';
+import type {SentRequest} from 'bramleystage';
 import type {InstanceWatch} from './instance-watch.js';
 
 /** Timeout for an engine's report over a sound link, in milliseconds; a live engine answers within a few milliseconds. */
@@ -12,19 +12,29 @@
 const queryIntervalMs = 50;
 
 export type EngineCheckOptions = {
-	readonly stage: PathStage;
+	readonly runs: readonly SentRequest[];
+	/** Whether enough is known to go on. */
+	readonly isDecided: () => boolean;
 	readonly instances: Pick<InstanceWatch, 'readReport'>;
-	/** Time after which an engine that doesn't answer is queried no more, in milliseconds. */
+	/** Time after which engines that don't answer are queried no more, in milliseconds. */
 	readonly patienceMs: number;
 	readonly readClock: () => number;
 	/** Returns the delay of the own network link, in milliseconds. */
 	readonly readLinkDelayMs: () => number;
 };
 
+type Report = Awaited<ReturnType<InstanceWatch['readReport']>>;
+
+/** Whether a report leaves open if its engine has ended. */
+const isOpen = (report: Report) =>
+	report?.isErr() &&
+	(report.error.kind === 'unreachable' || report.error.kind === 'lost');
+
 /** Calls `handleResult` once the instance watch knows what can be known; the returned function ends the check. */
 export function startEngineCheck(
 	{
-		stage,
+		runs,
+		isDecided,
 		instances,
 		patienceMs,
 		readClock,
@@ -37,15 +47,15 @@
 	let timer: NodeJS.Timeout | undefined;
 	const query = async () => {
 		const timeoutMs = reportTimeoutMs + readLinkDelayMs();
-		const report = await instances.readReport(stage, timeoutMs);
+		const reports = await Promise.all(
+			runs.map(async (run) => instances.readReport(run, timeoutMs)),
+		);
 		if (isStopped) {
 			return;
 		}
 
-		const isUnknown =
-			report?.isErr() &&
-			(report.error.kind === 'unreachable' || report.error.kind === 'lost');
-		if (!isUnknown || readClock() - startedAt >= patienceMs) {
+		const isOver = readClock() - startedAt >= patienceMs;
+		if (isDecided() || isOver || !reports.some((report) => isOpen(report))) {
 			handleResult();
 			return;
 		}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import {listenForReadinessChecks} from './readiness-server.js';
 import {StoreContact} from './store-contact.js';
 import {StreamRun} from './stream-run.js';
+import {openTimedAttempt} from './timed-attempt.js';
 import {StreamMonitor} from './stream-monitor.js';
 
 export type RunningGateway = {
@@ -85,7 +86,6 @@
 	const instances = new InstanceWatch({
 		fleet,
 		readReport: engines.readReport,
-		lifeCycle,
 		logger,
 		readClock,
 	});
@@ -208,6 +208,7 @@
 	const context = {
 		fleet,
 		instances,
+		openAttempt: openTimedAttempt,
 		headers,
 		recorder,
 		trySpendRetry: (service: ServiceName) => retryBudget.trySpendRetry(service),
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -8,7 +8,7 @@
 	AttemptOutcome,
 	Backend,
 	BackendId,
-	InstanceWork,
+	SentRequest,
 } from 'bramleystage';
 import {type AnswerHead, type Attempt, type AttemptFailure} from './attempt.js';
 import {type Call, computePriority} from './call.js';
@@ -20,7 +20,6 @@
 	replacedStatus,
 	type RunContext,
 } from './call-run.js';
-import {openTimedAttempt} from './timed-attempt.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live server accepts one within a few milliseconds. */
 const connectTimeoutMs = 100;
@@ -29,7 +28,7 @@
 
 type ActiveAttempt = {
 	readonly backend: Backend;
-	readonly work: InstanceWork;
+	readonly sent: SentRequest;
 	readonly attempt: Attempt;
 	readonly releaseWork: () => void;
 	head?: AnswerHead;
@@ -69,13 +68,17 @@
 		const {call, context} = this;
 		const active: ActiveAttempt = {
 			backend,
-			work: context.instances.describeWork(backend.id),
+			sent: {
+				id: backend.id,
+				address: backend.address,
+				sentAt: context.readClock(),
+			},
 			chunks: [],
 			releaseWork: context.fleet.costs.registerWork(
 				[{id: backend.id, layers: {from: 0, to: 0}}],
 				0,
 			),
-			attempt: openTimedAttempt(
+			attempt: context.openAttempt(
 				{
 					address: backend.address,
 					method: call.method,
@@ -144,7 +147,8 @@
 	): void {
 		this.#release(active);
 		if (isRefused) {
-			this.context.instances.recordEnd(active.work, 'connectionRefused');
+			const {id, sentAt} = active.sent;
+			this.context.instances.recordRefusal(id, sentAt);
 		}
 
 		this.context.fleet.health.recordFailure(
@@ -219,7 +223,7 @@
 		detail: string,
 	): void {
 		this.where = active.backend.address;
-		this.recordOutcome(outcome, active.work, detail);
+		this.recordOutcome(outcome, active.sent, detail);
 		if (this.#activeAttempts.size > 0) {
 			return;
 		}
@@ -237,7 +241,7 @@
 	/** Records an answer that is final and forwards it. */
 	#acceptAnswer(active: ActiveAttempt, head: AnswerHead): void {
 		this.where = active.backend.address;
-		this.recordOutcome('answered', active.work);
+		this.recordOutcome('answered', active.sent);
 		this.#forwardAnswer(active, head);
 	}
 
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -7,7 +7,6 @@
 import {
 	type AttemptOutcome,
 	type BackendId,
-	type EndEvidence,
 	type Failure,
 	type Logger,
 	resultCodes,
@@ -44,8 +43,8 @@
 	readonly detail: string;
 	/** Runs so far that count towards the route's limit. */
 	readonly runs: number;
-	/** Why the attempt may have run but doesn't count as a run; absent if it counts or has not run. */
-	readonly uncounted?: EndEvidence;
+	/** Whether it may have run but doesn't count as a run, as its instance has ended. */
+	readonly isUncounted: boolean;
 };
 
 export class RequestRecorder {
@@ -113,11 +112,11 @@
 	/** Records one attempt at a backend server. */
 	recordAttempt(
 		call: Call,
-		{outcome, backend, where, detail, runs, uncounted}: AttemptEnd,
+		{outcome, backend, where, detail, runs, isUncounted}: AttemptEnd,
 	): void {
 		this.#attempts.inc({outcome});
 		if (outcome !== 'notRun') {
-			this.#runs.inc({counted: uncounted ?? 'yes'});
+			this.#runs.inc({counted: isUncounted ? 'ended' : 'yes'});
 		}
 
 		if (outcome !== 'answered' && this.#tryAcquireLine('failure')) {
@@ -127,7 +126,7 @@
 				backend,
 				runs,
 				max_runs: call.route.maxAttempts,
-				uncounted,
+				uncounted: isUncounted ? 'ended' : undefined,
 				where,
 				detail,
 				version: call.version,
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -99,7 +99,7 @@
 			this.context.fleet.health.recordSuccess(id);
 		}
 
-		this.recordOutcome('answered', active.work);
+		this.recordOutcome('answered', active.sent);
 		this.call.response.end();
 		this.end({status: 200});
 	}
@@ -117,7 +117,7 @@
 		this.cancelAttempt(active);
 		const [first] = active.path;
 		if (isRefused) {
-			instances.recordEnd(active.work, 'connectionRefused');
+			instances.recordRefusal(active.sent.id, active.sent.sentAt);
 		}
 
 		if (first) {
@@ -194,7 +194,7 @@
 		} else if (outcome === 'failed') {
 			this.handleOutcome(active, outcome, detail);
 		} else {
-			this.recordOutcome(outcome, active.work);
+			this.recordOutcome(outcome, active.sent);
 			this.forwardAnswer(active, head);
 		}
 	}
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a streaming request: the path of engines that it runs on, its
  * connection to the first of them, and the events received so far.
  */
-import type {InstanceWork, PathStage} from 'bramleystage';
+import type {PathStage, SentRequest} from 'bramleystage';
 import {
 	type AnswerHead,
 	type Attempt,
@@ -11,9 +11,8 @@
 import {type Call, computePriority} from './call.js';
 import {EventSplitter} from './event-splitter.js';
 import type {Fleet} from './fleet.js';
-import type {InstanceWatch} from './instance-watch.js';
 import type {HeaderPort} from './platform-port.js';
-import {openTimedAttempt} from './timed-attempt.js';
+import type {OpenTimedAttempt} from './timed-attempt.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live engine accepts one within a few milliseconds. */
 const connectTimeoutMs = 150;
@@ -22,7 +21,7 @@
 export type StreamAttemptOptions = {
 	readonly call: Call;
 	readonly fleet: Fleet;
-	readonly instances: Pick<InstanceWatch, 'describeWork'>;
+	readonly openAttempt: OpenTimedAttempt;
 	readonly headers: HeaderPort;
 	readonly path: readonly PathStage[];
 	readonly first: PathStage;
@@ -36,8 +35,8 @@
 };
 
 export class StreamAttempt {
-	/** The first engine's instance, which counts as having run the request. */
-	readonly work: InstanceWork;
+	/** The request as it was sent to the first engine, which counts as having run it. */
+	readonly sent: SentRequest;
 	/** Whether events have arrived since the path was chosen. */
 	hasEvents = false;
 	head: AnswerHead | undefined;
@@ -50,7 +49,11 @@
 
 	constructor(private readonly options: StreamAttemptOptions) {
 		const {call, fleet, headers, path, first, handlers} = options;
-		this.work = options.instances.describeWork(first.id);
+		this.sent = {
+			id: first.id,
+			address: first.address,
+			sentAt: options.readClock(),
+		};
 		this.#path = path;
 		this.#releaseWork = fleet.costs.registerWork(
 			path,
@@ -64,7 +67,7 @@
 			);
 		}
 
-		this.#attempt = openTimedAttempt(
+		this.#attempt = options.openAttempt(
 			{
 				address: first.address,
 				method: call.method,
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -71,7 +71,7 @@
 		// Without another path or run the stream keeps waiting on this path, as a
 		// silent engine may go on.
 		const mayFailOver =
-			this.canRunAgain(active.isSent ? [active.work] : []) &&
+			this.canRunAgain(active.isSent ? [active.sent] : []) &&
 			this.#choosePath() !== undefined &&
 			trySpendRetry(this.call.service.name);
 		if (!mayFailOver) {
@@ -86,7 +86,7 @@
 		this.cancelAttempt(active);
 		this.recordOutcome(
 			active.isSent ? 'unknown' : 'notRun',
-			active.work,
+			active.sent,
 			detail,
 		);
 		this.tryNextAttempt();
@@ -117,7 +117,7 @@
 			readLinkDelayMs: context.readLinkDelayMs,
 			readClock: context.readClock,
 			lastEvent: this.writer.lastEvent,
-			instances: context.instances,
+			openAttempt: context.openAttempt,
 			handlers: {
 				onHead: (head) => {
 					const metadata = context.headers.readAnswerHeaders(head.headers);
@@ -175,15 +175,15 @@
 		outcome: AttemptOutcome,
 		detail: string,
 	): void {
-		this.recordOutcome(outcome, active.work, detail);
-		const [first] = active.path;
+		this.recordOutcome(outcome, active.sent, detail);
 		const isLimitReached = isRepeatable(this.call) && !this.canRunAgain();
-		if (outcome === 'unknown' && isLimitReached && first) {
-			// The limit may only seem reached: the engine may have ended.
+		if (outcome === 'unknown' && isLimitReached) {
+			// The limit may only seem reached: engines may have ended.
 			this.#stopEngineCheck = startEngineCheck(
 				{
 					...this.context,
-					stage: first,
+					runs: this.listCountedRuns(),
+					isDecided: () => this.canRunAgain(),
 					patienceMs: this.answerStartedAt === undefined ? 0 : checkPatienceMs,
 				},
 				() => {
--- a/packages/bramleystage-gateway/src/timed-attempt.ts
+++ b/packages/bramleystage-gateway/src/timed-attempt.ts
@@ -24,6 +24,8 @@
 	readonly readClock: () => number;
 };
 
+export type OpenTimedAttempt = typeof openTimedAttempt;
+
 /** Sends a request and reports its answer or failure to the handlers. */
 export function openTimedAttempt(
 	request: Omit<AttemptRequest, 'connectTimeoutMs'>,
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -706,7 +706,6 @@
 	planLayers,
 	splitLayersByCapacity,
 } from './coordination/layer-plan.js';
-export {countRuns} from './coordination/run-count.js';
 export {
 	createRetryWindow,
 	decideWindowRetry,
@@ -729,14 +728,11 @@
 	replaceBackends,
 } from './state/backends.js';
 export {
-	type BackendInstance,
 	createInstanceEnds,
-	type EndEvidence,
-	findEndEvidence,
+	hasInstanceEnded,
 	type InstanceEnds,
-	type InstanceWork,
-	isLaterStart,
 	recordInstanceEnd,
+	type SentRequest,
 } from './state/instance-ends.js';
 export {
 	createStoreEra,
