Stay with a followed peer while its update is under way

A gateway behind a slow link left a followed peer once its list was 1.4 s old, also in the middle of the update with the next list, which another peer then sent again from its first byte (open in the postmortem of answers cut beside a configuration change). The test connected to a third peer before.

--- a/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
@@ -4,6 +4,7 @@
 import {
 	type Backend,
 	encodeValueFrame,
+	LifeCycle,
 	toBackendId,
 	toDataCentreId,
 	toServiceName,
@@ -11,6 +12,7 @@
 } from 'bramleystage';
 import {afterEach, expect, test} from 'vitest';
 import {isPeerLost, PeerLink} from '../peer-link.js';
+import {PeerLinks} from '../peer-links.js';
 import {buildPeerUpdate} from '../peer-update.js';
 import {silentLogger} from './slow-peer.js';
 
@@ -169,3 +171,47 @@
 	expect(isPeerLost({...contact, bytesAt: 1500}, 2399)).toBe(false);
 	expect(isPeerLost({...contact, bytesAt: 1500}, 2400)).toBe(true);
 });
+
+// Guards against a list that is sent again from its first byte by another peer, over a slow link.
+test('a followed peer is not left for the age of its list while its update is under way', async () => {
+	const lifeCycle = new LifeCycle();
+	const connections = new Map<string, number>();
+	const peers: string[] = [];
+	for (let count = 0; count < 3; count++) {
+		const server = createServer((socket) => {
+			const address = `127.0.0.1:${socket.localPort}`;
+			connections.set(address, (connections.get(address) ?? 0) + 1);
+			socket.on('error', () => undefined);
+			socket.resume();
+			cleanUps.push(() => {
+				socket.destroy();
+			});
+			const now = readClock();
+			void sendSlowly(socket, encodeUpdate(now, now), {pieces: 25});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		cleanUps.push(() => {
+			server.close();
+		});
+		peers.push(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	}
+
+	let updates = 0;
+	// eslint-disable-next-line no-new
+	new PeerLinks({
+		listPeers: () => peers,
+		onUpdate() {
+			updates++;
+		},
+		recordLinkEvent: () => undefined,
+		lifeCycle,
+		logger: silentLogger,
+		readClock,
+	});
+	await waitFor(2200);
+	expect([...connections.values()]).toEqual([1, 1]);
+	await waitFor(1000);
+	expect(updates).toBeGreaterThan(0);
+	await lifeCycle.stop();
+});
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -136,6 +136,11 @@
 		return now - Math.max(this.state.aliveAt, this.openedAt) < maxSilenceMs;
 	}
 
+	/** Whether bytes of an update have arrived recently that is not complete yet. */
+	isReceiving(now: number): boolean {
+		return this.#bytesAt > this.#updateAt && now - this.#bytesAt < maxSilenceMs;
+	}
+
 	/** Whether any update has been received. */
 	get isOpen(): boolean {
 		return Number.isFinite(this.state.aliveAt);
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -100,7 +100,11 @@
 	#selectPeers(now: number): void {
 		for (const [address, link] of this.#links) {
 			const {listReadAt} = link.state;
-			if (isStalePeer({followedAt: link.openedAt, listReadAt}, now)) {
+			// From another peer the update under way would begin anew.
+			const isStale =
+				!link.isReceiving(now) &&
+				isStalePeer({followedAt: link.openedAt, listReadAt}, now);
+			if (isStale) {
 				this.#records.set(address, {staleAt: now});
 			}
 		}
