Wait longer for the order leader by the delay of the own link

A gateway behind a full link, whose query of the order leader had no byte for 400 ms, took itself for the leader (open in the same postmortem): harmless by the count in each order, but orders went out twice. The query now waits longer by the measured delay. Test: a leader that answers after 550 ms, with a delay of 300 ms; it was taken for lost before.

--- a/packages/bramleystage-gateway/src/__tests__/group.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/group.test.ts
@@ -1,4 +1,6 @@
-import {LifeCycle, waitFor} from 'bramleystage';
+import {once} from 'node:events';
+import {type AddressInfo, createServer} from 'node:net';
+import {encodeValueFrame, LifeCycle, waitFor} from 'bramleystage';
 import {err, ok} from 'neverthrow';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {GatewayGroup, type GatewayGroupOptions} from '../gateway-group.js';
@@ -41,6 +43,7 @@
 		lifeCycle,
 		logger,
 		readClock: () => performance.now(),
+		readLinkDelayMs: () => 0,
 		...overrides,
 	});
 
@@ -115,3 +118,44 @@
 	await waitForSize(group, 1);
 	expect(reads).toBe(1);
 });
+
+/** Starts a gateway that answers each query after a time, and returns its address. */
+async function startSlowGateway(answerMs: number): Promise<string> {
+	const server = createServer((socket) => {
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			setTimeout(() => {
+				socket.end(encodeValueFrame({listAgeMs: 0, isStopping: false}));
+			}, answerMs);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	lifeCycle.register(() => {
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+// Guards against a gateway behind a full link that takes itself for the order leader.
+test.each([
+	{linkDelayMs: 0, isLeader: true},
+	{linkDelayMs: 300, isLeader: false},
+])(
+	'a leader that answers after 550 ms is taken for lost only if the own link is not that slow ($linkDelayMs ms)',
+	async ({linkDelayMs, isLeader}) => {
+		const leader = await startSlowGateway(550);
+		const group = createGroup(
+			{
+				joinGroup: async () => err({kind: 'lost', detail: 'cut'}),
+			},
+			{
+				self: '127.0.0.2:1',
+				seeds: [leader],
+				readLinkDelayMs: () => linkDelayMs,
+			},
+		);
+		await waitFor(1000);
+		expect(group.isLeader).toBe(isLeader);
+	},
+);
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -57,6 +57,8 @@
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
+	/** Returns the delay of the own network link, in milliseconds. */
+	readonly readLinkDelayMs: () => number;
 };
 
 export class GatewayGroup {
@@ -244,17 +246,18 @@
 
 	/** Reads as of when a peer knows its list; undefined if it is stopping or does not answer. */
 	async #readPeerListReadAt(address: string): Promise<number | undefined> {
-		const {findPeerState, readClock} = this.options;
+		const {findPeerState, readClock, readLinkDelayMs} = this.options;
 		const state = findPeerState(address);
 		if (state) {
 			return state.backAt === undefined ? state.listReadAt : undefined;
 		}
 
 		const sentAt = readClock();
-		const answer = await sendPeerQuery(address, {
-			version: Number.MAX_SAFE_INTEGER,
-			listAgeMs: 0,
-		});
+		const answer = await sendPeerQuery(
+			address,
+			{version: Number.MAX_SAFE_INTEGER, listAgeMs: 0},
+			{linkDelayMs: readLinkDelayMs()},
+		);
 		if (answer.isErr() || answer.value.isStopping) {
 			return undefined;
 		}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -119,6 +119,7 @@
 		lifeCycle,
 		logger,
 		readClock,
+		readLinkDelayMs,
 	});
 	const contact = new StoreContact();
 	const isInformedByPeer = () =>
