Leave a peer whose answer is hopelessly slow within a second

An answer that at its pace would take over four spans is now given up 750 ms after its first byte and counts as too slow, so that the next span is longer and a link that is slow to all peers still gets it.

--- a/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-sync.test.ts
@@ -211,7 +211,7 @@
 	publish([slowPeers[0]!], 7);
 	await waitUntil(
 		() => follower.configurations.value?.version === 7,
-		inForceMs + 1500,
+		inForceMs,
 	);
 	expect(record).toMatchObject({maxInFlight: 1, begun: 2});
 });
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -75,6 +75,10 @@
 const maxSilenceMs = 400;
 /** Time after which an answer under way must be worth waiting for, in milliseconds: a change is in force by then. */
 export const answerSpanMs = 3000;
+/** Time from the first byte of an answer to the check if it is hopeless, in milliseconds. */
+const earlyCheckMs = 750;
+/** Number of spans within which an answer must be expected to arrive at that check. */
+const maxExpectedSpans = 4;
 /** Time without data after which a connection is closed, in milliseconds: several pings. */
 const idleTimeoutMs = 3000;
 
@@ -197,6 +201,14 @@
 	arrivedInSpanBytes: number,
 ): boolean => missingBytes <= arrivedInSpanBytes;
 
+/** Whether an answer comes so slowly that another peer is to be queried at once. */
+const isHopeless = (
+	{missingBytes, arrivedBytes}: {missingBytes: number; arrivedBytes: number},
+	elapsedMs: number,
+	spanMs: number,
+): boolean =>
+	(missingBytes / arrivedBytes) * elapsedMs > maxExpectedSpans * spanMs;
+
 /**
  * Sends a query to another gateway and waits for its answer. A peer that is silent
  * or very slow is given up.
@@ -209,6 +221,7 @@
 	const socket = connect({...parseAddress(address), noDelay: true, signal});
 	let answerBytes: number | undefined;
 	let spanTimer: NodeJS.Timeout | undefined;
+	let earlyTimer: NodeJS.Timeout | undefined;
 	const silenceMs = maxSilenceMs + linkDelayMs;
 	const answer = await new Promise<Result<WireAnswer, PeerQueryFailure>>(
 		(resolve) => {
@@ -248,6 +261,14 @@
 			});
 			socket.once('data', (start) => {
 				answerBytes = readFrameBytes(start);
+				earlyTimer = setTimeout(() => {
+					const arrivedBytes = socket.bytesRead;
+					const missingBytes =
+						(answerBytes ?? Number.POSITIVE_INFINITY) - arrivedBytes;
+					if (isHopeless({missingBytes, arrivedBytes}, earlyCheckMs, spanMs)) {
+						fail(`Hopelessly slow in ${earlyCheckMs} ms.`, true);
+					}
+				}, earlyCheckMs);
 			});
 			listenForFrames(socket, (value) => {
 				const checked = value.andThen((decoded) =>
@@ -262,6 +283,7 @@
 		},
 	);
 	clearInterval(spanTimer);
+	clearTimeout(earlyTimer);
 	socket.destroy();
 	if (answer.isErr()) {
 		return err(answer.error);
