Under load, let streams wait for their first event on a path without a fault

Cause, by the logs: of 8121 inspections of silent paths from 10 to 24 s, 7080 were of paths whose only stream had had no event for 350 ms, with a sound report and no suspect. Such a path counted as fast, as nothing was known of it, so its stream was ordered onto other stages (1158 times for 716 streams) or began anew elsewhere, and each time more engines read its prompt. Ruled out: broken-off answers (about 10 in 2 s), lost engines (5 ended), engines avoided (about 10 in 2 s).

A stream without an event now leaves a path on which no fault is reported only after 2.5 times the smoothed time to a first event, which rises under load; with a suspect it leaves after 350 ms as before. The test of the pattern is in stream-monitor.test.ts.

--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -213,6 +213,9 @@
 		recordPause(path, pauseMs) {
 			monitor.recordPause(path, pauseMs);
 		},
+		recordFirstEvent(delayMs) {
+			monitor.recordFirstEvent(delayMs);
+		},
 	};
 	const call: Call = {
 		metadata: {request, promptTokens: 10, maxAnswerTokens: 10},
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -185,6 +185,7 @@
 		drawRandom: () => 0.5,
 		registerStream: () => () => undefined,
 		recordPause: () => undefined,
+		recordFirstEvent: () => undefined,
 	};
 	const callers = http.createServer((callerRequest, response) => {
 		const call = createCall(isStream, callerRequest, response);
--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -119,6 +119,8 @@
 	/** Delay of the own link, in milliseconds, some time after the begin. */
 	readonly readDelay: (elapsedMs: number) => number;
 	readonly hasEvents?: boolean;
+	/** Times to the first events of earlier streams, in milliseconds. */
+	readonly firstEventsMs?: readonly number[];
 };
 
 /** Watches a stream of a fast path, which stays silent, over one inspection of its path. */
@@ -127,6 +129,7 @@
 	reportMs,
 	readDelay,
 	hasEvents = true,
+	firstEventsMs = [],
 }: SilenceCase) {
 	vi.useFakeTimers();
 	const readClock = () => performance.now();
@@ -176,6 +179,10 @@
 	};
 	const unregister = monitor.register(stream as StreamRun);
 	monitor.recordPause(path, 20);
+	for (const delayMs of firstEventsMs) {
+		monitor.recordFirstEvent(delayMs);
+	}
+
 	// One check; without the stream there is no second inspection.
 	await vi.advanceTimersByTimeAsync(25);
 	unregister();
@@ -263,3 +270,27 @@
 	expect(await countFailOvers('lost', 3 * pauseMs, 200)).toBe(0);
 	expect(await countFailOvers('lost', 3 * pauseMs + 200, 200)).toBe(1);
 });
+
+// Load pattern: a burst fills all paths, so that all first events are late. Guards against
+// streams that then go from path to path and make each one read their prompts again.
+test('a stream that waits for its first event stays while all first events are late and no fault is reported', async () => {
+	const waiting = {silentMs: 500, readDelay: () => 0, hasEvents: false};
+	const late = Array.from({length: 10}, () => 600);
+	const sound = {...waiting, reportMs: 3};
+	expect(await runInspection({...sound, firstEventsMs: late})).toMatchObject({
+		failOvers: 0,
+		isAvoided: false,
+	});
+	expect(
+		await runInspection({...sound, silentMs: 1500, firstEventsMs: late}),
+	).toMatchObject({failOvers: 1});
+	const usual = Array.from({length: 10}, () => 60);
+	expect(await runInspection({...sound, firstEventsMs: usual})).toMatchObject({
+		failOvers: 1,
+	});
+	const dead = {...waiting, reportMs: Number.POSITIVE_INFINITY};
+	expect(await runInspection({...dead, firstEventsMs: late})).toMatchObject({
+		failOvers: 1,
+		isAvoided: true,
+	});
+});
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -223,6 +223,9 @@
 		recordPause(path: readonly PathStage[], pauseMs: number) {
 			monitor.recordPause(path, pauseMs);
 		},
+		recordFirstEvent(delayMs: number) {
+			monitor.recordFirstEvent(delayMs);
+		},
 	};
 	const isReady = () =>
 		!isStopping() && configurations.value !== undefined && fleet.hasBackends;
--- a/packages/bramleystage-gateway/src/path-silence.ts
+++ b/packages/bramleystage-gateway/src/path-silence.ts
@@ -6,7 +6,7 @@
 
 /** Silence after which streams that had events leave a path, in milliseconds: a new path must start within the pause that users accept. */
 const minSilenceMs = 80;
-/** Multiple of the smoothed pause that counts as silence on a slow path. */
+/** Multiple of the usual time, between events or to the first one, that counts as silence. */
 const silencePauseFactor = 2.5;
 /** Multiple of the smoothed pause that counts as silence on a path with an engine that can't be reached. */
 const unreachableEnginePauseFactor = 1.3;
@@ -19,17 +19,36 @@
 	readonly startedMs: number;
 	/** Of streams without an event yet. */
 	readonly firstEventMs: number;
+	/** Of streams without an event yet on a path whose first engine reports no fault. */
+	readonly unexplainedFirstEventMs: number;
 	/** Of streams on a path with an engine that can't be reached. */
 	readonly unreachableMs: number;
 };
 
-/** Computes the limits of a path from its smoothed pause between events and the delay of the own link, in milliseconds. */
-export const computeSilenceLimits = (
-	pauseMs: number,
-	linkDelayMs: number,
-): SilenceLimits => ({
+/** What the limits of a path depend on, in milliseconds. */
+export type SilenceBasis = {
+	/** Smoothed pause between events of the path. */
+	readonly pauseMs: number;
+	/** Smoothed time to the first event on all paths. */
+	readonly firstEventMs: number;
+	/** Delay of the own link. */
+	readonly linkDelayMs: number;
+};
+
+/**
+ * Computes the limits of a path. Under load all first events are late; a stream
+ * that then left its path would only make other engines read its prompt again.
+ */
+export const computeSilenceLimits = ({
+	pauseMs,
+	firstEventMs,
+	linkDelayMs,
+}: SilenceBasis): SilenceLimits => ({
 	startedMs: Math.max(minSilenceMs, silencePauseFactor * pauseMs) + linkDelayMs,
 	firstEventMs: firstEventSilenceMs + linkDelayMs,
+	unexplainedFirstEventMs:
+		Math.max(firstEventSilenceMs, silencePauseFactor * firstEventMs) +
+		linkDelayMs,
 	unreachableMs: unreachableEnginePauseFactor * pauseMs + linkDelayMs,
 });
 
@@ -55,3 +74,33 @@
 		({lastProgressAt}) => now - lastProgressAt > firstEventMs,
 	);
 }
+
+/** What an inspection of a silent path has shown. */
+export type PathInspection = {
+	/** Whether some of its streams had events: if they have stopped, prefill has stopped too. */
+	readonly hadEvents: boolean;
+	/** Whether its events used to come fast. */
+	readonly wasFast: boolean;
+	/** Whether one of its engines is suspect. */
+	readonly isAffected: boolean;
+};
+
+/** Whether a stream leaves its silent path. Without a suspect it leaves only a path that used to be fast, as under load all are slow. */
+export function isLeaveDue(
+	{hasEvents, silentMs}: {hasEvents: boolean; silentMs: number},
+	{hadEvents, wasFast, isAffected}: PathInspection,
+	limits: SilenceLimits,
+): boolean {
+	if (!isAffected && !wasFast) {
+		return false;
+	}
+
+	if (hasEvents || hadEvents) {
+		return silentMs > limits.startedMs;
+	}
+
+	return (
+		silentMs >
+		(isAffected ? limits.firstEventMs : limits.unexplainedFirstEventMs)
+	);
+}
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -20,6 +20,8 @@
 	readonly checkFaultyEngine: (stage: PathStage) => void;
 	/** Records the pause between two events of a path, in milliseconds. */
 	readonly recordPause: (path: readonly PathStage[], pauseMs: number) => void;
+	/** Records the time to the first event on a path, in milliseconds. */
+	readonly recordFirstEvent: (delayMs: number) => void;
 };
 
 export abstract class StreamAnswerRun extends CallRun {
@@ -61,8 +63,11 @@
 		// Parts of an event and comments are no progress: a stalled path may send them.
 		if (events.hasData) {
 			const now = this.context.readClock();
+			const sinceMs = now - this.lastProgressAt;
 			if (active.hasEvents) {
-				this.context.recordPause(active.path, now - this.lastProgressAt);
+				this.context.recordPause(active.path, sinceMs);
+			} else {
+				this.context.recordFirstEvent(sinceMs);
 			}
 
 			this.lastProgressAt = now;
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -16,6 +16,7 @@
 import type {InstanceWatch} from './instance-watch.js';
 import {
 	computeSilenceLimits,
+	isLeaveDue,
 	isPathSilent,
 	type SilenceLimits,
 } from './path-silence.js';
@@ -41,6 +42,8 @@
 const pathPauseWeight = 0.05;
 /** Weight of a new pause in the smoothed pause of all paths (EWMA). */
 const overallPauseWeight = 0.005;
+/** Weight of a new time to the first event in the smoothed one (EWMA). */
+const firstEventWeight = 0.2;
 /** Delay of the monitor's timer that shows that the event loop was blocked, in milliseconds. */
 const eventLoopDelayMs = 40;
 
@@ -64,6 +67,8 @@
 	readonly #pauses = new Map<string, number>();
 	/** Smoothed pause between events of all paths, in milliseconds. */
 	#overallPause = 0;
+	/** Smoothed time to the first event on all paths, in milliseconds. */
+	#firstEventMs = 0;
 	#lastCheckAt: number;
 	#suspendedUntil = 0;
 
@@ -100,6 +105,11 @@
 		this.#overallPause += (pauseMs - this.#overallPause) * overallPauseWeight;
 	}
 
+	/** Records the time to the first event of a stream on its path, in milliseconds, or that it took longer. */
+	recordFirstEvent(delayMs: number): void {
+		this.#firstEventMs += (delayMs - this.#firstEventMs) * firstEventWeight;
+	}
+
 	/**
 	 * Checks an engine that was reported as the cause of a refusal. If it can't be
 	 * reached, the silent streams on its paths fail over; if it only does not
@@ -159,10 +169,11 @@
 	}
 
 	#computeLimits(key: string): SilenceLimits {
-		return computeSilenceLimits(
-			this.#pauses.get(key) ?? 0,
-			this.options.readLinkDelayMs(),
-		);
+		return computeSilenceLimits({
+			pauseMs: this.#pauses.get(key) ?? 0,
+			firstEventMs: this.#firstEventMs,
+			linkDelayMs: this.options.readLinkDelayMs(),
+		});
 	}
 
 	async #handleSilence(
@@ -178,7 +189,6 @@
 		}
 
 		this.#inspectedAt.set(key, readClock());
-		// If streams that had events have stopped, prefill on the path has stopped too.
 		const hadEvents = streams.some(({hasEvents}) => hasEvents);
 		const wasFast = (this.#pauses.get(key) ?? this.#overallPause) < fastPauseMs;
 		const suspects = await this.#findSuspects(key, first);
@@ -196,22 +206,28 @@
 		const now = readClock();
 		const limits = this.#computeLimits(key);
 		for (const stream of streams) {
-			const isStreamSilent =
-				formatPathKey(stream.path) === key &&
-				now - stream.lastProgressAt >
-					(stream.hasEvents || hadEvents
-						? limits.startedMs
-						: limits.firstEventMs);
 			const path = stream.path.map(({id}) => id);
 			const isAffected = path.some((id) => suspects.includes(id));
-			// Without a suspect, streams leave a path only if it used to be fast: under load all paths are slow.
-			if (isStreamSilent && (isAffected || wasFast)) {
-				const silentMs = Math.round(now - stream.lastProgressAt);
-				stream.failOver(
-					isAffected ? suspects : path,
-					`The path was silent for ${silentMs} ms.`,
+			const silentMs = Math.round(now - stream.lastProgressAt);
+			const isLeaving =
+				formatPathKey(stream.path) === key &&
+				isLeaveDue(
+					{hasEvents: stream.hasEvents, silentMs: now - stream.lastProgressAt},
+					{hadEvents, wasFast, isAffected},
+					limits,
 				);
+			if (!isLeaving) {
+				continue;
+			}
+
+			if (!stream.hasEvents && !isAffected) {
+				this.recordFirstEvent(silentMs);
 			}
+
+			stream.failOver(
+				isAffected ? suspects : path,
+				`The path was silent for ${silentMs} ms.`,
+			);
 		}
 	}
 
