--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -6,10 +6,8 @@
 	LifeCycle,
 	toBackendId,
 	toDataCentreId,
-	toModelName,
 	toRequestId,
 	toRouteName,
-	toServiceName,
 } from 'bramleystage';
 import * as fc from 'fast-check';
 import {ok} from 'neverthrow';
@@ -21,6 +19,7 @@
 import {RequestRecorder} from '../request-recorder.js';
 import {StreamMonitor} from '../stream-monitor.js';
 import {StreamRun, type StreamRunContext} from '../stream-run.js';
+import {modelService} from './model-service.js';
 import {
 	createOpenAttempt,
 	eventCount,
@@ -36,26 +35,6 @@
 	debug: () => undefined,
 };
 const request = toRequestId('request-1');
-const service = {
-	name: toServiceName('models'),
-	maxConnections: 100,
-	pipeline: {
-		model: toModelName('guide'),
-		layers: 8,
-		layerMegabytes: 100,
-		kvTokenBytes: 8000,
-		slots: 100,
-		stepMs: 1,
-		prefillTokensPerMs: 100,
-		tokensPerEvent: 2,
-		activationBytes: 1000,
-		linkMbps: 1000,
-		loadMs: 1000,
-		kinds: new Map([
-			['big', {megabytes: 9000, stepFactor: 1, prefillFactor: 1}],
-		]),
-	},
-};
 const headers: HeaderPort = {
 	readCallHeaders: () => undefined,
 	buildAttemptHeaders: () => [],
@@ -123,13 +102,13 @@
 
 const createEntry = (index: number): Backend => ({
 	id: toBackendId(`engine-${index}`),
-	service: service.name,
+	service: modelService.name,
 	address: `10.0.0.${index}:1`,
 	dataCentre: toDataCentreId('a'),
 	isDraining: false,
 	kind: 'big',
 	layers: {from: 0, to: 8},
-	models: [service.pipeline.model],
+	models: [modelService.pipeline.model],
 	slots: 100,
 	bornAt: 1,
 });
@@ -241,7 +220,7 @@
 			isPublic: true,
 			isResumable: true,
 		},
-		service,
+		service: modelService,
 		method: 'POST',
 		target: '/',
 		headers: [],
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -12,7 +12,6 @@
 	maxLinkDelayMs,
 	toBackendId,
 	toDataCentreId,
-	toModelName,
 	toRequestId,
 	toRouteName,
 	toServiceName,
@@ -28,6 +27,7 @@
 import {RequestRecorder} from '../request-recorder.js';
 import {openTimedAttempt} from '../timed-attempt.js';
 import {StreamRun, type StreamRunContext} from '../stream-run.js';
+import {modelService} from './model-service.js';
 
 const logger = {
 	error: () => undefined,
@@ -44,26 +44,6 @@
 const readClock = () => performance.now();
 const request = toRequestId('request-1');
 const plainService = {name: toServiceName('desk'), maxConnections: 100};
-const modelService = {
-	name: toServiceName('models'),
-	maxConnections: 100,
-	pipeline: {
-		model: toModelName('guide'),
-		layers: 8,
-		layerMegabytes: 100,
-		kvTokenBytes: 8000,
-		slots: 100,
-		stepMs: 1,
-		prefillTokensPerMs: 100,
-		tokensPerEvent: 2,
-		activationBytes: 1000,
-		linkMbps: 1000,
-		loadMs: 1000,
-		kinds: new Map([
-			['big', {megabytes: 9000, stepFactor: 1, prefillFactor: 1}],
-		]),
-	},
-};
 const headers: HeaderPort = {
 	readCallHeaders: () => undefined,
 	buildAttemptHeaders: () => [['Host', 'test']],
