A leaving engine that refuses connections may still run its requests

A refusal now shows the end of an instance only if a list of at most 1.5 s shows the server as serving. That an ended engine must be taken off the count is checked only while it is listed: after that it looks like one that left.

--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -235,9 +235,12 @@
 		engines.flatMap((engine) =>
 			engine.runs.filter(({bornAt}) => engine.isRunning(bornAt)),
 		).length;
-	// An engine that has started again doesn't show that its earlier runs are over.
+	// An engine shows that its runs are over if it refuses connections while it is listed
+	// as serving. One that has left the list may still run what it has.
 	const countKnown = () =>
-		engines.flatMap(({hasEnded, runs}) => (hasEnded ? [] : runs)).length;
+		engines.flatMap(({id, hasVisiblyEnded, runs}) =>
+			hasVisiblyEnded && fleet.snapshots.value.backends.has(id) ? [] : runs,
+		).length;
 	let endedAt = Number.NaN;
 	let runsAtEnd = 0;
 	let knownRunsAtEnd = 0;
@@ -271,7 +274,7 @@
 		'leave',
 	),
 	engine: fc.nat({max: engineCount - 1}),
-	at: fc.nat({max: 3000}),
+	at: fc.nat({max: 4000}),
 	forMs: fc.integer({min: 100, max: 1500}),
 });
 
@@ -320,3 +323,18 @@
 	expect(tookMs).toBeLessThan(150);
 	expect(status).toBe(504);
 });
+
+// Guards against a run that is not counted because its engine, which leaves, has stopped
+// listening while it still runs the request.
+test('a stream at an engine that leaves and refuses connections is not run again beside its limit', async () => {
+	const {isWhole, runsAtEnd} = await runStream({
+		troubles: [
+			{kind: 'leave', engine: 0, at: 100, forMs: 0},
+			{kind: 'pause', engine: 0, at: 2300, forMs: 600},
+		],
+		maxAttempts: 1,
+		isBudgetLeft: true,
+	});
+	expect(runsAtEnd).toBe(1);
+	expect(isWhole).toBe(true);
+});
--- a/packages/bramleystage-gateway/src/__tests__/simulated-engines.ts
+++ b/packages/bramleystage-gateway/src/__tests__/simulated-engines.ts
@@ -20,7 +20,7 @@
 	| 'end'
 	/** Ends and starts again after a while under the same id. */
 	| 'restart'
-	/** Says that it leaves; it serves on. */
+	/** Says that it leaves, and later refuses connections, but runs the requests that it has to their ends. */
 	| 'leave';
 
 export type Trouble = {
@@ -29,7 +29,7 @@
 	readonly engine: number;
 	/** Time from the begin, in milliseconds. */
 	readonly at: number;
-	/** Length of a pause, of the time of spoiled reports, or until a restart, in milliseconds. */
+	/** Length of a pause, of the time of spoiled reports, or until a restart or a closed listener, in milliseconds. */
 	readonly forMs: number;
 };
 
@@ -41,9 +41,11 @@
 
 /** Delay of a connection, an answer's head and a report, in milliseconds. */
 const replyMs = 3;
+/** Least time for which a leaving engine accepts connections, in milliseconds. */
+const minServingMs = 2000;
 /** Pause between two events, in milliseconds. */
 const eventIntervalMs = 25;
-export const eventCount = 60;
+export const eventCount = 140;
 
 type Stream = {
 	readonly handlers: AttemptHandlers;
@@ -56,6 +58,7 @@
 	isLeaving = false;
 	#bornAt = 1;
 	#hasEnded = false;
+	#isListening = true;
 	#pausedUntil = 0;
 	#spoiledUntil = 0;
 	#streams: Stream[] = [];
@@ -65,6 +68,10 @@
 		private readonly readClock: () => number,
 	) {}
 
+	get id(): BackendId {
+		return this.listed.id;
+	}
+
 	/** The engine's entry in the list; undefined once it has ended. */
 	get entry(): Backend | undefined {
 		return this.#hasEnded
@@ -72,9 +79,9 @@
 			: {...this.listed, bornAt: this.#bornAt, isDraining: this.isLeaving};
 	}
 
-	/** Whether nothing listens at its address. */
-	get hasEnded(): boolean {
-		return this.#hasEnded;
+	/** Whether it shows that it has ended: it refuses connections and did not leave. */
+	get hasVisiblyEnded(): boolean {
+		return this.#hasEnded && !this.isLeaving;
 	}
 
 	/** Whether an instance still runs. */
@@ -89,6 +96,9 @@
 
 		if (kind === 'leave') {
 			this.isLeaving = true;
+			setTimeout(() => {
+				this.#isListening = false;
+			}, minServingMs + forMs);
 			return;
 		}
 
@@ -126,16 +136,16 @@
 	async readReport(
 		timeoutMs: number,
 	): Promise<Result<EngineReport, EngineFailure>> {
-		if (this.#isPaused()) {
-			await waitFor(timeoutMs);
-			return err({kind: 'lost', detail: 'No answer.'});
-		}
-
 		await waitFor(replyMs);
-		if (this.#hasEnded) {
+		if (this.#hasEnded || !this.#isListening) {
 			return err({kind: 'refused', detail: 'connect ECONNREFUSED'});
 		}
 
+		if (this.#isPaused()) {
+			await waitFor(timeoutMs - replyMs);
+			return err({kind: 'lost', detail: 'No answer.'});
+		}
+
 		if (this.readClock() < this.#spoiledUntil) {
 			return err({kind: 'malformed', detail: 'Unexpected end of JSON input'});
 		}
@@ -168,7 +178,7 @@
 				return;
 			}
 
-			if (this.#hasEnded) {
+			if (this.#hasEnded || !this.#isListening) {
 				stream.isOpen = false;
 				handlers.onFail({
 					isSent: false,
--- a/packages/bramleystage-gateway/src/instance-watch.ts
+++ b/packages/bramleystage-gateway/src/instance-watch.ts
@@ -20,6 +20,9 @@
 /** Least time between two log lines about the end of one instance, in milliseconds. */
 const logIntervalMs = 1000;
 
+/** Age of the list above which a server may leave without it showing so, in milliseconds: shorter than any server serves on after it says that it leaves. */
+const maxListAgeMs = 1500;
+
 export type InstanceWatchOptions = {
 	readonly fleet: Fleet;
 	readonly readReport: EnginePort['readReport'];
@@ -32,8 +35,16 @@
 
 	constructor(private readonly options: InstanceWatchOptions) {}
 
-	/** Records that a connection, tried at a steady-clock time in milliseconds, was refused. */
+	/**
+	 * Records that a connection, tried at a steady-clock time in milliseconds, was
+	 * refused. A server that leaves refuses connections while it still runs the
+	 * requests that it has, so only one that is listed as serving has ended.
+	 */
 	recordRefusal(id: BackendId, triedAt: number): void {
+		if (!this.#isServing(id)) {
+			return;
+		}
+
 		const sentAt = triedAt - logIntervalMs;
 		if (!hasInstanceEnded(this.#ends, {id, sentAt})) {
 			this.options.logger.info('backend.ended', {backend: id});
@@ -71,4 +82,12 @@
 
 		return report;
 	}
+
+	/** Whether the list, if it is not out of date, shows a server that does not leave. */
+	#isServing(id: BackendId): boolean {
+		const {fleet, readClock} = this.options;
+		const backend = fleet.snapshots.value.backends.get(id);
+		const isListFresh = readClock() - fleet.readAt < maxListAgeMs;
+		return isListFresh && backend !== undefined && !backend.isDraining;
+	}
 }
--- a/packages/bramleystage/src/state/instance-ends.ts
+++ b/packages/bramleystage/src/state/instance-ends.ts
@@ -1,6 +1,7 @@
 /**
  * Backend servers whose instance has certainly ended. One sign alone shows that: a
- * refused connection, as nothing listens at the address. Silence, a broken answer
+ * refused connection of a server that does not leave, as nothing listens at the
+ * address; one that leaves stops listening before its last request ends. Silence, a broken answer
  * or bytes that can't be read don't, as a sound server may pause and go on. An entry
  * that left the list doesn't, as a leaving server goes on serving, nor does a later
  * start time, as the listed one may have been out of date when the request was sent,
