Log the parts of the prompt and how far the answer came with each ended attempt

An engine that ends cuts all its runs, and the logs didn't show what these had in common. attempt.ended now has parts (ids of the prompt's parts) and progress (none, head, events). No logic changes.

--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -205,7 +205,12 @@
 		},
 	};
 	const call: Call = {
-		metadata: {request, promptTokens: 10, maxAnswerTokens: 10},
+		metadata: {
+			request,
+			promptTokens: 10,
+			maxAnswerTokens: 10,
+			promptParts: [],
+		},
 		route: {
 			name: toRouteName('r'),
 			host: 'test',
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -102,7 +102,12 @@
 	callerRequest: http.IncomingMessage,
 	response: http.ServerResponse,
 ): Call => ({
-	metadata: {request, promptTokens: 10, maxAnswerTokens: 10},
+	metadata: {
+		request,
+		promptTokens: 10,
+		maxAnswerTokens: 10,
+		promptParts: [],
+	},
 	route: {
 		name: toRouteName('r'),
 		host: 'test',
@@ -265,7 +270,12 @@
 		readLinkDelayMs: () => linkDelayMs,
 	};
 	const call: Partial<Call> = {
-		metadata: {request, promptTokens: 10, maxAnswerTokens: 10},
+		metadata: {
+		request,
+		promptTokens: 10,
+		maxAnswerTokens: 10,
+		promptParts: [],
+	},
 		service: modelService,
 	};
 	await new PathReplacement(call as Call, context).run(stage, new Set());
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -17,7 +17,11 @@
 import {type Call, isRepeatable} from './call.js';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
-import type {AttemptEnd, RequestRecorder} from './request-recorder.js';
+import type {
+	AttemptEnd,
+	AttemptProgress,
+	RequestRecorder,
+} from './request-recorder.js';
 import type {OpenTimedAttempt} from './timed-attempt.js';
 import type {AnswerMetadata, HeaderPort, Headers} from './platform-port.js';
 
@@ -37,6 +41,12 @@
 	readonly drawRandom: () => number;
 };
 
+/** One run of a request at a backend server. */
+export type AttemptRun = {
+	readonly sent: SentRequest;
+	readonly progress: AttemptProgress;
+};
+
 const msPerSecond = 1000;
 /** Lowest status of a server's error. */
 export const minErrorStatus = 500;
@@ -154,7 +164,7 @@
 	/** Records the end of an attempt; if it may have run, its run counts unless its instance has ended. */
 	protected recordOutcome(
 		outcome: AttemptEnd['outcome'],
-		sent: SentRequest,
+		{sent, progress}: AttemptRun,
 		detail = '',
 	): void {
 		const isRun = outcome !== 'notRun';
@@ -167,6 +177,7 @@
 			backend: sent.id,
 			where: this.where,
 			detail,
+			progress,
 			runs: this.listCountedRuns().length,
 			isUncounted: isRun && this.context.instances.hasEnded(sent),
 		});
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -13,6 +13,7 @@
 import {type AnswerHead, type Attempt, type AttemptFailure} from './attempt.js';
 import {type Call, computePriority} from './call.js';
 import {
+	type AttemptRun,
 	CallRun,
 	isServerError,
 	listEndToEndHeaders,
@@ -35,6 +36,11 @@
 	readonly chunks: Buffer[];
 };
 
+const toRun = ({sent, head}: ActiveAttempt): AttemptRun => ({
+	sent,
+	progress: head ? 'head' : 'none',
+});
+
 export class PlainRun extends CallRun {
 	readonly #activeAttempts = new Set<ActiveAttempt>();
 	readonly #triedBackends = new Set<BackendId>();
@@ -223,7 +229,7 @@
 		detail: string,
 	): void {
 		this.where = active.backend.address;
-		this.recordOutcome(outcome, active.sent, detail);
+		this.recordOutcome(outcome, toRun(active), detail);
 		if (this.#activeAttempts.size > 0) {
 			return;
 		}
@@ -241,7 +247,7 @@
 	/** Records an answer that is final and forwards it. */
 	#acceptAnswer(active: ActiveAttempt, head: AnswerHead): void {
 		this.where = active.backend.address;
-		this.recordOutcome('answered', active.sent);
+		this.recordOutcome('answered', toRun(active));
 		this.#forwardAnswer(active, head);
 	}
 
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -9,6 +9,7 @@
 	LayerRange,
 	ModelName,
 	PathStage,
+	PromptPartId,
 	RequestId,
 	RoutingConfiguration,
 } from 'bramleystage';
@@ -179,6 +180,8 @@
 	readonly model?: ModelName;
 	readonly promptTokens: number;
 	readonly maxAnswerTokens: number;
+	/** Parts of the prompt, in order; requests share all but the last. Empty if the caller names none. */
+	readonly promptParts: readonly PromptPartId[];
 	/** Id of the last event of the stream that the caller received. */
 	readonly lastEvent?: string;
 };
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -34,6 +34,9 @@
 	readonly firstMs?: number;
 };
 
+/** How far the answer of an attempt came before the attempt ended. */
+export type AttemptProgress = 'none' | 'head' | 'events';
+
 /** How one attempt at a backend server ended. */
 export type AttemptEnd = {
 	readonly outcome: AttemptOutcome | 'answered';
@@ -41,6 +44,7 @@
 	/** Address of the backend server, or the stages of the path. */
 	readonly where: string;
 	readonly detail: string;
+	readonly progress: AttemptProgress;
 	/** Runs so far that count towards the route's limit. */
 	readonly runs: number;
 	/** Whether it may have run but doesn't count as a run, as its instance has ended. */
@@ -112,7 +116,7 @@
 	/** Records one attempt at a backend server. */
 	recordAttempt(
 		call: Call,
-		{outcome, backend, where, detail, runs, isUncounted}: AttemptEnd,
+		{outcome, backend, where, detail, progress, runs, isUncounted}: AttemptEnd,
 	): void {
 		this.#attempts.inc({outcome});
 		if (outcome !== 'notRun') {
@@ -127,6 +131,8 @@
 				runs,
 				max_runs: call.route.maxAttempts,
 				uncounted: isUncounted ? 'ended' : undefined,
+				progress: outcome === 'notRun' ? undefined : progress,
+				parts: call.metadata.promptParts.join(',') || undefined,
 				where,
 				detail,
 				version: call.version,
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -84,7 +84,7 @@
 
 		if (this.writer.isUnread) {
 			const detail = 'The caller does not read its answer.';
-			this.recordOutcome('unknown', active.sent, detail);
+			this.recordOutcome('unknown', active, detail);
 			this.failWith(createFailure('cancelled', detail));
 			return;
 		}
@@ -116,7 +116,7 @@
 			this.context.fleet.health.recordSuccess(id);
 		}
 
-		this.recordOutcome('answered', active.sent);
+		this.recordOutcome('answered', active);
 		this.call.response.end();
 		this.end({status: 200});
 	}
@@ -211,7 +211,7 @@
 		} else if (outcome === 'failed') {
 			this.handleOutcome(active, outcome, detail);
 		} else {
-			this.recordOutcome(outcome, active.sent);
+			this.recordOutcome(outcome, active);
 			this.forwardAnswer(active, head);
 		}
 	}
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -12,6 +12,7 @@
 import {EventSplitter} from './event-splitter.js';
 import type {Fleet} from './fleet.js';
 import type {HeaderPort} from './platform-port.js';
+import type {AttemptProgress} from './request-recorder.js';
 import type {OpenTimedAttempt} from './timed-attempt.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live engine accepts one within a few milliseconds. */
@@ -107,6 +108,15 @@
 		return this.#attempt.isSent();
 	}
 
+	/** How far the answer has come. */
+	get progress(): AttemptProgress {
+		if (this.hasEvents) {
+			return 'events';
+		}
+
+		return this.head ? 'head' : 'none';
+	}
+
 	/** Whether the answer is a stream of events. */
 	get isStream(): boolean {
 		return this.head?.status === streamStatus;
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -86,7 +86,7 @@
 		this.cancelAttempt(active);
 		this.recordOutcome(
 			active.isSent ? 'unknown' : 'notRun',
-			active.sent,
+			active,
 			detail,
 		);
 		this.tryNextAttempt();
@@ -175,7 +175,7 @@
 		outcome: AttemptOutcome,
 		detail: string,
 	): void {
-		this.recordOutcome(outcome, active.sent, detail);
+		this.recordOutcome(outcome, active, detail);
 		const isLimitReached = isRepeatable(this.call) && !this.canRunAgain();
 		if (outcome === 'unknown' && isLimitReached) {
 			// The limit may only seem reached: engines may have ended.
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -780,6 +780,8 @@
 	type RouteName,
 	routeNameSchema,
 	toBackendId,
+	type PromptPartId,
+	toPromptPartId,
 	toRouteName,
 } from './protocol/ids.js';
 export {
--- a/packages/bramleystage/src/protocol/ids.ts
+++ b/packages/bramleystage/src/protocol/ids.ts
@@ -38,6 +38,10 @@
 export const backendIdSchema = text.brand<'BackendId'>();
 export type BackendId = z.infer<typeof backendIdSchema>;
 
+/** Identifies a part of a prompt that several requests may share. */
+export const promptPartIdSchema = text.brand<'PromptPartId'>();
+export type PromptPartId = z.infer<typeof promptPartIdSchema>;
+
 export const routeNameSchema = text.brand<'RouteName'>();
 export type RouteName = z.infer<typeof routeNameSchema>;
 
@@ -79,4 +83,5 @@
 export const toEditId = (value: string) => value as EditId;
 export const toFencingToken = (value: number) => value as FencingToken;
 export const toBackendId = (value: string) => value as BackendId;
+export const toPromptPartId = (value: string) => value as PromptPartId;
 export const toRouteName = (value: string) => value as RouteName;
