--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -271,11 +271,11 @@
 	};
 	const call: Partial<Call> = {
 		metadata: {
-		request,
-		promptTokens: 10,
-		maxAnswerTokens: 10,
-		promptParts: [],
-	},
+			request,
+			promptTokens: 10,
+			maxAnswerTokens: 10,
+			promptParts: [],
+		},
 		service: modelService,
 	};
 	await new PathReplacement(call as Call, context).run(stage, new Set());
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -84,11 +84,7 @@
 		}
 
 		this.cancelAttempt(active);
-		this.recordOutcome(
-			active.isSent ? 'unknown' : 'notRun',
-			active,
-			detail,
-		);
+		this.recordOutcome(active.isSent ? 'unknown' : 'notRun', active, detail);
 		this.tryNextAttempt();
 	}
 
