--- a/packages/bramleystage-gateway/src/__tests__/own-link.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/own-link.test.ts
@@ -18,6 +18,7 @@
 	pingSchema,
 } from '../peer-update.js';
 import {RequestRecorder} from '../request-recorder.js';
+import {noCrashes} from './no-crashes.js';
 
 const readClock = () => performance.now();
 const heldMs = 30;
@@ -81,6 +82,7 @@
 	const links = new PeerLinks({
 		listPeers: () => peers,
 		onUpdate: () => undefined,
+		crashes: noCrashes,
 		recordLinkEvent(event) {
 			ownLink.record(event);
 		},
--- a/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
@@ -14,6 +14,7 @@
 import {isPeerLost, PeerLink} from '../peer-link.js';
 import {PeerLinks} from '../peer-links.js';
 import {buildPeerUpdate} from '../peer-update.js';
+import {noCrashes} from './no-crashes.js';
 import {silentLogger} from './slow-peer.js';
 
 const pieceIntervalMs = 100;
@@ -80,6 +81,7 @@
 		onUpdate() {
 			updates++;
 		},
+		crashes: noCrashes,
 		recordLinkEvent: () => undefined,
 		onEnd() {
 			endedAt = readClock();
@@ -204,6 +206,7 @@
 		onUpdate() {
 			updates++;
 		},
+		crashes: noCrashes,
 		recordLinkEvent: () => undefined,
 		lifeCycle,
 		logger: silentLogger,
--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -13,6 +13,8 @@
 import {ok} from 'neverthrow';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import type {Call} from '../call.js';
+import {CrashGuard} from '../crash-guard.js';
+import {CrashLedger} from '../crash-ledger.js';
 import {Fleet} from '../fleet.js';
 import {InstanceWatch} from '../instance-watch.js';
 import type {HeaderPort} from '../platform-port.js';
@@ -180,15 +182,39 @@
 	}
 
 	const response = new CallerResponse();
+	const recorder = new RequestRecorder(logger, readClock, () => 0);
+	const crashGuard = new CrashGuard({
+		ledger: new CrashLedger({
+			listMembers: () => [],
+			self: 'gateway',
+			lifeCycle,
+			logger,
+			readClock,
+		}),
+		recorder,
+		fleet,
+		instances,
+		async checkConnection(address, timeoutMs) {
+			const report = await byAddress.get(address)?.readReport(timeoutMs);
+			if (report?.isErr() && report.error.kind === 'refused') {
+				return 'refused';
+			}
+
+			return report?.isOk() ? 'open' : 'unknown';
+		},
+		readClock,
+		readLinkDelayMs: () => 0,
+	});
 	const context: StreamRunContext = {
 		fleet,
 		instances,
+		crashGuard,
 		openAttempt: createOpenAttempt(
 			byAddress,
 			() => response.events.at(-1) ?? 0,
 		),
 		headers,
-		recorder: new RequestRecorder(logger, readClock, () => 0),
+		recorder,
 		trySpendRetry: () => isBudgetLeft,
 		readClock,
 		readLinkDelayMs: () => 0,
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -162,6 +162,13 @@
 		}),
 		openAttempt: openTimedAttempt,
 		headers,
+		crashGuard: {
+			countAllowedEnds: () => 2,
+			findRefusal: () => undefined,
+			isInDoubt: () => false,
+			recordCut: async () => false,
+			recordSound: () => undefined,
+		},
 		recorder: new RequestRecorder(logger, readClock, () => 0),
 		trySpendRetry: () => false,
 		readClock,
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -11,35 +11,14 @@
 	decideAfterAttempt,
 	type Failure,
 	type SentRequest,
-	type ServiceName,
 } from 'bramleystage';
+import {refusedStatus} from './answer-status.js';
 import {writeErrorResponse} from './error-response.js';
 import {type Call, isRepeatable} from './call.js';
-import type {Fleet} from './fleet.js';
-import type {InstanceWatch} from './instance-watch.js';
-import type {
-	AttemptEnd,
-	AttemptProgress,
-	RequestRecorder,
-} from './request-recorder.js';
-import type {OpenTimedAttempt} from './timed-attempt.js';
-import type {AnswerMetadata, HeaderPort, Headers} from './platform-port.js';
-
-export type RunContext = {
-	readonly fleet: Fleet;
-	readonly instances: InstanceWatch;
-	readonly openAttempt: OpenTimedAttempt;
-	readonly headers: HeaderPort;
-	readonly recorder: RequestRecorder;
-	/** Spends one retry of the service's retry budget; returns false if none is left. */
-	readonly trySpendRetry: (service: ServiceName) => boolean;
-	readonly readClock: () => number;
-	/** Returns the delay of the own network link, in milliseconds. */
-	readonly readLinkDelayMs: () => number;
-	/** Whether the process is draining. */
-	readonly isStopping: () => boolean;
-	readonly drawRandom: () => number;
-};
+import type {AttemptEnd, AttemptProgress} from './request-recorder.js';
+import {RunHistory} from './run-history.js';
+import type {AnswerMetadata} from './platform-port.js';
+import type {RunContext} from './run-context.js';
 
 /** One run of a request at a backend server. */
 export type AttemptRun = {
@@ -48,48 +27,23 @@
 };
 
 const msPerSecond = 1000;
-/** Lowest status of a server's error. */
-export const minErrorStatus = 500;
-/** Status of a server that gave up at the request's deadline. */
-const deadlineStatus = 504;
-/** Status of a server that another one has replaced at its address. */
-export const replacedStatus = 421;
-/** Status of a server that refuses a request for now. */
-export const refusedStatus = 503;
-/** Hop-by-hop headers, which concern one connection only. */
-const hopByHop = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-connection',
-	'transfer-encoding',
-	'upgrade',
-]);
-
-/** Lists the headers of an answer without the hop-by-hop ones. */
-export const listEndToEndHeaders = (headers: Headers): Headers =>
-	headers.filter(([name]) => !hopByHop.has(name.toLowerCase()));
-
-/** Whether a status shows trouble of the server, and not only that the time was over. */
-export const isServerError = (status: number): boolean =>
-	status >= minErrorStatus && status !== deadlineStatus;
-
 export abstract class CallRun {
 	protected isFinished = false;
 	protected answerStartedAt: number | undefined;
 	protected where = '';
 	#sentCount = 0;
-	/** Attempts that may have run, in the order of their ends. */
-	#runs: readonly SentRequest[] = [];
+	readonly #history: RunHistory;
 	readonly #deadlineTimer: NodeJS.Timeout;
 
 	constructor(
 		protected readonly call: Call,
 		protected readonly context: RunContext,
 	) {
+		this.#history = new RunHistory(context.instances);
 		this.#deadlineTimer = setTimeout(
 			() => {
 				this.failWith(
-					this.#mayHaveRun || this.isInFlight()
+					this.#history.mayHaveRun || this.isInFlight()
 						? createFailure('deadlinePassed', 'The deadline passed.')
 						: this.buildRefusal('deadlineUnreachable', 'The deadline passed.'),
 				);
@@ -118,24 +72,42 @@
 		return this.#sentCount;
 	}
 
-	get #mayHaveRun(): boolean {
-		return this.#runs.length > 0;
-	}
-
-	/** Opens an attempt, or fails the request if no backend server is usable and no attempt is in flight. */
+	/** Opens an attempt, or fails the request if it must not run or no backend server is usable, and no attempt is in flight. */
 	protected tryNextAttempt(): void {
-		if (this.isFinished || this.openNextAttempt() || this.isInFlight()) {
-			return;
+		const isDone =
+			this.isFinished ||
+			this.#refuseBlocked() ||
+			this.openNextAttempt() ||
+			this.isInFlight();
+		if (!isDone) {
+			this.handleNoBackend();
 		}
+	}
 
-		this.handleNoBackend();
+	/** Finds out whether the server of a run whose connection broke has ended; calls `handleResult` at once if that decides nothing. */
+	protected checkCut(run: AttemptRun, handleResult: () => void): void {
+		const isAwaited = run.progress !== 'events' && isRepeatable(this.call);
+		void (async () => {
+			const hasEnded = await this.context.crashGuard.recordCut(this.call, run);
+			if (hasEnded) {
+				this.#history.recordEndedCut();
+			}
+
+			if (isAwaited && !this.isFinished) {
+				handleResult();
+			}
+		})();
+
+		if (!isAwaited) {
+			handleResult();
+		}
 	}
 
 	/** Fails the request, as no backend server is usable. */
 	protected handleNoBackend(): void {
 		const result = this.call.service.pipeline ? 'noPipeline' : 'noBackend';
 		this.failWith(
-			this.#mayHaveRun
+			this.#history.mayHaveRun
 				? createFailure('backendLost', 'No other backend server is left.')
 				: this.buildRefusal(result, 'No backend server is usable.'),
 		);
@@ -169,7 +141,7 @@
 	): void {
 		const isRun = outcome !== 'notRun';
 		if (isRun) {
-			this.#runs = [...this.#runs, sent];
+			this.#history.add(sent);
 		}
 
 		this.context.recorder.recordAttempt(this.call, {
@@ -191,16 +163,11 @@
 		);
 	}
 
-	/**
-	 * Lists the runs that count towards the route's limit: all but those whose
-	 * instance has ended. What shows its end may come later, so the list may shrink.
-	 */
+	/** Lists the runs that count towards the route's limit. */
 	protected listCountedRuns(
 		inFlight: readonly SentRequest[] = [],
 	): readonly SentRequest[] {
-		return [...this.#runs, ...inFlight].filter(
-			(run) => !this.context.instances.hasEnded(run),
-		);
+		return this.#history.listCounted(inFlight);
 	}
 
 	protected decideNext(outcome: AttemptOutcome) {
@@ -209,11 +176,12 @@
 			{
 				sent: this.#sentCount,
 				ran: this.listCountedRuns().length,
-				mayHaveRun: this.#mayHaveRun,
+				mayHaveRun: this.#history.mayHaveRun,
 			},
 			{
 				isRepeatable: isRepeatable(this.call),
 				maxAttempts: this.call.route.maxAttempts,
+				isEndingServers: this.#isEndingServers(),
 				remainingMs: this.remainingMs(),
 				isAnswerStarted: this.answerStartedAt !== undefined,
 			},
@@ -243,7 +211,7 @@
 	/** Fails the request after an attempt that is not repeated. */
 	protected failAfterAttempt(detail: string): void {
 		this.failWith(
-			this.#mayHaveRun
+			this.#history.mayHaveRun
 				? createFailure('backendLost', detail)
 				: this.buildRefusal('queueFull', detail),
 		);
@@ -285,4 +253,30 @@
 	protected abstract openNextAttempt(): boolean;
 	/** Cancels the attempts in flight. */
 	protected abstract cancelAttempts(): void;
+
+	/** Fails the request if requests like it end servers; returns whether it did. */
+	#refuseBlocked(): boolean {
+		const refusal = this.context.crashGuard.findRefusal(
+			this.call,
+			this.#sentCount === 0,
+		);
+		if (refusal) {
+			this.failWith(
+				this.#history.mayHaveRun
+					? createFailure('backendLost', refusal.detail)
+					: refusal,
+			);
+		}
+
+		return refusal !== undefined;
+	}
+
+	/** Whether so many servers ended under the request that it is repeated no more. */
+	#isEndingServers(): boolean {
+		const allowed = this.context.crashGuard.countAllowedEnds(
+			this.call,
+			this.answerStartedAt !== undefined,
+		);
+		return this.#history.endedCount >= allowed;
+	}
 }
--- /dev/null
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -0,0 +1,181 @@
+/**
+ * Keeps requests that end backend servers from reaching one server after the other.
+ * It tells the ledger which requests were about to be answered when an instance
+ * ended and which were answered, and refuses requests that have a trait to blame.
+ */
+import {
+	createFailure,
+	type Failure,
+	type RequestTrait,
+	type RequestTraits,
+	type SentRequest,
+	type Suspicion,
+} from 'bramleystage';
+import type {Call} from './call.js';
+import {
+	CrashLedger,
+	type CrashLedgerOptions,
+	formatCrashes,
+} from './crash-ledger.js';
+import {
+	checkConnection,
+	CutCheck,
+	type CutCheckOptions,
+	type InstanceCut,
+} from './cut-check.js';
+import {buildRequestTraits, formatContentPrefix} from './request-traits.js';
+import type {AttemptProgress, RequestRecorder} from './request-recorder.js';
+
+/** Time after which a refused caller may return, in seconds: by then a probe may have cleared the request. */
+const refusedReturnSeconds = 30;
+/** Instances that one request may end before it is repeated no more; a started answer is resumed once more. */
+const maxEndedRuns = 2;
+const maxEndedRunsOfAnswer = 3;
+
+/** A run whose connection broke. */
+type CutRun = {
+	readonly call: Call;
+	readonly sent: SentRequest;
+	readonly progress: AttemptProgress;
+};
+
+export type CrashGuardOptions = CutCheckOptions & {
+	readonly ledger: CrashLedger;
+	readonly recorder: Pick<RequestRecorder, 'registerGauge' | 'recordCrash'>;
+};
+
+export class CrashGuard {
+	readonly #cutCheck: CutCheck<CutRun>;
+
+	constructor(private readonly options: CrashGuardOptions) {
+		const {ledger, recorder} = options;
+		this.#cutCheck = new CutCheck(options, (cut) => {
+			this.#recordCrash(cut);
+		});
+		recorder.registerGauge(
+			'blocked_traits',
+			'Parts of prompts or contents that are to blame for ends of servers',
+			() => ledger.blamedCount,
+		);
+	}
+
+	/** Finds the reason to send a request to no server; the first attempt may be let through as a probe. */
+	findRefusal(call: Call, isFirstAttempt: boolean): Failure | undefined {
+		const {ledger, readClock} = this.options;
+		const now = readClock();
+		const blame = this.#mayBeSuspect(call)
+			? ledger.findBlame(buildRequestTraits(call))
+			: undefined;
+		if (!blame || (isFirstAttempt && ledger.tryProbe(blame, now))) {
+			return undefined;
+		}
+
+		ledger.recordRefusal(blame, now);
+		const {trait} = blame;
+		return createFailure(
+			'contentBlocked',
+			`Servers ended under requests with ${trait}: ${formatCrashes(blame, now)}.`,
+			{retryAfterSeconds: refusedReturnSeconds},
+		);
+	}
+
+	/** Whether a request has a trait that ended servers and is not known to be sound. */
+	isInDoubt(call: Call): boolean {
+		return (
+			this.#mayBeSuspect(call) &&
+			this.options.ledger.isInDoubt(buildRequestTraits(call))
+		);
+	}
+
+	/** Number of instances under which a request may have ended for it to be repeated. */
+	countAllowedEnds(call: Call, isAnswerStarted: boolean): number {
+		if (this.isInDoubt(call)) {
+			return 1;
+		}
+
+		return isAnswerStarted ? maxEndedRunsOfAnswer : maxEndedRuns;
+	}
+
+	/** Records that the connection of a run broke; resolves to whether its instance has ended, as far as is known soon. */
+	async recordCut(
+		call: Call,
+		{sent, progress}: Omit<CutRun, 'call'>,
+	): Promise<boolean> {
+		return this.#cutCheck.recordCut(sent, {call, sent, progress});
+	}
+
+	/** Records that a request got a sound answer. */
+	recordSound(call: Call): void {
+		const {ledger, readClock} = this.options;
+		if (call.metadata.promptParts.length > 0 || this.#mayBeSuspect(call)) {
+			ledger.recordSound(buildRequestTraits(call), readClock());
+		}
+	}
+
+	/** Whether the traits of a request are worth computing: a content is hashed only if others of its service are suspect. */
+	#mayBeSuspect(call: Call): boolean {
+		return (
+			call.metadata.promptParts.length > 0 ||
+			this.options.ledger.hasSuspects(formatContentPrefix(call))
+		);
+	}
+
+	/** Records the end of an instance; the runs that were about to be answered are suspects. */
+	#recordCrash({instance, at, runs}: InstanceCut<CutRun>): void {
+		const {ledger, recorder} = this.options;
+		const isBegun = runs.some(({progress}) => progress === 'head');
+		const suspectRuns = runs.filter(
+			({progress}) => progress === (isBegun ? 'head' : 'none'),
+		);
+		const suspects = new Map<RequestTrait, Suspicion>();
+		for (const run of suspectRuns) {
+			addSuspect(suspects, run);
+		}
+
+		// The traits that no answer speaks for come first, as few are kept.
+		const sorted = [...suspects].toSorted(
+			([a], [b]) =>
+				Number(ledger.isKnownSound(a)) - Number(ledger.isKnownSound(b)),
+		);
+		recorder.recordCrash(instance, sorted, runs.length);
+		if (sorted.length > 0) {
+			ledger.recordCrash({
+				instance,
+				endedAt: at,
+				citedAt: at,
+				isBegun,
+				suspects: new Map(sorted),
+			});
+		}
+	}
+}
+
+/** Creates a guard with a ledger of its own. */
+export function createCrashGuard(
+	options: CrashLedgerOptions &
+		Omit<CrashGuardOptions, 'ledger' | 'checkConnection'>,
+): {readonly ledger: CrashLedger; readonly crashGuard: CrashGuard} {
+	const ledger = new CrashLedger(options);
+	const crashGuard = new CrashGuard({...options, ledger, checkConnection});
+	return {ledger, crashGuard};
+}
+
+function addSuspect(
+	suspects: Map<RequestTrait, Suspicion>,
+	{call, sent}: CutRun,
+): void {
+	const {shared, own}: RequestTraits = buildRequestTraits(call);
+	const add = (trait: RequestTrait, witness: string) => {
+		const known = suspects.get(trait);
+		suspects.set(trait, {
+			witnesses: [...new Set([...(known?.witnesses ?? []), witness])],
+			sentAt: Math.max(sent.sentAt, known?.sentAt ?? sent.sentAt),
+		});
+	};
+
+	for (const trait of shared) {
+		add(trait, own);
+	}
+
+	add(own, call.metadata.request);
+}
--- /dev/null
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -0,0 +1,272 @@
+/**
+ * What this gateway and its peers know of crashes: keeps the evidence, exchanges it
+ * with peers, and logs when a trait of requests is to blame and when no longer.
+ */
+import {
+	type Blame,
+	computeStandings,
+	type Crash,
+	type CrashEvidence,
+	createCrashEvidence,
+	findBlame,
+	isInDoubt,
+	isProbeDue,
+	type LifeCycle,
+	type Logger,
+	recordCitation,
+	recordCrash,
+	recordProbe,
+	recordSound,
+	removeOldCrashes,
+	type RequestTrait,
+	type RequestTraits,
+	type Standings,
+} from 'bramleystage';
+import {debounceTime, Subject} from 'rxjs';
+import {computeHashPlace} from './request-traits.js';
+import {buildCrashNews, type CrashNews, decodeCrash} from './crash-exchange.js';
+
+/** Traits whose last sound answer is remembered, the most recent ones. */
+const maxSoundTraits = 8192;
+/** Time for which changes are gathered before peers get them, in milliseconds. */
+const gatherMs = 30;
+/** How often old evidence is dropped, in milliseconds. */
+const cleanUpIntervalMs = 10_000;
+
+export type CrashLedgerOptions = {
+	/** Returns the addresses of all known gateways. */
+	readonly listMembers: () => readonly string[];
+	readonly self: string;
+	readonly lifeCycle: LifeCycle;
+	readonly logger: Logger;
+	readonly readClock: () => number;
+};
+
+export class CrashLedger {
+	/** Fires when there are news for peers. */
+	readonly news = new Subject<void>();
+	readonly #changes = new Subject<void>();
+	#evidence: CrashEvidence = createCrashEvidence();
+	#standings: Standings = new Map();
+	readonly #soundAt = new Map<RequestTrait, number>();
+	readonly #blamed = new Set<RequestTrait>();
+	#revision = 0;
+	/** Revision of the last change of each entry; sound answers go by their trait. */
+	readonly #revisions = new Map<unknown, number>();
+
+	constructor(private readonly options: CrashLedgerOptions) {
+		const {lifeCycle, readClock} = options;
+		const subscription = this.#changes
+			.pipe(debounceTime(gatherMs))
+			.subscribe(this.news);
+		lifeCycle.register(() => {
+			subscription.unsubscribe();
+		});
+		lifeCycle.registerInterval(cleanUpIntervalMs, () => {
+			this.#replace(removeOldCrashes(this.#evidence, readClock()));
+		});
+	}
+
+	/** Number of traits to blame. */
+	get blamedCount(): number {
+		return this.#blamed.size;
+	}
+
+	/** Whether a crash has any trait with this beginning as a suspect. */
+	hasSuspects(prefix: string): boolean {
+		return [...this.#standings.keys()].some((trait) =>
+			trait.startsWith(prefix),
+		);
+	}
+
+	recordCrash(crash: Crash): void {
+		this.#replace(this.#addSounds(recordCrash(this.#evidence, crash), crash));
+	}
+
+	/** Records that a request with the traits got a sound answer. */
+	recordSound({shared, own}: RequestTraits, now: number): void {
+		for (const trait of shared) {
+			this.#soundAt.delete(trait);
+			this.#soundAt.set(trait, now);
+		}
+
+		const [oldest] = this.#soundAt.keys();
+		if (this.#soundAt.size > maxSoundTraits && oldest !== undefined) {
+			this.#soundAt.delete(oldest);
+		}
+
+		let next = this.#evidence;
+		for (const trait of [...shared, own]) {
+			if (this.#standings.has(trait)) {
+				next = recordSound(next, trait, now);
+			}
+		}
+
+		this.#replace(next);
+	}
+
+	/** Whether a request with the trait got a sound answer, as far as is known. */
+	isKnownSound(trait: RequestTrait): boolean {
+		return this.#soundAt.has(trait) || this.#evidence.soundAt.has(trait);
+	}
+
+	/** Finds the trait for which a request is to be refused. */
+	findBlame({shared, own}: RequestTraits): Blame | undefined {
+		return this.#standings.size === 0
+			? undefined
+			: findBlame(this.#evidence, this.#standings, [...shared, own]);
+	}
+
+	isInDoubt(traits: RequestTraits): boolean {
+		return isInDoubt(this.#standings, traits);
+	}
+
+	/** Records that a request was refused for a trait. */
+	recordRefusal({trait}: Blame, now: number): void {
+		this.#replace(recordCitation(this.#evidence, trait, now));
+	}
+
+	/** Takes the right to let one request through although a trait is to blame; returns false if it is not due here. */
+	tryProbe(blame: Blame, now: number): boolean {
+		const {self, listMembers, logger} = this.options;
+		const place = {
+			members: listMembers(),
+			self,
+			computePlace: computeHashPlace,
+		};
+		if (!isProbeDue(blame, this.#evidence, place, now)) {
+			return false;
+		}
+
+		const {trait} = blame;
+		const count = (this.#evidence.probes.get(trait)?.count ?? 0) + 1;
+		logger.warn('trait.probed', {trait, count});
+		this.#replace(recordProbe(this.#evidence, trait, {count, at: now}));
+		return true;
+	}
+
+	/** Builds what has changed after a revision; undefined if nothing has. */
+	buildNews(
+		since: number,
+		now: number,
+	): {readonly news?: CrashNews; readonly revision: number} {
+		const news =
+			this.#revision === since
+				? undefined
+				: buildCrashNews(
+						this.#evidence,
+						(entry) => (this.#revisions.get(entry) ?? 0) > since,
+						now,
+					);
+		return {news, revision: this.#revision};
+	}
+
+	/** Merges news of a peer, which were written at a steady-clock time, in milliseconds. */
+	acceptNews({crashes, sounds, probes}: CrashNews, writtenAt: number): void {
+		let next = this.#evidence;
+		for (const encoded of crashes) {
+			const crash = decodeCrash(encoded, writtenAt);
+			next = this.#addSounds(recordCrash(next, crash), crash);
+		}
+
+		const suspects = new Set(
+			[...next.crashes.values()].flatMap((crash) => [...crash.suspects.keys()]),
+		);
+		for (const {trait, ageMs} of sounds) {
+			if (suspects.has(trait)) {
+				next = recordSound(next, trait, writtenAt - ageMs);
+			}
+		}
+
+		for (const {trait, count, ageMs} of probes) {
+			if (suspects.has(trait)) {
+				next = recordProbe(next, trait, {count, at: writtenAt - ageMs});
+			}
+		}
+
+		this.#replace(next);
+	}
+
+	/** Adds the sound answers that this gateway remembers for the suspects of a crash. */
+	#addSounds(evidence: CrashEvidence, {suspects}: Crash): CrashEvidence {
+		let next = evidence;
+		for (const trait of suspects.keys()) {
+			const at = this.#soundAt.get(trait);
+			next = at === undefined ? next : recordSound(next, trait, at);
+		}
+
+		return next;
+	}
+
+	#replace(next: CrashEvidence): void {
+		const previous = this.#evidence;
+		if (next === previous) {
+			return;
+		}
+
+		this.#evidence = next;
+		this.#standings = computeStandings(next);
+		this.#recordRevisions(previous);
+		this.#logBlame();
+		this.#changes.next();
+	}
+
+	#recordRevisions(previous: CrashEvidence): void {
+		const {crashes, soundAt, probes} = this.#evidence;
+		this.#revision++;
+		const known = new Map(this.#revisions);
+		this.#revisions.clear();
+		const keep = (entry: unknown, isChanged: boolean) => {
+			const revision = isChanged ? undefined : known.get(entry);
+			this.#revisions.set(entry, revision ?? this.#revision);
+		};
+
+		for (const [instance, crash] of crashes) {
+			keep(crash, previous.crashes.get(instance) !== crash);
+		}
+
+		for (const [trait, at] of soundAt) {
+			keep(trait, previous.soundAt.get(trait) !== at);
+		}
+
+		for (const [trait, probe] of probes) {
+			keep(probe, previous.probes.get(trait) !== probe);
+		}
+	}
+
+	/** Logs which traits are to blame now, and which no longer. */
+	#logBlame(): void {
+		const {logger, readClock} = this.options;
+		const now = readClock();
+		for (const trait of this.#standings.keys()) {
+			const blame = findBlame(this.#evidence, this.#standings, [trait]);
+			if (blame && !this.#blamed.has(trait)) {
+				this.#blamed.add(trait);
+				logger.warn('trait.blocked', {
+					trait,
+					crashes: formatCrashes(blame, now),
+				});
+			}
+		}
+
+		for (const trait of this.#blamed) {
+			if (!findBlame(this.#evidence, this.#standings, [trait])) {
+				this.#blamed.delete(trait);
+				const isSound = this.#evidence.soundAt.has(trait);
+				logger.info('trait.cleared', {
+					trait,
+					reason: isSound ? 'sound' : 'evidence',
+				});
+			}
+		}
+	}
+}
+
+/** Formats the crashes of a trait for the log: each instance, and how long ago it ended. */
+export const formatCrashes = ({crashes}: Blame, now: number): string =>
+	crashes
+		.map(
+			({instance, endedAt}) =>
+				`${instance} ${Math.round(now - endedAt)} ms ago`,
+		)
+		.join(', ');
--- a/packages/bramleystage-gateway/src/drain-wait.ts
+++ b/packages/bramleystage-gateway/src/drain-wait.ts
@@ -1,5 +1,6 @@
 /** Waits for the requests of a draining gateway. */
-import {waitFor} from 'bramleystage';
+import {type Logger, waitFor} from 'bramleystage';
+import type {CallerServer} from './caller-server.js';
 import {
 	computeAcceptUntil,
 	computeEndAt,
@@ -10,7 +11,7 @@
 const drainCheckMs = 100;
 
 /** Waits until no request is open and none is accepted any more, or until the gateway has to end them. */
-export async function waitForOpenRequests(
+async function waitForOpenRequests(
 	times: DrainTimes,
 	countOpenRequests: () => number,
 	readClock: () => number,
@@ -24,3 +25,19 @@
 		await waitFor(drainCheckMs);
 	}
 }
+
+/** Waits for the open requests and for those that are arriving on open connections. */
+export async function waitForCallers(
+	callers: CallerServer,
+	times: DrainTimes,
+	logger: Logger,
+	readClock: () => number,
+): Promise<void> {
+	await waitForOpenRequests(
+		times,
+		() => callers.countOpenRequests(),
+		readClock,
+	);
+	await callers.drain(computeEndAt(times) - readClock());
+	logger.info('gateway.stopped', {in_flight: callers.countOpenRequests()});
+}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -5,7 +5,6 @@
  */
 import {
 	LifeCycle,
-	listenForOperators,
 	type Logger,
 	type PathStage,
 	type ServiceName,
@@ -13,6 +12,7 @@
 import {followBackends} from './backend-follower.js';
 import {createCallHandler} from './call-handler.js';
 import {listenForCallers} from './caller-server.js';
+import {createCrashGuard} from './crash-guard.js';
 import {followConfiguration} from './configuration-follower.js';
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
@@ -29,13 +29,12 @@
 import type {GatewaySettings, PlatformPort} from './platform-port.js';
 import {
 	computeSuccessorServingAt,
-	computeEndAt,
 	decideDrainRefusal,
 	type DrainTimes,
 } from './drain-policy.js';
-import {waitForOpenRequests} from './drain-wait.js';
+import {waitForCallers} from './drain-wait.js';
 import {OwnLink} from './own-link.js';
-import {listenForReadinessChecks} from './readiness-server.js';
+import {listenForOperations} from './readiness-server.js';
 import {StoreContact} from './store-contact.js';
 import type {StreamRun} from './stream-run.js';
 import {openTimedAttempt} from './timed-attempt.js';
@@ -93,11 +92,23 @@
 		() => readClock() - fleet.readAt,
 	);
 	const ownLink = new OwnLink({recorder, lifeCycle, logger, readClock});
+	const {ledger, crashGuard} = createCrashGuard({
+		listMembers: () => group.listPeers(),
+		self: settings.peerListen,
+		recorder,
+		fleet,
+		instances,
+		lifeCycle,
+		logger,
+		readClock,
+		readLinkDelayMs,
+	});
 	const peerLinks: PeerLinks = new PeerLinks({
 		listPeers: () => group.listPeers(),
 		onUpdate(state) {
 			peerSync.acceptUpdate(state);
 		},
+		crashes: ledger,
 		recordLinkEvent(event) {
 			ownLink.record(event);
 		},
@@ -166,7 +177,11 @@
 		listReadAt: fleet.readAt,
 		backends: fleet.snapshots.value.backends,
 	});
-	const publisher = new PeerPublisher({readState, readClock});
+	const publisher = new PeerPublisher({readState, crashes: ledger, readClock});
+	ledger.news.subscribe(() => {
+		peerLinks.sendPings();
+		publisher.publish();
+	});
 	await listenForPeers(
 		settings.peerListen,
 		{
@@ -207,6 +222,7 @@
 	const context = {
 		fleet,
 		instances,
+		crashGuard,
 		openAttempt: openTimedAttempt,
 		headers,
 		recorder,
@@ -259,16 +275,12 @@
 			publisher.publish();
 		}
 	});
-	await listenForReadinessChecks(settings.readyListen, isReady, lifeCycle);
-	if (settings.operatorListen) {
-		const listener = await listenForOperators(settings.operatorListen, {
-			registry: recorder.registry,
-			isReady,
-			dump: () => ({backends: [...fleet.snapshots.value.backends.values()]}),
-		});
-		lifeCycle.register(async () => listener.close());
-	}
-
+	await listenForOperations(settings, {
+		registry: recorder.registry,
+		isReady,
+		dump: () => ({backends: [...fleet.snapshots.value.backends.values()]}),
+		lifeCycle,
+	});
 	logger.info('gateway.started', {listen: settings.listen});
 	return {
 		async drain() {
@@ -278,15 +290,7 @@
 			});
 			publisher.publish();
 			void group.leave();
-			await waitForOpenRequests(
-				drainTimes,
-				() => callers.countOpenRequests(),
-				readClock,
-			);
-			await callers.drain(computeEndAt(drainTimes) - readClock());
-			logger.info('gateway.stopped', {
-				in_flight: callers.countOpenRequests(),
-			});
+			await waitForCallers(callers, drainTimes, logger, readClock);
 			await lifeCycle.stop();
 		},
 		async stop() {
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -7,6 +7,7 @@
 	type Logger,
 	parseAddress,
 } from 'bramleystage';
+import type {CrashLedger} from './crash-ledger.js';
 import {checkValue, listenForFrames} from './peer-frames.js';
 import {
 	applyPeerUpdate,
@@ -51,6 +52,7 @@
 	readonly logger: Logger;
 	readonly readClock: () => number;
 	readonly onUpdate: (state: PeerState) => void;
+	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	/** Receives what the connection shows of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
 	/** Called once, when the connection has ended. */
@@ -65,6 +67,8 @@
 	readonly #socket: Socket;
 	#bytesAt = Number.NEGATIVE_INFINITY;
 	#updateAt = Number.NEGATIVE_INFINITY;
+	/** Revision of the crash evidence that was sent last. */
+	#crashRevision = 0;
 
 	constructor(private readonly options: PeerLinkOptions) {
 		const {address, readClock, recordLinkEvent} = options;
@@ -77,7 +81,7 @@
 		this.#socket = connect({...parseAddress(address), noDelay: true});
 		this.#socket.on('connect', () => {
 			this.#recordAnswer(this.openedAt, 0);
-			this.#sendPing();
+			this.sendPing();
 		});
 		this.#socket.on('error', (error) => {
 			options.logger.debug('peer.unreachable', {
@@ -108,8 +112,12 @@
 			}
 
 			this.#updateAt = readClock();
-			const {beatAt, heldMs} = update.value;
+			const {beatAt, heldMs, crashNews} = update.value;
 			this.#recordAnswer(beatAt, heldMs);
+			if (crashNews) {
+				options.crashes.acceptNews(crashNews, beatAt + heldMs);
+			}
+
 			this.state = applyPeerUpdate(this.state, update.value);
 			options.onUpdate(this.state);
 		});
@@ -122,7 +130,7 @@
 			if (isPeerLost(contact, readClock())) {
 				this.close();
 			} else {
-				this.#sendPing();
+				this.sendPing();
 			}
 		});
 	}
@@ -150,15 +158,19 @@
 		this.#socket.destroy();
 	}
 
-	#sendPing(): void {
+	/** Asks for an update, and sends the crash evidence that the peer has not got yet. */
+	sendPing(): void {
 		if (this.#socket.writable && !this.#socket.connecting) {
-			const beatAt = this.options.readClock();
+			const {readClock, crashes} = this.options;
+			const beatAt = readClock();
+			const {news, revision} = crashes.buildNews(this.#crashRevision, beatAt);
+			this.#crashRevision = revision;
 			this.options.recordLinkEvent({
 				kind: 'pingSent',
 				peer: this.options.address,
 				sentAt: beatAt,
 			});
-			this.#socket.write(encodeValueFrame({beatAt}));
+			this.#socket.write(encodeValueFrame({beatAt, crashNews: news}));
 		}
 	}
 
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -1,5 +1,6 @@
 /** The connections to the gateways that this one follows, and what they tell. */
 import type {LifeCycle, LinkEvent, Logger} from 'bramleystage';
+import type {CrashLedger} from './crash-ledger.js';
 import {PeerLink} from './peer-link.js';
 import {
 	isStalePeer,
@@ -15,6 +16,7 @@
 	/** Returns the addresses of the other gateways, sorted. */
 	readonly listPeers: () => readonly string[];
 	readonly onUpdate: (state: PeerState) => void;
+	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	/** Receives what the connections show of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
 	readonly lifeCycle: LifeCycle;
@@ -42,6 +44,13 @@
 		});
 	}
 
+	/** Pings all followed peers, which sends them news at once. */
+	sendPings(): void {
+		for (const link of this.#links.values()) {
+			link.sendPing();
+		}
+	}
+
 	/** Returns the last known state of a followed peer; undefined if it is silent or not followed. */
 	findPeerState(address: string): PeerState | undefined {
 		const link = this.#links.get(address);
@@ -129,12 +138,14 @@
 	}
 
 	#open(address: string): void {
-		const {logger, readClock, onUpdate, recordLinkEvent} = this.options;
+		const {logger, readClock, onUpdate, crashes, recordLinkEvent} =
+			this.options;
 		const link: PeerLink = new PeerLink({
 			address,
 			logger,
 			readClock,
 			onUpdate,
+			crashes,
 			recordLinkEvent,
 			onEnd: () => {
 				if (this.#links.get(address) === link) {
--- a/packages/bramleystage-gateway/src/peer-publisher.ts
+++ b/packages/bramleystage-gateway/src/peer-publisher.ts
@@ -1,6 +1,7 @@
 /** Sends peer updates to the gateways that follow this one, at each change and at each ping. */
 import type {Socket} from 'node:net';
 import {encodeValueFrame} from 'bramleystage';
+import type {CrashLedger} from './crash-ledger.js';
 import {
 	type Ping,
 	buildPeerUpdate,
@@ -11,10 +12,13 @@
 type Follower = {
 	lastSent: SentState;
 	lastPing: {readonly beatAt: number; readonly arrivedAt: number};
+	/** Revision of the crash evidence that was sent last. */
+	crashRevision: number;
 };
 
 export type PeerPublisherOptions = {
 	readonly readState: () => GatewayState;
+	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly readClock: () => number;
 };
 
@@ -24,8 +28,12 @@
 	constructor(private readonly options: PeerPublisherOptions) {}
 
 	/** Records a follower's ping and sends it an update. */
-	acceptPing(socket: Socket, {beatAt}: Ping): void {
+	acceptPing(socket: Socket, {beatAt, crashNews}: Ping): void {
 		const ping = {beatAt, arrivedAt: this.options.readClock()};
+		if (crashNews) {
+			this.options.crashes.acceptNews(crashNews, ping.arrivedAt);
+		}
+
 		const follower = this.#followers.get(socket);
 		if (follower) {
 			follower.lastPing = ping;
@@ -33,6 +41,7 @@
 			this.#followers.set(socket, {
 				lastSent: {backends: new Map()},
 				lastPing: ping,
+				crashRevision: 0,
 			});
 			socket.on('close', () => {
 				this.#followers.delete(socket);
@@ -56,15 +65,18 @@
 			return;
 		}
 
-		const {readState, readClock} = this.options;
+		const {readState, readClock, crashes} = this.options;
 		const state = readState();
+		const now = readClock();
 		const update = buildPeerUpdate(
 			state,
 			follower.lastSent,
 			follower.lastPing,
-			readClock(),
+			now,
 		);
+		const {news, revision} = crashes.buildNews(follower.crashRevision, now);
 		follower.lastSent = state;
-		socket.write(encodeValueFrame(update));
+		follower.crashRevision = revision;
+		socket.write(encodeValueFrame({...update, crashNews: news}));
 	}
 }
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -13,6 +13,7 @@
 	serviceNameSchema,
 } from 'bramleystage';
 import * as z from 'zod';
+import {crashNewsSchema} from './crash-exchange.js';
 
 const layersSchema = z.object({from: z.int(), to: z.int()});
 
@@ -32,6 +33,8 @@
 export const pingSchema = z.object({
 	/** Follower's steady-clock time when it sent this ping, in milliseconds. */
 	beatAt: z.number(),
+	/** Crash evidence that the follower has not sent before. */
+	crashNews: crashNewsSchema.optional(),
 });
 
 export const peerUpdateSchema = z.object({
@@ -57,6 +60,8 @@
 	beatAt: z.number(),
 	/** Time since that ping arrived, in milliseconds. */
 	heldMs: z.number(),
+	/** Crash evidence that was not sent to the follower before. */
+	crashNews: crashNewsSchema.optional(),
 });
 
 export type Ping = z.infer<typeof pingSchema>;
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -13,14 +13,13 @@
 import {type AnswerHead, type Attempt, type AttemptFailure} from './attempt.js';
 import {type Call, computePriority} from './call.js';
 import {
-	type AttemptRun,
-	CallRun,
 	isServerError,
 	listEndToEndHeaders,
 	minErrorStatus,
 	replacedStatus,
-	type RunContext,
-} from './call-run.js';
+} from './answer-status.js';
+import {type AttemptRun, CallRun} from './call-run.js';
+import type {RunContext} from './run-context.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live server accepts one within a few milliseconds. */
 const connectTimeoutMs = 100;
@@ -136,6 +135,7 @@
 			!this.isFinished &&
 			this.#activeAttempts.size === 1 &&
 			this.attempts < this.call.route.maxAttempts &&
+			!this.context.crashGuard.isInDoubt(this.call) &&
 			this.context.trySpendRetry(this.call.service.name)
 		) {
 			this.openNextAttempt();
@@ -162,7 +162,15 @@
 			isSent ? 'cut' : 'unreachable',
 			detail,
 		);
-		this.#handleOutcome(active, isSent ? 'unknown' : 'notRun', detail);
+		this.where = active.backend.address;
+		if (isSent) {
+			this.recordOutcome('unknown', toRun(active), detail);
+			this.checkCut(toRun(active), () => {
+				this.#handleNextStep(active, 'unknown', detail);
+			});
+		} else {
+			this.#handleOutcome(active, 'notRun', detail);
+		}
 	}
 
 	#handleAnswer(active: ActiveAttempt): void {
@@ -207,6 +215,7 @@
 		const {health} = this.context.fleet;
 		if (head.status < minErrorStatus) {
 			health.recordSuccess(active.backend.id);
+			this.context.crashGuard.recordSound(this.call);
 			this.#acceptAnswer(active, head);
 			return;
 		}
@@ -230,6 +239,14 @@
 	): void {
 		this.where = active.backend.address;
 		this.recordOutcome(outcome, toRun(active), detail);
+		this.#handleNextStep(active, outcome, detail);
+	}
+
+	#handleNextStep(
+		active: ActiveAttempt,
+		outcome: AttemptOutcome,
+		detail: string,
+	): void {
 		if (this.#activeAttempts.size > 0) {
 			return;
 		}
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -8,7 +8,9 @@
 	type AttemptOutcome,
 	type BackendId,
 	type Failure,
+	type InstanceKey,
 	type Logger,
+	type RequestTrait,
 	resultCodes,
 } from 'bramleystage';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
@@ -18,6 +20,8 @@
 const maxSuccessLinesPerSecond = 5;
 /** Failures logged per second; a flood of them must not block the process. */
 const maxFailureLinesPerSecond = 200;
+/** Suspects that the line of a crash names. */
+const maxLoggedSuspects = 12;
 const secondMs = 1000;
 
 /** How a request ended. */
@@ -89,6 +93,12 @@
 		registers: [this.registry],
 	});
 
+	readonly #crashes = new Counter({
+		name: 'bramleystage_gateway_crashes_total',
+		help: 'Ends of servers that cut requests of this gateway',
+		registers: [this.registry],
+	});
+
 	#windowStart = 0;
 	#successLines = 0;
 	#failureLines = 0;
@@ -153,6 +163,23 @@
 		}
 	}
 
+	/** Records the end of a server's instance with the traits of the requests that it was about to answer. */
+	recordCrash(
+		instance: InstanceKey,
+		suspects: ReadonlyArray<readonly [RequestTrait, unknown]>,
+		cutRuns: number,
+	): void {
+		this.#crashes.inc();
+		this.logger.warn('backend.crashed', {
+			backend: instance,
+			cut: cutRuns,
+			suspects: suspects
+				.slice(0, maxLoggedSuspects)
+				.map(([trait]) => trait)
+				.join(', '),
+		});
+	}
+
 	recordEnd(call: Call, end: CallEnd): void {
 		const durationMs = this.readClock() - call.arrivedAt;
 		const {kind} = call.route;
--- /dev/null
+++ b/packages/bramleystage-gateway/src/run-context.ts
@@ -0,0 +1,32 @@
+/** What the runs of all requests of a gateway share. */
+import type {ServiceName} from 'bramleystage';
+import type {CrashGuard} from './crash-guard.js';
+import type {Fleet} from './fleet.js';
+import type {InstanceWatch} from './instance-watch.js';
+import type {HeaderPort} from './platform-port.js';
+import type {RequestRecorder} from './request-recorder.js';
+import type {OpenTimedAttempt} from './timed-attempt.js';
+
+export type RunContext = {
+	readonly fleet: Fleet;
+	readonly instances: InstanceWatch;
+	readonly crashGuard: Pick<
+		CrashGuard,
+		| 'countAllowedEnds'
+		| 'findRefusal'
+		| 'isInDoubt'
+		| 'recordCut'
+		| 'recordSound'
+	>;
+	readonly openAttempt: OpenTimedAttempt;
+	readonly headers: HeaderPort;
+	readonly recorder: RequestRecorder;
+	/** Spends one retry of the service's retry budget; returns false if none is left. */
+	readonly trySpendRetry: (service: ServiceName) => boolean;
+	readonly readClock: () => number;
+	/** Returns the delay of the own network link, in milliseconds. */
+	readonly readLinkDelayMs: () => number;
+	/** Whether the process is draining. */
+	readonly isStopping: () => boolean;
+	readonly drawRandom: () => number;
+};
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -11,7 +11,8 @@
 } from 'bramleystage';
 import type {AttemptFailure, AnswerHead} from './attempt.js';
 import type {Call} from './call.js';
-import {CallRun, type RunContext} from './call-run.js';
+import {CallRun} from './call-run.js';
+import type {RunContext} from './run-context.js';
 import {decideAnswerMeaning, StreamWriter} from './stream-answer.js';
 import type {StreamAttempt} from './stream-attempt.js';
 
@@ -71,6 +72,9 @@
 			}
 
 			this.lastProgressAt = now;
+			if (active.recordEvents(now)) {
+				this.context.crashGuard.recordSound(this.call);
+			}
 		}
 
 		if (!this.answerStartedAt && !this.#startAnswer(active)) {
@@ -108,6 +112,7 @@
 				active,
 				'unknown',
 				'The stream ended before an event was complete.',
+				true,
 			);
 			return;
 		}
@@ -116,6 +121,7 @@
 			this.context.fleet.health.recordSuccess(id);
 		}
 
+		this.context.crashGuard.recordSound(this.call);
 		this.recordOutcome('answered', active);
 		this.call.response.end();
 		this.end({status: 200});
@@ -146,16 +152,17 @@
 			);
 		}
 
-		this.handleOutcome(active, isSent ? 'unknown' : 'notRun', detail);
+		this.handleOutcome(active, isSent ? 'unknown' : 'notRun', detail, isSent);
 	}
 
 	/** Closes an attempt's connection. */
 	protected abstract cancelAttempt(active: StreamAttempt): void;
-	/** Handles the end of an attempt that gave no usable answer. */
+	/** Handles the end of an attempt that gave no usable answer; `isCut` if its connection broke. */
 	protected abstract handleOutcome(
 		active: StreamAttempt,
 		outcome: AttemptOutcome,
 		detail: string,
+		isCut?: boolean,
 	): void;
 
 	/** Writes the answer's head once the first events arrive; returns false if the answer belongs to another request. */
--- a/packages/bramleystage-gateway/src/stream-answer.ts
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -11,7 +11,7 @@
 	minErrorStatus,
 	refusedStatus,
 	replacedStatus,
-} from './call-run.js';
+} from './answer-status.js';
 import {isConsecutive} from './event-splitter.js';
 import type {HeaderPort} from './platform-port.js';
 
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -18,6 +18,8 @@
 /** Timeout for opening a connection over a sound link, in milliseconds; a live engine accepts one within a few milliseconds. */
 const connectTimeoutMs = 150;
 const streamStatus = 200;
+/** Time after the first event for which an engine goes on if the request does not end it, in milliseconds. */
+const soundAnswerMs = 250;
 
 export type StreamAttemptOptions = {
 	readonly call: Call;
@@ -45,6 +47,9 @@
 	/** Body of an answer that is not a stream. */
 	readonly chunks: Buffer[] = [];
 	#path: readonly PathStage[];
+	/** Steady-clock time of the first event of this attempt, in milliseconds. */
+	#firstEventAt: number | undefined;
+	#isSound = false;
 	#releaseWork: () => void;
 	readonly #attempt: Attempt;
 
@@ -108,9 +113,17 @@
 		return this.#attempt.isSent();
 	}
 
-	/** How far the answer has come. */
+	/** Records that events have arrived; returns true once, when the answer is known to be sound. */
+	recordEvents(now: number): boolean {
+		this.#firstEventAt ??= now;
+		const wasSound = this.#isSound;
+		this.#isSound ||= now - this.#firstEventAt >= soundAnswerMs;
+		return this.#isSound && !wasSound;
+	}
+
+	/** How far the answer has come; events count when the engine has sent them for a while. */
 	get progress(): AttemptProgress {
-		if (this.hasEvents) {
+		if (this.#isSound) {
 			return 'events';
 		}
 
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -67,12 +67,13 @@
 			this.excludedEngines.add(id);
 		}
 
-		const {fleet, trySpendRetry} = this.context;
+		const {fleet, crashGuard, trySpendRetry} = this.context;
 		// Without another path or run the stream keeps waiting on this path, as a
 		// silent engine may go on.
 		const mayFailOver =
 			this.canRunAgain(active.isSent ? [active.sent] : []) &&
 			this.#choosePath() !== undefined &&
+			!crashGuard.findRefusal(this.call, false) &&
 			trySpendRetry(this.call.service.name);
 		if (!mayFailOver) {
 			const [first] = active.path;
@@ -170,8 +171,24 @@
 		active: StreamAttempt,
 		outcome: AttemptOutcome,
 		detail: string,
+		isCut = false,
 	): void {
 		this.recordOutcome(outcome, active, detail);
+		if (isCut) {
+			this.checkCut(active, () => {
+				this.#checkLimit(active, outcome, detail);
+			});
+		} else {
+			this.#checkLimit(active, outcome, detail);
+		}
+	}
+
+	/** Learns which engines have ended if the route allows no further run, and goes on. */
+	#checkLimit(
+		active: StreamAttempt,
+		outcome: AttemptOutcome,
+		detail: string,
+	): void {
 		const isLimitReached = isRepeatable(this.call) && !this.canRunAgain();
 		if (outcome === 'unknown' && isLimitReached) {
 			// The limit may only seem reached: engines may have ended.
--- a/packages/bramleystage/src/coordination/__tests__/attempt-policy.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/attempt-policy.test.ts
@@ -13,6 +13,7 @@
 const bounds = {
 	isRepeatable: false,
 	maxAttempts: 2,
+	isEndingServers: false,
 	remainingMs: 1000,
 	isAnswerStarted: false,
 };
@@ -114,6 +115,7 @@
 					isRepeatable: true,
 					isAnswerStarted: true,
 					maxAttempts,
+					isEndingServers: false,
 					remainingMs,
 				};
 				const step = decideAfterAttempt(
--- a/packages/bramleystage/src/coordination/attempt-policy.ts
+++ b/packages/bramleystage/src/coordination/attempt-policy.ts
@@ -27,6 +27,8 @@
 	readonly isRepeatable: boolean;
 	/** Maximum number of servers on which the request may run. */
 	readonly maxAttempts: number;
+	/** Whether so many servers ended under the request that it may end each further one. */
+	readonly isEndingServers: boolean;
 	/** Time left until the request's deadline, in milliseconds. */
 	readonly remainingMs: number;
 	/** Whether the caller has received a part of the answer. */
@@ -65,6 +67,7 @@
 	const mayRepeat =
 		(bounds.isAnswerStarted || history.sent < maxSentAttempts) &&
 		bounds.remainingMs >= minAttemptMs &&
+		!bounds.isEndingServers &&
 		(outcome === 'notRun'
 			? bounds.isRepeatable || !history.mayHaveRun
 			: bounds.isRepeatable && history.ran < bounds.maxAttempts);
--- /dev/null
+++ b/packages/bramleystage/src/coordination/crash-blame.ts
@@ -0,0 +1,220 @@
+/**
+ * Decides which trait of requests is to blame for crashes, which requests are
+ * refused for it, and who may try one of them again.
+ *
+ * A trait is to blame if several requests with it, at several instances, each ended
+ * the instance, and none with it got a sound answer since. A trait that was sound
+ * before, such as a part of all prompts, must in addition have been tried anew after
+ * each crash: servers that end together, as with the loss of a rack, blame nobody. In
+ * a request, a crash counts against a trait only if no other trait explains it that
+ * the request doesn't have: one that is as suspect and was there too.
+ */
+import type {RequestTrait} from '../protocol/ids.js';
+import type {Crash, CrashEvidence} from './crash-evidence.js';
+
+/** Crashes that blame a trait; each must have a request of its own. */
+const minCrashes = 3;
+/** Rounds among them if the trait was never sound. A crash begins a new round if its request was sent after the last crash of the round before. */
+const minRounds = 2;
+/** Crashes that blame a trait that was never sound, also in a single round. */
+const certainCrashes = 5;
+/** Crashes from which on other traits no longer explain those of a trait. */
+const maxExplainedCrashes = 8;
+
+/** Requests with a trait that is to blame that are let through, in all gateways together. */
+const maxProbes = 2;
+/** Least time from the last crash or probe to each probe, in milliseconds. */
+const probeDelaysMs = [15_000, 120_000] as const;
+/** Time for which one gateway may probe before the next one may, in milliseconds. */
+const probeTurnMs = 5000;
+/** Part of each turn at its ends in which nobody probes, as gateways know the time of a crash only roughly, in milliseconds. */
+const turnMarginMs = 1000;
+
+/** What speaks against a trait. */
+export type Standing = {
+	/** Crashes since its last sound answer, each with a request of its own. */
+	readonly count: number;
+	readonly rounds: number;
+	/** Whether a request with it ever got a sound answer, as far as is known. */
+	readonly wasSound: boolean;
+	readonly lastAt: number;
+};
+
+/** What a request has in common with others. */
+export type RequestTraits = {
+	/** Parts of its prompt that other callers' requests have too. */
+	readonly shared: readonly RequestTrait[];
+	/** Its own part of the prompt, or all of its content; only repeats and requests of one session have the same. */
+	readonly own: RequestTrait;
+};
+
+export type Standings = ReadonlyMap<RequestTrait, Standing>;
+
+export type ProbeContext = {
+	/** Addresses of all known gateways. */
+	readonly members: readonly string[];
+	readonly self: string;
+	/** Spreads texts evenly over 0 to below 1, alike at all gateways. */
+	readonly computePlace: (text: string) => number;
+};
+
+export type Blame = {
+	readonly trait: RequestTrait;
+	readonly crashes: readonly Crash[];
+	/** Steady-clock time of the last crash, in milliseconds. */
+	readonly lastAt: number;
+};
+
+const listCrashesSinceSound = (
+	{crashes, soundAt}: CrashEvidence,
+	trait: RequestTrait,
+): Crash[] => {
+	const since = soundAt.get(trait) ?? Number.NEGATIVE_INFINITY;
+	return [...crashes.values()]
+		.filter(({suspects, endedAt}) => suspects.has(trait) && endedAt > since)
+		.toSorted((a, b) => a.endedAt - b.endedAt);
+};
+
+function computeStanding(
+	trait: RequestTrait,
+	crashes: readonly Crash[],
+	wasSound: boolean,
+): Standing {
+	const used = new Set<string>();
+	let rounds = 0;
+	let roundEndedAt = Number.NEGATIVE_INFINITY;
+	for (const {suspects, endedAt} of crashes) {
+		const suspicion = suspects.get(trait);
+		const witness = suspicion?.witnesses.find((item) => !used.has(item));
+		if (!suspicion || witness === undefined) {
+			continue;
+		}
+
+		used.add(witness);
+		if (suspicion.sentAt > roundEndedAt) {
+			rounds++;
+			roundEndedAt = endedAt;
+		}
+	}
+
+	return {
+		count: used.size,
+		rounds,
+		wasSound,
+		lastAt: crashes.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY,
+	};
+}
+
+/** Computes what speaks against each suspect trait. */
+export function computeStandings(evidence: CrashEvidence): Standings {
+	const traits = new Set(
+		[...evidence.crashes.values()].flatMap(({suspects}) => [
+			...suspects.keys(),
+		]),
+	);
+	return new Map(
+		[...traits].map((trait) => [
+			trait,
+			computeStanding(
+				trait,
+				listCrashesSinceSound(evidence, trait),
+				evidence.soundAt.has(trait),
+			),
+		]),
+	);
+}
+
+const isToBlame = ({count, rounds, wasSound}: Standing): boolean =>
+	wasSound
+		? rounds >= minCrashes
+		: count >= certainCrashes || (count >= minCrashes && rounds >= minRounds);
+
+/** Whether a trait that a request doesn't have explains a crash as well as one that it has. */
+const isExplained = (
+	crash: Crash,
+	own: Standing,
+	traits: readonly RequestTrait[],
+	standings: Standings,
+): boolean =>
+	own.count < maxExplainedCrashes &&
+	[...crash.suspects.keys()].some((other) => {
+		const standing = standings.get(other);
+		return (
+			standing !== undefined &&
+			!traits.includes(other) &&
+			(own.wasSound || !standing.wasSound) &&
+			standing.count >= own.count
+		);
+	});
+
+/** Finds the trait of a request for which it is refused. */
+export function findBlame(
+	evidence: CrashEvidence,
+	standings: Standings,
+	traits: readonly RequestTrait[],
+): Blame | undefined {
+	for (const trait of traits) {
+		const own = standings.get(trait);
+		if (!own || !isToBlame(own)) {
+			continue;
+		}
+
+		const crashes = listCrashesSinceSound(evidence, trait).filter(
+			(crash) => !isExplained(crash, own, traits, standings),
+		);
+		const unexplained = computeStanding(trait, crashes, own.wasSound);
+		if (isToBlame(unexplained)) {
+			return {trait, crashes, lastAt: own.lastAt};
+		}
+	}
+
+	return undefined;
+}
+
+/**
+ * Whether a trait may have ended a server: then a request that saw a server end
+ * isn't repeated, as each further run may end another one.
+ */
+export const isInDoubt = (
+	standings: Standings,
+	{shared, own}: RequestTraits,
+): boolean =>
+	shared.some((trait) => {
+		const standing = standings.get(trait);
+		return (
+			standing !== undefined &&
+			(standing.wasSound ? standing.rounds > 1 : standing.count > 0)
+		);
+	}) || (standings.get(own)?.count ?? 0) > 1;
+
+/**
+ * Decides whether a gateway may let a request through although a trait is to blame.
+ * The gateways take turns, in an order of its own for each trait: one of them at a
+ * time, whatever their number.
+ */
+export function isProbeDue(
+	{trait, lastAt}: Blame,
+	evidence: CrashEvidence,
+	{members, self, computePlace}: ProbeContext,
+	now: number,
+): boolean {
+	const {count, at} = evidence.probes.get(trait) ?? {
+		count: 0,
+		at: Number.NEGATIVE_INFINITY,
+	};
+	const delayMs = probeDelaysMs[count] ?? Number.POSITIVE_INFINITY;
+	if (count >= maxProbes || now - Math.max(lastAt, at) < delayMs) {
+		return false;
+	}
+
+	const elapsedMs = now - lastAt;
+	const turn = Math.floor(elapsedMs / probeTurnMs);
+	const inTurnMs = elapsedMs - turn * probeTurnMs;
+	if (inTurnMs < turnMarginMs || inTurnMs > probeTurnMs - turnMarginMs) {
+		return false;
+	}
+
+	const sorted = [...new Set([...members, self])].toSorted();
+	const place = computePlace(`${trait} ${turn}`);
+	return sorted[Math.floor(place * sorted.length)] === self;
+}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -668,6 +668,27 @@
 	decideAfterAttempt,
 	type AttemptDecision,
 } from './coordination/attempt-policy.js';
+export {
+	type Blame,
+	computeStandings,
+	findBlame,
+	isInDoubt,
+	isProbeDue,
+	type RequestTraits,
+	type Standings,
+} from './coordination/crash-blame.js';
+export {
+	type Crash,
+	type CrashEvidence,
+	createCrashEvidence,
+	type ProbeRecord,
+	recordCitation,
+	recordCrash,
+	recordProbe,
+	recordSound,
+	removeOldCrashes,
+	type Suspicion,
+} from './coordination/crash-evidence.js';
 export {
 	type Avoidance,
 	createAvoidance,
@@ -780,8 +801,14 @@
 	type RouteName,
 	routeNameSchema,
 	toBackendId,
+	type InstanceKey,
+	instanceKeySchema,
 	type PromptPartId,
+	type RequestTrait,
+	requestTraitSchema,
+	toInstanceKey,
 	toPromptPartId,
+	toRequestTrait,
 	toRouteName,
 } from './protocol/ids.js';
 export {
--- a/packages/bramleystage/src/protocol/ids.ts
+++ b/packages/bramleystage/src/protocol/ids.ts
@@ -42,6 +42,14 @@
 export const promptPartIdSchema = text.brand<'PromptPartId'>();
 export type PromptPartId = z.infer<typeof promptPartIdSchema>;
 
+/** Names one instance of a backend server: its id and the time of its start. */
+export const instanceKeySchema = text.brand<'InstanceKey'>();
+export type InstanceKey = z.infer<typeof instanceKeySchema>;
+
+/** Names what several requests may have in common: a service and a part of the prompt, or the same content. */
+export const requestTraitSchema = text.brand<'RequestTrait'>();
+export type RequestTrait = z.infer<typeof requestTraitSchema>;
+
 export const routeNameSchema = text.brand<'RouteName'>();
 export type RouteName = z.infer<typeof routeNameSchema>;
 
@@ -84,4 +92,6 @@
 export const toFencingToken = (value: number) => value as FencingToken;
 export const toBackendId = (value: string) => value as BackendId;
 export const toPromptPartId = (value: string) => value as PromptPartId;
+export const toInstanceKey = (value: string) => value as InstanceKey;
+export const toRequestTrait = (value: string) => value as RequestTrait;
 export const toRouteName = (value: string) => value as RouteName;
--- a/packages/bramleystage/src/protocol/result-codes.ts
+++ b/packages/bramleystage/src/protocol/result-codes.ts
@@ -113,6 +113,12 @@
 		'not-run',
 		'The entries have not agreed yet which of them owns which part of a limit.',
 	),
+	contentBlocked: row(
+		2011,
+		503,
+		'not-run',
+		'Backend servers ended under requests with a part of this content.',
+	),
 	cancelled: row(
 		3001,
 		499,
