Go on at another engine when a stream ends inside an event

Callers of resumable streams got an incomplete answer when an engine ended its stream in order but inside an event, by its last chunk or with its connection: the engine was not treated as one that broke off, so the next attempt went to it again until none was left. Such an end is now the same as a broken connection. A resumed stream that ends without any event counts as whole only if its engine has not ended, as an answer without length ends alike when its engine crashes.

--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -100,31 +100,24 @@
 	}
 
 	protected handleEnd(active: StreamAttempt): void {
-		active.release();
-		this.active = undefined;
 		if (!active.isStream) {
+			active.release();
+			this.active = undefined;
 			this.#handleNonStreamAnswer(active);
 			return;
 		}
 
-		if (active.splitter.hasPartial || !this.answerStartedAt) {
-			this.handleOutcome(
+		const isBroken = active.splitter.hasPartial || !this.answerStartedAt;
+		if (isBroken) {
+			this.#handleBadStream(
 				active,
-				'unknown',
 				'The stream ended before an event was complete.',
-				true,
 			);
-			return;
-		}
-
-		for (const {id} of active.path) {
-			this.context.fleet.health.recordSuccess(id);
+		} else if (active.hasEvents) {
+			this.#finishStream(active);
+		} else {
+			void this.#handleEmptyEnd(active);
 		}
-
-		this.context.crashGuard.recordSound(this.call);
-		this.recordOutcome('answered', active);
-		this.call.response.end();
-		this.end({status: 200});
 	}
 
 	protected forwardAnswer({chunks}: StreamAttempt, head: AnswerHead): void {
@@ -223,6 +216,33 @@
 		}
 	}
 
+	/** Handles a resumed stream that ended without an event: it was complete before, or its engine has ended. */
+	async #handleEmptyEnd(active: StreamAttempt): Promise<void> {
+		const hasEnded = await this.context.crashGuard.recordCut(this.call, active);
+		if (this.isFinished || this.active !== active) {
+			return;
+		}
+
+		if (hasEnded) {
+			this.#handleBadStream(active, 'The engine ended.');
+		} else {
+			this.#finishStream(active);
+		}
+	}
+
+	#finishStream(active: StreamAttempt): void {
+		active.release();
+		this.active = undefined;
+		for (const {id} of active.path) {
+			this.context.fleet.health.recordSuccess(id);
+		}
+
+		this.context.crashGuard.recordSound(this.call);
+		this.recordOutcome('answered', active);
+		this.call.response.end();
+		this.end({status: 200});
+	}
+
 	#handleBadStream(active: StreamAttempt, detail: string): void {
 		this.handleFailure(active, {isSent: true, isRefused: false, detail});
 	}
