Entry: give up a model request that loses engine after engine without a token

A request may now lose three servers without a further token; with tokens in between it goes on as before.

Test: 10 of 10 servers lost before, 3 now. The tests of the entry, the site and the model check: 100 of 100 passed.

--- a/packages/bramleystage/src/coordination/model-run.ts
+++ b/packages/bramleystage/src/coordination/model-run.ts
@@ -34,6 +34,8 @@
 const tokensPerAcknowledgement = 32;
 /** Delay before the next search for a pipeline, in milliseconds. */
 const pipelineRetryDelayMs = 100;
+/** Backend servers that a request may lose without a further token; its content may be what ends them. */
+const maxLostBackends = 3;
 
 /**
  * Returns the next state of a model request and the commands that an event
@@ -200,6 +202,7 @@
 	const next: ModelRunState = {
 		...state,
 		deliveredTokens: appendItem(state.deliveredTokens, token.token),
+		lostBackends: 0,
 	};
 	const deliverToken: ModelRunCommand = {type: 'deliverToken', token};
 	if (!token.finish) {
@@ -245,9 +248,12 @@
 	// Work moved off a lost backend server is not charged to the retry budget,
 	// since no host repeats it.
 	const isBackendLost = message.result === 'backendLost';
-	const mayRetry = isBackendLost || context.allowRetry();
+	const isOwnBackend = isBackendLost && message.lost === undefined;
+	const lostBackends = state.lostBackends + (isOwnBackend ? 1 : 0);
+	const mayRetry =
+		lostBackends < maxLostBackends && (isBackendLost || context.allowRetry());
 	return mayRetry
-		? decideStageLost({...state, avoided}, host, context)
+		? decideStageLost({...state, avoided, lostBackends}, host, context)
 		: stopWithFailure(
 				state,
 				createFailure(message.result, message.detail, {
--- a/packages/bramleystage/src/state/model-run-state.ts
+++ b/packages/bramleystage/src/state/model-run-state.ts
@@ -29,6 +29,8 @@
 	readonly acknowledged: Position;
 	/** Hosts that failed this request although they were reachable. */
 	readonly avoided: readonly HostId[];
+	/** Backend servers that were lost while they ran this request, since the last token. */
+	readonly lostBackends: number;
 };
 
 export function createModelRun(deadline: Milliseconds): ModelRunState {
@@ -44,6 +46,7 @@
 		deliveredTokens: createAppendList(),
 		acknowledged: toPosition(0),
 		avoided: [],
+		lostBackends: 0,
 	};
 }
 
