Hold back layer orders under which engines ended

After three ends in a row while layers of one size are loaded by engines of one kind, such orders wait for 10 s, then twice as long with each further end; one that was carried out ends that.

--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -8,7 +8,7 @@
 	toServiceName,
 	waitFor,
 } from 'bramleystage';
-import {ok} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {Fleet} from '../fleet.js';
 import {InstanceWatch} from '../instance-watch.js';
@@ -200,3 +200,53 @@
 	await waitForOrder(orders);
 	expect(orders.map(({address}) => address)).toEqual(['10.0.0.1:3']);
 });
+
+// Guards against an order that ends one engine after the other, as nothing remembers under which orders engines ended.
+test('an order under which engines end goes to few of them', async () => {
+	const serving = createEngine('full', {from: 0, to: 4});
+	const ended = new Set<string>();
+	const orders: string[] = [];
+	let started = 0;
+	const startEngine = () => {
+		const id = `idle-${started++}`;
+		const entry = {...createEngine(id), address: `10.0.0.2:${started}`};
+		fleet.replace([serving, entry], performance.now());
+	};
+
+	startEngine();
+	const readReport: EnginePort['readReport'] = async (address) =>
+		ended.has(address)
+			? err({kind: 'refused', detail: 'connect ECONNREFUSED'})
+			: ok({
+					orderCount: 0,
+					isBusy: false,
+					queued: 0,
+					running: 0,
+					cacheUsed: 0,
+					cacheTotal: 0,
+					slowness: 1,
+					stalled: [],
+					bornAt: 1,
+					isLeaving: false,
+				});
+	const readClock = () => performance.now();
+	startPlacement({
+		fleet,
+		group: {isLeader: true, fence: 1} as unknown as GatewayGroup,
+		engines: {
+			async orderLayers(address) {
+				orders.push(address);
+				ended.add(address);
+				lifeCycle.registerTimeout(600, startEngine);
+				return ok('accepted');
+			},
+		},
+		instances: new InstanceWatch({fleet, readReport, logger, readClock}),
+		listServices: () => [service],
+		lifeCycle,
+		logger,
+		readClock,
+	});
+	await waitFor(7000);
+	expect(orders.length).toBe(3);
+});
--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -7,14 +7,20 @@
 import {
 	type Backend,
 	type BackendId,
+	createOrderCrashes,
 	type EnginePlacement,
 	type GatewayService,
+	isOrderHeld,
 	type LayerOrder,
 	type LayerRange,
 	type LifeCycle,
 	listBackends,
 	type Logger,
+	type OrderCrashes,
+	type OrderSize,
 	planLayerOrders,
+	recordOrderCrash,
+	recordOrderSuccess,
 } from 'bramleystage';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
@@ -40,6 +46,14 @@
 const isSameRange = (a: LayerRange | undefined, b: LayerRange) =>
 	a?.from === b.from && a.to === b.to;
 
+const describeSize = (
+	{kind = ''}: Backend,
+	{from, to}: LayerRange,
+): OrderSize => ({
+	kind,
+	layers: to - from,
+});
+
 type PendingOrder = {readonly layers: LayerRange; readonly until: number};
 
 export type PlacementOptions = {
@@ -63,6 +77,7 @@
 
 class PlacementController {
 	readonly #pending = new Map<BackendId, PendingOrder>();
+	#orderCrashes: OrderCrashes = createOrderCrashes();
 	#listChangedAt: number;
 	#firstListedAt: number | undefined;
 
@@ -123,7 +138,14 @@
 		const byId = new Map(backends.map((backend) => [backend.id, backend]));
 		for (const order of orders) {
 			const backend = byId.get(order.id);
-			if (backend) {
+			const isHeld =
+				backend &&
+				isOrderHeld(
+					this.#orderCrashes,
+					describeSize(backend, order.layers),
+					now,
+				);
+			if (backend && !isHeld) {
 				const loadMs =
 					(pipeline.loadMs * (order.layers.to - order.layers.from)) /
 					pipeline.layers;
@@ -170,7 +192,8 @@
 	 * Polls the engine's report until the order has taken effect. The list shows
 	 * it too, but later, and not while the store is unreachable.
 	 */
-	#confirm(id: BackendId, address: string): void {
+	#confirm(backend: Backend): void {
+		const {id, address} = backend;
 		this.options.lifeCycle.registerTimeout(confirmIntervalMs, () => {
 			void (async () => {
 				const pending = this.#pending.get(id);
@@ -184,15 +207,32 @@
 					engineTimeoutMs,
 				);
 				const layers = report?.isOk() ? report.value.layers : undefined;
+				const size = describeSize(backend, pending.layers);
 				if (layers && isSameRange(layers, pending.layers)) {
 					fleet.recordLayers(id, layers);
+					this.#orderCrashes = recordOrderSuccess(this.#orderCrashes, size);
+				} else if (report?.isErr() && report.error.kind === 'refused') {
+					this.#recordOrderCrash(id, size);
 				} else {
-					this.#confirm(id, address);
+					this.#confirm(backend);
 				}
 			})();
 		});
 	}
 
+	/** Records that an engine ended while it loaded the layers of an order. */
+	#recordOrderCrash(id: BackendId, size: OrderSize): void {
+		const {logger, readClock} = this.options;
+		this.#pending.delete(id);
+		const now = readClock();
+		this.#orderCrashes = recordOrderCrash(this.#orderCrashes, size, now);
+		logger.warn('order.crashed', {
+			backend: id,
+			...size,
+			held: isOrderHeld(this.#orderCrashes, size, now),
+		});
+	}
+
 	async #send(backend: Backend, order: LayerOrder): Promise<void> {
 		const expectedOrders = await this.#readExpectedOrders(backend);
 		if (expectedOrders === undefined) {
@@ -210,7 +250,7 @@
 			timeoutMs: engineTimeoutMs,
 		});
 		if (outcome.isOk() && outcome.value === 'accepted') {
-			this.#confirm(id, address);
+			this.#confirm(backend);
 		}
 
 		logger.info('order.sent', {
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -689,6 +689,14 @@
 	removeOldCrashes,
 	type Suspicion,
 } from './coordination/crash-evidence.js';
+export {
+	createOrderCrashes,
+	isOrderHeld,
+	type OrderCrashes,
+	type OrderSize,
+	recordOrderCrash,
+	recordOrderSuccess,
+} from './coordination/order-crashes.js';
 export {
 	type Avoidance,
 	createAvoidance,
