Take sound answers as news only after a crash, and look up nothing while no crash is known

A part of all prompts that is a suspect sent news to all gateways twice a second; now one message after each crash.

--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -114,9 +114,11 @@
 
 	/** Whether the traits of a request are worth computing: a content is hashed only if others of its service are suspect. */
 	#mayBeSuspect(call: Call): boolean {
+		const {ledger} = this.options;
 		return (
-			call.metadata.promptParts.length > 0 ||
-			this.options.ledger.hasSuspects(formatContentPrefix(call))
+			ledger.hasCrashes &&
+			(call.metadata.promptParts.length > 0 ||
+				ledger.hasSuspects(formatContentPrefix(call)))
 		);
 	}
 
--- a/packages/bramleystage-gateway/src/crash-ledger.ts
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -72,6 +72,11 @@
 		return this.#blamed.size;
 	}
 
+	/** Whether any crash is known. */
+	get hasCrashes(): boolean {
+		return this.#evidence.crashes.size > 0;
+	}
+
 	/** Whether a crash has any trait with this beginning as a suspect. */
 	hasSuspects(prefix: string): boolean {
 		return [...this.#standings.keys()].some((trait) =>
@@ -97,7 +102,8 @@
 
 		let next = this.#evidence;
 		for (const trait of [...shared, own]) {
-			if (this.#standings.has(trait)) {
+			const standing = this.#standings.get(trait);
+			if (standing && (standing.count > 0 || !standing.wasSound)) {
 				next = recordSound(next, trait, now);
 			}
 		}
@@ -112,9 +118,7 @@
 
 	/** Finds the trait for which a request is to be refused. */
 	findBlame({shared, own}: RequestTraits): Blame | undefined {
-		return this.#standings.size === 0
-			? undefined
-			: findBlame(this.#evidence, this.#standings, [...shared, own]);
+		return findBlame(this.#evidence, this.#standings, [...shared, own]);
 	}
 
 	isInDoubt(traits: RequestTraits): boolean {
@@ -255,7 +259,7 @@
 				const isSound = this.#evidence.soundAt.has(trait);
 				logger.info('trait.cleared', {
 					trait,
-					reason: isSound ? 'sound' : 'evidence',
+					reason: isSound ? 'sound' : 'weakerEvidence',
 				});
 			}
 		}
