--- /dev/null
+++ b/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
@@ -0,0 +1,113 @@
+/** Crash evidence on its way between gateways. */
+import {LifeCycle, toInstanceKey, toRequestTrait} from 'bramleystage';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {crashNewsSchema} from '../crash-exchange.js';
+import {CrashLedger} from '../crash-ledger.js';
+
+const logger = {
+	error: () => undefined,
+	warn: () => undefined,
+	info: () => undefined,
+	debug: () => undefined,
+};
+const longest = 'x'.repeat(200);
+const guilty = toRequestTrait(`${longest} part ${'y'.repeat(64)}`);
+
+let lifeCycle: LifeCycle;
+
+beforeEach(() => {
+	lifeCycle = new LifeCycle();
+});
+
+afterEach(async () => {
+	await lifeCycle.stop();
+});
+
+const createLedger = (self: string) =>
+	new CrashLedger({
+		listMembers: () => ['a', 'b'],
+		self,
+		lifeCycle,
+		logger,
+		readClock: () => 10_000,
+	});
+
+const recordCrash = (ledger: CrashLedger, name: string, endedAt: number) => {
+	ledger.recordCrash({
+		instance: toInstanceKey(`${longest}${name}@1790000000000`),
+		endedAt,
+		citedAt: endedAt,
+		isBegun: true,
+		suspects: new Map([
+			[guilty, {witnesses: [`request-${name}`], sentAt: endedAt - 50}],
+		]),
+	});
+};
+
+const traits = {shared: [guilty], own: toRequestTrait('own')};
+
+// Guards against news that a peer rejects, with all else that the same message tells, as a name in it is long.
+test('evidence with the longest names passes the check of the other side', () => {
+	const ledger = createLedger('a');
+	recordCrash(ledger, '1', 8000);
+	const {news} = ledger.buildNews(0, 10_000);
+	expect(crashNewsSchema.safeParse(news).success).toBe(true);
+});
+
+test('a ledger that gets the parts of two others blames what neither of them could', () => {
+	const [one, two, joined] = ['a', 'b', 'c'].map((self) => createLedger(self));
+	for (const [index, name] of ['1', '2', '3', '4'].entries()) {
+		const ledger = index % 2 === 0 ? one : two;
+		if (ledger) {
+			recordCrash(ledger, name, 5000 + 400 * index);
+		}
+	}
+
+	expect(one?.findBlame(traits)).toBeUndefined();
+	expect(two?.findBlame(traits)).toBeUndefined();
+	for (const ledger of [one, two, one]) {
+		const {news} = ledger?.buildNews(0, 10_000) ?? {};
+		if (news) {
+			joined?.acceptNews(news, 10_000);
+		}
+	}
+
+	expect(joined?.findBlame(traits)?.trait).toBe(guilty);
+});
+
+test('a ledger sends each piece of evidence once, and all of it to a new peer', () => {
+	const ledger = createLedger('a');
+	recordCrash(ledger, '1', 5000);
+	const first = ledger.buildNews(0, 10_000);
+	expect(first.news?.crashes).toHaveLength(1);
+	expect(ledger.buildNews(first.revision, 10_000).news).toBeUndefined();
+	recordCrash(ledger, '2', 6000);
+	expect(ledger.buildNews(first.revision, 10_000).news?.crashes).toHaveLength(
+		1,
+	);
+	expect(ledger.buildNews(0, 10_000).news?.crashes).toHaveLength(2);
+});
+
+test('a sound answer that only one gateway remembers clears what another one reports', () => {
+	const [one, two] = ['a', 'b'].map((self) => createLedger(self));
+	two?.recordSound(traits, 9000);
+	for (const name of ['1', '2', '3', '4', '5']) {
+		if (one) {
+			recordCrash(one, name, 5000 + Number(name));
+		}
+	}
+
+	expect(one?.findBlame(traits)?.trait).toBe(guilty);
+	const {news} = one?.buildNews(0, 10_000) ?? {};
+	if (news) {
+		two?.acceptNews(news, 10_000);
+	}
+
+	expect(two?.findBlame(traits)).toBeUndefined();
+	const answer = two?.buildNews(0, 10_000).news;
+	if (answer) {
+		one?.acceptNews(answer, 10_000);
+	}
+
+	expect(one?.findBlame(traits)).toBeUndefined();
+});
--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -3,14 +3,7 @@
  * It tells the ledger which requests were about to be answered when an instance
  * ended and which were answered, and refuses requests that have a trait to blame.
  */
-import {
-	createFailure,
-	type Failure,
-	type RequestTrait,
-	type RequestTraits,
-	type SentRequest,
-	type Suspicion,
-} from 'bramleystage';
+import {createFailure, type Failure} from 'bramleystage';
 import type {Call} from './call.js';
 import {
 	CrashLedger,
@@ -23,8 +16,9 @@
 	type CutCheckOptions,
 	type InstanceCut,
 } from './cut-check.js';
+import {buildSuspects, type CutRun} from './crash-suspects.js';
 import {buildRequestTraits, formatContentPrefix} from './request-traits.js';
-import type {AttemptProgress, RequestRecorder} from './request-recorder.js';
+import type {RequestRecorder} from './request-recorder.js';
 
 /** Time after which a refused caller may return, in seconds: by then a probe may have cleared the request. */
 const refusedReturnSeconds = 30;
@@ -32,13 +26,6 @@
 const maxEndedRuns = 2;
 const maxEndedRunsOfAnswer = 3;
 
-/** A run whose connection broke. */
-type CutRun = {
-	readonly call: Call;
-	readonly sent: SentRequest;
-	readonly progress: AttemptProgress;
-};
-
 export type CrashGuardOptions = CutCheckOptions & {
 	readonly ledger: CrashLedger;
 	readonly recorder: Pick<RequestRecorder, 'registerGauge' | 'recordCrash'>;
@@ -126,27 +113,18 @@
 	#recordCrash({instance, at, runs}: InstanceCut<CutRun>): void {
 		const {ledger, recorder} = this.options;
 		const isBegun = runs.some(({progress}) => progress === 'head');
-		const suspectRuns = runs.filter(
-			({progress}) => progress === (isBegun ? 'head' : 'none'),
-		);
-		const suspects = new Map<RequestTrait, Suspicion>();
-		for (const run of suspectRuns) {
-			addSuspect(suspects, run);
-		}
-
-		// The traits that no answer speaks for come first, as few are kept.
-		const sorted = [...suspects].toSorted(
-			([a], [b]) =>
-				Number(ledger.isKnownSound(a)) - Number(ledger.isKnownSound(b)),
+		const suspects = buildSuspects(
+			runs.filter(({progress}) => progress === (isBegun ? 'head' : 'none')),
+			(trait) => ledger.isKnownSound(trait),
 		);
-		recorder.recordCrash(instance, sorted, runs.length);
-		if (sorted.length > 0) {
+		recorder.recordCrash(instance, [...suspects.keys()], runs.length);
+		if (suspects.size > 0) {
 			ledger.recordCrash({
 				instance,
 				endedAt: at,
 				citedAt: at,
 				isBegun,
-				suspects: new Map(sorted),
+				suspects,
 			});
 		}
 	}
@@ -161,23 +139,3 @@
 	const crashGuard = new CrashGuard({...options, ledger, checkConnection});
 	return {ledger, crashGuard};
 }
-
-function addSuspect(
-	suspects: Map<RequestTrait, Suspicion>,
-	{call, sent}: CutRun,
-): void {
-	const {shared, own}: RequestTraits = buildRequestTraits(call);
-	const add = (trait: RequestTrait, witness: string) => {
-		const known = suspects.get(trait);
-		suspects.set(trait, {
-			witnesses: [...new Set([...(known?.witnesses ?? []), witness])],
-			sentAt: Math.max(sent.sentAt, known?.sentAt ?? sent.sentAt),
-		});
-	};
-
-	for (const trait of shared) {
-		add(trait, own);
-	}
-
-	add(own, call.metadata.request);
-}
--- a/packages/bramleystage-gateway/src/crash-ledger.ts
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -22,14 +22,14 @@
 	type RequestTraits,
 	type Standings,
 } from 'bramleystage';
-import {debounceTime, Subject} from 'rxjs';
+import {auditTime, Subject} from 'rxjs';
 import {computeHashPlace} from './request-traits.js';
 import {buildCrashNews, type CrashNews, decodeCrash} from './crash-exchange.js';
 
 /** Traits whose last sound answer is remembered, the most recent ones. */
 const maxSoundTraits = 8192;
 /** Time for which changes are gathered before peers get them, in milliseconds. */
-const gatherMs = 30;
+const gatherMs = 100;
 /** How often old evidence is dropped, in milliseconds. */
 const cleanUpIntervalMs = 10_000;
 
@@ -57,7 +57,7 @@
 	constructor(private readonly options: CrashLedgerOptions) {
 		const {lifeCycle, readClock} = options;
 		const subscription = this.#changes
-			.pipe(debounceTime(gatherMs))
+			.pipe(auditTime(gatherMs))
 			.subscribe(this.news);
 		lifeCycle.register(() => {
 			subscription.unsubscribe();
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -106,6 +106,7 @@
 	now: number,
 ): PeerUpdate {
 	const {backends, group} = state;
+	const hasChanges = backends !== lastSent.backends;
 	return {
 		backInMs: state.backAt === undefined ? null : state.backAt - now,
 		storeEra: state.storeEra ?? null,
@@ -117,10 +118,14 @@
 		version: state.version,
 		configurationAgeMs: computeAge(now, state.configurationReadAt),
 		listAgeMs: computeAge(now, state.listReadAt),
-		changed: [...backends.values()].filter(
-			(backend) => lastSent.backends.get(backend.id) !== backend,
-		),
-		removed: [...lastSent.backends.keys()].filter((id) => !backends.has(id)),
+		changed: hasChanges
+			? [...backends.values()].filter(
+					(backend) => lastSent.backends.get(backend.id) !== backend,
+				)
+			: [],
+		removed: hasChanges
+			? [...lastSent.backends.keys()].filter((id) => !backends.has(id))
+			: [],
 		beatAt: ping.beatAt,
 		heldMs: now - ping.arrivedAt,
 	};
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -166,17 +166,14 @@
 	/** Records the end of a server's instance with the traits of the requests that it was about to answer. */
 	recordCrash(
 		instance: InstanceKey,
-		suspects: ReadonlyArray<readonly [RequestTrait, unknown]>,
+		suspects: readonly RequestTrait[],
 		cutRuns: number,
 	): void {
 		this.#crashes.inc();
 		this.logger.warn('backend.crashed', {
 			backend: instance,
 			cut: cutRuns,
-			suspects: suspects
-				.slice(0, maxLoggedSuspects)
-				.map(([trait]) => trait)
-				.join(', '),
+			suspects: suspects.slice(0, maxLoggedSuspects).join(', '),
 		});
 	}
 
--- a/packages/bramleystage/src/coordination/crash-blame.ts
+++ b/packages/bramleystage/src/coordination/crash-blame.ts
@@ -106,20 +106,25 @@
 }
 
 /** Computes what speaks against each suspect trait. */
-export function computeStandings(evidence: CrashEvidence): Standings {
-	const traits = new Set(
-		[...evidence.crashes.values()].flatMap(({suspects}) => [
-			...suspects.keys(),
-		]),
+export function computeStandings({crashes, soundAt}: CrashEvidence): Standings {
+	const byTrait = new Map<RequestTrait, Crash[]>();
+	const sorted = [...crashes.values()].toSorted(
+		(a, b) => a.endedAt - b.endedAt,
 	);
+	for (const crash of sorted) {
+		for (const trait of crash.suspects.keys()) {
+			const list = byTrait.get(trait) ?? [];
+			byTrait.set(trait, list);
+			if (crash.endedAt > (soundAt.get(trait) ?? Number.NEGATIVE_INFINITY)) {
+				list.push(crash);
+			}
+		}
+	}
+
 	return new Map(
-		[...traits].map((trait) => [
+		[...byTrait].map(([trait, list]) => [
 			trait,
-			computeStanding(
-				trait,
-				listCrashesSinceSound(evidence, trait),
-				evidence.soundAt.has(trait),
-			),
+			computeStanding(trait, list, soundAt.has(trait)),
 		]),
 	);
 }
--- a/packages/bramleystage/src/coordination/crash-evidence.ts
+++ b/packages/bramleystage/src/coordination/crash-evidence.ts
@@ -43,7 +43,7 @@
 
 /** Bounds of what is kept. */
 const maxCrashes = 64;
-const maxSuspects = 48;
+const maxSuspects = 96;
 const maxWitnesses = 4;
 /** Time after which a crash is forgotten if no request was refused for it, in milliseconds. */
 const keepMs = 600_000;
@@ -73,9 +73,16 @@
 	return removeUnused({...evidence, crashes: selectCrashes(crashes)});
 }
 
+/** Whether a crash was ever used to refuse a request. */
+const isCited = ({citedAt, endedAt}: Crash) => citedAt > endedAt;
+
+/** Whether a use at a time is worth recording: the first one, or one well after the last. */
+const isLaterCitation = (crash: Crash, at: number): boolean =>
+	at > crash.citedAt + (isCited(crash) ? minCitedAdvanceMs : 0);
+
 function mergeCrashes(known: Crash, other: Crash): Crash {
 	const citedAt =
-		other.citedAt > known.citedAt + minCitedAdvanceMs
+		isCited(other) && isLaterCitation(known, other.citedAt)
 			? other.citedAt
 			: known.citedAt;
 	if (known.isBegun !== other.isBegun) {
@@ -125,7 +132,7 @@
 	),
 });
 
-/** Drops the crash that was least recently used to refuse a request if there are too many. */
+/** Keeps as many crashes as allowed: those used to refuse requests before others, and the latest of each kind. */
 function selectCrashes(
 	crashes: ReadonlyMap<InstanceKey, Crash>,
 ): ReadonlyMap<InstanceKey, Crash> {
@@ -134,7 +141,10 @@
 	}
 
 	const kept = [...crashes.values()]
-		.toSorted((a, b) => b.citedAt - a.citedAt)
+		.toSorted(
+			(a, b) =>
+				Number(isCited(b)) - Number(isCited(a)) || b.citedAt - a.citedAt,
+		)
 		.slice(0, maxCrashes);
 	return new Map(kept.map((crash) => [crash.instance, crash]));
 }
@@ -195,8 +205,7 @@
 	now: number,
 ): CrashEvidence {
 	const cited = [...evidence.crashes.values()].filter(
-		({suspects, citedAt}) =>
-			suspects.has(trait) && now > citedAt + minCitedAdvanceMs,
+		(crash) => crash.suspects.has(trait) && isLaterCitation(crash, now),
 	);
 	if (cited.length === 0) {
 		return evidence;
--- a/packages/bramleystage/src/protocol/ids.ts
+++ b/packages/bramleystage/src/protocol/ids.ts
@@ -42,12 +42,16 @@
 export const promptPartIdSchema = text.brand<'PromptPartId'>();
 export type PromptPartId = z.infer<typeof promptPartIdSchema>;
 
+/** Length of a name that is made of several ids. */
+const maxCompoundLength = 3 * maxIdLength;
+const compound = z.string().min(1).max(maxCompoundLength);
+
 /** Names one instance of a backend server: its id and the time of its start. */
-export const instanceKeySchema = text.brand<'InstanceKey'>();
+export const instanceKeySchema = compound.brand<'InstanceKey'>();
 export type InstanceKey = z.infer<typeof instanceKeySchema>;
 
 /** Names what several requests may have in common: a service and a part of the prompt, or the same content. */
-export const requestTraitSchema = text.brand<'RequestTrait'>();
+export const requestTraitSchema = compound.brand<'RequestTrait'>();
 export type RequestTrait = z.infer<typeof requestTraitSchema>;
 
 export const routeNameSchema = text.brand<'RouteName'>();
