Repeat a request once when nothing but its own crash speaks against a part

A request with a part that no sound answer was known on was not repeated after its engine had ended. It may now end two servers, one if another request speaks against a part, and three if all its parts are known to be sound.

--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -163,9 +163,9 @@
 		openAttempt: openTimedAttempt,
 		headers,
 		crashGuard: {
-			countAllowedEnds: () => 2,
+			computeAllowedEnds: () => 2,
 			findRefusal: () => undefined,
-			isInDoubt: () => false,
+			isSuspect: () => false,
 			recordCut: async () => false,
 			recordSound: () => undefined,
 		},
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -273,10 +273,10 @@
 
 	/** Whether so many servers ended under the request that it is repeated no more. */
 	#isEndingServers(): boolean {
-		const allowed = this.context.crashGuard.countAllowedEnds(
-			this.call,
-			this.answerStartedAt !== undefined,
+		const {endedCount} = this.#history;
+		return (
+			endedCount > 0 &&
+			endedCount >= this.context.crashGuard.computeAllowedEnds(this.call)
 		);
-		return this.#history.endedCount >= allowed;
 	}
 }
--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -22,10 +22,6 @@
 
 /** Time after which a refused caller may return, in seconds: by then a probe may have cleared the request. */
 const refusedReturnSeconds = 30;
-/** Instances that one request may end before it is repeated no more; a started answer is resumed once more. */
-const maxEndedRuns = 2;
-const maxEndedRunsOfAnswer = 3;
-
 export type CrashGuardOptions = CutCheckOptions & {
 	readonly ledger: CrashLedger;
 	readonly recorder: Pick<RequestRecorder, 'registerGauge' | 'recordCrash'>;
@@ -66,21 +62,17 @@
 		);
 	}
 
-	/** Whether a request has a trait that ended servers and is not known to be sound. */
-	isInDoubt(call: Call): boolean {
+	/** Whether other requests like this one may have ended a server. */
+	isSuspect(call: Call): boolean {
 		return (
 			this.#mayBeSuspect(call) &&
-			this.options.ledger.isInDoubt(buildRequestTraits(call))
+			this.options.ledger.hasSuspectTrait(buildRequestTraits(call))
 		);
 	}
 
-	/** Number of instances under which a request may have ended for it to be repeated. */
-	countAllowedEnds(call: Call, isAnswerStarted: boolean): number {
-		if (this.isInDoubt(call)) {
-			return 1;
-		}
-
-		return isAnswerStarted ? maxEndedRunsOfAnswer : maxEndedRuns;
+	/** Computes how many servers may end under a request before it is repeated no more. */
+	computeAllowedEnds(call: Call): number {
+		return this.options.ledger.computeAllowedEnds(buildRequestTraits(call));
 	}
 
 	/** Records that the connection of a run broke; resolves to whether its instance has ended, as far as is known soon. */
--- a/packages/bramleystage-gateway/src/crash-ledger.ts
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -4,12 +4,13 @@
  */
 import {
 	type Blame,
+	computeAllowedEnds,
 	computeStandings,
 	type Crash,
 	type CrashEvidence,
 	createCrashEvidence,
 	findBlame,
-	isInDoubt,
+	hasSuspectTrait,
 	isProbeDue,
 	type LifeCycle,
 	type Logger,
@@ -121,8 +122,14 @@
 		return findBlame(this.#evidence, this.#standings, [...shared, own]);
 	}
 
-	isInDoubt(traits: RequestTraits): boolean {
-		return isInDoubt(this.#standings, traits);
+	/** Whether other requests with a trait of this one may have ended a server. */
+	hasSuspectTrait(traits: RequestTraits): boolean {
+		return hasSuspectTrait(this.#standings, traits);
+	}
+
+	/** Computes how many servers may end under a request before it is repeated no more. */
+	computeAllowedEnds(traits: RequestTraits): number {
+		return computeAllowedEnds(this.#standings, traits);
 	}
 
 	/** Records that a request was refused for a trait. */
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -135,7 +135,7 @@
 			!this.isFinished &&
 			this.#activeAttempts.size === 1 &&
 			this.attempts < this.call.route.maxAttempts &&
-			!this.context.crashGuard.isInDoubt(this.call) &&
+			!this.context.crashGuard.isSuspect(this.call) &&
 			this.context.trySpendRetry(this.call.service.name)
 		) {
 			this.openNextAttempt();
--- a/packages/bramleystage-gateway/src/run-context.ts
+++ b/packages/bramleystage-gateway/src/run-context.ts
@@ -12,9 +12,9 @@
 	readonly instances: InstanceWatch;
 	readonly crashGuard: Pick<
 		CrashGuard,
-		| 'countAllowedEnds'
+		| 'computeAllowedEnds'
 		| 'findRefusal'
-		| 'isInDoubt'
+		| 'isSuspect'
 		| 'recordCut'
 		| 'recordSound'
 	>;
--- a/packages/bramleystage/src/coordination/__tests__/crash-blame.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/crash-blame.test.ts
@@ -7,9 +7,10 @@
 	toRequestTrait,
 } from '../../protocol/ids.js';
 import {
+	computeAllowedEnds,
 	computeStandings,
 	findBlame,
-	isInDoubt,
+	hasSuspectTrait,
 	isProbeDue,
 } from '../crash-blame.js';
 import {
@@ -180,20 +181,30 @@
 	}
 });
 
-test('a request whose part may have ended a server is in doubt; one with known parts only is not', () => {
+// Guards against repeats that take a crashing request from server to server.
+test('the more requests ended servers under a part, the fewer may end under one request before it is given up', () => {
 	const own = toRequestTrait('own');
-	const evidence = recordSound(
-		recordCrashes([
-			buildCrash('engine-1', 1000, [
-				{request: 'one', traits: [shared, guilty]},
-			]),
-		]),
-		shared,
-		900,
+	const traits = {shared: [shared, guilty], own};
+	const countEnds = (crashes: number, known = traits) =>
+		computeAllowedEnds(
+			computeStandings(
+				recordSound(
+					recordCrashes(buildSeries(crashes, [shared, guilty])),
+					shared,
+					5000,
+				),
+			),
+			known,
+		);
+	expect([0, 1, 2, 3].map((crashes) => countEnds(crashes))).toEqual([
+		3, 2, 1, 1,
+	]);
+	expect(countEnds(3, {shared: [shared, topic], own})).toBe(3);
+	const standings = computeStandings(
+		recordCrashes(buildSeries(1, [shared, guilty])),
 	);
-	const standings = computeStandings(evidence);
-	expect(isInDoubt(standings, {shared: [shared, guilty], own})).toBe(true);
-	expect(isInDoubt(standings, {shared: [shared, topic], own})).toBe(false);
+	expect(hasSuspectTrait(standings, traits)).toBe(true);
+	expect(hasSuspectTrait(standings, {shared: [topic], own})).toBe(false);
 });
 
 test('crashes that gateways report in any order, twice or in parts give the same verdicts', () => {
--- a/packages/bramleystage/src/coordination/crash-blame.ts
+++ b/packages/bramleystage/src/coordination/crash-blame.ts
@@ -21,6 +21,11 @@
 /** Crashes from which on other traits no longer explain those of a trait. */
 const maxExplainedCrashes = 8;
 
+/** Servers that may end under a request if nothing but that speaks against it. */
+const maxEnds = 3;
+/** The same if it has a part that no sound answer is known on. */
+const maxEndsInDoubt = 2;
+
 /** Requests with a trait that is to blame that are let through, in all gateways together. */
 const maxProbes = 2;
 /** Least time from the last crash or probe to each probe, in milliseconds. */
@@ -176,21 +181,40 @@
 	return undefined;
 }
 
+/** Whether any crash since its last sound answer speaks against a trait. */
+const isSuspect = ({count, rounds, wasSound}: Standing): boolean =>
+	wasSound ? rounds > 1 : count > 0;
+
+/** Whether other requests with a trait of this one may have ended a server. */
+export const hasSuspectTrait = (
+	standings: Standings,
+	{shared, own}: RequestTraits,
+): boolean =>
+	[...shared, own].some((trait) => {
+		const standing = standings.get(trait);
+		return standing !== undefined && isSuspect(standing);
+	});
+
 /**
- * Whether a trait may have ended a server: then a request that saw a server end
- * isn't repeated, as each further run may end another one.
+ * Computes how many servers may end under a request before it is repeated no more, as
+ * each further run may end another one: the more requests speak against a part of it,
+ * the fewer.
  */
-export const isInDoubt = (
+export function computeAllowedEnds(
 	standings: Standings,
 	{shared, own}: RequestTraits,
-): boolean =>
-	shared.some((trait) => {
+): number {
+	const counts = shared.flatMap((trait) => {
 		const standing = standings.get(trait);
-		return (
-			standing !== undefined &&
-			(standing.wasSound ? standing.rounds > 1 : standing.count > 0)
-		);
-	}) || (standings.get(own)?.count ?? 0) > 1;
+		return standing && isSuspect(standing) ? [standing.count] : [];
+	});
+	const ownCount = standings.get(own)?.count ?? 0;
+	if (ownCount > 1 || counts.some((count) => count > 1)) {
+		return 1;
+	}
+
+	return counts.length > 0 ? maxEndsInDoubt : maxEnds;
+}
 
 /**
  * Decides whether a gateway may let a request through although a trait is to blame.
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -670,9 +670,10 @@
 } from './coordination/attempt-policy.js';
 export {
 	type Blame,
+	computeAllowedEnds,
 	computeStandings,
 	findBlame,
-	isInDoubt,
+	hasSuspectTrait,
 	isProbeDue,
 	type RequestTraits,
 	type Standings,
