--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -22,6 +22,7 @@
 
 /** Time after which a refused caller may return, in seconds: by then a probe may have cleared the request. */
 const refusedReturnSeconds = 30;
+
 export type CrashGuardOptions = CutCheckOptions & {
 	readonly ledger: CrashLedger;
 	readonly recorder: Pick<RequestRecorder, 'registerGauge' | 'recordCrash'>;
--- a/packages/bramleystage/src/coordination/crash-evidence.ts
+++ b/packages/bramleystage/src/coordination/crash-evidence.ts
@@ -3,7 +3,8 @@
  * instance of a server ends, the requests that it was about to answer are suspects.
  * What suspects of several ends have in common, and no sound answer speaks for, is to
  * blame (crash-blame.ts). Gateways exchange their evidence, so all functions merge:
- * recording something twice or in another order gives the same state.
+ * recording something twice changes nothing, and the order matters only where a bound
+ * is reached.
  */
 import type {InstanceKey, RequestTrait} from '../protocol/ids.js';
 
