Bound the memory of sound parts, and count each crash once

Found by reading the diff: of a request with several new parts only one old part was dropped from memory, so callers could fill it with random parts (the new test asks for 8192 at most; not run on the old code). A crash whose runs broke one after the other was logged and counted again with each; now once.

--- a/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
@@ -88,6 +88,26 @@
 	expect(ledger.buildNews(0, 10_000).news?.crashes).toHaveLength(2);
 });
 
+// Guards against callers who fill the memory with parts that no other request has.
+test('sound answers are remembered of a bounded number of parts', () => {
+	const ledger = createLedger('a');
+	for (let request = 0; request < 3000; request++) {
+		ledger.recordSound(
+			{
+				shared: Array.from({length: 12}, (_, part) =>
+					toRequestTrait(`part ${request}-${part}`),
+				),
+				own: toRequestTrait(`own ${request}`),
+			},
+			request,
+		);
+	}
+
+	expect(ledger.soundCount).toBe(8192);
+	expect(ledger.isKnownSound(toRequestTrait('part 2999-11'))).toBe(true);
+	expect(ledger.isKnownSound(toRequestTrait('part 0-0'))).toBe(false);
+});
+
 test('a sound answer that only one gateway remembers clears what another one reports', () => {
 	const [one, two] = ['a', 'b'].map((self) => createLedger(self));
 	two?.recordSound(traits, 9000);
--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -103,14 +103,17 @@
 	}
 
 	/** Records the end of an instance; the runs that were about to be answered are suspects. */
-	#recordCrash({instance, at, runs}: InstanceCut<CutRun>): void {
+	#recordCrash({instance, at, runs, isRepeated}: InstanceCut<CutRun>): void {
 		const {ledger, recorder} = this.options;
 		const isBegun = runs.some(({progress}) => progress === 'head');
 		const suspects = buildSuspects(
 			runs.filter(({progress}) => progress === (isBegun ? 'head' : 'none')),
 			(trait) => ledger.isKnownSound(trait),
 		);
-		recorder.recordCrash(instance, [...suspects.keys()], runs.length);
+		if (!isRepeated) {
+			recorder.recordCrash(instance, [...suspects.keys()], runs.length);
+		}
+
 		if (suspects.size > 0) {
 			ledger.recordCrash({
 				instance,
--- a/packages/bramleystage-gateway/src/crash-ledger.ts
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -73,6 +73,11 @@
 		return this.#blamed.size;
 	}
 
+	/** Number of traits whose last sound answer is remembered. */
+	get soundCount(): number {
+		return this.#soundAt.size;
+	}
+
 	/** Whether any crash is known. */
 	get hasCrashes(): boolean {
 		return this.#evidence.crashes.size > 0;
@@ -96,8 +101,12 @@
 			this.#soundAt.set(trait, now);
 		}
 
-		const [oldest] = this.#soundAt.keys();
-		if (this.#soundAt.size > maxSoundTraits && oldest !== undefined) {
+		// The least recently sound ones come first.
+		for (const oldest of this.#soundAt.keys()) {
+			if (this.#soundAt.size <= maxSoundTraits) {
+				break;
+			}
+
 			this.#soundAt.delete(oldest);
 		}
 
--- a/packages/bramleystage-gateway/src/cut-check.ts
+++ b/packages/bramleystage-gateway/src/cut-check.ts
@@ -71,6 +71,8 @@
 	readonly instance: InstanceKey;
 	readonly at: number;
 	readonly runs: readonly T[];
+	/** Whether it was reported before, with fewer runs. */
+	readonly isRepeated: boolean;
 };
 
 /** Checks instances; `T` is what the caller wants to know of each run. */
@@ -96,7 +98,12 @@
 		if (known) {
 			known.runs.push(run);
 			if (known.hasEnded) {
-				this.onEnd({instance, at: known.at, runs: known.runs});
+				this.onEnd({
+					instance,
+					at: known.at,
+					runs: known.runs,
+					isRepeated: true,
+				});
 			}
 
 			return known.firstResult;
@@ -129,7 +136,12 @@
 		}
 
 		if (cut.hasEnded) {
-			this.onEnd({instance, at: cut.at, runs: cut.runs});
+			this.onEnd({
+				instance,
+				at: cut.at,
+				runs: cut.runs,
+				isRepeated: false,
+			});
 			await waitFor(keepResultMs);
 		}
 
