Let a part that is to blame explain the crashes of parts that were sound

A part that was sound is now free of each crash that another part to blame explains, whatever their counts. A part that was never sound is judged as before.

The new test of crash-blame.test.ts failed before, and passes; 14 of 14 others do.

--- a/packages/bramleystage/src/coordination/__tests__/crash-blame.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/crash-blame.test.ts
@@ -152,6 +152,25 @@
 	expect(isRefused(recordCrashes(crashes), [guilty])).toBe(false);
 });
 
+// Guards against a part of all prompts that is blamed with one that was sound too and now ends all engines there are.
+test('a part of all prompts is not to blame with one that ends servers since it was sound', () => {
+	const turned = [shared, guilty];
+	let evidence = recordCrashes(buildSeries(12, turned, 2000));
+	evidence = recordSound(evidence, shared, 1000);
+	evidence = recordSound(evidence, guilty, 1000);
+	// Gateways that did not see the guilty request report what waited there.
+	evidence = recordCrashes(
+		[1, 2].map((index) =>
+			buildCrash(`other-${index}`, 2000 + 400 * index, [
+				{request: `waiting-${index}`, traits: [shared, topic]},
+			]),
+		),
+		evidence,
+	);
+	expect(isRefused(evidence, turned)).toBe(true);
+	expect(isRefused(evidence, [shared, topic])).toBe(false);
+});
+
 test('a part that was sound is to blame when each further try ends an instance', () => {
 	const sound = recordSound(
 		recordCrashes(buildSeries(1, [guilty])),
--- a/packages/bramleystage/src/coordination/crash-blame.ts
+++ b/packages/bramleystage/src/coordination/crash-blame.ts
@@ -139,22 +139,28 @@
 		? rounds >= minCrashes
 		: count >= certainCrashes || (count >= minCrashes && rounds >= minRounds);
 
-/** Whether a trait that a request doesn't have explains a crash as well as one that it has. */
+/**
+ * Whether a trait that a request doesn't have explains a crash as well as one that it
+ * has. One that was sound before, such as a part of all prompts, is in more crashes
+ * than the guilty one, so any other that is to blame explains those that they share.
+ */
 const isExplained = (
 	crash: Crash,
 	own: Standing,
 	traits: readonly RequestTrait[],
 	standings: Standings,
 ): boolean =>
-	own.count < maxExplainedCrashes &&
 	[...crash.suspects.keys()].some((other) => {
 		const standing = standings.get(other);
-		return (
-			standing !== undefined &&
-			!traits.includes(other) &&
-			(own.wasSound || !standing.wasSound) &&
-			standing.count >= own.count
-		);
+		if (standing === undefined || traits.includes(other)) {
+			return false;
+		}
+
+		const isAsSuspect =
+			standing.count >= own.count && own.count < maxExplainedCrashes;
+		return own.wasSound
+			? isToBlame(standing) || isAsSuspect
+			: isAsSuspect && !standing.wasSound;
 	});
 
 /** Finds the trait of a request for which it is refused. */
