Count times of a peer's crash evidence as what they can have been at most and least

A message that was under way for long made a sound answer from before a crash seem later, which cleared the crash (pings, by their arrival), or a crash earlier than a sound answer (peer updates, by the ping that they repeat). Crashes now count from the arrival of the message, and sound answers from the earliest time at which it can have been written.

Two new tests of crash-exchange.test.ts: each failed with the other way round, 7 of 7 pass.

--- a/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
@@ -68,7 +68,7 @@
 	for (const ledger of [one, two, one]) {
 		const {news} = ledger?.buildNews(0, 10_000) ?? {};
 		if (news) {
-			joined?.acceptNews(news, 10_000);
+			joined?.acceptNews(news, {writtenAfter: 10_000, arrivedAt: 10_000});
 		}
 	}
 
@@ -88,6 +88,47 @@
 	expect(ledger.buildNews(0, 10_000).news?.crashes).toHaveLength(2);
 });
 
+// Guards against a sound answer that seems to be later than a crash, as its message was under way for long.
+test('a sound answer from before a crash does not clear it, however late it arrives', () => {
+	const [one, two] = ['a', 'b'].map((self) => createLedger(self));
+	if (!one || !two) {
+		throw new Error('No ledgers.');
+	}
+
+	recordCrash(two, '0', 8000);
+	two.recordSound(traits, 9150);
+	const {news} = two.buildNews(0, 9160);
+	for (const name of ['1', '2', '3']) {
+		recordCrash(one, name, 9120 + 80 * Number(name));
+	}
+
+	if (news) {
+		one.acceptNews(news, {writtenAfter: 9160, arrivedAt: 9410});
+	}
+
+	expect(one.isKnownSound(guilty)).toBe(true);
+	// Three crashes speak against the part, so a request with it is not repeated.
+	expect(one.computeAllowedEnds(traits)).toBe(1);
+});
+
+// Guards against a crash that seems to be earlier than a sound answer, for the same reason.
+test('a crash counts although a sound answer came while its message was under way', () => {
+	const [one, two] = ['a', 'b'].map((self) => createLedger(self));
+	if (!one || !two) {
+		throw new Error('No ledgers.');
+	}
+
+	recordCrash(two, '1', 9000);
+	recordCrash(two, '2', 9080);
+	const {news} = two.buildNews(0, 9090);
+	one.recordSound(traits, 8995);
+	if (news) {
+		one.acceptNews(news, {writtenAfter: 8980, arrivedAt: 9130});
+	}
+
+	expect(one.computeAllowedEnds(traits)).toBe(1);
+});
+
 // Guards against callers who fill the memory with parts that no other request has.
 test('sound answers are remembered of a bounded number of parts', () => {
 	const ledger = createLedger('a');
@@ -120,13 +161,13 @@
 	expect(one?.findBlame(traits)?.trait).toBe(guilty);
 	const {news} = one?.buildNews(0, 10_000) ?? {};
 	if (news) {
-		two?.acceptNews(news, 10_000);
+		two?.acceptNews(news, {writtenAfter: 10_000, arrivedAt: 10_000});
 	}
 
 	expect(two?.findBlame(traits)).toBeUndefined();
 	const answer = two?.buildNews(0, 10_000).news;
 	if (answer) {
-		one?.acceptNews(answer, 10_000);
+		one?.acceptNews(answer, {writtenAfter: 10_000, arrivedAt: 10_000});
 	}
 
 	expect(one?.findBlame(traits)).toBeUndefined();
--- a/packages/bramleystage-gateway/src/crash-ledger.ts
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -34,6 +34,12 @@
 /** How often old evidence is dropped, in milliseconds. */
 const cleanUpIntervalMs = 10_000;
 
+/** Steady-clock times between which news were written, in milliseconds. */
+export type NewsTimes = {
+	readonly writtenAfter: number;
+	readonly arrivedAt: number;
+};
+
 export type CrashLedgerOptions = {
 	/** Returns the addresses of all known gateways. */
 	readonly listMembers: () => readonly string[];
@@ -181,11 +187,17 @@
 		return {news, revision: this.#revision};
 	}
 
-	/** Merges news of a peer, which were written at a steady-clock time, in milliseconds. */
-	acceptNews({crashes, sounds, probes}: CrashNews, writtenAt: number): void {
+	/**
+	 * Merges news of a peer. When they were written is known only roughly, so crashes
+	 * and probes count as late as they can have been, and sound answers as early.
+	 */
+	acceptNews(
+		{crashes, sounds, probes}: CrashNews,
+		{writtenAfter, arrivedAt}: NewsTimes,
+	): void {
 		let next = this.#evidence;
 		for (const encoded of crashes) {
-			const crash = decodeCrash(encoded, writtenAt);
+			const crash = decodeCrash(encoded, arrivedAt);
 			next = this.#addSounds(recordCrash(next, crash), crash);
 		}
 
@@ -194,13 +206,13 @@
 		);
 		for (const {trait, ageMs} of sounds) {
 			if (suspects.has(trait)) {
-				next = recordSound(next, trait, writtenAt - ageMs);
+				next = recordSound(next, trait, writtenAfter - ageMs);
 			}
 		}
 
 		for (const {trait, count, ageMs} of probes) {
 			if (suspects.has(trait)) {
-				next = recordProbe(next, trait, {count, at: writtenAt - ageMs});
+				next = recordProbe(next, trait, {count, at: arrivedAt - ageMs});
 			}
 		}
 
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -115,7 +115,10 @@
 			const {beatAt, heldMs, crashNews} = update.value;
 			this.#recordAnswer(beatAt, heldMs);
 			if (crashNews) {
-				options.crashes.acceptNews(crashNews, beatAt + heldMs);
+				options.crashes.acceptNews(crashNews, {
+					writtenAfter: beatAt + heldMs,
+					arrivedAt: this.#updateAt,
+				});
 			}
 
 			this.state = applyPeerUpdate(this.state, update.value);
--- a/packages/bramleystage-gateway/src/peer-publisher.ts
+++ b/packages/bramleystage-gateway/src/peer-publisher.ts
@@ -9,6 +9,9 @@
 	type SentState,
 } from './peer-update.js';
 
+/** Time for which a ping may be under way, in milliseconds; a follower whose link is slower sends news that count as older. */
+const maxPingDelayMs = 500;
+
 type Follower = {
 	lastSent: SentState;
 	lastPing: {readonly beatAt: number; readonly arrivedAt: number};
@@ -31,7 +34,10 @@
 	acceptPing(socket: Socket, {beatAt, crashNews}: Ping): void {
 		const ping = {beatAt, arrivedAt: this.options.readClock()};
 		if (crashNews) {
-			this.options.crashes.acceptNews(crashNews, ping.arrivedAt);
+			this.options.crashes.acceptNews(crashNews, {
+				writtenAfter: ping.arrivedAt - maxPingDelayMs,
+				arrivedAt: ping.arrivedAt,
+			});
 		}
 
 		const follower = this.#followers.get(socket);
