--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -14,7 +14,7 @@
 import {InstanceWatch} from '../instance-watch.js';
 import type {GatewayGroup} from '../gateway-group.js';
 import {startPlacement} from '../placement-controller.js';
-import type {EnginePort} from '../platform-port.js';
+import type {EnginePort, EngineReport} from '../platform-port.js';
 
 const logger = {
 	error: () => undefined,
@@ -42,6 +42,19 @@
 		]),
 	},
 };
+/** Report of an engine that has no work and no order. */
+const idleReport: EngineReport = {
+	orderCount: 0,
+	isBusy: false,
+	queued: 0,
+	running: 0,
+	cacheUsed: 0,
+	cacheTotal: 0,
+	slowness: 1,
+	stalled: [],
+	bornAt: 1,
+	isLeaving: false,
+};
 const createEngine = (
 	name: string,
 	layers?: {from: number; to: number},
@@ -91,16 +104,9 @@
 		async readReport(address) {
 			readTimes.push(performance.now());
 			return ok({
+				...idleReport,
 				orderCount: reported.get(address) ?? 0,
 				isBusy: reported.has(address),
-				queued: 0,
-				running: 0,
-				cacheUsed: 0,
-				cacheTotal: 0,
-				slowness: 1,
-				stalled: [],
-				bornAt: 1,
-				isLeaving: false,
 			});
 		},
 		async orderLayers(address, {expectedOrders}) {
@@ -217,18 +223,7 @@
 	const readReport: EnginePort['readReport'] = async (address) =>
 		ended.has(address)
 			? err({kind: 'refused', detail: 'connect ECONNREFUSED'})
-			: ok({
-					orderCount: 0,
-					isBusy: false,
-					queued: 0,
-					running: 0,
-					cacheUsed: 0,
-					cacheTotal: 0,
-					slowness: 1,
-					stalled: [],
-					bornAt: 1,
-					isLeaving: false,
-				});
+			: ok(idleReport);
 	const readClock = () => performance.now();
 	startPlacement({
 		fleet,
--- a/packages/bramleystage/src/coordination/model-run.ts
+++ b/packages/bramleystage/src/coordination/model-run.ts
@@ -7,11 +7,17 @@
  * resumes from the prompt and the tokens already delivered.
  */
 import type {Milliseconds} from '../protocol/decision.js';
-import {type HostId, toPosition} from '../protocol/ids.js';
-import type {Failed, Stage, StageOpened, Token} from '../protocol/messages.js';
-import {createFailure, type Failure} from '../protocol/result-codes.js';
+import {toPosition} from '../protocol/ids.js';
+import type {Stage, StageOpened, Token} from '../protocol/messages.js';
+import {createFailure} from '../protocol/result-codes.js';
 import {appendItem} from '../state/append-list.js';
 import type {ModelRunState} from '../state/model-run-state.js';
+import {
+	decideFailed,
+	decideNewPipeline,
+	decideStageLost,
+	stopWithFailure,
+} from './model-run-loss.js';
 import {
 	createOpenStageCommand,
 	decideNewLineage,
@@ -34,8 +40,6 @@
 const tokensPerAcknowledgement = 32;
 /** Delay before the next search for a pipeline, in milliseconds. */
 const pipelineRetryDelayMs = 100;
-/** Backend servers that a request may lose without a further token; its content may be what ends them. */
-const maxLostBackends = 3;
 
 /**
  * Returns the next state of a model request and the commands that an event
@@ -159,17 +163,6 @@
 		: decideNewPipeline(state);
 }
 
-/** Cancels the current stages and requests a complete new pipeline. */
-function decideNewPipeline(state: ModelRunState): ModelRunDecision {
-	return [
-		{...state, phase: 'choosing', stages: []},
-		[
-			{type: 'cancelStages', stages: state.stages, upTo: state.attempt},
-			{type: 'choose', excluding: state.avoided},
-		],
-	];
-}
-
 function decideStageOpened(
 	state: ModelRunState,
 	message: StageOpened,
@@ -237,61 +230,6 @@
 	];
 }
 
-function decideFailed(
-	state: ModelRunState,
-	from: HostId,
-	message: Failed,
-	context: ModelRunContext,
-): ModelRunDecision {
-	const host = message.lost ?? from;
-	const avoided = [...new Set([...state.avoided, host])];
-	// Work moved off a lost backend server is not charged to the retry budget,
-	// since no host repeats it.
-	const isBackendLost = message.result === 'backendLost';
-	const isOwnBackend = isBackendLost && message.lost === undefined;
-	const lostBackends = state.lostBackends + (isOwnBackend ? 1 : 0);
-	const mayRetry =
-		lostBackends < maxLostBackends && (isBackendLost || context.allowRetry());
-	return mayRetry
-		? decideStageLost({...state, avoided, lostBackends}, host, context)
-		: stopWithFailure(
-				state,
-				createFailure(message.result, message.detail, {
-					outcome:
-						state.deliveredTokens.length > 0 ? 'unknown' : message.outcome,
-				}),
-			);
-}
-
-function decideStageLost(
-	state: ModelRunState,
-	host: HostId,
-	{recovery}: ModelRunContext,
-): ModelRunDecision {
-	const index = state.stages.findIndex((stage) => stage.host === host);
-	const lost = state.stages[index];
-	if (!lost) {
-		return [state, []];
-	}
-
-	if (recovery !== 'replace') {
-		return decideNewPipeline(state);
-	}
-
-	return [
-		{...state, phase: 'choosing'},
-		[
-			{type: 'cancelStages', stages: [lost], upTo: state.attempt},
-			{
-				type: 'chooseReplacement',
-				stages: state.stages,
-				index,
-				excluding: [...state.avoided, host],
-			},
-		],
-	];
-}
-
 function decideHostReturned(
 	state: ModelRunState,
 	{host, incarnation}: Extract<ModelRunEvent, {type: 'hostReconnected'}>,
@@ -317,16 +255,3 @@
 		state.phase === 'running' ? listStageStartCommands(state, index) : [],
 	];
 }
-
-function stopWithFailure(
-	state: ModelRunState,
-	failure: Failure,
-): ModelRunDecision {
-	return [
-		{...state, phase: 'done'},
-		[
-			{type: 'failCaller', failure},
-			{type: 'cancelStages', stages: state.stages, upTo: state.attempt},
-		],
-	];
-}
