Log and count limits that servers name, and what is sent to such servers

Nothing told whether a server had named a limit, and most requests that succeed have no log line. Each gateway now logs when a limit begins, changes and ends (backend.limit), a value that can't be read (backend.limitIgnored), and each second what it sent to each limited server by kind (backend.limitUse); two metrics show the same. No request goes another way than before.

--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -15,6 +15,7 @@
 import type {GatewayGroup} from '../gateway-group.js';
 import {startPlacement} from '../placement-controller.js';
 import type {EnginePort, EngineReport} from '../platform-port.js';
+import {noLimits} from './no-limits.js';
 
 const logger = {
 	error: () => undefined,
@@ -127,6 +128,7 @@
 	const readClock = () => performance.now();
 	const instances = new InstanceWatch({
 		fleet,
+		limits: noLimits,
 		readReport: engines.readReport,
 		logger,
 		readClock,
@@ -134,6 +136,7 @@
 	for (let count = 0; count < leaders; count++) {
 		startPlacement({
 			fleet,
+			limits: noLimits,
 			group: {isLeader: true, fence: 1} as unknown as GatewayGroup,
 			engines,
 			instances,
@@ -227,6 +230,7 @@
 	const readClock = () => performance.now();
 	startPlacement({
 		fleet,
+		limits: noLimits,
 		group: {isLeader: true, fence: 1} as unknown as GatewayGroup,
 		engines: {
 			async orderLayers(address) {
@@ -236,7 +240,13 @@
 				return ok('accepted');
 			},
 		},
-		instances: new InstanceWatch({fleet, readReport, logger, readClock}),
+		instances: new InstanceWatch({
+			fleet,
+			limits: noLimits,
+			readReport,
+			logger,
+			readClock,
+		}),
 		listServices: () => [service],
 		lifeCycle,
 		logger,
--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -29,6 +29,7 @@
 	type Trouble,
 	type TroubleKind,
 } from './simulated-engines.js';
+import {noLimits} from './no-limits.js';
 
 const logger = {
 	error: () => undefined,
@@ -156,6 +157,7 @@
 	lifeCycle.registerInterval(listIntervalMs, readList);
 	const instances = new InstanceWatch({
 		fleet,
+		limits: noLimits,
 		async readReport(address, timeoutMs) {
 			const engine = byAddress.get(address);
 			if (!engine) {
@@ -208,6 +210,7 @@
 	const context: StreamRunContext = {
 		fleet,
 		instances,
+		limits: noLimits,
 		crashGuard,
 		openAttempt: createOpenAttempt(
 			byAddress,
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -28,6 +28,7 @@
 import {openTimedAttempt} from '../timed-attempt.js';
 import {StreamRun, type StreamRunContext} from '../stream-run.js';
 import {modelService} from './model-service.js';
+import {noLimits} from './no-limits.js';
 
 const logger = {
 	error: () => undefined,
@@ -154,8 +155,10 @@
 	const lifeCycle = new LifeCycle();
 	const context: Partial<StreamRunContext> = {
 		fleet,
+		limits: noLimits,
 		instances: new InstanceWatch({
 			fleet,
+			limits: noLimits,
 			readReport: async () => err({kind: 'unreachable', detail: 'no answer'}),
 			logger,
 			readClock,
@@ -268,6 +271,7 @@
 	};
 	const context = {
 		fleet: {choosePathAfter: () => [stage]} as unknown as Fleet,
+		limits: noLimits,
 		recorder: new RequestRecorder(logger, readClock, () => 0),
 		async replacePath(_address: string, {timeoutMs}: {timeoutMs: number}) {
 			timeouts.push(timeoutMs);
--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -18,6 +18,7 @@
 import {InstanceWatch} from '../instance-watch.js';
 import {StreamMonitor} from '../stream-monitor.js';
 import type {StreamRun} from '../stream-run.js';
+import {noLimits} from './no-limits.js';
 
 const logger = {
 	error: () => undefined,
@@ -65,6 +66,7 @@
 		fleet,
 		instances: new InstanceWatch({
 			fleet,
+			limits: noLimits,
 			readReport,
 			logger,
 			readClock,
@@ -159,6 +161,7 @@
 		fleet,
 		instances: new InstanceWatch({
 			fleet,
+			limits: noLimits,
 			readReport,
 			logger,
 			readClock,
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -120,10 +120,11 @@
 
 	/** Records what a server's answer says about its further use. */
 	protected recordServerState(
-		id: BackendId,
-		{isLeaving, retryAfter}: AnswerMetadata,
+		{id, sentAt}: SentRequest,
+		{isLeaving, retryAfter, namedLimit}: AnswerMetadata,
 		status: number,
 	): void {
+		this.context.limits.recordAnswer(id, {text: namedLimit, sentAt});
 		if (isLeaving) {
 			this.context.fleet.recordLeaving(id);
 		}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
 import {InstanceWatch} from './instance-watch.js';
+import {LimitWatch} from './limit-watch.js';
 import {GatewayGroup} from './gateway-group.js';
 import {RequestRecorder} from './request-recorder.js';
 import {PeerSync} from './peer-sync.js';
@@ -80,17 +81,25 @@
 		countGateways: () => group.size,
 		readLinkDelayMs,
 	});
-	const instances = new InstanceWatch({
+	const recorder = new RequestRecorder(
+		logger,
+		readClock,
+		() => readClock() - fleet.readAt,
+	);
+	const limits = new LimitWatch({
 		fleet,
-		readReport: engines.readReport,
+		registry: recorder.registry,
+		lifeCycle,
 		logger,
 		readClock,
 	});
-	const recorder = new RequestRecorder(
+	const instances = new InstanceWatch({
+		fleet,
+		readReport: engines.readReport,
+		limits,
 		logger,
 		readClock,
-		() => readClock() - fleet.readAt,
-	);
+	});
 	const ownLink = new OwnLink({recorder, lifeCycle, logger, readClock});
 	const {ledger, crashGuard} = createCrashGuard({
 		listMembers: () => group.listPeers(),
@@ -201,6 +210,7 @@
 		group,
 		engines,
 		instances,
+		limits,
 		listServices: () => [...(configurations.value?.services.values() ?? [])],
 		lifeCycle,
 		logger,
@@ -222,6 +232,7 @@
 	const context = {
 		fleet,
 		instances,
+		limits,
 		crashGuard,
 		openAttempt: openTimedAttempt,
 		headers,
--- a/packages/bramleystage-gateway/src/instance-watch.ts
+++ b/packages/bramleystage-gateway/src/instance-watch.ts
@@ -15,6 +15,7 @@
 } from 'bramleystage';
 import type {Result} from 'neverthrow';
 import type {Fleet} from './fleet.js';
+import type {LimitWatch} from './limit-watch.js';
 import type {EngineFailure, EnginePort, EngineReport} from './platform-port.js';
 
 /** Least time between two log lines about the end of one instance, in milliseconds. */
@@ -26,6 +27,7 @@
 export type InstanceWatchOptions = {
 	readonly fleet: Fleet;
 	readonly readReport: EnginePort['readReport'];
+	readonly limits: Pick<LimitWatch, 'recordAnswer' | 'recordSend'>;
 	readonly logger: Logger;
 	readonly readClock: () => number;
 };
@@ -67,17 +69,22 @@
 		{id, address}: Pick<PathStage, 'id' | 'address'>,
 		timeoutMs: number,
 	): Promise<Result<EngineReport, EngineFailure> | undefined> {
-		const {fleet, readReport, readClock} = this.options;
+		const {fleet, limits, readReport, readClock} = this.options;
 		if (fleet.health.isPaused(id)) {
 			return undefined;
 		}
 
 		const triedAt = readClock();
+		limits.recordSend(id, 'report');
 		const report = await readReport(address, timeoutMs);
 		if (report.isErr() && report.error.kind === 'refused') {
 			this.recordRefusal(id, triedAt);
-		} else if (report.isOk() && report.value.isLeaving) {
-			fleet.recordLeaving(id);
+		} else if (report.isOk()) {
+			const {isLeaving, namedLimit} = report.value;
+			limits.recordAnswer(id, {text: namedLimit, sentAt: triedAt});
+			if (isLeaving) {
+				fleet.recordLeaving(id);
+			}
 		}
 
 		return report;
--- a/packages/bramleystage-gateway/src/path-replacement.ts
+++ b/packages/bramleystage-gateway/src/path-replacement.ts
@@ -5,6 +5,7 @@
 import type {BackendId, PathStage} from 'bramleystage';
 import type {Call} from './call.js';
 import type {Fleet} from './fleet.js';
+import type {LimitWatch} from './limit-watch.js';
 import type {RequestRecorder} from './request-recorder.js';
 import type {EnginePort} from './platform-port.js';
 
@@ -17,6 +18,7 @@
 
 export type ReplacementContext = {
 	readonly fleet: Fleet;
+	readonly limits: Pick<LimitWatch, 'recordSend'>;
 	readonly recorder: RequestRecorder;
 	readonly replacePath: EnginePort['replacePath'];
 	readonly readClock: () => number;
@@ -64,6 +66,7 @@
 
 		this.#count++;
 		this.#lastAt = now;
+		this.context.limits.recordSend(first.id, 'order');
 		const outcome = await replacePath(first.address, {
 			request: this.call.metadata.request,
 			path,
--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -24,6 +24,7 @@
 } from 'bramleystage';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
+import type {LimitWatch} from './limit-watch.js';
 import type {GatewayGroup} from './gateway-group.js';
 import type {EnginePort} from './platform-port.js';
 
@@ -61,6 +62,7 @@
 	readonly group: GatewayGroup;
 	readonly engines: Pick<EnginePort, 'orderLayers'>;
 	readonly instances: Pick<InstanceWatch, 'readReport'>;
+	readonly limits: Pick<LimitWatch, 'recordSend'>;
 	readonly listServices: () => readonly GatewayService[];
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
@@ -243,6 +245,7 @@
 		const {engines, logger, group} = this.options;
 		const {id, address} = backend;
 		const {layers, reason} = order;
+		this.options.limits.recordSend(id, 'order');
 		const outcome = await engines.orderLayers(address, {
 			layers,
 			expectedOrders,
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -71,6 +71,7 @@
 		this.countAttempt();
 		this.where = backend.address;
 		const {call, context} = this;
+		context.limits.recordSend(backend.id, 'request');
 		const active: ActiveAttempt = {
 			backend,
 			sent: {
@@ -186,7 +187,7 @@
 		}
 
 		const metadata = this.context.headers.readAnswerHeaders(head.headers);
-		this.recordServerState(active.backend.id, metadata, head.status);
+		this.recordServerState(active.sent, metadata, head.status);
 		if (metadata.isNotRun || head.status === replacedStatus) {
 			this.context.fleet.health.recordFailure(
 				active.backend.id,
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -116,6 +116,8 @@
 	readonly bornAt: number;
 	/** Whether the engine is about to stop. */
 	readonly isLeaving: boolean;
+	/** Requests a second that it takes from all gateways together, as sent; absent if it names no limit. */
+	readonly namedLimit?: string;
 };
 
 export type OrderOutcome =
@@ -211,6 +213,8 @@
 	readonly isLeaving: boolean;
 	/** Time for which the server asks for no further requests, as sent; absent if it does not ask. */
 	readonly retryAfter?: string;
+	/** Requests a second that the server takes from all gateways together, as sent; absent if it names no limit. */
+	readonly namedLimit?: string;
 	/** Running and waiting requests, and slots. */
 	readonly load?: {
 		readonly running: number;
--- a/packages/bramleystage-gateway/src/run-context.ts
+++ b/packages/bramleystage-gateway/src/run-context.ts
@@ -3,6 +3,7 @@
 import type {CrashGuard} from './crash-guard.js';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
+import type {LimitWatch} from './limit-watch.js';
 import type {HeaderPort} from './platform-port.js';
 import type {RequestRecorder} from './request-recorder.js';
 import type {OpenTimedAttempt} from './timed-attempt.js';
@@ -10,6 +11,7 @@
 export type RunContext = {
 	readonly fleet: Fleet;
 	readonly instances: InstanceWatch;
+	readonly limits: Pick<LimitWatch, 'recordAnswer' | 'recordSend'>;
 	readonly crashGuard: Pick<
 		CrashGuard,
 		| 'computeAllowedEnds'
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -103,6 +103,7 @@
 		this.countAttempt();
 		this.where = formatStages(path);
 		const {call, context} = this;
+		context.limits.recordSend(first.id, 'request');
 		this.lastProgressAt = context.readClock();
 		const active: StreamAttempt = new StreamAttempt({
 			call,
@@ -118,7 +119,7 @@
 			handlers: {
 				onHead: (head) => {
 					const metadata = context.headers.readAnswerHeaders(head.headers);
-					this.recordServerState(first.id, metadata, head.status);
+					this.recordServerState(active.sent, metadata, head.status);
 				},
 				onData: (chunk) => {
 					this.handleData(active, chunk);
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -789,6 +789,18 @@
 	maxLinkDelayMs,
 } from './coordination/link-delay.js';
 export {computeReturnMs} from './coordination/return-time.js';
+export {
+	applyLimitNews,
+	createServerLimits,
+	findServerLimit,
+	type LimitAnswer,
+	minServerLimit,
+	parseServerLimit,
+	recordLimitAnswer,
+	removeLimits,
+	type ServerLimit,
+	type ServerLimits,
+} from './coordination/server-limits.js';
 export {
 	type AcceleratorKind,
 	buildRouteIndex,
