--- a/packages/bramleystage-gateway/src/__tests__/own-link.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/own-link.test.ts
@@ -19,6 +19,7 @@
 } from '../peer-update.js';
 import {RequestRecorder} from '../request-recorder.js';
 import {noCrashes} from './no-crashes.js';
+import {noLimits} from './no-limits.js';
 
 const readClock = () => performance.now();
 const heldMs = 30;
@@ -83,6 +84,7 @@
 		listPeers: () => peers,
 		onUpdate: () => undefined,
 		crashes: noCrashes,
+		limits: noLimits,
 		recordLinkEvent(event) {
 			ownLink.record(event);
 		},
--- a/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
@@ -15,6 +15,7 @@
 import {PeerLinks} from '../peer-links.js';
 import {buildPeerUpdate} from '../peer-update.js';
 import {noCrashes} from './no-crashes.js';
+import {noLimits} from './no-limits.js';
 import {silentLogger} from './slow-peer.js';
 
 const pieceIntervalMs = 100;
@@ -82,6 +83,7 @@
 			updates++;
 		},
 		crashes: noCrashes,
+		limits: noLimits,
 		recordLinkEvent: () => undefined,
 		onEnd() {
 			endedAt = readClock();
@@ -207,6 +209,7 @@
 			updates++;
 		},
 		crashes: noCrashes,
+		limits: noLimits,
 		recordLinkEvent: () => undefined,
 		lifeCycle,
 		logger: silentLogger,
--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -15,7 +15,7 @@
 import type {GatewayGroup} from '../gateway-group.js';
 import {startPlacement} from '../placement-controller.js';
 import type {EnginePort, EngineReport} from '../platform-port.js';
-import {noLimits} from './no-limits.js';
+import {noLimits, noPermits} from './no-limits.js';
 
 const logger = {
 	error: () => undefined,
@@ -129,6 +129,7 @@
 	const instances = new InstanceWatch({
 		fleet,
 		limits: noLimits,
+		permits: noPermits,
 		readReport: engines.readReport,
 		logger,
 		readClock,
@@ -137,6 +138,7 @@
 		startPlacement({
 			fleet,
 			limits: noLimits,
+			permits: noPermits,
 			group: {isLeader: true, fence: 1} as unknown as GatewayGroup,
 			engines,
 			instances,
@@ -231,6 +233,7 @@
 	startPlacement({
 		fleet,
 		limits: noLimits,
+		permits: noPermits,
 		group: {isLeader: true, fence: 1} as unknown as GatewayGroup,
 		engines: {
 			async orderLayers(address) {
@@ -243,6 +246,7 @@
 		instances: new InstanceWatch({
 			fleet,
 			limits: noLimits,
+			permits: noPermits,
 			readReport,
 			logger,
 			readClock,
--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -29,7 +29,7 @@
 	type Trouble,
 	type TroubleKind,
 } from './simulated-engines.js';
-import {noLimits} from './no-limits.js';
+import {noLimits, noPermits} from './no-limits.js';
 
 const logger = {
 	error: () => undefined,
@@ -158,6 +158,7 @@
 	const instances = new InstanceWatch({
 		fleet,
 		limits: noLimits,
+		permits: noPermits,
 		async readReport(address, timeoutMs) {
 			const engine = byAddress.get(address);
 			if (!engine) {
@@ -211,6 +212,7 @@
 		fleet,
 		instances,
 		limits: noLimits,
+		permits: noPermits,
 		crashGuard,
 		openAttempt: createOpenAttempt(
 			byAddress,
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -28,7 +28,7 @@
 import {openTimedAttempt} from '../timed-attempt.js';
 import {StreamRun, type StreamRunContext} from '../stream-run.js';
 import {modelService} from './model-service.js';
-import {noLimits} from './no-limits.js';
+import {noLimits, noPermits} from './no-limits.js';
 
 const logger = {
 	error: () => undefined,
@@ -156,9 +156,11 @@
 	const context: Partial<StreamRunContext> = {
 		fleet,
 		limits: noLimits,
+		permits: noPermits,
 		instances: new InstanceWatch({
 			fleet,
 			limits: noLimits,
+			permits: noPermits,
 			readReport: async () => err({kind: 'unreachable', detail: 'no answer'}),
 			logger,
 			readClock,
@@ -272,6 +274,7 @@
 	const context = {
 		fleet: {choosePathAfter: () => [stage]} as unknown as Fleet,
 		limits: noLimits,
+		permits: noPermits,
 		recorder: new RequestRecorder(logger, readClock, () => 0),
 		async replacePath(_address: string, {timeoutMs}: {timeoutMs: number}) {
 			timeouts.push(timeoutMs);
--- a/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
@@ -19,7 +19,7 @@
 import {BehaviorSubject} from 'rxjs';
 import type {ConfigurationFollower} from '../configuration-follower.js';
 import {Fleet} from '../fleet.js';
-import {listenForPeers} from '../peer-exchange.js';
+import {listenForPeers} from '../peer-server.js';
 import {PeerSync} from '../peer-sync.js';
 
 /** Answers above this size carry a configuration, in bytes. */
@@ -196,7 +196,11 @@
 	const port = await findFreePort();
 	await listenForPeers(
 		`127.0.0.1:${port}`,
-		{answer: (query) => sync.answer(query), acceptPing: () => undefined},
+		{
+			answer: (query) => sync.answer(query),
+			acceptPing: () => undefined,
+			acceptPermitMessage: () => undefined,
+		},
 		lifeCycle,
 		silentLogger,
 	);
--- a/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stream-monitor.test.ts
@@ -18,7 +18,7 @@
 import {InstanceWatch} from '../instance-watch.js';
 import {StreamMonitor} from '../stream-monitor.js';
 import type {StreamRun} from '../stream-run.js';
-import {noLimits} from './no-limits.js';
+import {noLimits, noPermits} from './no-limits.js';
 
 const logger = {
 	error: () => undefined,
@@ -67,6 +67,7 @@
 		instances: new InstanceWatch({
 			fleet,
 			limits: noLimits,
+			permits: noPermits,
 			readReport,
 			logger,
 			readClock,
@@ -162,6 +163,7 @@
 		instances: new InstanceWatch({
 			fleet,
 			limits: noLimits,
+			permits: noPermits,
 			readReport,
 			logger,
 			readClock,
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -6,7 +6,6 @@
 import {
 	type AttemptOutcome,
 	type BackendId,
-	computeReturnMs,
 	createFailure,
 	decideAfterAttempt,
 	type Failure,
@@ -16,9 +15,15 @@
 import {writeErrorResponse} from './error-response.js';
 import {type Call, isRepeatable} from './call.js';
 import type {AttemptEnd, AttemptProgress} from './request-recorder.js';
+import {
+	buildRefusal,
+	describeNoBackend,
+	type RefusalResult,
+} from './call-refusal.js';
 import {RunHistory} from './run-history.js';
 import type {AnswerMetadata} from './platform-port.js';
 import type {RunContext} from './run-context.js';
+import {TurnTaker} from './turn-taker.js';
 
 /** One run of a request at a backend server. */
 export type AttemptRun = {
@@ -26,11 +31,11 @@
 	readonly progress: AttemptProgress;
 };
 
-const msPerSecond = 1000;
 export abstract class CallRun {
 	protected isFinished = false;
 	protected answerStartedAt: number | undefined;
 	protected where = '';
+	protected readonly turns: TurnTaker;
 	#sentCount = 0;
 	readonly #history: RunHistory;
 	readonly #deadlineTimer: NodeJS.Timeout;
@@ -40,6 +45,7 @@
 		protected readonly context: RunContext,
 	) {
 		this.#history = new RunHistory(context.instances);
+		this.turns = new TurnTaker(call, context);
 		this.#deadlineTimer = setTimeout(
 			() => {
 				this.failWith(
@@ -84,6 +90,28 @@
 		}
 	}
 
+	/** Opens an attempt at a server, once the server's limit allows it. */
+	protected openInTurn(
+		id: BackendId,
+		open: (hasWaited: boolean) => void,
+	): void {
+		this.turns.take(id, this.computeMaxWaitMs(), (isGranted, hasWaited) => {
+			const {fleet} = this.context;
+			if (this.isFinished) {
+				return;
+			}
+
+			// A server may have begun to leave during the wait.
+			if (isGranted && (!hasWaited || fleet.isOpen(id))) {
+				open(hasWaited);
+			} else if (isGranted || this.turns.mayTryOthers) {
+				this.tryNextAttempt();
+			} else if (!this.isInFlight()) {
+				this.handleNoBackend();
+			}
+		});
+	}
+
 	/** Finds out whether the server of a run whose connection broke has ended; calls `handleResult` at once if that decides nothing. */
 	protected checkCut(run: AttemptRun, handleResult: () => void): void {
 		const isAwaited = run.progress !== 'events' && isRepeatable(this.call);
@@ -105,11 +133,14 @@
 
 	/** Fails the request, as no backend server is usable. */
 	protected handleNoBackend(): void {
-		const result = this.call.service.pipeline ? 'noPipeline' : 'noBackend';
+		const {result, detail} = describeNoBackend(
+			this.call.service,
+			this.turns.fullServers,
+		);
 		this.failWith(
 			this.#history.mayHaveRun
 				? createFailure('backendLost', 'No other backend server is left.')
-				: this.buildRefusal(result, 'No backend server is usable.'),
+				: this.buildRefusal(result, detail),
 		);
 	}
 
@@ -190,22 +221,12 @@
 		);
 	}
 
-	protected buildRefusal(
-		result: 'noPipeline' | 'noBackend' | 'deadlineUnreachable' | 'queueFull',
-		detail: string,
-	): Failure {
-		const isUnserved = result === 'noPipeline' || result === 'noBackend';
-		const returnMs = computeReturnMs(
-			{
-				roomInMs: isUnserved
-					? this.context.fleet.computePauseMs(this.call.service)
-					: undefined,
-				remainingMs: this.remainingMs(),
-			},
-			this.context.drawRandom,
-		);
-		return createFailure(result, detail, {
-			retryAfterSeconds: returnMs / msPerSecond,
+	protected buildRefusal(result: RefusalResult, detail: string): Failure {
+		return buildRefusal(result, detail, {
+			...this.context,
+			service: this.call.service,
+			roomInMs: this.turns.roomInMs,
+			remainingMs: this.remainingMs(),
 		});
 	}
 
@@ -234,6 +255,7 @@
 
 		this.isFinished = true;
 		clearTimeout(this.#deadlineTimer);
+		this.turns.cancel();
 		this.cancelAttempts();
 		this.context.recorder.recordEnd(this.call, {
 			failure,
@@ -250,7 +272,9 @@
 
 	/** Whether a backend server may currently be working on the request. */
 	protected abstract isInFlight(): boolean;
-	/** Opens an attempt; returns false if no backend server is usable. */
+	/** Computes the time for which the request can wait for its turn at a server, in milliseconds; may be negative. */
+	protected abstract computeMaxWaitMs(): number;
+	/** Opens an attempt, at once or in turn; returns false if no backend server is usable. */
 	protected abstract openNextAttempt(): boolean;
 	/** Cancels the attempts in flight. */
 	protected abstract cancelAttempts(): void;
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -12,8 +12,6 @@
 	applyLeaving,
 	applyReportedLayers,
 	applyRestoredBackends,
-	choosePath,
-	choosePathFromStage,
 	createBackends,
 	createStoreEra,
 	type DataCentreId,
@@ -22,7 +20,6 @@
 	isRemovedInstance,
 	type LayerRange,
 	type Logger,
-	type PathEngine,
 	type PathStage,
 	pickLowest,
 	type PipelineModel,
@@ -34,6 +31,8 @@
 import {BehaviorSubject} from 'rxjs';
 import {BackendHealth} from './backend-health.js';
 import {recordBackendChanges} from './backend-log.js';
+import {type LimitedChoice, unlimitedChoice} from './limited-choice.js';
+import {PathChoice} from './path-choice.js';
 import {PathCosts} from './path-costs.js';
 
 export type FleetOptions = {
@@ -43,6 +42,8 @@
 	/** Number of gateways that share the load. */
 	readonly countGateways: () => number;
 	readonly readLinkDelayMs: () => number;
+	/** Chooses between servers that name a limit and others; absent if none does. */
+	readonly limitedChoice?: LimitedChoice;
 };
 
 export class Fleet {
@@ -53,8 +54,17 @@
 	#readAt = Number.NEGATIVE_INFINITY;
 	#reader: string | undefined;
 
+	readonly #limitedChoice: LimitedChoice;
+	readonly #paths: PathChoice;
+
 	constructor(private readonly options: FleetOptions) {
+		this.#limitedChoice = options.limitedChoice ?? unlimitedChoice;
 		this.costs = new PathCosts(options.countGateways, options.readClock);
+		this.#paths = new PathChoice(
+			this.costs,
+			this.#limitedChoice,
+			(service, includeAvoided) => this.listUsable(service, includeAvoided),
+		);
 		this.health = new BackendHealth({
 			...options,
 			describeBackend: (id) => ({
@@ -176,66 +186,76 @@
 		);
 	}
 
-	/** Chooses the least loaded server of a plain service, preferring this data centre among equals. */
+	/** Whether a server may be sent new work: it is listed, doesn't leave, and wants work now. */
+	isOpen(id: BackendId): boolean {
+		const backend = this.snapshots.value.backends.get(id);
+		return (
+			backend !== undefined && !backend.isDraining && !this.health.isPaused(id)
+		);
+	}
+
+	/** Whether a server that names no limit has room for a request, so that none need wait for a turn. */
+	hasUnlimitedRoom({name, pipeline}: GatewayService): boolean {
+		return this.listUsable(name, false).some(
+			(backend) =>
+				!this.#limitedChoice.isLimited(backend.id) &&
+				this.costs.hasRoom(backend, pipeline),
+		);
+	}
+
+	/**
+	 * Chooses a server of a plain service: the least loaded one, preferring this data
+	 * centre among equals, and servers that name a limit only if no other has room.
+	 * Those in `full` have none in time.
+	 */
 	chooseBackend(
 		service: ServiceName,
 		excluded: ReadonlySet<BackendId>,
+		full: ReadonlySet<BackendId> = new Set(),
 	): Backend | undefined {
-		const {health} = this;
-		const all = this.#listOpen(service).filter(({id}) => !health.isPaused(id));
-		const preferred = all.filter(
-			({id}) => !health.isAvoided(id) && !excluded.has(id),
+		const {health, costs} = this;
+		const untried = this.#listOpen(service).filter(
+			({id}) => !health.isPaused(id) && !excluded.has(id) && !full.has(id),
 		);
-		const untried = all.filter(({id}) => !excluded.has(id));
+		const preferred = untried.filter(({id}) => !health.isAvoided(id));
 		const candidates = [preferred, untried].find((list) => list.length > 0);
 		const score = (backend: Backend) =>
-			this.costs.countRequests(backend.id) +
+			costs.countRequests(backend.id) +
 			(backend.dataCentre === this.options.dataCentre ? 0 : 0.5);
-		return candidates && pickLowest(candidates, score);
+		return (
+			candidates &&
+			pickLowest(
+				this.#limitedChoice.selectPreferred(candidates, (backend) =>
+					costs.hasRoom(backend),
+				),
+				score,
+			)
+		);
 	}
 
-	/** Chooses the pipeline stages for a model request; undefined if no path covers all layers. */
+	/** Chooses the pipeline stages for a model request, which doesn't begin at an engine in `full`; undefined if no path covers all layers. */
 	choosePath(
 		service: GatewayService,
 		excluded: ReadonlySet<BackendId>,
+		full: ReadonlySet<BackendId> = new Set(),
 	): PathStage[] | undefined {
-		const model = service.pipeline;
-		if (!model) {
-			return undefined;
-		}
-
-		const choose = (engines: readonly PathEngine[]) =>
-			choosePath(engines, model.layers, (from, to) =>
-				this.costs.computeHopCost(model, from, to),
-			);
-		// Falls back to engines that only refused work or did not complete an answer: better than no path.
-		return (
-			choose(this.#listPathEngines(service.name, model, excluded)) ??
-			choose(this.#listPathEngines(service.name, model, excluded, true))
-		);
+		return this.#paths.choose(service, excluded, full);
 	}
 
-	/**
-	 * Chooses new stages after the first one, for a request that continues at its
-	 * first engine, which may be leaving or paused.
-	 */
+	/** Chooses new stages after the first one, for a request that continues at its first engine, which may be leaving or paused. */
 	choosePathAfter(
 		first: PathStage,
 		service: GatewayService,
 		excluded: ReadonlySet<BackendId>,
 	): PathStage[] | undefined {
-		const model = service.pipeline;
 		const own = this.snapshots.value.backends.get(first.id);
-		if (!model || !own) {
-			return undefined;
-		}
-
-		const others = this.#listPathEngines(service.name, model, excluded);
-		return choosePathFromStage(
-			{...first, dataCentre: own.dataCentre},
-			others,
-			model.layers,
-			(from, to) => this.costs.computeHopCost(model, from, to),
+		return (
+			own &&
+			this.#paths.chooseAfter(
+				{...first, dataCentre: own.dataCentre},
+				service,
+				excluded,
+			)
 		);
 	}
 
@@ -264,17 +284,6 @@
 		);
 	}
 
-	#listPathEngines(
-		service: ServiceName,
-		model: PipelineModel,
-		excluded: ReadonlySet<BackendId>,
-		includeAvoided = false,
-	): PathEngine[] {
-		return this.listUsable(service, includeAvoided)
-			.filter(({id}) => !excluded.has(id))
-			.flatMap((backend) => this.costs.buildPathEngine(backend, model) ?? []);
-	}
-
 	#recordRead(readAt: number): void {
 		this.#readAt = Math.max(this.#readAt, readAt);
 		this.#reader = undefined;
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -3,12 +3,7 @@
  * engines and plain services, using the configuration and the list of backend
  * servers in the platform's store. It keeps no durable state.
  */
-import {
-	LifeCycle,
-	type Logger,
-	type PathStage,
-	type ServiceName,
-} from 'bramleystage';
+import {LifeCycle, type Logger, type ServiceName} from 'bramleystage';
 import {followBackends} from './backend-follower.js';
 import {createCallHandler} from './call-handler.js';
 import {listenForCallers} from './caller-server.js';
@@ -17,15 +12,15 @@
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
 import {InstanceWatch} from './instance-watch.js';
-import {LimitWatch} from './limit-watch.js';
+import {createLimitControl, type LimitControl} from './limit-control.js';
+import {LimitedChoice} from './limited-choice.js';
 import {GatewayGroup} from './gateway-group.js';
 import {RequestRecorder} from './request-recorder.js';
 import {PeerSync} from './peer-sync.js';
-import {listenForPeers} from './peer-exchange.js';
+import {startPeerServer} from './peer-server.js';
 import {PeerLinks} from './peer-links.js';
 import {computeOwnReadAgeMs} from './peer-selection.js';
 import type {GatewayState} from './peer-update.js';
-import {PeerPublisher} from './peer-publisher.js';
 import {startPlacement} from './placement-controller.js';
 import type {GatewaySettings, PlatformPort} from './platform-port.js';
 import {
@@ -37,8 +32,8 @@
 import {OwnLink} from './own-link.js';
 import {listenForOperations} from './readiness-server.js';
 import {StoreContact} from './store-contact.js';
-import type {StreamRun} from './stream-run.js';
 import {openTimedAttempt} from './timed-attempt.js';
+import {buildStreamHooks} from './stream-hooks.js';
 import {StreamMonitor} from './stream-monitor.js';
 
 export type RunningGateway = {
@@ -80,23 +75,32 @@
 		readClock,
 		countGateways: () => group.size,
 		readLinkDelayMs,
+		limitedChoice: new LimitedChoice({
+			findLimit: (id) => limits.findLimit(id),
+			countWaiting: (id) => permits.countWaiting(id),
+			drawRandom: Math.random,
+		}),
 	});
 	const recorder = new RequestRecorder(
 		logger,
 		readClock,
 		() => readClock() - fleet.readAt,
 	);
-	const limits = new LimitWatch({
+	const {limits, permits}: LimitControl = createLimitControl({
 		fleet,
+		self: settings.peerListen,
+		listPeers: () => group.listPeers(),
 		registry: recorder.registry,
 		lifeCycle,
 		logger,
 		readClock,
+		readLinkDelayMs,
 	});
 	const instances = new InstanceWatch({
 		fleet,
 		readReport: engines.readReport,
 		limits,
+		permits,
 		logger,
 		readClock,
 	});
@@ -118,6 +122,7 @@
 			peerSync.acceptUpdate(state);
 		},
 		crashes: ledger,
+		limits,
 		recordLinkEvent(event) {
 			ownLink.record(event);
 		},
@@ -186,24 +191,18 @@
 		listReadAt: fleet.readAt,
 		backends: fleet.snapshots.value.backends,
 	});
-	const publisher = new PeerPublisher({readState, crashes: ledger, readClock});
-	ledger.news.subscribe(() => {
-		peerLinks.sendPings();
-		publisher.publish();
-	});
-	await listenForPeers(
-		settings.peerListen,
-		{
-			answer: (query) => peerSync.answer(query),
-			acceptPing(socket, ping) {
-				publisher.acceptPing(socket, ping);
-			},
-		},
+	const publisher = await startPeerServer({
+		address: settings.peerListen,
+		readState,
+		peerLinks,
+		peerSync,
+		fleet,
+		crashes: ledger,
+		limits,
+		permits,
 		lifeCycle,
 		logger,
-	);
-	fleet.snapshots.subscribe(() => {
-		publisher.publish();
+		readClock,
 	});
 	startPlacement({
 		fleet,
@@ -211,6 +210,7 @@
 		engines,
 		instances,
 		limits,
+		permits,
 		listServices: () => [...(configurations.value?.services.values() ?? [])],
 		lifeCycle,
 		logger,
@@ -233,6 +233,7 @@
 		fleet,
 		instances,
 		limits,
+		permits,
 		crashGuard,
 		openAttempt: openTimedAttempt,
 		headers,
@@ -242,17 +243,8 @@
 		readLinkDelayMs,
 		isStopping,
 		drawRandom: Math.random,
-		registerStream: (stream: StreamRun) => monitor.register(stream),
 		replacePath: engines.replacePath,
-		checkFaultyEngine(stage: PathStage) {
-			void monitor.checkFaultyEngine(stage);
-		},
-		recordPause(path: readonly PathStage[], pauseMs: number) {
-			monitor.recordPause(path, pauseMs);
-		},
-		recordFirstEvent(delayMs: number) {
-			monitor.recordFirstEvent(delayMs);
-		},
+		...buildStreamHooks(monitor),
 	};
 	const isReady = () =>
 		!isStopping() && configurations.value !== undefined && fleet.hasBackends;
--- a/packages/bramleystage-gateway/src/instance-watch.ts
+++ b/packages/bramleystage-gateway/src/instance-watch.ts
@@ -16,6 +16,7 @@
 import type {Result} from 'neverthrow';
 import type {Fleet} from './fleet.js';
 import type {LimitWatch} from './limit-watch.js';
+import type {Permits} from './permits.js';
 import type {EngineFailure, EnginePort, EngineReport} from './platform-port.js';
 
 /** Least time between two log lines about the end of one instance, in milliseconds. */
@@ -28,6 +29,7 @@
 	readonly fleet: Fleet;
 	readonly readReport: EnginePort['readReport'];
 	readonly limits: Pick<LimitWatch, 'recordAnswer' | 'recordSend'>;
+	readonly permits: Pick<Permits, 'tryAcquire'>;
 	readonly logger: Logger;
 	readonly readClock: () => number;
 };
@@ -63,14 +65,14 @@
 	/**
 	 * Reads an engine's report and records what it shows of the instance: that it
 	 * leaves or has ended. Resolves to undefined without a query while the engine
-	 * wants none.
+	 * wants none, or takes no more now.
 	 */
 	async readReport(
 		{id, address}: Pick<PathStage, 'id' | 'address'>,
 		timeoutMs: number,
 	): Promise<Result<EngineReport, EngineFailure> | undefined> {
-		const {fleet, limits, readReport, readClock} = this.options;
-		if (fleet.health.isPaused(id)) {
+		const {fleet, limits, permits, readReport, readClock} = this.options;
+		if (fleet.health.isPaused(id) || !(await permits.tryAcquire(id, 0))) {
 			return undefined;
 		}
 
--- a/packages/bramleystage-gateway/src/limit-watch.ts
+++ b/packages/bramleystage-gateway/src/limit-watch.ts
@@ -3,6 +3,7 @@
  * servers that have one.
  */
 import {
+	applyLimitNews,
 	type BackendId,
 	createServerLimits,
 	findServerLimit,
@@ -16,10 +17,14 @@
 	toInstanceKey,
 } from 'bramleystage';
 import {Counter, Gauge, type Registry} from 'prom-client';
+import {Subject} from 'rxjs';
 import type {Fleet} from './fleet.js';
+import type {LimitNews} from './permit-messages.js';
 
 /** How often the use of limited servers is logged, in milliseconds. */
 const logIntervalMs = 1000;
+/** Time for which the limit of a server that isn't listed is kept, in milliseconds: news may come before the list. */
+const unlistedLimitMs = 30_000;
 
 /** What is sent to a server. */
 export type SendKind = 'request' | 'report' | 'order';
@@ -41,7 +46,13 @@
 };
 
 export class LimitWatch {
+	/** Fires when there are news for peers. */
+	readonly news = new Subject<void>();
 	#limits: ServerLimits = createServerLimits();
+	/** Number of changes so far. */
+	#changeCount = 0;
+	/** Number of the last change of each limit. */
+	readonly #changes = new Map<InstanceKey, number>();
 	/** Sends since the last log line, by server and kind. */
 	readonly #sends = new Map<BackendId, Map<SendKind, number>>();
 	readonly #sendCounter: Counter;
@@ -75,8 +86,10 @@
 			const listed = new Set<InstanceKey>(
 				[...backends].map(([id, {bornAt}]) => buildInstanceKey(id, bornAt)),
 			);
-			this.#limits = removeLimits(this.#limits, (instance) =>
-				listed.has(instance),
+			const keptSince = options.readClock() - unlistedLimitMs;
+			this.#limits = removeLimits(
+				this.#limits,
+				(instance, {seenAt}) => listed.has(instance) || seenAt > keptSince,
 			);
 		});
 		lifeCycle.register(() => {
@@ -86,8 +99,60 @@
 
 	/** Finds the limit of a server, in requests a second; undefined if it has none. */
 	findLimit(id: BackendId): number | undefined {
-		const instance = this.#limits.size > 0 ? this.#findInstance(id) : undefined;
-		return instance && findServerLimit(this.#limits, instance);
+		const instance = this.#limits.size > 0 ? this.findInstance(id) : undefined;
+		return instance && this.findInstanceLimit(instance);
+	}
+
+	/** Finds the limit of an instance, in requests a second; undefined if it has none. */
+	findInstanceLimit(instance: InstanceKey): number | undefined {
+		return findServerLimit(this.#limits, instance);
+	}
+
+	/** Finds the current instance of a listed server. */
+	findInstance(id: BackendId): InstanceKey | undefined {
+		const listed = this.options.fleet.snapshots.value.backends.get(id);
+		return listed && buildInstanceKey(id, listed.bornAt);
+	}
+
+	/** Describes what is known of an instance's limit, for other gateways. */
+	describeLimit(instance: InstanceKey): LimitNews {
+		const {perSecond, revision = 0} = this.#limits.get(instance) ?? {};
+		return {instance, perSecond: perSecond ?? null, revision};
+	}
+
+	/** Builds the limits that have changed after a number of changes; undefined if none has. */
+	buildNews(since: number): {
+		readonly news?: readonly LimitNews[];
+		readonly changeCount: number;
+	} {
+		const changeCount = this.#changeCount;
+		if (changeCount === since) {
+			return {changeCount};
+		}
+
+		const changed = [...this.#limits.keys()].filter(
+			(instance) => (this.#changes.get(instance) ?? 0) > since,
+		);
+		return {
+			changeCount,
+			news: changed.map((instance) => this.describeLimit(instance)),
+		};
+	}
+
+	/** Merges what a peer knows. */
+	acceptNews(news: readonly LimitNews[]): void {
+		const now = this.options.readClock();
+		let next = this.#limits;
+		for (const {instance, perSecond, revision} of news) {
+			next = applyLimitNews(
+				next,
+				toInstanceKey(instance),
+				{perSecond: perSecond ?? undefined, revision},
+				now,
+			);
+		}
+
+		this.#replace(next);
 	}
 
 	/** Records what an answer of a server says of its limit. */
@@ -96,7 +161,7 @@
 			return;
 		}
 
-		const instance = this.#findInstance(id);
+		const instance = this.findInstance(id);
 		const named = text === undefined ? undefined : parseServerLimit(text);
 		if (text !== undefined && named === undefined) {
 			this.options.logger.warn('backend.limitIgnored', {
@@ -131,17 +196,19 @@
 		this.#sends.set(id, counts);
 	}
 
-	#findInstance(id: BackendId): InstanceKey | undefined {
-		const listed = this.options.fleet.snapshots.value.backends.get(id);
-		return listed && buildInstanceKey(id, listed.bornAt);
-	}
-
 	#replace(next: ServerLimits): void {
 		const previous = this.#limits;
+		if (next === previous) {
+			return;
+		}
+
+		let hasChanged = false;
 		this.#limits = next;
 		for (const [instance, {perSecond, revision}] of next) {
 			const known = previous.get(instance);
 			if (known?.revision !== revision || known.perSecond !== perSecond) {
+				hasChanged = true;
+				this.#changes.set(instance, this.#changeCount + 1);
 				this.options.logger.info('backend.limit', {
 					backend: instance,
 					per_second: perSecond ?? 'none',
@@ -150,6 +217,11 @@
 				});
 			}
 		}
+
+		if (hasChanged) {
+			this.#changeCount++;
+			this.news.next();
+		}
 	}
 
 	#logSends(): void {
--- a/packages/bramleystage-gateway/src/path-costs.ts
+++ b/packages/bramleystage-gateway/src/path-costs.ts
@@ -86,6 +86,17 @@
 		}
 	}
 
+	/** Whether a server takes a request at once, as the first stage if it serves a model. */
+	hasRoom(backend: Backend, model?: PipelineModel): boolean {
+		if (!model) {
+			const requests = this.countRequests(backend.id) * this.countGateways();
+			return requests <= maxLoad * backend.slots;
+		}
+
+		const engine = this.buildPathEngine(backend, model);
+		return engine?.layers.from === 0 && Number.isFinite(engine.firstStageCost);
+	}
+
 	/** Computes the cost of sending activations to the next stage, in milliseconds; infinite if the link is full. */
 	computeHopCost(
 		model: PipelineModel,
--- a/packages/bramleystage-gateway/src/path-replacement.ts
+++ b/packages/bramleystage-gateway/src/path-replacement.ts
@@ -6,6 +6,7 @@
 import type {Call} from './call.js';
 import type {Fleet} from './fleet.js';
 import type {LimitWatch} from './limit-watch.js';
+import type {Permits} from './permits.js';
 import type {RequestRecorder} from './request-recorder.js';
 import type {EnginePort} from './platform-port.js';
 
@@ -19,6 +20,7 @@
 export type ReplacementContext = {
 	readonly fleet: Fleet;
 	readonly limits: Pick<LimitWatch, 'recordSend'>;
+	readonly permits: Pick<Permits, 'tryAcquire'>;
 	readonly recorder: RequestRecorder;
 	readonly replacePath: EnginePort['replacePath'];
 	readonly readClock: () => number;
@@ -52,7 +54,7 @@
 		first: PathStage,
 		suspects: ReadonlySet<BackendId>,
 	): Promise<PathStage[] | undefined> {
-		const {fleet, recorder, replacePath, readClock, readLinkDelayMs} =
+		const {fleet, permits, recorder, replacePath, readClock, readLinkDelayMs} =
 			this.context;
 		const excluded = new Set([...suspects].filter((id) => id !== first.id));
 		const path = fleet.choosePathAfter(first, this.call.service, excluded);
@@ -60,7 +62,7 @@
 		const isAllowed =
 			this.#count < maxReplacements &&
 			now - this.#lastAt > minReplaceIntervalMs;
-		if (!path || !isAllowed) {
+		if (!path || !isAllowed || !(await permits.tryAcquire(first.id, 0))) {
 			return undefined;
 		}
 
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -1,25 +1,24 @@
 /**
- * The protocol between gateways, with its server and its client for queries. A
+ * The protocol between gateways, with its client for queries (server: peer-server.ts). A
  * gateway that the platform's store does not answer sends one query, on a
  * short-lived connection, for the newest configuration and the list of backend
  * servers. A gateway that follows another keeps its connection open and sends
  * pings (peer-update.ts). All values are framed.
  */
-import {connect, createServer, type Socket} from 'node:net';
+import {connect} from 'node:net';
 import {
 	type Backend,
 	encodeValueFrame,
 	type Failure,
-	type LifeCycle,
-	type Logger,
 	parseAddress,
 	type RoutingConfiguration,
 } from 'bramleystage';
 import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
-import {ConfigurationEncoder, decodeCompressed} from './configuration-codec.js';
+import {decodeCompressed} from './configuration-codec.js';
 import {checkValue, listenForFrames, readFrameBytes} from './peer-frames.js';
-import {backendSchema, type Ping, pingSchema} from './peer-update.js';
+import {backendSchema, pingSchema} from './peer-update.js';
+import {permitMessageSchema} from './permit-messages.js';
 
 const querySchema = z.object({
 	/** Version that the sender has; the answer has a configuration only if it is newer. */
@@ -55,10 +54,14 @@
 		.optional(),
 });
 
-const requestSchema = z.union([pingSchema, querySchema]);
+export const requestSchema = z.union([
+	pingSchema,
+	permitMessageSchema,
+	querySchema,
+]);
 
 export type PeerQuery = z.infer<typeof querySchema>;
-type WireAnswer = z.infer<typeof answerSchema>;
+export type WireAnswer = z.infer<typeof answerSchema>;
 export type PeerAnswer = {
 	/** Time since the list was read from the store, in milliseconds; null if never. */
 	readonly listAgeMs: number | null;
@@ -79,86 +82,6 @@
 const earlyCheckMs = 750;
 /** Number of spans within which an answer must be expected to arrive at that check. */
 const maxExpectedSpans = 4;
-/** Time without data after which a connection is closed, in milliseconds: several pings. */
-const idleTimeoutMs = 3000;
-
-export type PeerHandlers = {
-	readonly answer: (query: PeerQuery) => PeerAnswer;
-	readonly acceptPing: (socket: Socket, ping: Ping) => void;
-};
-
-/** Starts the server for queries and pings of other gateways. */
-export async function listenForPeers(
-	address: string,
-	handlers: PeerHandlers,
-	lifeCycle: LifeCycle,
-	logger: Logger,
-): Promise<void> {
-	const sockets = new Set<Socket>();
-	const encoder = new ConfigurationEncoder();
-	const server = createServer((socket) => {
-		sockets.add(socket);
-		socket.setNoDelay(true);
-		socket.setTimeout(idleTimeoutMs, () => {
-			socket.destroy();
-		});
-		socket.on('error', (error) => {
-			logger.debug('peer.lost', {detail: error.message});
-		});
-		socket.on('close', () => {
-			sockets.delete(socket);
-		});
-		listenForFrames(socket, (value) => {
-			const request = value.andThen((decoded) =>
-				checkValue(decoded, requestSchema),
-			);
-			if (request.isErr()) {
-				logger.warn('peer.bad', {detail: request.error.detail});
-				socket.destroy();
-			} else if ('beatAt' in request.value) {
-				handlers.acceptPing(socket, request.value);
-			} else {
-				const answer = handlers.answer(request.value);
-				void buildWireAnswer(request.value, answer, encoder, logger).then(
-					(built) => socket.end(encodeValueFrame(built)),
-				);
-			}
-		});
-	});
-	const {host, port} = parseAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
-	lifeCycle.register(() => {
-		server.close();
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-	});
-}
-
-/** Compresses the configuration of an answer if the sender of the query can read that. */
-async function buildWireAnswer(
-	query: PeerQuery,
-	answer: PeerAnswer,
-	encoder: ConfigurationEncoder,
-	logger: Logger,
-): Promise<PeerAnswer | WireAnswer> {
-	const {configuration, ...others} = answer;
-	if (!configuration || !query.acceptsCompressed) {
-		return answer;
-	}
-
-	const encoded = await encoder.encode(configuration);
-	if (encoded.isErr()) {
-		logger.warn('configuration.uncompressed', {detail: encoded.error.detail});
-		return answer;
-	}
-
-	return {...others, compressedConfiguration: encoded.value};
-}
-
 /** Gives an answer its configuration if that came compressed. */
 async function decodeAnswer({
 	compressedConfiguration,
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -8,6 +8,7 @@
 	parseAddress,
 } from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
+import type {LimitWatch} from './limit-watch.js';
 import {checkValue, listenForFrames} from './peer-frames.js';
 import {
 	applyPeerUpdate,
@@ -53,6 +54,7 @@
 	readonly readClock: () => number;
 	readonly onUpdate: (state: PeerState) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
+	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
 	/** Receives what the connection shows of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
 	/** Called once, when the connection has ended. */
@@ -69,6 +71,8 @@
 	#updateAt = Number.NEGATIVE_INFINITY;
 	/** Revision of the crash evidence that was sent last. */
 	#crashRevision = 0;
+	/** Number of changes of servers' limits that were sent. */
+	#limitChangeCount = 0;
 
 	constructor(private readonly options: PeerLinkOptions) {
 		const {address, readClock, recordLinkEvent} = options;
@@ -112,7 +116,7 @@
 			}
 
 			this.#updateAt = readClock();
-			const {beatAt, heldMs, crashNews} = update.value;
+			const {beatAt, heldMs, crashNews, limitNews} = update.value;
 			this.#recordAnswer(beatAt, heldMs);
 			if (crashNews) {
 				options.crashes.acceptNews(crashNews, {
@@ -121,6 +125,10 @@
 				});
 			}
 
+			if (limitNews) {
+				options.limits.acceptNews(limitNews);
+			}
+
 			this.state = applyPeerUpdate(this.state, update.value);
 			options.onUpdate(this.state);
 		});
@@ -164,16 +172,24 @@
 	/** Asks for an update, and sends the crash evidence that the peer has not got yet. */
 	sendPing(): void {
 		if (this.#socket.writable && !this.#socket.connecting) {
-			const {readClock, crashes} = this.options;
+			const {readClock, crashes, limits} = this.options;
 			const beatAt = readClock();
 			const {news, revision} = crashes.buildNews(this.#crashRevision, beatAt);
 			this.#crashRevision = revision;
+			const limitNews = limits.buildNews(this.#limitChangeCount);
+			this.#limitChangeCount = limitNews.changeCount;
 			this.options.recordLinkEvent({
 				kind: 'pingSent',
 				peer: this.options.address,
 				sentAt: beatAt,
 			});
-			this.#socket.write(encodeValueFrame({beatAt, crashNews: news}));
+			this.#socket.write(
+				encodeValueFrame({
+					beatAt,
+					crashNews: news,
+					limitNews: limitNews.news,
+				}),
+			);
 		}
 	}
 
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -1,6 +1,7 @@
 /** The connections to the gateways that this one follows, and what they tell. */
 import type {LifeCycle, LinkEvent, Logger} from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
+import type {LimitWatch} from './limit-watch.js';
 import {PeerLink} from './peer-link.js';
 import {
 	isStalePeer,
@@ -17,6 +18,7 @@
 	readonly listPeers: () => readonly string[];
 	readonly onUpdate: (state: PeerState) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
+	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
 	/** Receives what the connections show of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
 	readonly lifeCycle: LifeCycle;
@@ -138,7 +140,7 @@
 	}
 
 	#open(address: string): void {
-		const {logger, readClock, onUpdate, crashes, recordLinkEvent} =
+		const {logger, readClock, onUpdate, crashes, limits, recordLinkEvent} =
 			this.options;
 		const link: PeerLink = new PeerLink({
 			address,
@@ -146,6 +148,7 @@
 			readClock,
 			onUpdate,
 			crashes,
+			limits,
 			recordLinkEvent,
 			onEnd: () => {
 				if (this.#links.get(address) === link) {
--- a/packages/bramleystage-gateway/src/peer-publisher.ts
+++ b/packages/bramleystage-gateway/src/peer-publisher.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {encodeValueFrame} from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
+import type {LimitWatch} from './limit-watch.js';
 import {
 	type Ping,
 	buildPeerUpdate,
@@ -17,11 +18,14 @@
 	lastPing: {readonly beatAt: number; readonly arrivedAt: number};
 	/** Revision of the crash evidence that was sent last. */
 	crashRevision: number;
+	/** Number of changes of servers' limits that were sent. */
+	limitChangeCount: number;
 };
 
 export type PeerPublisherOptions = {
 	readonly readState: () => GatewayState;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
+	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
 	readonly readClock: () => number;
 };
 
@@ -31,7 +35,7 @@
 	constructor(private readonly options: PeerPublisherOptions) {}
 
 	/** Records a follower's ping and sends it an update. */
-	acceptPing(socket: Socket, {beatAt, crashNews}: Ping): void {
+	acceptPing(socket: Socket, {beatAt, crashNews, limitNews}: Ping): void {
 		const ping = {beatAt, arrivedAt: this.options.readClock()};
 		if (crashNews) {
 			this.options.crashes.acceptNews(crashNews, {
@@ -40,6 +44,10 @@
 			});
 		}
 
+		if (limitNews) {
+			this.options.limits.acceptNews(limitNews);
+		}
+
 		const follower = this.#followers.get(socket);
 		if (follower) {
 			follower.lastPing = ping;
@@ -48,6 +56,7 @@
 				lastSent: {backends: new Map()},
 				lastPing: ping,
 				crashRevision: 0,
+				limitChangeCount: 0,
 			});
 			socket.on('close', () => {
 				this.#followers.delete(socket);
@@ -71,7 +80,7 @@
 			return;
 		}
 
-		const {readState, readClock, crashes} = this.options;
+		const {readState, readClock, crashes, limits} = this.options;
 		const state = readState();
 		const now = readClock();
 		const update = buildPeerUpdate(
@@ -83,6 +92,14 @@
 		const {news, revision} = crashes.buildNews(follower.crashRevision, now);
 		follower.lastSent = state;
 		follower.crashRevision = revision;
-		socket.write(encodeValueFrame({...update, crashNews: news}));
+		const limitNews = limits.buildNews(follower.limitChangeCount);
+		follower.limitChangeCount = limitNews.changeCount;
+		socket.write(
+			encodeValueFrame({
+				...update,
+				crashNews: news,
+				limitNews: limitNews.news,
+			}),
+		);
 	}
 }
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -14,6 +14,7 @@
 } from 'bramleystage';
 import * as z from 'zod';
 import {crashNewsSchema} from './crash-exchange.js';
+import {limitNewsSchema} from './permit-messages.js';
 
 const layersSchema = z.object({from: z.int(), to: z.int()});
 
@@ -35,6 +36,8 @@
 	beatAt: z.number(),
 	/** Crash evidence that the follower has not sent before. */
 	crashNews: crashNewsSchema.optional(),
+	/** Limits of servers that the follower has not sent before. */
+	limitNews: z.array(limitNewsSchema).readonly().optional(),
 });
 
 export const peerUpdateSchema = z.object({
@@ -62,6 +65,8 @@
 	heldMs: z.number(),
 	/** Crash evidence that was not sent to the follower before. */
 	crashNews: crashNewsSchema.optional(),
+	/** Limits of servers that were not sent to the follower before. */
+	limitNews: z.array(limitNewsSchema).readonly().optional(),
 });
 
 export type Ping = z.infer<typeof pingSchema>;
--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -8,7 +8,6 @@
 	type Backend,
 	type BackendId,
 	createOrderCrashes,
-	type EnginePlacement,
 	type GatewayService,
 	isOrderHeld,
 	type LayerOrder,
@@ -22,9 +21,11 @@
 	recordOrderCrash,
 	recordOrderSuccess,
 } from 'bramleystage';
+import {describeEngine} from './engine-placement.js';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
 import type {LimitWatch} from './limit-watch.js';
+import type {Permits} from './permits.js';
 import type {GatewayGroup} from './gateway-group.js';
 import type {EnginePort} from './platform-port.js';
 
@@ -41,6 +42,8 @@
 /** Time until an engine that was sent no order is planned again, in milliseconds. */
 const orderRetryMs = 750;
 
+/** Time for which an order waits until an engine that names a limit takes it, in milliseconds. */
+const maxOrderWaitMs = 1000;
 /** How often the report of an engine with a pending order is polled, in milliseconds. */
 const confirmIntervalMs = 400;
 
@@ -62,7 +65,8 @@
 	readonly group: GatewayGroup;
 	readonly engines: Pick<EnginePort, 'orderLayers'>;
 	readonly instances: Pick<InstanceWatch, 'readReport'>;
-	readonly limits: Pick<LimitWatch, 'recordSend'>;
+	readonly limits: Pick<LimitWatch, 'findLimit' | 'recordSend'>;
+	readonly permits: Pick<Permits, 'tryAcquire'>;
 	readonly listServices: () => readonly GatewayService[];
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
@@ -135,7 +139,13 @@
 
 		const orders = planLayerOrders(
 			pipeline,
-			backends.map((backend) => this.#describeEngine(backend)),
+			backends.map((backend) =>
+				describeEngine(
+					backend,
+					this.#pending.get(backend.id)?.layers,
+					this.options,
+				),
+			),
 		);
 		const byId = new Map(backends.map((backend) => [backend.id, backend]));
 		for (const order of orders) {
@@ -160,25 +170,6 @@
 		}
 	}
 
-	#describeEngine({
-		id,
-		dataCentre,
-		kind = '',
-		layers,
-		isDraining,
-	}: Backend): EnginePlacement {
-		const {fleet} = this.options;
-		return {
-			id,
-			dataCentre,
-			kind,
-			layers,
-			pendingLayers: this.#pending.get(id)?.layers,
-			isUsable: !isDraining && !fleet.health.isLost(id),
-			isSuspect: fleet.health.isUnreachable(id),
-		};
-	}
-
 	/** Drops a pending order that has taken effect or has timed out. */
 	#clearPending({id, layers}: Backend, now: number): void {
 		const pending = this.#pending.get(id);
@@ -242,10 +233,15 @@
 			return;
 		}
 
-		const {engines, logger, group} = this.options;
+		const {engines, limits, permits, logger, group} = this.options;
 		const {id, address} = backend;
 		const {layers, reason} = order;
-		this.options.limits.recordSend(id, 'order');
+		if (!(await permits.tryAcquire(id, maxOrderWaitMs))) {
+			this.#shortenPending(id);
+			return;
+		}
+
+		limits.recordSend(id, 'order');
 		const outcome = await engines.orderLayers(address, {
 			layers,
 			expectedOrders,
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -62,11 +62,31 @@
 		const backend = this.context.fleet.chooseBackend(
 			this.call.service.name,
 			this.#triedBackends,
+			this.turns.fullServers,
 		);
 		if (!backend) {
 			return false;
 		}
 
+		this.openInTurn(backend.id, () => {
+			this.#openAttempt(backend);
+		});
+		return true;
+	}
+
+	protected computeMaxWaitMs(): number {
+		return this.remainingMs() - this.call.route.latencyTargetMs;
+	}
+
+	protected cancelAttempts(): void {
+		clearTimeout(this.#hedgeTimer);
+		for (const active of this.#activeAttempts) {
+			this.#release(active);
+			active.attempt.cancel();
+		}
+	}
+
+	#openAttempt(backend: Backend): void {
 		this.#triedBackends.add(backend.id);
 		this.countAttempt();
 		this.where = backend.address;
@@ -120,21 +140,13 @@
 			),
 		};
 		this.#activeAttempts.add(active);
-		return true;
-	}
-
-	protected cancelAttempts(): void {
-		clearTimeout(this.#hedgeTimer);
-		for (const active of this.#activeAttempts) {
-			this.#release(active);
-			active.attempt.cancel();
-		}
 	}
 
 	#sendHedge(): void {
 		if (
 			!this.isFinished &&
 			this.#activeAttempts.size === 1 &&
+			!this.turns.isWaiting &&
 			this.attempts < this.call.route.maxAttempts &&
 			!this.context.crashGuard.isSuspect(this.call) &&
 			this.context.trySpendRetry(this.call.service.name)
@@ -248,7 +260,7 @@
 		outcome: AttemptOutcome,
 		detail: string,
 	): void {
-		if (this.#activeAttempts.size > 0) {
+		if (this.#activeAttempts.size > 0 || this.turns.isWaiting) {
 			return;
 		}
 
@@ -276,7 +288,6 @@
 		const headers = listEndToEndHeaders(head.headers).filter(
 			([name]) => name.toLowerCase() !== 'content-length',
 		);
-		headers satisfies ReadonlyArray<readonly [string, string]>;
 		response.writeHead(head.status, [
 			...headers.flat(),
 			'Content-Length',
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -15,6 +15,7 @@
 } from 'bramleystage';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {Call} from './call.js';
+import type {TurnResult} from './permit-owner.js';
 
 /** Successes logged per second; more are only counted. */
 const maxSuccessLinesPerSecond = 5;
@@ -23,6 +24,8 @@
 /** Suspects that the line of a crash names. */
 const maxLoggedSuspects = 12;
 const secondMs = 1000;
+/** Wait for a turn at a server from which on it is logged, in milliseconds. */
+const minLoggedWaitMs = 20;
 
 /** How a request ended. */
 export type CallEnd = {
@@ -163,6 +166,27 @@
 		}
 	}
 
+	/** Records whether a request got its turn at a server that names a limit, after a wait in milliseconds. */
+	recordTurn(
+		call: Call,
+		backend: BackendId,
+		result: TurnResult,
+		waitedMs: number,
+	): void {
+		const isLogged = !result.granted || waitedMs >= minLoggedWaitMs;
+		if (isLogged && this.#tryAcquireLine('failure')) {
+			this.logger.info('request.turn', {
+				request: call.metadata.request,
+				backend,
+				result: result.granted ? 'granted' : 'refused',
+				waited_ms: Math.round(waitedMs),
+				room_in_ms: result.granted
+					? undefined
+					: Math.round(result.retryAfterMs),
+			});
+		}
+	}
+
 	/** Records the end of a server's instance with the traits of the requests that it was about to answer. */
 	recordCrash(
 		instance: InstanceKey,
--- a/packages/bramleystage-gateway/src/run-context.ts
+++ b/packages/bramleystage-gateway/src/run-context.ts
@@ -4,6 +4,7 @@
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
 import type {LimitWatch} from './limit-watch.js';
+import type {Permits} from './permits.js';
 import type {HeaderPort} from './platform-port.js';
 import type {RequestRecorder} from './request-recorder.js';
 import type {OpenTimedAttempt} from './timed-attempt.js';
@@ -12,6 +13,7 @@
 	readonly fleet: Fleet;
 	readonly instances: InstanceWatch;
 	readonly limits: Pick<LimitWatch, 'recordAnswer' | 'recordSend'>;
+	readonly permits: Pick<Permits, 'acquire' | 'tryAcquire'>;
 	readonly crashGuard: Pick<
 		CrashGuard,
 		| 'computeAllowedEnds'
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -21,6 +21,7 @@
 	StreamAnswerRun,
 } from './stream-answer-run.js';
 import {StreamAttempt} from './stream-attempt.js';
+import {computeTurnPatienceMs} from './turn-taker.js';
 
 /** How long a started answer waits to learn whether the engine of its last allowed run has ended, in milliseconds. */
 const checkPatienceMs = 1000;
@@ -100,42 +101,24 @@
 			return false;
 		}
 
-		this.countAttempt();
-		this.where = formatStages(path);
-		const {call, context} = this;
-		context.limits.recordSend(first.id, 'request');
-		this.lastProgressAt = context.readClock();
-		const active: StreamAttempt = new StreamAttempt({
-			call,
-			fleet: context.fleet,
-			headers: context.headers,
-			path,
-			first,
-			remainingMs: this.remainingMs(),
-			readLinkDelayMs: context.readLinkDelayMs,
-			readClock: context.readClock,
-			lastEvent: this.writer.lastEvent,
-			openAttempt: context.openAttempt,
-			handlers: {
-				onHead: (head) => {
-					const metadata = context.headers.readAnswerHeaders(head.headers);
-					this.recordServerState(active.sent, metadata, head.status);
-				},
-				onData: (chunk) => {
-					this.handleData(active, chunk);
-				},
-				onEnd: () => {
-					this.handleEnd(active);
-				},
-				onFail: (failure) => {
-					this.handleFailure(active, failure);
-				},
-			},
+		this.openInTurn(first.id, (hasWaited) => {
+			const {fleet} = this.context;
+			const fresh = hasWaited
+				? fleet.choosePathAfter(first, this.call.service, this.excludedEngines)
+				: undefined;
+			this.#openAttempt(fresh ?? path, first);
 		});
-		this.active = active;
 		return true;
 	}
 
+	protected computeMaxWaitMs(): number {
+		const silentMs = this.context.readClock() - this.lastProgressAt;
+		return Math.min(
+			this.remainingMs() - this.call.route.latencyTargetMs,
+			computeTurnPatienceMs(this.call.route) - silentMs,
+		);
+	}
+
 	/**
 	 * Waits for a path, if the caller has received a part of the answer or if only
 	 * paths are left that this request has just found unusable.
@@ -144,7 +127,9 @@
 		const {fleet} = this.context;
 		const isWaiting =
 			this.answerStartedAt !== undefined ||
-			fleet.choosePath(this.call.service, new Set()) !== undefined;
+			(this.turns.fullServers.size === 0 &&
+				fleet.choosePath(this.call.service, new Set(), new Set()) !==
+					undefined);
 		if (isWaiting) {
 			this.#resumeLater();
 		} else {
@@ -184,6 +169,42 @@
 		}
 	}
 
+	#openAttempt(path: readonly PathStage[], first: PathStage): void {
+		this.countAttempt();
+		this.where = formatStages(path);
+		const {call, context} = this;
+		context.limits.recordSend(first.id, 'request');
+		this.lastProgressAt = context.readClock();
+		const active: StreamAttempt = new StreamAttempt({
+			call,
+			fleet: context.fleet,
+			headers: context.headers,
+			path,
+			first,
+			remainingMs: this.remainingMs(),
+			readLinkDelayMs: context.readLinkDelayMs,
+			readClock: context.readClock,
+			lastEvent: this.writer.lastEvent,
+			openAttempt: context.openAttempt,
+			handlers: {
+				onHead: (head) => {
+					const metadata = context.headers.readAnswerHeaders(head.headers);
+					this.recordServerState(active.sent, metadata, head.status);
+				},
+				onData: (chunk) => {
+					this.handleData(active, chunk);
+				},
+				onEnd: () => {
+					this.handleEnd(active);
+				},
+				onFail: (failure) => {
+					this.handleFailure(active, failure);
+				},
+			},
+		});
+		this.active = active;
+	}
+
 	/** Learns which engines have ended if the route allows no further run, and goes on. */
 	#checkLimit(
 		active: StreamAttempt,
@@ -214,6 +235,7 @@
 		return this.context.fleet.choosePath(
 			this.call.service,
 			this.excludedEngines,
+			this.turns.fullServers,
 		);
 	}
 
@@ -263,6 +285,7 @@
 			}
 
 			this.excludedEngines.clear();
+			this.turns.clearFullServers();
 			this.tryNextAttempt();
 		}, computeResumeDelayMs(this.delayedAttempts));
 	}
--- a/packages/bramleystage/src/coordination/layer-orders.ts
+++ b/packages/bramleystage/src/coordination/layer-orders.ts
@@ -33,6 +33,8 @@
 	readonly isUsable: boolean;
 	/** Whether requests recently failed to reach it. */
 	readonly isSuspect: boolean;
+	/** Whether it names a limit, so that few requests can begin there. */
+	readonly isLimited?: boolean;
 };
 
 /** Assigns a layer range to an engine. */
@@ -171,7 +173,9 @@
 		return true;
 	};
 
-	const idle = available.filter(({layers}) => layers === undefined);
+	const idle = available.filter(
+		({layers, isLimited}) => layers === undefined && !isLimited,
+	);
 	const free =
 		idle.length > 0 ? idle : available.filter((engine) => isRedundant(engine));
 	return free.toSorted(
@@ -383,7 +387,10 @@
 	const counts = Array.from({length: model.layers}, () => 0);
 	for (const holder of holders) {
 		const range = resolveRange(holder);
-		for (let layer = range?.from ?? 0; layer < (range?.to ?? 0); layer++) {
+		// Requests begin at the first layer, so another engine takes over from a limited one there.
+		const first = holder.isLimited ? 1 : 0;
+		const from = Math.max(first, range?.from ?? 0);
+		for (let layer = from; layer < (range?.to ?? 0); layer++) {
 			counts[layer] = (counts[layer] ?? 0) + 1;
 		}
 	}
--- a/packages/bramleystage/src/coordination/rendezvous.ts
+++ b/packages/bramleystage/src/coordination/rendezvous.ts
@@ -4,6 +4,7 @@
  * gains or loses.
  */
 import xxhash from 'xxhash-wasm';
+import {selectByScore} from './rendezvous-order.js';
 
 const {h32} = await xxhash();
 
@@ -13,9 +14,5 @@
 	names: readonly Name[],
 	count: number,
 ): Name[] {
-	return names
-		.map((name) => ({name, score: h32(`${key}\n${name}`)}))
-		.toSorted((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1))
-		.slice(0, count)
-		.map(({name}) => name);
+	return selectByScore(key, names, count, h32);
 }
--- a/packages/bramleystage/src/coordination/server-limits.ts
+++ b/packages/bramleystage/src/coordination/server-limits.ts
@@ -115,8 +115,10 @@
 /** Removes the limits of all instances but those that `isKept` selects. */
 export function removeLimits(
 	limits: ServerLimits,
-	isKept: (instance: InstanceKey) => boolean,
+	isKept: (instance: InstanceKey, limit: ServerLimit) => boolean,
 ): ServerLimits {
-	const kept = [...limits].filter(([instance]) => isKept(instance));
+	const kept = [...limits].filter(([instance, limit]) =>
+		isKept(instance, limit),
+	);
 	return kept.length === limits.size ? limits : new Map(kept);
 }
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -190,6 +190,7 @@
 } from './coordination/pipeline.js';
 export {RateMeter} from './coordination/rate-meter.js';
 export {selectByRendezvous} from './coordination/rendezvous.js';
+export {selectByScore} from './coordination/rendezvous-order.js';
 export {
 	computeBackoff,
 	createRetryBudget,
@@ -789,6 +790,17 @@
 	maxLinkDelayMs,
 } from './coordination/link-delay.js';
 export {computeReturnMs} from './coordination/return-time.js';
+export {
+	addTurn,
+	computeNextTurnAt,
+	computeTurnDelayMs,
+	createTurnQueue,
+	removeLate,
+	removeTurns,
+	takeTurn,
+	type TurnQueue,
+	type TurnRequest,
+} from './coordination/turn-queue.js';
 export {
 	applyLimitNews,
 	createServerLimits,
