Gateways that join learn of the group at once, so that turns have one owner

A state of the group that comes with a peer update is applied at once, and pings say which state their sender knows, so that a followed gateway that is behind reads the members.

--- a/packages/bramleystage-gateway/src/__tests__/own-link.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/own-link.test.ts
@@ -85,6 +85,7 @@
 		onUpdate: () => undefined,
 		crashes: noCrashes,
 		limits: noLimits,
+		readGroupFence: () => undefined,
 		recordLinkEvent(event) {
 			ownLink.record(event);
 		},
--- a/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/peer-link.test.ts
@@ -84,6 +84,7 @@
 		},
 		crashes: noCrashes,
 		limits: noLimits,
+		readGroupFence: () => undefined,
 		recordLinkEvent: () => undefined,
 		onEnd() {
 			endedAt = readClock();
@@ -210,6 +211,7 @@
 		},
 		crashes: noCrashes,
 		limits: noLimits,
+		readGroupFence: () => undefined,
 		recordLinkEvent: () => undefined,
 		lifeCycle,
 		logger: silentLogger,
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -68,6 +68,8 @@
 	#state: GroupState | undefined;
 	/** Renewals in a row that found the group changed and left it to a peer to read the members. */
 	#waitedRenewals = 0;
+	/** Fence of a later change for which the members are being read; 0 if none are. */
+	#readingFence = 0;
 	#isLeader = false;
 	#isLeaving = false;
 	#budgetShare: BudgetShare;
@@ -123,6 +125,32 @@
 		);
 	}
 
+	/** Applies a newer state of the group that a followed peer knows. */
+	applyPeerGroup(): void {
+		const peerGroup = this.options.findPeerGroup();
+		if (peerGroup) {
+			this.#applyMembers(peerGroup);
+		}
+	}
+
+	/** Reads the members at once if another gateway knows of a later change of the group. */
+	async recordPeerFence(fence: number): Promise<void> {
+		if (fence <= Math.max(this.#state?.fence ?? 0, this.#readingFence)) {
+			return;
+		}
+
+		const {store, logger} = this.options;
+		this.#readingFence = fence;
+		const members = await store.listMembers();
+		if (members.isOk()) {
+			this.#applyMembers({fence, members: members.value});
+		} else {
+			logger.warn('group.unread', {detail: members.error.detail});
+		}
+
+		this.#readingFence = 0;
+	}
+
 	/** Leaves the group, so that the others need not wait until the membership expires. */
 	async leave(): Promise<void> {
 		const {store, self, logger} = this.options;
@@ -142,7 +170,7 @@
 			const joined = await store.joinGroup(self, this.#generation);
 			if (joined.isErr()) {
 				logger.debug('group.unreachable', {detail: joined.error.detail});
-				this.#applyPeerGroup();
+				this.applyPeerGroup();
 			} else {
 				({generation: this.#generation, era: this.#era} = joined.value);
 				// eslint-disable-next-line no-await-in-loop
@@ -158,7 +186,7 @@
 	async #handleRenewal(sentAt: number): Promise<void> {
 		const {isInformedByPeer, store, logger} = this.options;
 		const {fence} = this;
-		this.#applyPeerGroup();
+		this.applyPeerGroup();
 		if (this.#state && this.#state.fence >= fence) {
 			this.#waitedRenewals = 0;
 			this.#recordRenewal(sentAt);
@@ -181,13 +209,6 @@
 		this.#applyMembers({fence, members: members.value});
 	}
 
-	#applyPeerGroup(): void {
-		const peerGroup = this.options.findPeerGroup();
-		if (peerGroup) {
-			this.#applyMembers(peerGroup);
-		}
-	}
-
 	#applyMembers(state: GroupState): void {
 		if (this.#state && this.#state.fence >= state.fence) {
 			return;
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -120,9 +120,11 @@
 		listPeers: () => group.listPeers(),
 		onUpdate(state) {
 			peerSync.acceptUpdate(state);
+			group.applyPeerGroup();
 		},
 		crashes: ledger,
 		limits,
+		readGroupFence: () => group.state?.fence,
 		recordLinkEvent(event) {
 			ownLink.record(event);
 		},
@@ -194,6 +196,9 @@
 	const publisher = await startPeerServer({
 		address: settings.peerListen,
 		readState,
+		onGroupFence(fence) {
+			void group.recordPeerFence(fence);
+		},
 		peerLinks,
 		peerSync,
 		fleet,
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -55,6 +55,8 @@
 	readonly onUpdate: (state: PeerState) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
+	/** Returns the fence of the group's state that this gateway knows. */
+	readonly readGroupFence: () => number | undefined;
 	/** Receives what the connection shows of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
 	/** Called once, when the connection has ended. */
@@ -186,6 +188,7 @@
 			this.#socket.write(
 				encodeValueFrame({
 					beatAt,
+					groupFence: this.options.readGroupFence(),
 					crashNews: news,
 					limitNews: limitNews.news,
 				}),
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -19,6 +19,8 @@
 	readonly onUpdate: (state: PeerState) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
+	/** Returns the fence of the group's state that this gateway knows. */
+	readonly readGroupFence: () => number | undefined;
 	/** Receives what the connections show of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
 	readonly lifeCycle: LifeCycle;
@@ -140,16 +142,10 @@
 	}
 
 	#open(address: string): void {
-		const {logger, readClock, onUpdate, crashes, limits, recordLinkEvent} =
-			this.options;
+		const {readClock} = this.options;
 		const link: PeerLink = new PeerLink({
+			...this.options,
 			address,
-			logger,
-			readClock,
-			onUpdate,
-			crashes,
-			limits,
-			recordLinkEvent,
 			onEnd: () => {
 				if (this.#links.get(address) === link) {
 					this.#links.delete(address);
--- a/packages/bramleystage-gateway/src/peer-publisher.ts
+++ b/packages/bramleystage-gateway/src/peer-publisher.ts
@@ -24,6 +24,8 @@
 
 export type PeerPublisherOptions = {
 	readonly readState: () => GatewayState;
+	/** Receives the fence of the group's state that a follower knows. */
+	readonly onGroupFence: (fence: number) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
 	readonly readClock: () => number;
@@ -35,7 +37,10 @@
 	constructor(private readonly options: PeerPublisherOptions) {}
 
 	/** Records a follower's ping and sends it an update. */
-	acceptPing(socket: Socket, {beatAt, crashNews, limitNews}: Ping): void {
+	acceptPing(
+		socket: Socket,
+		{beatAt, groupFence, crashNews, limitNews}: Ping,
+	): void {
 		const ping = {beatAt, arrivedAt: this.options.readClock()};
 		if (crashNews) {
 			this.options.crashes.acceptNews(crashNews, {
@@ -44,6 +49,10 @@
 			});
 		}
 
+		if (groupFence !== undefined) {
+			this.options.onGroupFence(groupFence);
+		}
+
 		if (limitNews) {
 			this.options.limits.acceptNews(limitNews);
 		}
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -34,6 +34,8 @@
 export const pingSchema = z.object({
 	/** Follower's steady-clock time when it sent this ping, in milliseconds. */
 	beatAt: z.number(),
+	/** Fence of the group's state that the follower knows; absent if none. */
+	groupFence: z.number().optional(),
 	/** Crash evidence that the follower has not sent before. */
 	crashNews: crashNewsSchema.optional(),
 	/** Limits of servers that the follower has not sent before. */
--- a/packages/bramleystage/src/coordination/turn-queue.ts
+++ b/packages/bramleystage/src/coordination/turn-queue.ts
@@ -9,6 +9,8 @@
 const msPerSecond = 1000;
 /** Lateness of a turn that the next one makes up for, in milliseconds, so that late timers don't lower the rate. */
 const maxCatchUpMs = 50;
+/** Time by which a turn may be late, in milliseconds, as timers and messages are. */
+const maxLateMs = 20;
 
 /** A request that wants a turn; `Id` is what the caller knows it by. */
 export type TurnRequest<Id> = {
@@ -101,7 +103,8 @@
 	const kept: Array<WaitingTurn<Id>> = [];
 	const late: Id[] = [];
 	for (const turn of queue.waiting) {
-		if (computeTurnAt(queue, kept.length, perSecond, now) > turn.latestAt) {
+		const turnAt = computeTurnAt(queue, kept.length, perSecond, now);
+		if (turnAt > turn.latestAt + maxLateMs) {
 			late.push(turn.id);
 		} else {
 			kept.push(turn);
