--- a/packages/bramleystage-gateway/src/permit-circle.ts
+++ b/packages/bramleystage-gateway/src/permit-circle.ts
@@ -13,8 +13,8 @@
 import {PermitLink} from './permit-link.js';
 import {computeHashPlace} from './request-traits.js';
 
-/** Time for which a gateway that did not answer is not asked, in milliseconds. */
-const silentBackoffMs = 1500;
+/** Pause before a gateway that did not answer is checked again, in milliseconds; it is asked for turns only after it has answered. */
+const silentCheckMs = 500;
 /** Time for which an answer shows that a gateway runs, in milliseconds. */
 const aliveMs = 300;
 /** Gateways that are tried for one request. */
@@ -34,8 +34,8 @@
 
 export class PermitCircle {
 	readonly #links = new Map<string, PermitLink>();
-	/** Steady-clock time until which each gateway counts as silent, in milliseconds. */
-	readonly #silentUntil = new Map<string, number>();
+	/** Gateways that did not answer, until they answer a check. */
+	readonly #silent = new Set<string>();
 	/** Steady-clock time at which each gateway last answered, in milliseconds. */
 	readonly #answeredAt = new Map<string, number>();
 	#members: readonly string[] = [];
@@ -53,7 +53,7 @@
 	/** Lists the gateways to ask for turns at an instance, in order. */
 	listOwners(instance: InstanceKey): readonly string[] {
 		return this.#listOrder(instance)
-			.filter((address) => !this.#isSilent(address))
+			.filter((address) => !this.#silent.has(address))
 			.slice(0, maxTriedOwners);
 	}
 
@@ -104,9 +104,10 @@
 					this.#links.delete(address);
 				}
 
-				if (isSilent) {
+				if (isSilent && !this.#silent.has(address)) {
 					logger.info('permits.ownerLost', {address});
-					this.#silentUntil.set(address, readClock() + silentBackoffMs);
+					this.#silent.add(address);
+					this.#awaitAnswer(address);
 				}
 			},
 		});
@@ -114,8 +115,22 @@
 		return link;
 	}
 
-	#isSilent(address: string): boolean {
-		return (this.#silentUntil.get(address) ?? 0) > this.options.readClock();
+	/** Checks a silent gateway until it answers or is a member no more. */
+	#awaitAnswer(address: string): void {
+		const {lifeCycle, listPeers, logger} = this.options;
+		lifeCycle.registerTimeout(silentCheckMs, () => {
+			void (async () => {
+				const hasAnswered =
+					listPeers().includes(address) &&
+					(await this.findLink(address).check());
+				if (hasAnswered || !listPeers().includes(address)) {
+					this.#silent.delete(address);
+					logger.info('permits.ownerBack', {address, answers: hasAnswered});
+				} else {
+					this.#awaitAnswer(address);
+				}
+			})();
+		});
 	}
 
 	#listOrder(instance: InstanceKey): readonly string[] {
--- a/packages/bramleystage-gateway/src/permit-link.ts
+++ b/packages/bramleystage-gateway/src/permit-link.ts
@@ -17,10 +17,14 @@
 	permitReplySchema,
 } from './permit-messages.js';
 
-/** How often a gateway is checked while requests wait there, in milliseconds. */
+/** How often it is looked for silence, in milliseconds. */
 const checkIntervalMs = 100;
+/** Silence after which a gateway where requests wait is asked whether it runs, in milliseconds. */
+const quietMs = 500;
 /** Silence after which a gateway counts as lost, in milliseconds. */
-const maxSilenceMs = 300;
+const maxSilenceMs = 800;
+/** Time for a connection to open, in milliseconds. */
+const connectTimeoutMs = 300;
 /** Delay of the check's timer that shows that this process did not run, in milliseconds. */
 const processDelayMs = 100;
 
@@ -47,6 +51,8 @@
 	/** Steady-clock time of the last sign of life, or of the first question after one, in milliseconds. */
 	#quietSince: number;
 	#checkedAt: number;
+	/** Whether the gateway was asked whether it runs, in the present silence. */
+	#isChecked = false;
 	/** Whether the gateway has not accepted the connection, or has not answered in time. */
 	#isSilent = true;
 
@@ -74,6 +80,7 @@
 				checkValue(decoded, permitReplySchema),
 			);
 			this.#quietSince = readClock();
+			this.#isChecked = false;
 			if (reply.isErr()) {
 				this.close();
 			} else if (reply.value.type === 'permitAnswer') {
@@ -153,11 +160,16 @@
 			return;
 		}
 
-		const limitMs = maxSilenceMs + this.options.readLinkDelayMs();
-		if (now - this.#quietSince >= limitMs) {
+		const {connecting} = this.#socket;
+		const limitMs =
+			(connecting ? connectTimeoutMs : maxSilenceMs) +
+			this.options.readLinkDelayMs();
+		const silentMs = now - this.#quietSince;
+		if (silentMs >= limitMs) {
 			this.#isSilent = true;
 			this.close();
-		} else if (!this.#socket.connecting) {
+		} else if (!connecting && silentMs >= quietMs && !this.#isChecked) {
+			this.#isChecked = true;
 			this.#write({type: 'permitCheck'});
 		}
 	}
--- a/packages/bramleystage-gateway/src/permit-messages.ts
+++ b/packages/bramleystage-gateway/src/permit-messages.ts
@@ -10,17 +10,21 @@
 } from 'bramleystage';
 import * as z from 'zod';
 
-/** What a gateway knows of the limit of an instance. */
-export const limitNewsSchema = z.object({
-	instance: instanceKeySchema,
+/** What a gateway knows of a limit. */
+const limitStateSchema = z.object({
 	/** Requests a second; null if the limit has ended. */
 	perSecond: z.number().positive().nullable(),
 	revision: z.int().min(0),
 });
+
+/** What a gateway knows of the limit of an instance. */
+export const limitNewsSchema = limitStateSchema.extend({
+	instance: instanceKeySchema,
+});
 export type LimitNews = z.infer<typeof limitNewsSchema>;
 
 export const permitAskSchema = permitRequestMessageSchema.extend({
-	limit: limitNewsSchema,
+	limit: limitStateSchema,
 	/** Time for which the request can wait for its turn, in milliseconds. */
 	maxWaitMs: z.number().min(0),
 	/** 0 comes first. */
@@ -48,7 +52,7 @@
 
 export const permitReplySchema = z.discriminatedUnion('type', [
 	permitAnswerSchema.extend({
-		limit: limitNewsSchema,
+		limit: limitStateSchema,
 		/** Whether another gateway gives the server's turns. */
 		isMoved: z.boolean().optional(),
 	}),
--- a/packages/bramleystage-gateway/src/permits.ts
+++ b/packages/bramleystage-gateway/src/permits.ts
@@ -7,11 +7,9 @@
 import {
 	type BackendId,
 	encodeValueFrame,
-	type InstanceKey,
 	type LifeCycle,
 	type Logger,
 	toInstanceKey,
-	toLimitKey,
 } from 'bramleystage';
 import {Counter, type Registry} from 'prom-client';
 import type {LimitWatch} from './limit-watch.js';
@@ -22,21 +20,12 @@
 	PermitReply,
 } from './permit-messages.js';
 import {PermitOwner, type TurnResult} from './permit-owner.js';
-
-/** Time after which a request may be repeated if no gateway gives turns, in milliseconds. */
-const noOwnerRetryMs = 500;
-/** Times that owners are asked for one request. */
-const maxAsks = 4;
-/** Delay before a request is sent to the gateway that gives the turns now, in milliseconds. */
-const movedDelayMs = 50;
-
-export type PermitRequest = {
-	/** Time for which the request can wait for its turn, in milliseconds. */
-	readonly maxWaitMs: number;
-	/** 0 comes first. */
-	readonly priority: number;
-	readonly customer: string;
-};
+import {
+	describeState,
+	noOwnerRetryMs,
+	type PermitRequest,
+	PermitSearch,
+} from './permit-search.js';
 
 export type PermitsOptions = {
 	readonly limits: LimitWatch;
@@ -92,91 +81,30 @@
 		request: PermitRequest,
 		handleResult: (result: TurnResult) => void,
 	): () => void {
-		const {limits, readClock} = this.options;
+		const {limits} = this.options;
 		const instance = limits.findInstance(id);
 		if (instance === undefined || limits.findLimit(id) === undefined) {
 			handleResult({granted: true});
 			return () => undefined;
 		}
 
-		this.#waiting.set(id, this.countWaiting(id) + 1);
-		let isDone = false;
-		const finish = () => {
-			isDone = true;
-			const count = this.countWaiting(id) - 1;
-			if (count > 0) {
-				this.#waiting.set(id, count);
-			} else {
-				this.#waiting.delete(id);
-			}
-		};
-
-		const until = readClock() + request.maxWaitMs;
-		let askCount = 0;
-		let withdraw: () => void = () => undefined;
-		const handle = (result: TurnResult) => {
-			if (isDone) {
-				return;
-			}
-
-			const isMoved = !result.granted && result.isMoved;
-			if (isMoved && until - readClock() > movedDelayMs) {
-				const timer = setTimeout(askNext, movedDelayMs);
-				withdraw = () => {
-					clearTimeout(timer);
-				};
-			} else {
-				finish();
+		this.#countWaiting(id, 1);
+		const search = new PermitSearch({
+			...this.options,
+			instance,
+			request,
+			circle: this.#circle,
+			owner: this.#owner,
+			handleResult: (result) => {
+				this.#countWaiting(id, -1);
 				this.#results.inc({result: result.granted ? 'granted' : 'refused'});
 				handleResult(result);
-			}
-		};
-
-		const askNext = () => {
-			askCount++;
-			const [owner] = this.#circle.listOwners(instance);
-			if (owner === undefined || askCount > maxAsks) {
-				this.#results.inc({result: 'noOwner'});
-				handle({granted: false, retryAfterMs: noOwnerRetryMs});
-				return;
-			}
-
-			const maxWaitMs = Math.max(0, until - readClock());
-			if (owner === this.options.self) {
-				withdraw = this.#owner.ask({
-					...request,
-					instance,
-					maxWaitMs,
-					handleResult: handle,
-				});
-				return;
-			}
-
-			withdraw = this.#circle.findLink(owner).ask(
-				{
-					key: toLimitKey(instance),
-					kind: 'requests_per_second',
-					amount: 1,
-					limit: limits.describeLimit(instance),
-					...request,
-					maxWaitMs,
-				},
-				(answer) => {
-					if (answer) {
-						limits.acceptNews([answer.limit]);
-						handle(answer);
-					} else if (!isDone) {
-						askNext();
-					}
-				},
-			);
-		};
-
-		askNext();
+			},
+		});
+		search.start();
 		return () => {
-			if (!isDone) {
-				finish();
-				withdraw();
+			if (search.tryCancel()) {
+				this.#countWaiting(id, -1);
 			}
 		};
 	}
@@ -215,12 +143,12 @@
 	async #answer(
 		socket: Socket,
 		asks: Map<number, () => void>,
-		{number, limit, maxWaitMs, priority, customer}: PermitAsk,
+		{number, key, limit, maxWaitMs, priority, customer}: PermitAsk,
 	): Promise<void> {
 		const {limits, readClock} = this.options;
-		const instance = toInstanceKey(limit.instance);
+		const instance = toInstanceKey(key);
 		const askedAt = readClock();
-		limits.acceptNews([limit]);
+		limits.acceptNews([{instance, ...limit}]);
 		let isWithdrawn = false;
 		asks.set(number, () => {
 			isWithdrawn = true;
@@ -237,7 +165,7 @@
 			writeReply(socket, {
 				type: 'permitAnswer',
 				number,
-				limit: limits.describeLimit(instance),
+				limit: describeState(limits, instance),
 				...(result.granted ? {granted: true, retryAfterMs: 0} : result),
 			});
 		};
@@ -259,6 +187,15 @@
 		}
 	}
 
+	#countWaiting(id: BackendId, change: 1 | -1): void {
+		const count = this.countWaiting(id) + change;
+		if (count > 0) {
+			this.#waiting.set(id, count);
+		} else {
+			this.#waiting.delete(id);
+		}
+	}
+
 	#openAsks(socket: Socket): Map<number, () => void> {
 		const known = this.#remoteAsks.get(socket);
 		if (known) {
--- a/packages/bramleystage/src/coordination/__tests__/turn-queue.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/turn-queue.test.ts
@@ -158,3 +158,21 @@
 	expect(takeTurn(after, 0.25, 4000)[1]).toBeUndefined();
 	expect(takeTurn(after, 0.25, 4200)[1]).toBe('b');
 });
+
+// Guards against a request that was accepted and is refused later, as a timer was a little late.
+test('a request whose turn is just in time keeps it, although others arrive before a late timer', () => {
+	let {queue} = addAll(
+		[buildRequest('a'), buildRequest('b', {latestAt: 2000})],
+		1,
+		0,
+	);
+	const [next, late] = addTurn(
+		queue,
+		buildRequest('c', {latestAt: 1100}),
+		1,
+		1003,
+	);
+	queue = next;
+	expect(late).toEqual(['c']);
+	expect(takeUntil(queue, 1, 1010, 2100).map(({id}) => id)).toEqual(['a', 'b']);
+});
--- a/packages/bramleystage/src/coordination/turn-queue.ts
+++ b/packages/bramleystage/src/coordination/turn-queue.ts
@@ -9,8 +9,8 @@
 const msPerSecond = 1000;
 /** Lateness of a turn that the next one makes up for, in milliseconds, so that late timers don't lower the rate. */
 const maxCatchUpMs = 50;
-/** Time by which a turn may be late, in milliseconds, as timers and messages are. */
-const maxLateMs = 20;
+/** Time by which the turn of a waiting request may be late, in milliseconds: a late timer must not turn away what was accepted. */
+const maxLateMs = 50;
 
 /** A request that wants a turn; `Id` is what the caller knows it by. */
 export type TurnRequest<Id> = {
@@ -83,6 +83,10 @@
 		(other) => compareTurns(turn, other) < 0,
 	);
 	const index = after === -1 ? queue.waiting.length : after;
+	if (computeTurnAt(queue, index, perSecond, now) > request.latestAt) {
+		return [queue, [request.id]];
+	}
+
 	const tags = new Map(queue.tags).set(
 		request.customer,
 		startTag + 1 / Math.max(request.weight, Number.EPSILON),
