--- a/packages/bramleystage/src/coordination/__tests__/layer-orders.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/layer-orders.test.ts
@@ -157,3 +157,23 @@
 	);
 	expect(Math.min(...counts)).toBe(1);
 });
+
+// Guards against requests that can begin only at an engine which takes few of them.
+test('another engine gets the first layer of one that names a limit, and a limited one none', () => {
+	const placed = settleOrders(createFleet());
+	const limited = placed.map((engine) => ({
+		...engine,
+		isLimited: engine.layers?.from === 0 && engine.dataCentre === 'a',
+	}));
+	const settled = settleOrders(limited);
+	const holdsFirst = settled.filter(
+		({dataCentre, layers, isLimited}) =>
+			dataCentre === 'a' && layers?.from === 0 && !isLimited,
+	);
+	expect(holdsFirst.length).toBeGreaterThanOrEqual(1);
+	expect(Math.min(...countHolders(settled, 'a'))).toBeGreaterThanOrEqual(1);
+	for (const engine of limited.filter(({isLimited}) => isLimited)) {
+		const after = settled.find(({id}) => id === engine.id);
+		expect(after?.layers).toEqual(engine.layers);
+	}
+});
