No hedge takes a turn at a limited server; forget changes of servers that are gone

A hedge onto a limited server would take a turn from a first attempt of somebody else, so a request is hedged only while servers without a limit have room, or none names one. Numbers of changes were kept for instances that are long gone.

--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -188,18 +188,19 @@
 
 	/** Whether a server may be sent new work: it is listed, doesn't leave, and wants work now. */
 	isOpen(id: BackendId): boolean {
-		const backend = this.snapshots.value.backends.get(id);
-		return (
-			backend !== undefined && !backend.isDraining && !this.health.isPaused(id)
-		);
+		const {isDraining = true} = this.snapshots.value.backends.get(id) ?? {};
+		return !isDraining && !this.health.isPaused(id);
 	}
 
-	/** Whether a server that names no limit has room for a request, so that none need wait for a turn. */
+	/** Whether a service has servers that take a request without a turn: none of them names a limit, or another one has room. */
 	hasUnlimitedRoom({name, pipeline}: GatewayService): boolean {
-		return this.listUsable(name, false).some(
-			(backend) =>
-				!this.#limitedChoice.isLimited(backend.id) &&
-				this.costs.hasRoom(backend, pipeline),
+		const usable = this.listUsable(name, true);
+		const unlimited = usable.filter(
+			({id}) => !this.#limitedChoice.isLimited(id),
+		);
+		return (
+			unlimited.length === usable.length ||
+			unlimited.some((backend) => this.costs.hasRoom(backend, pipeline))
 		);
 	}
 
@@ -242,7 +243,7 @@
 		return this.#paths.choose(service, excluded, full);
 	}
 
-	/** Chooses new stages after the first one, for a request that continues at its first engine, which may be leaving or paused. */
+	/** Chooses new stages after the first one, which may be leaving or paused. */
 	choosePathAfter(
 		first: PathStage,
 		service: GatewayService,
--- a/packages/bramleystage-gateway/src/limit-watch.ts
+++ b/packages/bramleystage-gateway/src/limit-watch.ts
@@ -91,6 +91,11 @@
 				this.#limits,
 				(instance, {seenAt}) => listed.has(instance) || seenAt > keptSince,
 			);
+			for (const instance of this.#changes.keys()) {
+				if (!this.#limits.has(instance)) {
+					this.#changes.delete(instance);
+				}
+			}
 		});
 		lifeCycle.register(() => {
 			subscription.unsubscribe();
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -147,6 +147,7 @@
 			!this.isFinished &&
 			this.#activeAttempts.size === 1 &&
 			!this.turns.isWaiting &&
+			this.context.fleet.hasUnlimitedRoom(this.call.service) &&
 			this.attempts < this.call.route.maxAttempts &&
 			!this.context.crashGuard.isSuspect(this.call) &&
 			this.context.trySpendRetry(this.call.service.name)
