Renew the membership when another gateway knows of a later group; one reader of the store

The store lists a new member only after others have renewed, so that reading the members as soon as a ping named a later state could give an incomplete list for good. The membership is renewed instead, and read after it.

--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -68,8 +68,7 @@
 	#state: GroupState | undefined;
 	/** Renewals in a row that found the group changed and left it to a peer to read the members. */
 	#waitedRenewals = 0;
-	/** Fence of a later change for which the members are being read; 0 if none are. */
-	#readingFence = 0;
+	#isRenewing = false;
 	#isLeader = false;
 	#isLeaving = false;
 	#budgetShare: BudgetShare;
@@ -133,22 +132,14 @@
 		}
 	}
 
-	/** Reads the members at once if another gateway knows of a later change of the group. */
-	async recordPeerFence(fence: number): Promise<void> {
-		if (fence <= Math.max(this.#state?.fence ?? 0, this.#readingFence)) {
-			return;
+	/**
+	 * Renews the membership at once if another gateway knows of a later change of the
+	 * group: the store lists a new member only after others have renewed.
+	 */
+	recordPeerFence(fence: number): void {
+		if (fence > this.fence && !this.#isLeaving) {
+			void this.#renewNow();
 		}
-
-		const {store, logger} = this.options;
-		this.#readingFence = fence;
-		const members = await store.listMembers();
-		if (members.isOk()) {
-			this.#applyMembers({fence, members: members.value});
-		} else {
-			logger.warn('group.unread', {detail: members.error.detail});
-		}
-
-		this.#readingFence = 0;
 	}
 
 	/** Leaves the group, so that the others need not wait until the membership expires. */
@@ -162,26 +153,37 @@
 	}
 
 	async #renew(): Promise<void> {
-		const {store, self, memberMs, lifeCycle, logger} = this.options;
+		const {memberMs, lifeCycle} = this.options;
 		while (!lifeCycle.isStopped && !this.#isLeaving) {
-			const sentAt = this.options.readClock();
 			// Renewals are sequential.
 			// eslint-disable-next-line no-await-in-loop
-			const joined = await store.joinGroup(self, this.#generation);
-			if (joined.isErr()) {
-				logger.debug('group.unreachable', {detail: joined.error.detail});
-				this.applyPeerGroup();
-			} else {
-				({generation: this.#generation, era: this.#era} = joined.value);
-				// eslint-disable-next-line no-await-in-loop
-				await this.#handleRenewal(sentAt);
-			}
-
+			await this.#renewNow();
 			// eslint-disable-next-line no-await-in-loop
 			await waitFor(memberMs / renewalsPerMemberTtl);
 		}
 	}
 
+	/** Renews the membership, unless a renewal is under way. */
+	async #renewNow(): Promise<void> {
+		if (this.#isRenewing) {
+			return;
+		}
+
+		const {store, self, logger} = this.options;
+		this.#isRenewing = true;
+		const sentAt = this.options.readClock();
+		const joined = await store.joinGroup(self, this.#generation);
+		if (joined.isErr()) {
+			logger.debug('group.unreachable', {detail: joined.error.detail});
+			this.applyPeerGroup();
+		} else {
+			({generation: this.#generation, era: this.#era} = joined.value);
+			await this.#handleRenewal(sentAt);
+		}
+
+		this.#isRenewing = false;
+	}
+
 	/** Records a successful renewal, which counts only together with the members of its generation. */
 	async #handleRenewal(sentAt: number): Promise<void> {
 		const {isInformedByPeer, store, logger} = this.options;
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -197,7 +197,7 @@
 		address: settings.peerListen,
 		readState,
 		onGroupFence(fence) {
-			void group.recordPeerFence(fence);
+			group.recordPeerFence(fence);
 		},
 		peerLinks,
 		peerSync,
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -27,6 +27,9 @@
 /** Upper limit of the time for which a slow answer is awaited, in milliseconds. */
 const maxAnswerSpanMs = 4 * answerSpanMs;
 
+/** By how much a peer's list must be newer than one that was read here, in milliseconds: longer than the interval of pings. */
+const minListLeadMs = 400;
+
 /** What a query asks for. */
 type Subject = 'configuration' | 'list';
 
@@ -110,7 +113,10 @@
 		}
 
 		follower.acceptVersion(version, configurationReadAt);
-		if (listReadAt > fleet.readAt) {
+		// Two gateways that read the store right after each other would else each take the
+		// other's list, and neither would find itself informed.
+		const marginMs = fleet.reader === undefined ? minListLeadMs : 0;
+		if (listReadAt > fleet.readAt + marginMs) {
 			fleet.replaceByPeerList([...backends.values()], listReadAt, reader);
 		}
 	}
