--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -14,23 +14,17 @@
 import {refusedStatus} from './answer-status.js';
 import {writeErrorResponse} from './error-response.js';
 import {type Call, isRepeatable} from './call.js';
-import type {AttemptEnd, AttemptProgress} from './request-recorder.js';
+import type {AttemptEnd} from './request-recorder.js';
 import {
 	buildRefusal,
 	describeNoBackend,
 	type RefusalResult,
 } from './call-refusal.js';
-import {RunHistory} from './run-history.js';
+import {type AttemptRun, RunHistory} from './run-history.js';
 import type {AnswerMetadata} from './platform-port.js';
 import type {RunContext} from './run-context.js';
 import {TurnTaker} from './turn-taker.js';
 
-/** One run of a request at a backend server. */
-export type AttemptRun = {
-	readonly sent: SentRequest;
-	readonly progress: AttemptProgress;
-};
-
 export abstract class CallRun {
 	protected isFinished = false;
 	protected answerStartedAt: number | undefined;
@@ -133,14 +127,12 @@
 
 	/** Fails the request, as no backend server is usable. */
 	protected handleNoBackend(): void {
-		const {result, detail} = describeNoBackend(
-			this.call.service,
-			this.turns.fullServers,
-		);
+		const {service} = this.call;
+		const reason = describeNoBackend(service, this.turns.fullServers);
 		this.failWith(
 			this.#history.mayHaveRun
 				? createFailure('backendLost', 'No other backend server is left.')
-				: this.buildRefusal(result, detail),
+				: this.buildRefusal(reason.result, reason.detail),
 		);
 	}
 
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -138,10 +138,7 @@
 		}
 	}
 
-	/**
-	 * Computes the time after which a service without a usable server takes work
-	 * again, in milliseconds; undefined if pauses are not the reason.
-	 */
+	/** Computes the time after which a service takes work again, in milliseconds; undefined if pauses are not the reason that it takes none. */
 	computePauseMs({name, pipeline}: GatewayService): number | undefined {
 		const ids = this.#listOpen(name).map(({id}) => id);
 		const isReason =
@@ -192,23 +189,15 @@
 		return !isDraining && !this.health.isPaused(id);
 	}
 
-	/** Whether a service has servers that take a request without a turn: none of them names a limit, or another one has room. */
+	/** Whether a service takes a request without a turn at a server that names a limit. */
 	hasUnlimitedRoom({name, pipeline}: GatewayService): boolean {
-		const usable = this.listUsable(name, true);
-		const unlimited = usable.filter(
-			({id}) => !this.#limitedChoice.isLimited(id),
-		);
-		return (
-			unlimited.length === usable.length ||
-			unlimited.some((backend) => this.costs.hasRoom(backend, pipeline))
+		return this.#limitedChoice.hasUnlimitedRoom(
+			this.listUsable(name, true),
+			(backend) => this.costs.hasRoom(backend, pipeline),
 		);
 	}
 
-	/**
-	 * Chooses a server of a plain service: the least loaded one, preferring this data
-	 * centre among equals, and servers that name a limit only if no other has room.
-	 * Those in `full` have none in time.
-	 */
+	/** Chooses a server of a plain service, but none in `full`: the least loaded one, preferring this data centre among equals. */
 	chooseBackend(
 		service: ServiceName,
 		excluded: ReadonlySet<BackendId>,
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -12,8 +12,11 @@
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
 import {InstanceWatch} from './instance-watch.js';
-import {createLimitControl, type LimitControl} from './limit-control.js';
-import {LimitedChoice} from './limited-choice.js';
+import {
+	createLimitControl,
+	createLimitedChoice,
+	type LimitControl,
+} from './limit-control.js';
 import {GatewayGroup} from './gateway-group.js';
 import {RequestRecorder} from './request-recorder.js';
 import {PeerSync} from './peer-sync.js';
@@ -66,6 +69,7 @@
 	lifeCycle: LifeCycle,
 ): Promise<RunningGateway> {
 	const {store, engines, headers} = platform;
+	const base = {lifeCycle, logger, readClock};
 	let drainTimes: DrainTimes | undefined;
 	const isStopping = () => drainTimes !== undefined;
 	const readLinkDelayMs = () => ownLink.delayMs;
@@ -75,27 +79,22 @@
 		readClock,
 		countGateways: () => group.size,
 		readLinkDelayMs,
-		limitedChoice: new LimitedChoice({
-			findLimit: (id) => limits.findLimit(id),
-			countWaiting: (id) => permits.countWaiting(id),
-			drawRandom: Math.random,
-		}),
+		limitedChoice: createLimitedChoice(() => limitControl),
 	});
 	const recorder = new RequestRecorder(
 		logger,
 		readClock,
 		() => readClock() - fleet.readAt,
 	);
-	const {limits, permits}: LimitControl = createLimitControl({
+	const limitControl: LimitControl = createLimitControl({
 		fleet,
 		self: settings.peerListen,
 		listPeers: () => group.listPeers(),
 		registry: recorder.registry,
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 		readLinkDelayMs,
 	});
+	const {limits, permits} = limitControl;
 	const instances = new InstanceWatch({
 		fleet,
 		readReport: engines.readReport,
@@ -111,9 +110,7 @@
 		recorder,
 		fleet,
 		instances,
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 		readLinkDelayMs,
 	});
 	const peerLinks: PeerLinks = new PeerLinks({
@@ -128,9 +125,7 @@
 		recordLinkEvent(event) {
 			ownLink.record(event);
 		},
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 	});
 	const group: GatewayGroup = new GatewayGroup({
 		store,
@@ -143,9 +138,7 @@
 		findPeerState: (address) => peerLinks.findPeerState(address),
 		findPeerGroup: () => peerLinks.findGroup(),
 		isInformedByPeer: () => isInformedByPeer(),
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 		readLinkDelayMs,
 	});
 	const contact = new StoreContact();
@@ -160,9 +153,7 @@
 			fleet.recordStoreEra(era);
 		},
 		contact,
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 	});
 	const {configurations} = follower;
 	followBackends({
@@ -170,18 +161,14 @@
 		fleet,
 		readMaxAgeMs,
 		contact,
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 	});
 	const peerSync = new PeerSync({
 		follower,
 		fleet,
 		listPeers: () => group.listPeers(),
 		isStopping,
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 	});
 	const readState = (): GatewayState => ({
 		...(drainTimes && {backAt: computeSuccessorServingAt(drainTimes)}),
@@ -205,9 +192,7 @@
 		crashes: ledger,
 		limits,
 		permits,
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 	});
 	startPlacement({
 		fleet,
@@ -217,9 +202,7 @@
 		limits,
 		permits,
 		listServices: () => [...(configurations.value?.services.values() ?? [])],
-		lifeCycle,
-		logger,
-		readClock,
+		...base,
 	});
 	const monitor = new StreamMonitor({
 		fleet,
--- a/packages/bramleystage-gateway/src/limit-control.ts
+++ b/packages/bramleystage-gateway/src/limit-control.ts
@@ -1,4 +1,5 @@
 /** What keeps the limits that servers name: the watch of the limits, and turns at the servers. */
+import {LimitedChoice} from './limited-choice.js';
 import {LimitWatch, type LimitWatchOptions} from './limit-watch.js';
 import {Permits, type PermitsOptions} from './permits.js';
 
@@ -7,6 +8,16 @@
 	readonly permits: Permits;
 };
 
+/** Creates the choice between limited servers and others; `readControl` is called when something is chosen. */
+export const createLimitedChoice = (
+	readControl: () => LimitControl,
+): LimitedChoice =>
+	new LimitedChoice({
+		findLimit: (id) => readControl().limits.findLimit(id),
+		countWaiting: (id) => readControl().permits.countWaiting(id),
+		drawRandom: Math.random,
+	});
+
 export function createLimitControl(
 	options: LimitWatchOptions & Omit<PermitsOptions, 'limits'>,
 ): LimitControl {
--- a/packages/bramleystage-gateway/src/limited-choice.ts
+++ b/packages/bramleystage-gateway/src/limited-choice.ts
@@ -30,6 +30,18 @@
 		return this.options.findLimit(id) !== undefined;
 	}
 
+	/** Whether servers take a request without a turn: none of them names a limit, or another one has room. */
+	hasUnlimitedRoom<T extends Server>(
+		servers: readonly T[],
+		hasRoom: (server: T) => boolean,
+	): boolean {
+		const unlimited = servers.filter(({id}) => !this.isLimited(id));
+		return (
+			unlimited.length === servers.length ||
+			unlimited.some((server) => hasRoom(server))
+		);
+	}
+
 	/** Selects the servers among which the least loaded one is chosen. */
 	selectPreferred<T extends Server>(
 		servers: readonly T[],
--- a/packages/bramleystage-gateway/src/permit-link.ts
+++ b/packages/bramleystage-gateway/src/permit-link.ts
@@ -82,6 +82,10 @@
 			this.#quietSince = readClock();
 			this.#isChecked = false;
 			if (reply.isErr()) {
+				options.logger.warn('permits.bad', {
+					address,
+					detail: reply.error.detail,
+				});
 				this.close();
 			} else if (reply.value.type === 'permitAnswer') {
 				const handle = this.#asks.get(reply.value.number);
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -18,7 +18,8 @@
 	minErrorStatus,
 	replacedStatus,
 } from './answer-status.js';
-import {type AttemptRun, CallRun} from './call-run.js';
+import {CallRun} from './call-run.js';
+import type {AttemptRun} from './run-history.js';
 import type {RunContext} from './run-context.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live server accepts one within a few milliseconds. */
@@ -213,16 +214,13 @@
 
 		const isSameRequest = metadata.request === this.call.metadata.request;
 		if (!isSameRequest || !metadata.isStamped) {
+			const reason = 'The answer belongs to another request.';
 			this.context.fleet.health.recordFailure(
 				active.backend.id,
 				'failed',
-				'The answer belongs to another request.',
-			);
-			this.#handleOutcome(
-				active,
-				'unknown',
-				'The answer belongs to another request.',
+				reason,
 			);
+			this.#handleOutcome(active, 'unknown', reason);
 			return;
 		}
 
--- a/packages/bramleystage-gateway/src/run-history.ts
+++ b/packages/bramleystage-gateway/src/run-history.ts
@@ -1,6 +1,13 @@
 /** The runs of one request so far: which count towards its route's limit, and how many servers ended under it. */
 import type {SentRequest} from 'bramleystage';
 import type {InstanceWatch} from './instance-watch.js';
+import type {AttemptProgress} from './request-recorder.js';
+
+/** One run of a request at a backend server. */
+export type AttemptRun = {
+	readonly sent: SentRequest;
+	readonly progress: AttemptProgress;
+};
 
 export class RunHistory {
 	/** Attempts that may have run, in the order of their ends. */
