--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -264,6 +264,7 @@
 		request: {} as unknown as IncomingMessage,
 		response: response as unknown as ServerResponse,
 		arrivedAt: startedAt,
+		unreadMs: 0,
 		deadlineAt: startedAt + deadlineMs,
 		version: 1,
 	};
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -131,6 +131,7 @@
 	request: callerRequest,
 	response,
 	arrivedAt: readClock(),
+	unreadMs: 0,
 	deadlineAt: readClock() + 5000,
 	version: 1,
 });
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -31,6 +31,8 @@
 	protected where = '';
 	protected readonly turns: TurnTaker;
 	#sentCount = 0;
+	/** Steady-clock time at which it was last sent, in milliseconds. */
+	#sentAt: number | undefined;
 	readonly #history: RunHistory;
 	readonly #deadlineTimer: NodeJS.Timeout;
 
@@ -90,13 +92,12 @@
 		open: (hasWaited: boolean) => void,
 	): void {
 		this.turns.take(id, this.computeMaxWaitMs(), (isGranted, hasWaited) => {
-			const {fleet} = this.context;
 			if (this.isFinished) {
 				return;
 			}
 
 			// A server may have begun to leave during the wait.
-			if (isGranted && (!hasWaited || fleet.isOpen(id))) {
+			if (isGranted && (!hasWaited || this.context.fleet.isOpen(id))) {
 				open(hasWaited);
 			} else if (isGranted || this.turns.mayTryOthers) {
 				this.tryNextAttempt();
@@ -139,6 +140,7 @@
 	/** Counts an attempt that is about to be sent. */
 	protected countAttempt(): void {
 		this.#sentCount++;
+		this.#sentAt = this.context.readClock();
 	}
 
 	/** Records what a server's answer says about its further use. */
@@ -249,16 +251,16 @@
 		clearTimeout(this.#deadlineTimer);
 		this.turns.cancel();
 		this.cancelAttempts();
+		const computeElapsedMs = (at: number | undefined) =>
+			at === undefined ? undefined : at - this.call.arrivedAt;
 		this.context.recorder.recordEnd(this.call, {
 			failure,
 			status,
 			attempts: this.#sentCount,
 			runs: this.listCountedRuns().length,
 			where: this.where,
-			firstMs:
-				this.answerStartedAt === undefined
-					? undefined
-					: this.answerStartedAt - this.call.arrivedAt,
+			firstMs: computeElapsedMs(this.answerStartedAt),
+			sentMs: computeElapsedMs(this.#sentAt),
 		});
 	}
 
--- a/packages/bramleystage-gateway/src/call.ts
+++ b/packages/bramleystage-gateway/src/call.ts
@@ -16,6 +16,8 @@
 	readonly response: ServerResponse;
 	/** Steady-clock time when its head was read, in milliseconds. */
 	readonly arrivedAt: number;
+	/** Time for which it may have waited in the kernel until it was read, in milliseconds. */
+	readonly unreadMs: number;
 	/** Steady-clock time of its deadline, in milliseconds. */
 	readonly deadlineAt: number;
 	/** Version of the configuration that routed it. */
--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -30,6 +30,8 @@
 	readonly isStopping: () => boolean;
 	readonly drawRandom: () => number;
 	readonly readClock: () => number;
+	/** Measures for how long input that is read now may have waited, in milliseconds. */
+	readonly measureUnreadMs: (now: number) => number;
 };
 
 /** Header bytes that the parser accepts; more than any configuration allows. */
@@ -111,6 +113,7 @@
 	response: ServerResponse,
 ): Promise<void> {
 	const arrivedAt = options.readClock();
+	const unreadMs = options.measureUnreadMs(arrivedAt);
 	response.on('error', () => {
 		// The caller disconnected; `close` follows and ends the request.
 	});
@@ -155,6 +158,7 @@
 		request,
 		response,
 		arrivedAt,
+		unreadMs,
 		deadlineAt:
 			arrivedAt +
 			Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs),
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 	type LimitControl,
 } from './limit-control.js';
 import {GatewayGroup} from './gateway-group.js';
+import {LoopWatch} from './loop-watch.js';
 import {RequestRecorder} from './request-recorder.js';
 import {PeerSync} from './peer-sync.js';
 import {startPeerServer} from './peer-server.js';
@@ -86,6 +87,7 @@
 		readClock,
 		() => readClock() - fleet.readAt,
 	);
+	const loopWatch = new LoopWatch({recorder, lifeCycle, readClock});
 	const limitControl: LimitControl = createLimitControl({
 		fleet,
 		self: settings.peerListen,
@@ -259,6 +261,7 @@
 		isStopping,
 		drawRandom: Math.random,
 		readClock,
+		measureUnreadMs: (now) => loopWatch.measureUnreadMs(now),
 	});
 	configurations.subscribe((configuration) => {
 		if (configuration) {
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -39,6 +39,8 @@
 	readonly runs: number;
 	/** Time to the first event or to the answer, in milliseconds. */
 	readonly firstMs?: number;
+	/** Time until the request was last sent to a server, in milliseconds. */
+	readonly sentMs?: number;
 };
 
 /** How far the answer of an attempt came before the attempt ended. */
@@ -82,6 +84,13 @@
 		registers: [this.registry],
 	});
 
+	readonly #unreadTimes = new Histogram({
+		name: 'bramleystage_gateway_unread_seconds',
+		help: 'Time for which a request may have waited in the kernel until it was read',
+		buckets: [0.03, 0.1, 0.3, 1, 3],
+		registers: [this.registry],
+	});
+
 	readonly #attempts = new Counter({
 		name: 'bramleystage_gateway_attempts_total',
 		help: 'Attempts at backend servers by how they ended',
@@ -207,6 +216,7 @@
 		const result = end.failure?.result ?? 'ok';
 		this.#requests.inc({kind, result});
 		this.#durations.observe({kind}, durationMs / secondMs);
+		this.#unreadTimes.observe(call.unreadMs / secondMs);
 		if (end.firstMs !== undefined) {
 			this.#firstEventDelays.observe(end.firstMs / secondMs);
 		}
@@ -229,6 +239,8 @@
 			attempts: end.attempts,
 			runs: end.runs,
 			where: end.where,
+			unread_ms: Math.round(call.unreadMs) || undefined,
+			sent_ms: end.sentMs && Math.round(end.sentMs),
 			first_ms: end.firstMs && Math.round(end.firstMs),
 			duration_ms: Math.round(durationMs),
 			left_out: this.#omittedLines || undefined,
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -789,6 +789,13 @@
 	type LinkEvent,
 	maxLinkDelayMs,
 } from './coordination/link-delay.js';
+export {
+	computeUnreadMs,
+	createLoopTicks,
+	type LoopTicks,
+	loopTickMs,
+	recordLoopTick,
+} from './coordination/loop-delay.js';
 export {computeReturnMs} from './coordination/return-time.js';
 export {
 	addTurn,
