Overload control at the gateway: read on before working, refuse what can't begin in time

Cause: libuv takes one connection in each turn of the event loop, and a turn did all the work of the request that it read. So connections waited in the kernel's queue of 4,096, the oldest were served first, and nothing noticed: no timer was late, and a request and the end of its connection lie unread together. Ruled out by unread_ms and sent_ms of: a late event loop (median 0 ms, at most 111) and waits inside the gateway (sent 1 ms after reading, cancelled 6 to 12 ms later). Class: work is begun in the order in which it is read, at whatever age, and begins before it is known who still waits. Change: calls begin after turns in which the process read on, in rounds of bounded length (reading-round.ts, call-admission.ts); who has left by then is answered as not run (callerLeft). Calls wait fairly by customer and priority, and are refused at once if the pace at which calls begin lately leaves no room in time (call-queue.ts, overloaded); return times go out at that pace. Running calls of a model are limited once answers begin late (work-window.ts). A process that can't read as fast as callers arrive refuses without parsing. The time that a request may have lain unread counts towards its deadline. An ended sending side counts as left, for all requests of the connection, and is told so. The kernel's queue is 1,024.

--- /dev/null
+++ b/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
@@ -0,0 +1,169 @@
+import type {ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
+import {
+	createFailure,
+	type Failure,
+	toRequestId,
+	toRouteName,
+	toServiceName,
+} from 'bramleystage';
+import {beforeEach, expect, test} from 'vitest';
+import type {Call} from '../call.js';
+import {CallAdmission, type OverloadState} from '../call-admission.js';
+import {CallerConnection} from '../caller-connection.js';
+
+let now: number;
+let unreadMs: number;
+let turns: Array<() => void>;
+let begun: string[];
+let refused: Array<{id: string; result: Failure['result']}>;
+let states: OverloadState[];
+let beginMs: number;
+let admission: CallAdmission;
+
+beforeEach(() => {
+	now = 1000;
+	unreadMs = 0;
+	turns = [];
+	begun = [];
+	refused = [];
+	states = [];
+	beginMs = 1;
+	admission = new CallAdmission({
+		readClock: () => now,
+		measureUnreadMs: () => unreadMs,
+		waitForTurn(callback) {
+			turns.push(callback);
+		},
+		beginCall({metadata}) {
+			begun.push(metadata.request);
+			now += beginMs;
+		},
+		refuseCall({metadata}, {result}) {
+			refused.push({id: metadata.request, result});
+		},
+		recordOverload(state) {
+			states.push(state);
+		},
+		buildOverloadFailure: () => createFailure('overloaded', 'Too many.'),
+	});
+});
+
+/** Ends the present turn of the event loop, which took some milliseconds. */
+function advanceTurn(ms = 1): void {
+	now += ms;
+	for (const turn of turns.splice(0)) {
+		turn();
+	}
+}
+
+function openCaller(): {caller: CallerConnection; socket: Socket} {
+	const socket = new Socket();
+	const acceptance = admission.arrivals.recordConnection(now);
+	return {caller: new CallerConnection(socket, acceptance), socket};
+}
+
+const buildCall = (id: string, caller: CallerConnection): Call => ({
+	metadata: {
+		request: toRequestId(id),
+		promptTokens: 0,
+		maxAnswerTokens: 0,
+		promptParts: [],
+	},
+	route: {
+		name: toRouteName('r'),
+		host: 'test',
+		pathPrefix: '/',
+		kind: 'idempotent',
+		timeoutMs: 5000,
+		latencyTargetMs: 500,
+		eventGapTargetMs: 250,
+		priority: 5,
+		targets: [],
+		maxAttempts: 1,
+		isPublic: true,
+		isResumable: false,
+	},
+	service: {name: toServiceName('desk'), maxConnections: 100},
+	method: 'POST',
+	target: '/',
+	headers: [],
+	body: Buffer.alloc(0),
+	response: {} as unknown as ServerResponse,
+	caller,
+	arrivedAt: now,
+	unreadMs: 0,
+	deadlineAt: now + 5000,
+	version: 1,
+});
+
+// Guards against a call that begins before the end of its connection, which lies behind it,
+// can be read.
+test('a call begins only after the loop has looked for input once more', () => {
+	const {caller} = openCaller();
+	admission.add(buildCall('one', caller), now);
+	advanceTurn();
+	expect(begun).toEqual([]);
+	advanceTurn();
+	expect(begun).toEqual(['one']);
+	advanceTurn();
+	expect(turns).toEqual([]);
+});
+
+test('a call whose caller leaves before it begins does not begin', () => {
+	const first = openCaller();
+	admission.add(buildCall('one', first.caller), now);
+	const second = openCaller();
+	admission.add(buildCall('two', second.caller), now);
+	first.socket.emit('end');
+	advanceTurn();
+	second.socket.emit('end');
+	advanceTurn();
+	expect(begun).toEqual([]);
+	expect(refused).toEqual([
+		{id: 'one', result: 'callerLeft'},
+		{id: 'two', result: 'callerLeft'},
+	]);
+});
+
+// Load pattern: callers arrive in each turn for longer than the process reads on.
+test('calls begin and the process counts as flooded while callers arrive without end', () => {
+	for (let turn = 0; turn < 20; turn++) {
+		const {caller} = openCaller();
+		admission.add(buildCall(`call-${turn}`, caller), now);
+		advanceTurn(5);
+	}
+
+	expect(begun.length).toBeGreaterThan(0);
+	expect(admission.isFlooded).toBe(true);
+	advanceTurn();
+	advanceTurn();
+	expect(admission.isFlooded).toBe(false);
+});
+
+// Load pattern: beginning a call takes longer than the time between two arrivals.
+test('calls that can not begin in time are refused at once, and recorded', () => {
+	beginMs = 40;
+	for (let turn = 0; turn < 400; turn++) {
+		const {caller} = openCaller();
+		admission.add(buildCall(`call-${turn}`, caller), now);
+		advanceTurn(5);
+	}
+
+	expect(refused.length).toBeGreaterThan(100);
+	expect(refused.every(({result}) => result === 'overloaded')).toBe(true);
+	expect(begun.length).toBeGreaterThan(40);
+	expect(states[0]).toMatchObject({service: 'desk'});
+});
+
+test('what a new connection had sent counts from when all connections before had been accepted', () => {
+	unreadMs = 1500;
+	const {caller} = openCaller();
+	unreadMs = 0;
+	advanceTurn(3);
+	expect(admission.arrivals.recordRequest(caller.acceptance, now)).toBe(-500);
+	advanceTurn();
+	advanceTurn();
+	// A later request of the connection has not waited.
+	expect(admission.arrivals.recordRequest(caller.acceptance, now)).toBe(now);
+});
--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -1,6 +1,6 @@
 /** How often a stream runs, and if it ends whole, whatever the engines do. */
 import {EventEmitter} from 'node:events';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {
 	type Backend,
 	LifeCycle,
@@ -29,7 +29,9 @@
 	type Trouble,
 	type TroubleKind,
 } from './simulated-engines.js';
+import {noAdmission} from './no-admission.js';
 import {noLimits, noPermits} from './no-limits.js';
+import {stayingCaller} from './staying-caller.js';
 
 const logger = {
 	error: () => undefined,
@@ -214,6 +216,7 @@
 		limits: noLimits,
 		permits: noPermits,
 		crashGuard,
+		admission: noAdmission,
 		openAttempt: createOpenAttempt(
 			byAddress,
 			() => response.events.at(-1) ?? 0,
@@ -261,8 +264,8 @@
 		target: '/',
 		headers: [],
 		body: Buffer.from('{}'),
-		request: {} as unknown as IncomingMessage,
 		response: response as unknown as ServerResponse,
+		caller: stayingCaller,
 		arrivedAt: startedAt,
 		unreadMs: 0,
 		deadlineAt: startedAt + deadlineMs,
@@ -286,7 +289,7 @@
 		runsAtEnd = countRunning();
 		knownRunsAtEnd = countKnown();
 	});
-	new StreamRun(call, context).start();
+	new StreamRun(call, context).tryNextAttempt();
 	await vi.advanceTimersByTimeAsync(deadlineMs + 100);
 	await lifeCycle.stop();
 	lifeCycle = new LifeCycle();
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -28,7 +28,9 @@
 import {openTimedAttempt} from '../timed-attempt.js';
 import {StreamRun, type StreamRunContext} from '../stream-run.js';
 import {modelService} from './model-service.js';
+import {noAdmission} from './no-admission.js';
 import {noLimits, noPermits} from './no-limits.js';
+import {stayingCaller} from './staying-caller.js';
 
 const logger = {
 	error: () => undefined,
@@ -100,7 +102,6 @@
 
 const createCall = (
 	isStream: boolean,
-	callerRequest: http.IncomingMessage,
 	response: http.ServerResponse,
 ): Call => ({
 	metadata: {
@@ -128,8 +129,8 @@
 	target: '/',
 	headers: [],
 	body: Buffer.from('{}'),
-	request: callerRequest,
 	response,
+	caller: stayingCaller,
 	arrivedAt: readClock(),
 	unreadMs: 0,
 	deadlineAt: readClock() + 5000,
@@ -166,6 +167,7 @@
 			logger,
 			readClock,
 		}),
+		admission: noAdmission,
 		openAttempt: openTimedAttempt,
 		headers,
 		crashGuard: {
@@ -185,12 +187,12 @@
 		recordPause: () => undefined,
 		recordFirstEvent: () => undefined,
 	};
-	const callers = http.createServer((callerRequest, response) => {
-		const call = createCall(isStream, callerRequest, response);
+	const callers = http.createServer((_callerRequest, response) => {
+		const call = createCall(isStream, response);
 		const run = isStream
 			? new StreamRun(call, context as StreamRunContext)
 			: new PlainRun(call, context as StreamRunContext);
-		run.start();
+		run.tryNextAttempt();
 	});
 	callers.listen(0, '127.0.0.1');
 	await once(callers, 'listening');
--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -1,5 +1,6 @@
-/** Starts the run of each call, or refuses it while the process drains. */
-import type {Failure} from 'bramleystage';
+/** Starts the run of each call, or refuses it while the process drains or has too many. */
+import {createFailure, type Failure, ReturnSchedule} from 'bramleystage';
+import {CallAdmission, type CallAdmissionOptions} from './call-admission.js';
 import type {Call} from './call.js';
 import {writeErrorResponse} from './error-response.js';
 import {PlainRun} from './plain-run.js';
@@ -7,30 +8,72 @@
 import {StreamRun, type StreamRunContext} from './stream-run.js';
 
 export type CallHandlerOptions = {
-	readonly context: StreamRunContext;
+	readonly context: Omit<StreamRunContext, 'admission'>;
 	readonly retryBudget: Pick<RetryBudget, 'recordRequest'>;
 	/** Finds the reason to refuse a call that might still be running when this process exits. */
 	readonly findDrainRefusal: (call: Call) => Failure | undefined;
 };
 
-export const createCallHandler =
-	({context, retryBudget, findDrainRefusal}: CallHandlerOptions) =>
+const msPerSecond = 1000;
+
+/** Creates what starts the run of a call, and tells the admission how it goes on. */
+const createCallHandler =
+	(
+		{context, retryBudget, findDrainRefusal}: CallHandlerOptions,
+		admission: StreamRunContext['admission'],
+	) =>
 	(call: Call): void => {
 		const refusal = findDrainRefusal(call);
 		if (refusal) {
-			writeErrorResponse(call.response, refusal, true);
-			context.recorder.recordEnd(call, {
-				failure: refusal,
-				attempts: 0,
-				runs: 0,
-				where: '',
-			});
+			refuseCall(context, call, refusal);
+			admission.recordEnd(call);
 			return;
 		}
 
 		retryBudget.recordRequest(call.service.name);
 		const run = call.service.pipeline
-			? new StreamRun(call, context)
-			: new PlainRun(call, context);
-		run.start();
+			? new StreamRun(call, {...context, admission})
+			: new PlainRun(call, {...context, admission});
+		run.tryNextAttempt();
 	};
+
+/** Creates the admission of calls, which starts or refuses each. */
+export function createCallAdmission(
+	options: CallHandlerOptions &
+		Pick<CallAdmissionOptions, 'measureUnreadMs' | 'waitForTurn'>,
+): CallAdmission {
+	const {context} = options;
+	const {readClock, drawRandom} = context;
+	const returns = new ReturnSchedule(drawRandom);
+	const admission: CallAdmission = new CallAdmission({
+		...options,
+		readClock,
+		beginCall(call) {
+			handleCall(call);
+		},
+		refuseCall(call, failure) {
+			refuseCall(context, call, failure);
+		},
+		recordOverload(state) {
+			context.recorder.recordOverload(state);
+		},
+		buildOverloadFailure(remainingMs, intervalMs) {
+			const returnMs = returns.take({intervalMs, remainingMs}, readClock());
+			return createFailure('overloaded', 'The gateway has too many requests.', {
+				retryAfterSeconds: returnMs / msPerSecond,
+			});
+		},
+	});
+	const handleCall = createCallHandler(options, admission);
+	return admission;
+}
+
+/** Refuses a call that no run was started for. */
+function refuseCall(
+	{recorder, isStopping}: Pick<StreamRunContext, 'recorder' | 'isStopping'>,
+	call: Call,
+	failure: Failure,
+): void {
+	writeErrorResponse(call.response, failure, isStopping());
+	recorder.recordEnd(call, {failure, attempts: 0, runs: 0, where: ''});
+}
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -11,7 +11,6 @@
 	type Failure,
 	type SentRequest,
 } from 'bramleystage';
-import {refusedStatus} from './answer-status.js';
 import {writeErrorResponse} from './error-response.js';
 import {type Call, isRepeatable} from './call.js';
 import type {AttemptEnd} from './request-recorder.js';
@@ -21,7 +20,6 @@
 	type RefusalResult,
 } from './call-refusal.js';
 import {type AttemptRun, RunHistory} from './run-history.js';
-import type {AnswerMetadata} from './platform-port.js';
 import type {RunContext} from './run-context.js';
 import {TurnTaker} from './turn-taker.js';
 
@@ -35,6 +33,7 @@
 	#sentAt: number | undefined;
 	readonly #history: RunHistory;
 	readonly #deadlineTimer: NodeJS.Timeout;
+	readonly #unregisterLeave: () => void;
 
 	constructor(
 		protected readonly call: Call,
@@ -52,30 +51,13 @@
 			},
 			Math.max(0, this.remainingMs()),
 		);
-		call.response.once('close', () => {
-			if (!this.isFinished) {
-				this.end({
-					failure: createFailure('cancelled', 'The caller disconnected.'),
-				});
-			}
+		this.#unregisterLeave = call.caller.registerLeave(() => {
+			this.#handleLeave();
 		});
 	}
 
-	/** Makes the first attempt. */
-	start(): void {
-		this.tryNextAttempt();
-	}
-
-	protected remainingMs(): number {
-		return this.call.deadlineAt - this.context.readClock();
-	}
-
-	protected get attempts(): number {
-		return this.#sentCount;
-	}
-
-	/** Opens an attempt, or fails the request if it must not run or no backend server is usable, and no attempt is in flight. */
-	protected tryNextAttempt(): void {
+	/** Makes an attempt, or fails the request if it must not run or no backend server is usable, and no attempt is in flight. */
+	tryNextAttempt(): void {
 		const isDone =
 			this.isFinished ||
 			this.#refuseBlocked() ||
@@ -86,6 +68,14 @@
 		}
 	}
 
+	protected remainingMs(): number {
+		return this.call.deadlineAt - this.context.readClock();
+	}
+
+	protected get attempts(): number {
+		return this.#sentCount;
+	}
+
 	/** Opens an attempt at a server, once the server's limit allows it. */
 	protected openInTurn(
 		id: BackendId,
@@ -137,28 +127,11 @@
 		);
 	}
 
-	/** Counts an attempt that is about to be sent. */
 	protected countAttempt(): void {
 		this.#sentCount++;
 		this.#sentAt = this.context.readClock();
 	}
 
-	/** Records what a server's answer says about its further use. */
-	protected recordServerState(
-		{id, sentAt}: SentRequest,
-		{isLeaving, retryAfter, namedLimit}: AnswerMetadata,
-		status: number,
-	): void {
-		this.context.limits.recordAnswer(id, {text: namedLimit, sentAt});
-		if (isLeaving) {
-			this.context.fleet.recordLeaving(id);
-		}
-
-		if (status === refusedStatus && retryAfter !== undefined) {
-			this.context.fleet.health.recordPause(id, retryAfter);
-		}
-	}
-
 	/** Records the end of an attempt; if it may have run, its run counts unless its instance has ended. */
 	protected recordOutcome(
 		outcome: AttemptEnd['outcome'],
@@ -242,6 +215,11 @@
 		this.end({failure});
 	}
 
+	protected recordAnswerStart(): void {
+		this.answerStartedAt = this.context.readClock();
+		this.#recordDelay();
+	}
+
 	protected end({failure, status}: {failure?: Failure; status?: number}): void {
 		if (this.isFinished) {
 			return;
@@ -249,18 +227,22 @@
 
 		this.isFinished = true;
 		clearTimeout(this.#deadlineTimer);
+		this.#unregisterLeave();
 		this.turns.cancel();
+		if (this.answerStartedAt === undefined && this.isInFlight()) {
+			this.#recordDelay();
+		}
+
 		this.cancelAttempts();
-		const computeElapsedMs = (at: number | undefined) =>
-			at === undefined ? undefined : at - this.call.arrivedAt;
+		this.context.admission.recordEnd(this.call);
 		this.context.recorder.recordEnd(this.call, {
 			failure,
 			status,
 			attempts: this.#sentCount,
 			runs: this.listCountedRuns().length,
 			where: this.where,
-			firstMs: computeElapsedMs(this.answerStartedAt),
-			sentMs: computeElapsedMs(this.#sentAt),
+			answerStartedAt: this.answerStartedAt,
+			sentAt: this.#sentAt,
 		});
 	}
 
@@ -273,6 +255,23 @@
 	/** Cancels the attempts in flight. */
 	protected abstract cancelAttempts(): void;
 
+	/** Records how long a model's answer took to begin, unless the request was sent more than once. */
+	#recordDelay(): void {
+		if (this.call.service.pipeline && this.#sentCount === 1) {
+			const {admission, readClock} = this.context;
+			const now = readClock();
+			admission.recordDelay(this.call, now - (this.#sentAt ?? now), now);
+		}
+	}
+
+	#handleLeave(): void {
+		this.failWith(
+			this.#history.mayHaveRun || this.isInFlight()
+				? createFailure('cancelled', 'The caller disconnected.')
+				: createFailure('callerLeft', 'The caller ended its connection.'),
+		);
+	}
+
 	/** Fails the request if requests like it end servers; returns whether it did. */
 	#refuseBlocked(): boolean {
 		const refusal = this.context.crashGuard.findRefusal(
--- a/packages/bramleystage-gateway/src/call.ts
+++ b/packages/bramleystage-gateway/src/call.ts
@@ -1,6 +1,7 @@
 /** A caller's request after routing. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {GatewayService, KeyHolder, Route} from 'bramleystage';
+import type {CallerConnection} from './caller-connection.js';
 import type {CallMetadata, Headers} from './platform-port.js';
 
 export type Call = {
@@ -12,11 +13,11 @@
 	readonly target: string;
 	readonly headers: Headers;
 	readonly body: Buffer;
-	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
-	/** Steady-clock time when its head was read, in milliseconds. */
+	readonly caller: Pick<CallerConnection, 'hasLeft' | 'registerLeave'>;
+	/** Earliest steady-clock time at which it may have arrived, in milliseconds. */
 	readonly arrivedAt: number;
-	/** Time for which it may have waited in the kernel until it was read, in milliseconds. */
+	/** Time from `arrivedAt` until it was read, in milliseconds. */
 	readonly unreadMs: number;
 	/** Steady-clock time of its deadline, in milliseconds. */
 	readonly deadlineAt: number;
--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: resolves route, customer and service of each request, and reads its body. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {
 	buildRouteIndex,
 	createFailure,
@@ -17,8 +18,10 @@
 	waitFor,
 } from 'bramleystage';
 import {writeErrorResponse} from './error-response.js';
-import type {Call} from './call.js';
+import type {CallAdmission} from './call-admission.js';
+import {CallerConnection} from './caller-connection.js';
 import type {CallMetadata, HeaderPort} from './platform-port.js';
+import {refuseUnread} from './unread-refusal.js';
 
 export type CallerServerOptions = {
 	/** `host:port`. */
@@ -26,21 +29,30 @@
 	readonly headers: HeaderPort;
 	readonly lifeCycle: LifeCycle;
 	readonly readConfiguration: () => RoutingConfiguration | undefined;
-	readonly handleCall: (call: Call) => void;
+	readonly admission: CallAdmission;
+	readonly recordUnreadRefusal: () => void;
 	readonly isStopping: () => boolean;
 	readonly drawRandom: () => number;
 	readonly readClock: () => number;
-	/** Measures for how long input that is read now may have waited, in milliseconds. */
-	readonly measureUnreadMs: (now: number) => number;
 };
 
 /** Header bytes that the parser accepts; more than any configuration allows. */
 const parserHeaderBytes = 64 * 1024;
 /** Time for which an idle connection stays open beyond the configured timeout, on which callers rely, in milliseconds. */
 const keepAliveSlackMs = 1000;
+/** Time that callers are assumed to have left if their requests are not read, in milliseconds. */
+const unreadRemainingMs = 3000;
+/** Connections that the kernel accepts beyond those that the process has taken; further ones must try again. */
+const backlog = 1024;
 /** Idle timeout until a configuration is known, in milliseconds. */
 const defaultIdleTimeoutMs = 15_000;
 
+type CallerExchange = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly caller: CallerConnection;
+};
+
 type RoutedRequest = {
 	readonly route: Route;
 	readonly service: GatewayService;
@@ -75,13 +87,46 @@
 			response.once('close', () => {
 				openRequests--;
 			});
-			void handleRequest(options, index, request, response);
+			const caller = resolveCaller(request.socket);
+			void handleRequest(options, index, {request, response, caller});
 		},
 	);
+	const callers = new WeakMap<Socket, CallerConnection>();
+	const resolveCaller = (socket: Socket): CallerConnection => {
+		const known = callers.get(socket);
+		if (known) {
+			return known;
+		}
+
+		const acceptance = options.admission.arrivals.recordConnection(
+			options.readClock(),
+		);
+		const caller = new CallerConnection(socket, acceptance);
+		callers.set(socket, caller);
+		return caller;
+	};
+
+	const serveListeners = server.listeners('connection');
+	server.removeAllListeners('connection');
+	server.on('connection', (socket) => {
+		resolveCaller(socket);
+		if (options.admission.isFlooded) {
+			options.recordUnreadRefusal();
+			refuseUnread(
+				socket,
+				options.admission.buildUnreadFailure(unreadRemainingMs),
+			);
+			return;
+		}
+
+		for (const serve of serveListeners) {
+			serve.call(server, socket);
+		}
+	});
 	const {host, port} = parseAddress(options.address);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
-		server.listen({host, port, backlog: 4096}, resolve);
+		server.listen({host, port, backlog}, resolve);
 	});
 	options.lifeCycle.register(() => {
 		server.close();
@@ -109,11 +154,13 @@
 async function handleRequest(
 	options: CallerServerOptions,
 	index: RouteIndex,
-	request: IncomingMessage,
-	response: ServerResponse,
+	{request, response, caller}: CallerExchange,
 ): Promise<void> {
-	const arrivedAt = options.readClock();
-	const unreadMs = options.measureUnreadMs(arrivedAt);
+	const readAt = options.readClock();
+	const arrivedAt = options.admission.arrivals.recordRequest(
+		caller.acceptance,
+		readAt,
+	);
 	response.on('error', () => {
 		// The caller disconnected; `close` follows and ends the request.
 	});
@@ -149,21 +196,22 @@
 	}
 
 	const {metadata, route} = routed;
-	options.handleCall({
+	const call = {
 		...routed,
 		method: request.method ?? 'GET',
 		target: request.url ?? '/',
 		headers: listHeaders(request),
 		body,
-		request,
 		response,
+		caller,
 		arrivedAt,
-		unreadMs,
+		unreadMs: readAt - arrivedAt,
 		deadlineAt:
 			arrivedAt +
 			Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs),
 		version: configuration.version,
-	});
+	};
+	options.admission.add(call, options.readClock());
 }
 
 function refuseEarly(
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -5,7 +5,7 @@
  */
 import {LifeCycle, type Logger, type ServiceName} from 'bramleystage';
 import {followBackends} from './backend-follower.js';
-import {createCallHandler} from './call-handler.js';
+import {createCallAdmission} from './call-handler.js';
 import {listenForCallers} from './caller-server.js';
 import {createCrashGuard} from './crash-guard.js';
 import {followConfiguration} from './configuration-follower.js';
@@ -238,7 +238,7 @@
 	};
 	const isReady = () =>
 		!isStopping() && configurations.value !== undefined && fleet.hasBackends;
-	const handleCall = createCallHandler({
+	const admission = createCallAdmission({
 		context,
 		retryBudget,
 		findDrainRefusal: (call) =>
@@ -251,17 +251,21 @@
 				},
 				readClock(),
 			),
+		measureUnreadMs: (now) => loopWatch.measureUnreadMs(now),
+		waitForTurn: setImmediate,
 	});
 	const callers = await listenForCallers({
 		address: settings.listen,
 		headers,
 		lifeCycle,
 		readConfiguration: () => configurations.value,
-		handleCall,
+		admission,
+		recordUnreadRefusal() {
+			recorder.recordUnreadRefusal();
+		},
 		isStopping,
 		drawRandom: Math.random,
 		readClock,
-		measureUnreadMs: (now) => loopWatch.measureUnreadMs(now),
 	});
 	configurations.subscribe((configuration) => {
 		if (configuration) {
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -21,6 +21,7 @@
 import {CallRun} from './call-run.js';
 import type {AttemptRun} from './run-history.js';
 import type {RunContext} from './run-context.js';
+import {recordServerState} from './server-state.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live server accepts one within a few milliseconds. */
 const connectTimeoutMs = 100;
@@ -201,7 +202,7 @@
 		}
 
 		const metadata = this.context.headers.readAnswerHeaders(head.headers);
-		this.recordServerState(active.sent, metadata, head.status);
+		recordServerState(this.context, active.sent, metadata, head.status);
 		if (metadata.isNotRun || head.status === replacedStatus) {
 			this.context.fleet.health.recordFailure(
 				active.backend.id,
@@ -281,7 +282,7 @@
 	}
 
 	#forwardAnswer({chunks}: ActiveAttempt, head: AnswerHead): void {
-		this.answerStartedAt = this.context.readClock();
+		this.recordAnswerStart();
 		const body = Buffer.concat(chunks);
 		const {response} = this.call;
 		const headers = listEndToEndHeaders(head.headers).filter(
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -14,6 +14,7 @@
 	resultCodes,
 } from 'bramleystage';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {OverloadState} from './call-admission.js';
 import type {Call} from './call.js';
 import type {TurnResult} from './permit-owner.js';
 
@@ -37,10 +38,10 @@
 	readonly where: string;
 	/** Runs that count towards the route's limit. */
 	readonly runs: number;
-	/** Time to the first event or to the answer, in milliseconds. */
-	readonly firstMs?: number;
-	/** Time until the request was last sent to a server, in milliseconds. */
-	readonly sentMs?: number;
+	/** Steady-clock time of the first event or of the answer, in milliseconds. */
+	readonly answerStartedAt?: number;
+	/** Steady-clock time at which the request was last sent to a server, in milliseconds. */
+	readonly sentAt?: number;
 };
 
 /** How far the answer of an attempt came before the attempt ended. */
@@ -111,6 +112,12 @@
 		registers: [this.registry],
 	});
 
+	readonly #unreadRefusals = new Counter({
+		name: 'bramleystage_gateway_unread_refusals_total',
+		help: 'Connections refused without reading their requests',
+		registers: [this.registry],
+	});
+
 	#windowStart = 0;
 	#successLines = 0;
 	#failureLines = 0;
@@ -210,6 +217,27 @@
 		});
 	}
 
+	/** Records how calls go on while some are refused. */
+	recordOverload(state: OverloadState): void {
+		this.logger.warn('gateway.overloaded', {
+			service: state.service,
+			refused: state.refused,
+			waiting: state.waiting,
+			running: state.running,
+			limit: Number.isFinite(state.limit) ? Math.round(state.limit) : undefined,
+			interval_ms: Math.round(state.intervalMs),
+			round_ms: Math.round(state.roundMs),
+		});
+	}
+
+	/** Records that a connection was refused without reading its request. */
+	recordUnreadRefusal(): void {
+		this.#unreadRefusals.inc();
+		if (this.#tryAcquireLine('success')) {
+			this.logger.warn('connection.refused', {reason: 'overloaded'});
+		}
+	}
+
 	recordEnd(call: Call, end: CallEnd): void {
 		const durationMs = this.readClock() - call.arrivedAt;
 		const {kind} = call.route;
@@ -217,8 +245,11 @@
 		this.#requests.inc({kind, result});
 		this.#durations.observe({kind}, durationMs / secondMs);
 		this.#unreadTimes.observe(call.unreadMs / secondMs);
-		if (end.firstMs !== undefined) {
-			this.#firstEventDelays.observe(end.firstMs / secondMs);
+		const computeElapsedMs = (at: number | undefined) =>
+			at === undefined ? undefined : Math.round(at - call.arrivedAt);
+		const firstMs = computeElapsedMs(end.answerStartedAt);
+		if (firstMs !== undefined) {
+			this.#firstEventDelays.observe(firstMs / secondMs);
 		}
 
 		if (!this.#tryAcquireLine(end.failure ? 'failure' : 'success')) {
@@ -240,8 +271,8 @@
 			runs: end.runs,
 			where: end.where,
 			unread_ms: Math.round(call.unreadMs) || undefined,
-			sent_ms: end.sentMs && Math.round(end.sentMs),
-			first_ms: end.firstMs && Math.round(end.firstMs),
+			sent_ms: computeElapsedMs(end.sentAt),
+			first_ms: firstMs,
 			duration_ms: Math.round(durationMs),
 			left_out: this.#omittedLines || undefined,
 		});
--- a/packages/bramleystage-gateway/src/run-context.ts
+++ b/packages/bramleystage-gateway/src/run-context.ts
@@ -1,5 +1,6 @@
 /** What the runs of all requests of a gateway share. */
 import type {ServiceName} from 'bramleystage';
+import type {CallAdmission} from './call-admission.js';
 import type {CrashGuard} from './crash-guard.js';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
@@ -22,6 +23,8 @@
 		| 'recordCut'
 		| 'recordSound'
 	>;
+	/** Learns how calls that have begun go on, to decide how many may. */
+	readonly admission: Pick<CallAdmission, 'recordDelay' | 'recordEnd'>;
 	readonly openAttempt: OpenTimedAttempt;
 	readonly headers: HeaderPort;
 	readonly recorder: RequestRecorder;
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -174,7 +174,7 @@
 			return false;
 		}
 
-		this.answerStartedAt = this.context.readClock();
+		this.recordAnswerStart();
 		this.writer.start(head);
 		return true;
 	}
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -16,6 +16,7 @@
 	PathReplacement,
 	type ReplacementContext,
 } from './path-replacement.js';
+import {recordServerState} from './server-state.js';
 import {
 	type StreamAnswerContext,
 	StreamAnswerRun,
@@ -189,7 +190,7 @@
 			handlers: {
 				onHead: (head) => {
 					const metadata = context.headers.readAnswerHeaders(head.headers);
-					this.recordServerState(active.sent, metadata, head.status);
+					recordServerState(this.context, active.sent, metadata, head.status);
 				},
 				onData: (chunk) => {
 					this.handleData(active, chunk);
--- a/packages/bramleystage/src/coordination/__tests__/return-time.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/return-time.test.ts
@@ -1,6 +1,6 @@
 import * as fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {computeReturnMs} from '../return-time.js';
+import {computeReturnMs, ReturnSchedule} from '../return-time.js';
 
 test('a caller returns when there is room, and not before', () => {
 	fc.assert(
@@ -41,3 +41,15 @@
 		callers / (1000 / windowMs) + 1,
 	);
 });
+
+// Load pattern: a crowd that was refused together comes back together.
+test('refused callers return at the pace at which calls begin, while they would wait', () => {
+	const returns = new ReturnSchedule(() => 0.5);
+	const times = Array.from({length: 100}, () =>
+		returns.take({intervalMs: 40, remainingMs: 9000}, 1000),
+	);
+	expect(times.slice(0, 3)).toEqual([250, 290, 330]);
+	expect(Math.max(...times)).toBeLessThanOrEqual(3000);
+	// The rest finds no place in the third of its time for which it would wait.
+	expect(times.at(-1)).toBe(1625);
+});
--- a/packages/bramleystage/src/coordination/return-time.ts
+++ b/packages/bramleystage/src/coordination/return-time.ts
@@ -31,3 +31,32 @@
 	);
 	return Math.ceil(earliestMs + spreadMs * drawRandom());
 }
+
+/** Gives refused callers times to return at the pace at which calls begin, so that they don't meet the same overload together. */
+export class ReturnSchedule {
+	#lastAt = Number.NEGATIVE_INFINITY;
+
+	/** `drawRandom` returns a number from 0 to 1. */
+	constructor(private readonly drawRandom: () => number) {}
+
+	/** Takes the time after which the next refused caller should return, in milliseconds; `intervalMs` is the time between two calls that begin. */
+	take(
+		{
+			intervalMs,
+			remainingMs,
+		}: {readonly intervalMs: number; readonly remainingMs: number},
+		now: number,
+	): number {
+		const returnAt = Math.max(now + minReturnMs, this.#lastAt + intervalMs);
+		const latestMs = Math.max(minReturnMs, remainingMs * maxWaitShare);
+		if (returnAt - now <= latestMs) {
+			this.#lastAt = returnAt;
+			return Math.ceil(returnAt - now);
+		}
+
+		// Others have the places for which this caller would wait.
+		return Math.ceil(
+			minReturnMs + (latestMs - minReturnMs) * this.drawRandom(),
+		);
+	}
+}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -54,6 +54,19 @@
 	toCallEvent,
 	unseenCallDeadlineMs,
 } from './coordination/call-record.js';
+export {CallQueue, type QueuedCall} from './coordination/call-queue.js';
+export {
+	createWorkWindow,
+	hasRoom,
+	recordCallEnd,
+	recordCallStart,
+	recordDelay,
+	type WorkWindow,
+} from './coordination/work-window.js';
+export {
+	computeBeginningMs,
+	type ReadingRound,
+} from './coordination/reading-round.js';
 export {
 	buildCandidateGroups,
 	type CandidateGroup,
@@ -579,6 +592,7 @@
 } from './transport/http-client.js';
 export {
 	defaultHttpBounds,
+	formatRawErrorResponse,
 	type HttpBounds,
 	type HttpHandler,
 	type HttpListener,
@@ -796,7 +810,7 @@
 	loopTickMs,
 	recordLoopTick,
 } from './coordination/loop-delay.js';
-export {computeReturnMs} from './coordination/return-time.js';
+export {computeReturnMs, ReturnSchedule} from './coordination/return-time.js';
 export {
 	addTurn,
 	computeNextTurnAt,
--- a/packages/bramleystage/src/protocol/result-codes.ts
+++ b/packages/bramleystage/src/protocol/result-codes.ts
@@ -119,6 +119,18 @@
 		'not-run',
 		'Backend servers ended under requests with a part of this content.',
 	),
+	overloaded: row(
+		2012,
+		503,
+		'not-run',
+		'The process has more requests than it can begin in time.',
+	),
+	callerLeft: row(
+		2013,
+		503,
+		'not-run',
+		'The caller ended its connection before the request was sent on.',
+	),
 	cancelled: row(
 		3001,
 		499,
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -122,14 +122,17 @@
 	}
 }
 
-/** Formats the response to a request that Node's parser rejected. */
-function formatRawErrorResponse(failure: Failure): string {
+/** Formats the response to a request that Node's parser rejected or never saw; it ends the connection. */
+export function formatRawErrorResponse(failure: Failure): string {
 	const {status} = resultCodes[failure.result];
 	const body = JSON.stringify(buildErrorBody(failure));
 	return [
 		`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
 		'content-type: application/json; charset=utf-8',
 		`content-length: ${Buffer.byteLength(body)}`,
+		...(failure.retryAfterSeconds === undefined
+			? []
+			: [`retry-after: ${failure.retryAfterSeconds}`]),
 		'connection: close',
 		'',
 		body,
