--- a/packages/bramleystage-gateway/src/backend-follower.ts
+++ b/packages/bramleystage-gateway/src/backend-follower.ts
@@ -18,6 +18,9 @@
 /** Time for which missing entries are kept after an outage, in milliseconds: entries that expired meanwhile are back about two seconds after the store. */
 const lapsedEntryGraceMs = 2500;
 
+/** Entries of which is kept that they were logged as left out. */
+const maxLoggedReasons = 1000;
+
 export function followBackends(options: {
 	readonly store: StorePort;
 	readonly fleet: Fleet;
@@ -37,9 +40,23 @@
 	let ownReadAt = Number.NEGATIVE_INFINITY;
 	/** Steady-clock time from which a complete read replaces the list after an outage, in milliseconds. */
 	let replaceAt: number | undefined;
-	const logSkipped = (read: BackendsRead) => {
-		for (const {key, reason} of read.skipped) {
-			logger.warn('backend.skipped', {backend: key, reason});
+	/** Reasons for which entries are left out, by key, as they were logged. */
+	const loggedReasons = new Map<string, string>();
+	const logSkipped = ({changes, skipped}: BackendsRead) => {
+		for (const {id, backend} of changes) {
+			if (backend) {
+				loggedReasons.delete(id);
+			}
+		}
+
+		for (const {key, reason} of skipped) {
+			if (loggedReasons.get(key) !== reason) {
+				logger.warn('backend.skipped', {backend: key, reason});
+			}
+
+			if (loggedReasons.size < maxLoggedReasons) {
+				loggedReasons.set(key, reason);
+			}
 		}
 	};
 
