A refusal that names another request promises nothing for this one

Cause: the header of the promise and status 421 were read without the id of the request that the answer names. Class: a statement counts for whom it reaches, not for whom it was made. Fresh connections for each attempt don't protect, as the engine itself repeats it. Change: a refusal counts if it names this request or none (isRefusal). One without an id still counts: a server that has not read the request can't name it, and 421 may come from a server of another kind at the address. One of another request counts as unknown: 502 for requests that must not be repeated, a further run only where the route allows it.

--- a/packages/bramleystage-gateway/src/answer-status.ts
+++ b/packages/bramleystage-gateway/src/answer-status.ts
@@ -1,5 +1,6 @@
 /** What the status and the headers of a backend server's answer mean for forwarding it. */
-import type {Headers} from './platform-port.js';
+import type {RequestId} from 'bramleystage';
+import type {AnswerMetadata, Headers} from './platform-port.js';
 
 /** Lowest status of a server's error. */
 export const minErrorStatus = 500;
@@ -25,3 +26,22 @@
 /** Whether a status shows trouble of the server, and not only that the time was over. */
 export const isServerError = (status: number): boolean =>
 	status >= minErrorStatus && status !== deadlineStatus;
+
+/** Whether an answer is to the given request and bears its server's stamp. */
+export const isOwnAnswer = (
+	{request, isStamped}: AnswerMetadata,
+	id: RequestId,
+): boolean => request === id && isStamped;
+
+/**
+ * Whether an answer promises that the given request has not run and will not run. A refusal
+ * that names another request promises nothing for this one; a server that has not read the
+ * request can't name it.
+ */
+export const isRefusal = (
+	{request, isNotRun}: AnswerMetadata,
+	status: number,
+	id: RequestId,
+): boolean =>
+	(isNotRun || status === replacedStatus) &&
+	(request === undefined || request === id);
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -13,6 +13,8 @@
 import {type AnswerHead, type Attempt, type AttemptFailure} from './attempt.js';
 import {type Call, computePriority} from './call.js';
 import {
+	isOwnAnswer,
+	isRefusal,
 	isServerError,
 	listEndToEndHeaders,
 	minErrorStatus,
@@ -203,7 +205,8 @@
 
 		const metadata = this.context.headers.readAnswerHeaders(head.headers);
 		recordServerState(this.context, active.sent, metadata, head.status);
-		if (metadata.isNotRun || head.status === replacedStatus) {
+		const {request} = this.call.metadata;
+		if (isRefusal(metadata, head.status, request)) {
 			this.context.fleet.health.recordFailure(
 				active.backend.id,
 				head.status === replacedStatus ? 'replaced' : 'refused',
@@ -213,8 +216,7 @@
 			return;
 		}
 
-		const isSameRequest = metadata.request === this.call.metadata.request;
-		if (!isSameRequest || !metadata.isStamped) {
+		if (!isOwnAnswer(metadata, request)) {
 			const reason = 'The answer belongs to another request.';
 			this.context.fleet.health.recordFailure(
 				active.backend.id,
--- a/packages/bramleystage-gateway/src/stream-answer.ts
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -6,6 +6,8 @@
 import type {AnswerHead} from './attempt.js';
 import type {Call} from './call.js';
 import {
+	isOwnAnswer,
+	isRefusal,
 	isServerError,
 	listEndToEndHeaders,
 	minErrorStatus,
@@ -40,21 +42,22 @@
 ): AnswerMeaning {
 	const metadata = headerPort.readAnswerHeaders(headers);
 	const reported = path.find(({address}) => address === metadata.faultyAddress);
-	const isRefusal = metadata.isNotRun || status === replacedStatus;
+	const {request} = call.metadata;
+	const isRefused = isRefusal(metadata, status, request);
+	const isOwn = isOwnAnswer(metadata, request);
 	const stage =
-		reported ?? (isRefusal || isServerError(status) ? path[0] : undefined);
-	const otherSign = isRefusal ? 'refused' : 'failed';
+		reported ??
+		(isRefused || !isOwn || isServerError(status) ? path[0] : undefined);
+	const otherSign = isRefused ? 'refused' : 'failed';
 	const faulty: FaultyStage | undefined = stage && {
 		stage,
-		sign: status === replacedStatus ? 'replaced' : otherSign,
+		sign: isRefused && status === replacedStatus ? 'replaced' : otherSign,
 		isReported: reported !== undefined && status === refusedStatus,
 	};
-	if (isRefusal) {
+	if (isRefused) {
 		return {outcome: 'notRun', faulty};
 	}
 
-	const isOwn =
-		metadata.request === call.metadata.request && metadata.isStamped;
 	if (!isOwn) {
 		return {outcome: 'unknown', faulty};
 	}
