Check each attempt's answer of a stream, and each line of its events

Cause: the id and the stamp of an answer were checked where the first events of the first attempt are forwarded. An attempt that goes on with a stream was trusted with any 200. Class: a check that belongs to each answer was made once for the request. Change: the head of each attempt must name this request, bear the stamp and be text/event-stream before a byte of it counts, its end included; a line that is neither a field nor a comment ends the attempt, and so do data without an id where the stream has ids. Such an answer counts as unknown, and its engine as failed.

--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -46,6 +46,7 @@
 	readAnswerHeaders: () => ({
 		request,
 		isStamped: true,
+		isEventStream: true,
 		isNotRun: false,
 		isLeaving: false,
 	}),
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -53,6 +53,7 @@
 	readAnswerHeaders: () => ({
 		request,
 		isStamped: true,
+		isEventStream: true,
 		isNotRun: false,
 		isLeaving: false,
 	}),
--- a/packages/bramleystage-gateway/src/event-splitter.ts
+++ b/packages/bramleystage-gateway/src/event-splitter.ts
@@ -15,6 +15,9 @@
 /** Ids that a later attempt can name in a header. */
 const idPattern = /^[ -~]{0,256}$/v;
 
+/** A line that is neither empty, a comment nor a field. */
+const foreignLine = /^(?!:|[a-z][\-a-z]*(?::|\r?$)|\r?$)/mv;
+
 const separator = Buffer.from('\n\n');
 const lineFeed = 0x0a;
 
@@ -24,6 +27,8 @@
 	readonly ids: readonly string[];
 	/** Whether an event carries data; a comment that keeps the connection open does not. */
 	readonly hasData: boolean;
+	/** Whether a line is neither a field nor a comment, so that the bytes are no events. */
+	readonly hasForeignLine: boolean;
 };
 
 export class EventSplitter {
@@ -53,6 +58,10 @@
 			return err('The id of an event is not printable text.');
 		}
 
+		if (events?.hasForeignLine) {
+			return err('A line is no field of an event.');
+		}
+
 		return this.#checkBounds().map(() => events);
 	}
 
@@ -74,7 +83,12 @@
 		const text = bytes.toString('latin1');
 		const hasData = /^data:/mv.test(text);
 		this.#commentBytes = hasData ? 0 : this.#commentBytes + bytes.length;
-		return {bytes, ids: listEventIds(text), hasData};
+		return {
+			bytes,
+			ids: listEventIds(text),
+			hasData,
+			hasForeignLine: foreignLine.test(text),
+		};
 	}
 
 	#checkBounds(): Result<void, string> {
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -205,7 +205,9 @@
 	readonly request?: string;
 	/** Whether the answer has the server's stamp. */
 	readonly isStamped: boolean;
-	/** Whether the request has not run and will not run there. */
+	/** Whether the body is a stream of events. */
+	readonly isEventStream: boolean;
+	/** Whether the request that the answer belongs to has not run and will not run there. */
 	readonly isNotRun: boolean;
 	/** `host:port` of the engine of the path that is at fault. */
 	readonly faultyAddress?: string;
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -10,6 +10,7 @@
 	type PathStage,
 } from 'bramleystage';
 import type {AttemptFailure, AnswerHead} from './attempt.js';
+import {isOwnAnswer} from './answer-status.js';
 import type {Call} from './call.js';
 import {CallRun} from './call-run.js';
 import type {RunContext} from './run-context.js';
@@ -50,6 +51,10 @@
 			return;
 		}
 
+		if (!this.#checkAnswer(active)) {
+			return;
+		}
+
 		const split = active.splitter.append(chunk);
 		if (split.isErr()) {
 			this.#handleBadStream(active, split.error);
@@ -77,11 +82,12 @@
 			}
 		}
 
-		if (!this.answerStartedAt && !this.#startAnswer(active)) {
-			return;
+		if (this.answerStartedAt === undefined && active.head) {
+			this.recordAnswerStart();
+			this.writer.start(active.head);
 		}
 
-		if (!this.writer.tryWrite(events.bytes, events.ids)) {
+		if (!this.writer.tryWrite(events)) {
 			this.#handleBadStream(active, 'The events are out of order.');
 			return;
 		}
@@ -107,6 +113,10 @@
 			return;
 		}
 
+		if (!this.#checkAnswer(active)) {
+			return;
+		}
+
 		const isBroken = active.splitter.hasPartial || !this.answerStartedAt;
 		if (isBroken) {
 			this.#handleBadStream(
@@ -158,25 +168,23 @@
 		isCut?: boolean,
 	): void;
 
-	/** Writes the answer's head once the first events arrive; returns false if the answer belongs to another request. */
-	#startAnswer(active: StreamAttempt): boolean {
+	/** Checks that an attempt's answer is a stream of this request; ends the attempt if it is not. */
+	#checkAnswer(active: StreamAttempt): boolean {
 		const {head} = active;
 		const metadata =
 			head && this.context.headers.readAnswerHeaders(head.headers);
-		const isSameRequest = metadata?.request === this.call.metadata.request;
-		if (!head || !isSameRequest || !metadata?.isStamped) {
+		const isOwn =
+			metadata?.isEventStream === true &&
+			isOwnAnswer(metadata, this.call.metadata.request);
+		if (!isOwn) {
 			this.cancelAttempt(active);
-			this.handleOutcome(
-				active,
-				'unknown',
-				'The answer belongs to another request.',
-			);
-			return false;
+			this.excludedEngines.add(active.sent.id);
+			const detail = 'The answer is no stream of this request.';
+			this.context.fleet.health.recordFailure(active.sent.id, 'failed', detail);
+			this.handleOutcome(active, 'unknown', detail);
 		}
 
-		this.recordAnswerStart();
-		this.writer.start(head);
-		return true;
+		return isOwn;
 	}
 
 	/** Handles a complete answer that is not a stream. */
--- a/packages/bramleystage-gateway/src/stream-answer.ts
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -14,7 +14,7 @@
 	refusedStatus,
 	replacedStatus,
 } from './answer-status.js';
-import {isConsecutive} from './event-splitter.js';
+import {type CompleteEvents, isConsecutive} from './event-splitter.js';
 import type {HeaderPort} from './platform-port.js';
 
 /** Bytes of a stream that wait in the process for its caller to read, beside the kernel's buffers. */
@@ -95,8 +95,10 @@
 	}
 
 	/** Writes complete events; returns false and writes nothing if they don't follow the last one. */
-	tryWrite(bytes: Buffer, ids: readonly string[]): boolean {
-		if (!isConsecutive(this.#lastEvent, ids)) {
+	tryWrite({bytes, ids, hasData}: CompleteEvents): boolean {
+		const hasLostId =
+			hasData && ids.length === 0 && this.#lastEvent !== undefined;
+		if (hasLostId || !isConsecutive(this.#lastEvent, ids)) {
 			return false;
 		}
 
