Keep nothing of a call that has begun, and count no request whose connection has ended as open

Cause, found while reading the diff: a queued call stayed registered at its connection after it had begun, so a long-lived connection kept every call; and a response behind another one of its connection is never closed, so that a planned stop would wait for it until the end of its grace. The second stood before, but for callers that leave in that way only. Change: the registration ends when the call begins or is refused; an open request ends with its response or its connection. The context of runs is built once, not for each call. The new test was written with the fix and not run before it.

--- a/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
@@ -126,6 +126,33 @@
 	]);
 });
 
+// Guards against what is kept of each call for as long as its connection is open.
+test('nothing is kept of calls that have begun or were refused', () => {
+	let listeners = 0;
+	const caller = {
+		hasLeft: false,
+		registerLeave() {
+			listeners++;
+			return () => {
+				listeners--;
+			};
+		},
+	};
+	beginMs = 40;
+	for (let turn = 0; turn < 400; turn++) {
+		const call = buildCall(`call-${turn}`, openCaller().caller);
+		admission.add({...call, caller}, now);
+		advanceTurn(5);
+	}
+
+	while (turns.length > 0) {
+		advanceTurn(5);
+	}
+
+	expect(begun.length + refused.length).toBe(400);
+	expect(listeners).toBe(0);
+});
+
 // Load pattern: callers arrive in each turn for longer than the process reads on.
 test('calls begin and the process counts as flooded while callers arrive without end', () => {
 	for (let turn = 0; turn < 20; turn++) {
--- a/packages/bramleystage-gateway/src/call-admission.ts
+++ b/packages/bramleystage-gateway/src/call-admission.ts
@@ -59,9 +59,15 @@
 	readonly roundMs: number;
 };
 
+type WaitingCall = {
+	readonly call: Call;
+	/** Ends the wait for the caller to leave. */
+	unregisterLeave: () => void;
+};
+
 /** The calls of one service. */
 type ServiceCalls = {
-	readonly queue: CallQueue<Call>;
+	readonly queue: CallQueue<WaitingCall>;
 	window: WorkWindow;
 	/** Calls refused since the last record of an overload. */
 	refusedCount: number;
@@ -133,7 +139,7 @@
 		}
 
 		const calls = {
-			queue: new CallQueue<Call>(),
+			queue: new CallQueue<WaitingCall>(),
 			window: createWorkWindow(),
 			refusedCount: 0,
 		};
@@ -171,7 +177,8 @@
 		}
 
 		for (const calls of this.#services.values()) {
-			for (const call of calls.queue.removeLate(now)) {
+			for (const {call, unregisterLeave} of calls.queue.removeLate(now)) {
+				unregisterLeave();
 				this.#refuse(call, calls);
 			}
 		}
@@ -184,13 +191,14 @@
 	}
 
 	#tryBeginNext(calls: ServiceCalls, now: number): boolean {
-		const call = hasRoom(calls.window) ? calls.queue.take(now) : undefined;
-		if (call) {
+		const next = hasRoom(calls.window) ? calls.queue.take(now) : undefined;
+		if (next) {
+			next.unregisterLeave();
 			calls.window = recordCallStart(calls.window);
-			this.options.beginCall(call);
+			this.options.beginCall(next.call);
 		}
 
-		return call !== undefined;
+		return next !== undefined;
 	}
 
 	#enqueue(call: Call, now: number): void {
@@ -206,9 +214,10 @@
 			route.latencyTargetMs,
 			(deadlineAt - arrivedAt) * maxAnswerShare,
 		);
+		const waiting: WaitingCall = {call, unregisterLeave: () => undefined};
 		const isAdded = queue.tryAdd(
 			{
-				value: call,
+				value: waiting,
 				customer: holder?.customer ?? '',
 				priority: computePriority(call),
 				latestStartAt: Math.min(
@@ -224,10 +233,9 @@
 			return;
 		}
 
-		caller.registerLeave(() => {
-			if (queue.remove(call)) {
-				this.#refuseLeft(call);
-			}
+		waiting.unregisterLeave = caller.registerLeave(() => {
+			queue.remove(waiting);
+			this.#refuseLeft(call);
 		});
 	}
 
--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -17,12 +17,12 @@
 const msPerSecond = 1000;
 
 /** Creates what starts the run of a call, and tells the admission how it goes on. */
-const createCallHandler =
-	(
-		{context, retryBudget, findDrainRefusal}: CallHandlerOptions,
-		admission: StreamRunContext['admission'],
-	) =>
-	(call: Call): void => {
+function createCallHandler(
+	{context: base, retryBudget, findDrainRefusal}: CallHandlerOptions,
+	admission: StreamRunContext['admission'],
+): (call: Call) => void {
+	const context = {...base, admission};
+	return (call) => {
 		const refusal = findDrainRefusal(call);
 		if (refusal) {
 			refuseCall(context, call, refusal);
@@ -32,10 +32,11 @@
 
 		retryBudget.recordRequest(call.service.name);
 		const run = call.service.pipeline
-			? new StreamRun(call, {...context, admission})
-			: new PlainRun(call, {...context, admission});
+			? new StreamRun(call, context)
+			: new PlainRun(call, context);
 		run.tryNextAttempt();
 	};
+}
 
 /** Creates the admission of calls, which starts or refuses each. */
 export function createCallAdmission(
--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -83,11 +83,18 @@
 			noDelay: true,
 		},
 		(request, response) => {
-			openRequests++;
-			response.once('close', () => {
-				openRequests--;
-			});
 			const caller = resolveCaller(request.socket);
+			let isOpen = true;
+			const recordEnd = () => {
+				openRequests -= isOpen ? 1 : 0;
+				isOpen = false;
+				unregisterLeave();
+			};
+
+			openRequests++;
+			// A response behind another one of its connection is not closed with it.
+			const unregisterLeave = caller.registerLeave(recordEnd);
+			response.once('close', recordEnd);
 			void handleRequest(options, index, {request, response, caller});
 		},
 	);
@@ -106,6 +113,7 @@
 		return caller;
 	};
 
+	// Node's own listener serves the connections that are not refused unread.
 	const serveListeners = server.listeners('connection');
 	server.removeAllListeners('connection');
 	server.on('connection', (socket) => {
