Let calls wait through a short shortage, and limit running ones only when callers would leave

Gateways that had just started are slow for a moment, and engines that are slow begin answers late; callers were refused who would have been served late. Change: calls wait as long as their callers do until some call has been waiting for 3 s at any time; only then is a call refused whose answer can't be in time. A process counts as flooded after 500 ms in which no round read all that had arrived. The window shrinks at twice the target latency instead of 0.7 of it.

--- a/packages/bramleystage-gateway/src/call-admission.ts
+++ b/packages/bramleystage-gateway/src/call-admission.ts
@@ -27,6 +27,8 @@
 const minMaxWaitMs = 120;
 /** Largest share of a call's time that its answer is expected to take. */
 const maxAnswerShare = 0.5;
+/** Time in which no round reads all that has arrived, after which the process counts as flooded, in milliseconds. */
+const floodMs = 500;
 /** Least time between two records of an overload, in milliseconds. */
 const recordIntervalMs = 1000;
 
@@ -80,7 +82,8 @@
 	readonly #arrived: Call[] = [];
 	/** Steady-clock times at which the process began to read, and at which a call began last, in milliseconds. */
 	#round = {startedAt: 0, begunAt: 0};
-	#isFlooded = false;
+	/** Steady-clock time since which no round has read all that had arrived, in milliseconds. */
+	#behindSince = Number.POSITIVE_INFINITY;
 	#recordedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: CallAdmissionOptions) {
@@ -93,9 +96,9 @@
 		});
 	}
 
-	/** Whether callers arrive faster than the process reads them. */
+	/** Whether callers have arrived faster than the process reads them for a while. */
 	get isFlooded(): boolean {
-		return this.#isFlooded;
+		return this.options.readClock() - this.#behindSince >= floodMs;
 	}
 
 	/** Lets a call begin as soon as its turn comes, or refuses it. */
@@ -150,7 +153,9 @@
 	#handleTurn(hasInput: boolean, now: number): boolean {
 		const beginningMs = computeBeginningMs(this.#round, hasInput, now);
 		if (beginningMs !== undefined) {
-			this.#isFlooded = hasInput;
+			this.#behindSince = hasInput
+				? Math.min(this.#behindSince, now)
+				: Number.POSITIVE_INFINITY;
 			this.#beginCalls(beginningMs, now);
 		}
 
--- a/packages/bramleystage/src/coordination/call-queue.ts
+++ b/packages/bramleystage/src/coordination/call-queue.ts
@@ -2,8 +2,9 @@
  * Overload control for the calls that a process has read and not begun: in which order
  * they begin, and which are refused because they can't begin while their answer is still
  * useful. Calls wait fairly by customer, urgent ones a bounded time ahead of others. The
- * wait of a call is predicted from the pace at which calls began lately, so a process that
- * has only stood still lets all begin, and one that is overloaded refuses at once.
+ * wait of a call is predicted from the pace at which calls began lately. In a short shortage
+ * calls wait as long as their callers do; in a lasting overload that would make all answers
+ * late, so only those wait whose answers can be in time, and the rest is refused at once.
  */
 import type {Milliseconds} from '../protocol/decision.js';
 import {FairQueue} from './fair-queue.js';
@@ -12,6 +13,8 @@
 const priorityCost = 2;
 /** Lowest priority of a call; 0 is the most urgent. */
 const lowestPriority = 9;
+/** Time for which calls may wait as long as their callers do, in milliseconds: a shortage that is over soon. */
+export const maxBacklogMs = 3000;
 /** Weight of a new interval between two calls in the smoothed one (EWMA). */
 const intervalWeight = 0.2;
 
@@ -22,7 +25,7 @@
 	readonly priority: number;
 	/** Latest steady-clock time at which its beginning is useful, in milliseconds. */
 	readonly latestStartAt: Milliseconds;
-	/** Longest further wait after which its answer is still in time, in milliseconds. */
+	/** Longest wait after which its answer is still in time, in milliseconds; it counts in a lasting overload. */
 	readonly maxWaitMs: Milliseconds;
 };
 
@@ -30,6 +33,8 @@
 	readonly #queue = new FairQueue<QueuedCall<Value>>(priorityCost);
 	/** Smoothed time between the beginnings of two calls while others wait, in milliseconds. */
 	#intervalMs: Milliseconds = 0;
+	/** Since when some call has been waiting at any time, in milliseconds. */
+	#backlogSince: Milliseconds = 0;
 	/** Since when calls wait and none has begun, in milliseconds. */
 	#waitingSince: Milliseconds = 0;
 
@@ -46,6 +51,7 @@
 	tryAdd(call: QueuedCall<Value>, now: Milliseconds): boolean {
 		const {size} = this.#queue;
 		if (size === 0) {
+			this.#backlogSince = now;
 			this.#waitingSince = now;
 		}
 
@@ -53,8 +59,10 @@
 			size * this.#intervalMs,
 			now - this.#waitingSince,
 		);
+		const isLasting = now - this.#backlogSince > maxBacklogMs;
 		const isInTime =
-			expectedMs <= call.maxWaitMs && now + expectedMs <= call.latestStartAt;
+			now + expectedMs <= call.latestStartAt &&
+			(!isLasting || expectedMs <= call.maxWaitMs);
 		if (isInTime) {
 			this.#queue.add({
 				sharePath: [{key: call.customer, weight: 1}],
--- a/packages/bramleystage/src/coordination/work-window.ts
+++ b/packages/bramleystage/src/coordination/work-window.ts
@@ -1,15 +1,16 @@
 /**
  * How many calls of a service may run at a time from one process. The window has no limit
- * until answers begin late; then it shrinks in steps until they begin in time, and grows
- * again while they do and it is used. Late answers of calls that were sent more than once
+ * until answers begin so late that callers leave; then it shrinks in steps until they begin
+ * in time, and grows again while they do and it is used. Servers that are only slow don't
+ * shrink it, as a late answer is better than none. Late answers of calls that were sent more than once
  * say nothing about load.
  */
 import type {Milliseconds} from '../protocol/decision.js';
 
-/** Share of the target latency above which answers begin too late. */
-const maxDelayShare = 0.7;
-/** Share of the target latency below which more calls may run. */
-const growDelayShare = 0.5;
+/** Multiple of the target latency above which answers begin so late that callers may not wait for them. */
+const maxDelayFactor = 2;
+/** Multiple of the target latency below which more calls may run. */
+const growDelayFactor = 1;
 /** Weight of a new delay in the smoothed one (EWMA). */
 const delayWeight = 0.1;
 const shrinkFactor = 0.85;
@@ -70,12 +71,12 @@
 	}
 
 	const smoothedMs = window.delayMs + (delayMs - window.delayMs) * delayWeight;
-	if (smoothedMs > targetMs * maxDelayShare) {
+	if (smoothedMs > targetMs * maxDelayFactor) {
 		const used = Math.min(window.limit, window.running);
 		return {
 			...window,
 			limit: Math.max(minLimit, used * shrinkFactor),
-			delayMs: targetMs * growDelayShare,
+			delayMs: targetMs * growDelayFactor,
 			shrunkAt: now,
 			changedAt: now,
 		};
@@ -83,7 +84,7 @@
 
 	const next = {...window, delayMs: smoothedMs};
 	const mayGrow =
-		smoothedMs <= targetMs * growDelayShare &&
+		smoothedMs <= targetMs * growDelayFactor &&
 		window.running >= window.limit * usedShare &&
 		now - window.changedAt >= growIntervalMs;
 	if (!mayGrow) {
