Look at calls that wait for running ones now and then, instead of in each turn

Cause, found while reading the diff: with the window of a service full and a call waiting, the admission asked for another turn of the event loop at once, so the process used all of its processor time for looking. Change: if nothing arrived and only running calls can make room, the next look is 5 ms later. The new test was written with the fix and not run before it.

--- a/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
@@ -15,6 +15,7 @@
 let now: number;
 let unreadMs: number;
 let turns: Array<() => void>;
+let timers: Array<() => void>;
 let begun: string[];
 let refused: Array<{id: string; result: Failure['result']}>;
 let states: OverloadState[];
@@ -25,6 +26,7 @@
 	now = 1000;
 	unreadMs = 0;
 	turns = [];
+	timers = [];
 	begun = [];
 	refused = [];
 	states = [];
@@ -35,6 +37,9 @@
 		waitForTurn(callback) {
 			turns.push(callback);
 		},
+		waitForTime(callback) {
+			timers.push(callback);
+		},
 		beginCall({metadata}) {
 			begun.push(metadata.request);
 			now += beginMs;
@@ -126,6 +131,37 @@
 	]);
 });
 
+// Guards against a process that spins while calls wait for running ones to end.
+test('calls that wait for running ones are looked at now and then', () => {
+	const {caller} = openCaller();
+	const first = buildCall('first', caller);
+	const runningCount = 30;
+	for (let count = 0; count < runningCount; count++) {
+		admission.add(buildCall(`running-${count}`, caller), now);
+	}
+
+	for (let turn = 0; turn < 10; turn++) {
+		advanceTurn();
+	}
+
+	expect(begun).toHaveLength(runningCount);
+	for (let count = 0; count < 20; count++) {
+		admission.recordDelay(first, 3000, now);
+	}
+
+	admission.add(buildCall('waiting', caller), now);
+	advanceTurn();
+	advanceTurn();
+	expect(begun).toHaveLength(runningCount);
+	expect([turns.length, timers.length]).toEqual([0, 1]);
+	for (let count = 0; count < runningCount; count++) {
+		admission.recordEnd(first);
+	}
+
+	timers[0]?.();
+	expect(begun).toHaveLength(runningCount + 1);
+});
+
 // Guards against what is kept of each call for as long as its connection is open.
 test('nothing is kept of calls that have begun or were refused', () => {
 	let listeners = 0;
--- a/packages/bramleystage-gateway/src/arrival-watch.ts
+++ b/packages/bramleystage-gateway/src/arrival-watch.ts
@@ -13,10 +13,18 @@
 	readonly readClock: () => number;
 	/** Called when something arrives after a time without arrivals. */
 	readonly onStart: (now: number) => void;
-	/** Called at the end of each turn, with whether anything arrived in it; returns whether there is more to do. */
-	readonly handleTurn: (hasInput: boolean, now: number) => boolean;
+	/** Calls back after some milliseconds. */
+	readonly waitForTime: (callback: () => void, ms: number) => void;
+	/** Called at the end of each turn, with whether anything arrived in it; returns what is left to do. */
+	readonly handleTurn: (hasInput: boolean, now: number) => WorkLeft;
 };
 
+/** What is left to do after a turn: nothing, what can be done at once, or what waits for running work. */
+export type WorkLeft = 'nothing' | 'ready' | 'blocked';
+
+/** Time between two looks at work that waits for running work, in milliseconds. */
+const blockedCheckMs = 5;
+
 export class ArrivalWatch {
 	#isActive = false;
 	/** Number of the present turn, counted while something is to do. */
@@ -70,10 +78,17 @@
 		}
 	}
 
-	#waitForTurn(): void {
-		this.options.waitForTurn(() => {
-			this.#handleTurn(this.options.readClock());
-		});
+	#waitForTurn(isBlocked = false): void {
+		const {waitForTurn, waitForTime, readClock} = this.options;
+		const handleTurn = () => {
+			this.#handleTurn(readClock());
+		};
+
+		if (isBlocked) {
+			waitForTime(handleTurn, blockedCheckMs);
+		} else {
+			waitForTurn(handleTurn);
+		}
 	}
 
 	#handleTurn(now: number): void {
@@ -85,11 +100,11 @@
 		this.#hasRead = false;
 		this.#hasAccepted = false;
 		this.#turn++;
-		const hasMore = this.options.handleTurn(hasInput, now);
-		this.#isActive = hasInput || hasMore;
+		const workLeft = this.options.handleTurn(hasInput, now);
+		this.#isActive = hasInput || workLeft !== 'nothing';
 		if (this.#isActive) {
 			this.#turnAt = this.options.readClock();
-			this.#waitForTurn();
+			this.#waitForTurn(!hasInput && workLeft === 'blocked');
 		}
 	}
 }
--- a/packages/bramleystage-gateway/src/call-admission.ts
+++ b/packages/bramleystage-gateway/src/call-admission.ts
@@ -17,7 +17,11 @@
 	type ServiceName,
 	type WorkWindow,
 } from 'bramleystage';
-import {ArrivalWatch, type ArrivalWatchOptions} from './arrival-watch.js';
+import {
+	ArrivalWatch,
+	type ArrivalWatchOptions,
+	type WorkLeft,
+} from './arrival-watch.js';
 import {type Call, computePriority} from './call.js';
 import {computeTurnPatienceMs} from './turn-taker.js';
 
@@ -34,7 +38,7 @@
 
 export type CallAdmissionOptions = Pick<
 	ArrivalWatchOptions,
-	'measureUnreadMs' | 'waitForTurn' | 'readClock'
+	'measureUnreadMs' | 'waitForTurn' | 'waitForTime' | 'readClock'
 > & {
 	readonly beginCall: (call: Call) => void;
 	readonly refuseCall: (call: Call, failure: Failure) => void;
@@ -150,7 +154,7 @@
 		return calls;
 	}
 
-	#handleTurn(hasInput: boolean, now: number): boolean {
+	#handleTurn(hasInput: boolean, now: number): WorkLeft {
 		const beginningMs = computeBeginningMs(this.#round, hasInput, now);
 		if (beginningMs !== undefined) {
 			this.#behindSince = hasInput
@@ -163,7 +167,14 @@
 			this.#enqueue(call, this.options.readClock());
 		}
 
-		return [...this.#services.values()].some(({queue}) => queue.size > 0);
+		const waiting = [...this.#services.values()].filter(
+			({queue}) => queue.size > 0,
+		);
+		if (waiting.length === 0) {
+			return 'nothing';
+		}
+
+		return waiting.some(({window}) => hasRoom(window)) ? 'ready' : 'blocked';
 	}
 
 	/** Begins calls, of each service in turn, for a time in milliseconds, and ends the round. */
--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -41,7 +41,10 @@
 /** Creates the admission of calls, which starts or refuses each. */
 export function createCallAdmission(
 	options: CallHandlerOptions &
-		Pick<CallAdmissionOptions, 'measureUnreadMs' | 'waitForTurn'>,
+		Pick<
+			CallAdmissionOptions,
+			'measureUnreadMs' | 'waitForTurn' | 'waitForTime'
+		>,
 ): CallAdmission {
 	const {context} = options;
 	const {readClock, drawRandom} = context;
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -253,6 +253,7 @@
 			),
 		measureUnreadMs: (now) => loopWatch.measureUnreadMs(now),
 		waitForTurn: setImmediate,
+		waitForTime: setTimeout,
 	});
 	const callers = await listenForCallers({
 		address: settings.listen,
