Let calls wait as long as their callers do for ten seconds of overload, not three

Gateways that have restarted, and engines that were lost, make shortages that last longer than 3 s and are no flood. Change: the strict limit begins after 10 s in which some call was waiting at any time.

--- a/packages/bramleystage/src/coordination/call-queue.ts
+++ b/packages/bramleystage/src/coordination/call-queue.ts
@@ -14,7 +14,7 @@
 /** Lowest priority of a call; 0 is the most urgent. */
 const lowestPriority = 9;
 /** Time for which calls may wait as long as their callers do, in milliseconds: a shortage that is over soon. */
-export const maxBacklogMs = 3000;
+export const maxBacklogMs = 10_000;
 /** Weight of a new interval between two calls in the smoothed one (EWMA). */
 const intervalWeight = 0.2;
 
