Log what each check of a broken connection showed, and what a cut request was

The logs could not tell repeats that are taken for other requests from other requests, as only one hash over method, target and body was shown, nor an end that no check finds from a connection that broke. attempt.ended has hashes of path, caller and body and of the target, cut.checked the state of each connection that was tried, and cut.unchecked why none was. Nothing is decided by them.

--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -208,6 +208,7 @@
 
 			return report?.isOk() ? 'open' : 'unknown';
 		},
+		logger,
 		readClock,
 		readLinkDelayMs: () => 0,
 	});
--- a/packages/bramleystage-gateway/src/cut-check.ts
+++ b/packages/bramleystage-gateway/src/cut-check.ts
@@ -6,6 +6,7 @@
 import net from 'node:net';
 import {
 	type InstanceKey,
+	type Logger,
 	parseAddress,
 	type SentRequest,
 	toInstanceKey,
@@ -52,6 +53,7 @@
 	readonly fleet: Fleet;
 	readonly instances: Pick<InstanceWatch, 'recordRefusal'>;
 	readonly checkConnection: CheckConnection;
+	readonly logger: Logger;
 	readonly readClock: () => number;
 	/** Returns the delay of the own network link, in milliseconds. */
 	readonly readLinkDelayMs: () => number;
@@ -61,6 +63,8 @@
 	/** Steady-clock time at which the first connection broke, in milliseconds. */
 	readonly at: number;
 	readonly runs: T[];
+	/** What the connections showed that were tried after it. */
+	readonly states: ConnectionState[];
 	/** Whether the instance had ended when it was first asked. */
 	readonly firstResult: Promise<boolean>;
 	hasEnded: boolean;
@@ -90,6 +94,10 @@
 		const {fleet, readClock} = this.options;
 		const listed = fleet.snapshots.value.backends.get(sent.id);
 		if (!listed || listed.isDraining) {
+			this.options.logger.info('cut.unchecked', {
+				backend: sent.id,
+				listed: listed ? 'leaving' : 'no',
+			});
 			return false;
 		}
 
@@ -109,10 +117,12 @@
 			return known.firstResult;
 		}
 
-		const firstResult = this.#check(sent);
+		const states: ConnectionState[] = [];
+		const firstResult = this.#check(sent, states);
 		const cut: Cut<T> = {
 			at: readClock(),
 			runs: [run],
+			states,
 			firstResult,
 			hasEnded: false,
 		};
@@ -131,10 +141,16 @@
 			// Each check follows the one before.
 			/* eslint-disable no-await-in-loop */
 			await waitFor(repeatDelayMs);
-			cut.hasEnded = await this.#check(sent);
+			cut.hasEnded = await this.#check(sent, cut.states);
 			/* eslint-enable no-await-in-loop */
 		}
 
+		this.options.logger.info('cut.checked', {
+			backend: instance,
+			states: cut.states.join(','),
+			cut: cut.runs.length,
+			ended: cut.hasEnded,
+		});
 		if (cut.hasEnded) {
 			this.onEnd({
 				instance,
@@ -148,13 +164,17 @@
 		this.#cuts.delete(instance);
 	}
 
-	async #check({id, address}: SentRequest): Promise<boolean> {
+	async #check(
+		{id, address}: SentRequest,
+		states: ConnectionState[],
+	): Promise<boolean> {
 		const {instances, readClock, readLinkDelayMs} = this.options;
 		const triedAt = readClock();
 		const state = await this.options.checkConnection(
 			address,
 			connectTimeoutMs + readLinkDelayMs(),
 		);
+		states.push(state);
 		if (state === 'refused') {
 			instances.recordRefusal(id, triedAt);
 		}
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -17,6 +17,7 @@
 import type {OverloadState} from './call-admission.js';
 import type {Call} from './call.js';
 import type {TurnResult} from './permit-owner.js';
+import {describeContent} from './request-traits.js';
 
 /** Successes logged per second; more are only counted. */
 const maxSuccessLinesPerSecond = 5;
@@ -162,6 +163,7 @@
 				uncounted: isUncounted ? 'ended' : undefined,
 				progress: outcome === 'notRun' ? undefined : progress,
 				parts: call.metadata.promptParts.join(',') || undefined,
+				...(outcome === 'unknown' && describeContent(call)),
 				where,
 				detail,
 				version: call.version,
--- a/packages/bramleystage-gateway/src/request-traits.ts
+++ b/packages/bramleystage-gateway/src/request-traits.ts
@@ -24,15 +24,32 @@
 		: {shared: [], own: buildContentTrait(call)};
 }
 
+/** Names of what repeats of a request have in common, for the log: the same path, caller and body, and the same target with its query. */
+export function describeContent(call: Call): {content: string; target: string} {
+	const [path = ''] = call.target.split('?', 1);
+	const body = computeHash(call.body);
+	return {
+		content: computeHash(
+			JSON.stringify([path, call.holder?.customer ?? '', body]),
+		),
+		target: computeHash(call.target),
+	};
+}
+
 /** Computes a place from 0 to below 1 from the hash of a text. */
 export const computeHashPlace = (text: string): number =>
 	createHash('sha256').update(text).digest().readUInt32BE() / 2 ** 32;
 
+const computeHash = (...data: ReadonlyArray<string | Buffer>): string => {
+	const hash = createHash('sha256');
+	for (const item of data) {
+		hash.update(item);
+	}
+
+	return hash.digest('hex').slice(0, hashLength);
+};
+
 const buildContentTrait = (call: Call) => {
-	const hash = createHash('sha256')
-		.update(`${call.method} ${call.target}\n`)
-		.update(call.body)
-		.digest('hex')
-		.slice(0, hashLength);
+	const hash = computeHash(`${call.method} ${call.target}\n`, call.body);
 	return toRequestTrait(`${formatContentPrefix(call)}${hash}`);
 };
