Count the servers that end under a request, not the client attempts that end them

Callers of other requests were refused for seconds, as one request ended all servers of a service again and again. One client attempt that failed over from server to server counted as one witness however many ended, and three witnesses were asked for; a stream that crashes engines before the head of its answer was no suspect at all where another answer had begun.

Forms of a request (what only its repeats have in common) are counted by ends of instances, are to blame after three, and are suspects also before their answer has begun. Two that ran wherever servers ended are both to blame: one explains the other only if more servers ended under it, or as many while it is narrower.

--- a/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
@@ -44,7 +44,8 @@
 	});
 };
 
-const traits = {shared: [guilty], own: toRequestTrait('own')};
+const own = toRequestTrait('own');
+const traits = {shared: [guilty], forms: [own], own};
 
 // Guards against news that a peer rejects, with all else that the same message tells, as a name in it is long.
 test('evidence with the longest names passes the check of the other side', () => {
@@ -138,6 +139,7 @@
 				shared: Array.from({length: 12}, (_, part) =>
 					toRequestTrait(`part ${request}-${part}`),
 				),
+				forms: [toRequestTrait(`own ${request}`)],
 				own: toRequestTrait(`own ${request}`),
 			},
 			request,
--- a/packages/bramleystage-gateway/src/crash-exchange.ts
+++ b/packages/bramleystage-gateway/src/crash-exchange.ts
@@ -18,6 +18,7 @@
 	trait: requestTraitSchema,
 	witnesses: z.array(z.string()),
 	sentAgeMs: ageSchema,
+	form: z.int().optional(),
 });
 
 const crashSchema = z.object({
@@ -73,10 +74,11 @@
 	endedAgeMs: now - endedAt,
 	citedAgeMs: now - citedAt,
 	isBegun,
-	suspects: [...suspects].map(([trait, {witnesses, sentAt}]) => ({
+	suspects: [...suspects].map(([trait, {witnesses, sentAt, form}]) => ({
 		trait,
 		witnesses: [...witnesses],
 		sentAgeMs: now - sentAt,
+		...(form !== undefined && {form}),
 	})),
 });
 
@@ -96,9 +98,11 @@
 	citedAt: writtenAt - citedAgeMs,
 	isBegun,
 	suspects: new Map(
-		suspects.map(({trait, witnesses, sentAgeMs}): [typeof trait, Suspicion] => [
-			trait,
-			{witnesses, sentAt: writtenAt - sentAgeMs},
-		]),
+		suspects.map(
+			({trait, sentAgeMs, ...suspicion}): [typeof trait, Suspicion] => [
+				trait,
+				{...suspicion, sentAt: writtenAt - sentAgeMs},
+			],
+		),
 	),
 });
--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -16,7 +16,7 @@
 	type CutCheckOptions,
 	type InstanceCut,
 } from './cut-check.js';
-import {buildSuspects, type CutRun} from './crash-suspects.js';
+import {buildSuspects, type CutRun, isBegunCut} from './crash-suspects.js';
 import {buildRequestTraits, formatContentPrefix} from './request-traits.js';
 import type {RequestRecorder} from './request-recorder.js';
 
@@ -105,11 +105,7 @@
 	/** Records the end of an instance; the runs that were about to be answered are suspects. */
 	#recordCrash({instance, at, runs, isRepeated}: InstanceCut<CutRun>): void {
 		const {ledger, recorder} = this.options;
-		const isBegun = runs.some(({progress}) => progress === 'head');
-		const suspects = buildSuspects(
-			runs.filter(({progress}) => progress === (isBegun ? 'head' : 'none')),
-			(trait) => ledger.isKnownSound(trait),
-		);
+		const suspects = buildSuspects(runs, (trait) => ledger.isKnownSound(trait));
 		if (!isRepeated) {
 			recorder.recordCrash(instance, [...suspects.keys()], runs.length);
 		}
@@ -119,7 +115,7 @@
 				instance,
 				endedAt: at,
 				citedAt: at,
-				isBegun,
+				isBegun: isBegunCut(runs),
 				suspects,
 			});
 		}
--- a/packages/bramleystage-gateway/src/crash-ledger.ts
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -101,7 +101,7 @@
 	}
 
 	/** Records that a request with the traits got a sound answer. */
-	recordSound({shared, own}: RequestTraits, now: number): void {
+	recordSound({shared, forms}: RequestTraits, now: number): void {
 		for (const trait of shared) {
 			this.#soundAt.delete(trait);
 			this.#soundAt.set(trait, now);
@@ -117,9 +117,9 @@
 		}
 
 		let next = this.#evidence;
-		for (const trait of [...shared, own]) {
+		for (const trait of [...shared, ...forms]) {
 			const standing = this.#standings.get(trait);
-			if (standing && (standing.count > 0 || !standing.wasSound)) {
+			if (standing && (standing.ends > 0 || !standing.wasSound)) {
 				next = recordSound(next, trait, now);
 			}
 		}
@@ -133,8 +133,11 @@
 	}
 
 	/** Finds the trait for which a request is to be refused. */
-	findBlame({shared, own}: RequestTraits): Blame | undefined {
-		return findBlame(this.#evidence, this.#standings, [...shared, own]);
+	findBlame({shared, forms}: RequestTraits): Blame | undefined {
+		return findBlame(this.#evidence, this.#standings, [
+			...shared,
+			...forms.toReversed(),
+		]);
 	}
 
 	/** Whether other requests with a trait of this one may have ended a server. */
--- a/packages/bramleystage-gateway/src/request-traits.ts
+++ b/packages/bramleystage-gateway/src/request-traits.ts
@@ -19,9 +19,12 @@
 		toRequestTrait(`${call.service.name} part ${part}`),
 	);
 	const own = parts.at(-1);
-	return own
-		? {shared: [...new Set(parts.slice(0, -1))], own}
-		: {shared: [], own: buildContentTrait(call)};
+	if (own) {
+		return {shared: [...new Set(parts.slice(0, -1))], forms: [own], own};
+	}
+
+	const content = buildContentTrait(call);
+	return {shared: [], forms: [content], own: content};
 }
 
 /** Names of what repeats of a request have in common, for the log: the same path, caller and body, and the same target with its query. */
--- a/packages/bramleystage/src/coordination/__tests__/crash-blame.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/crash-blame.test.ts
@@ -203,7 +203,7 @@
 // Guards against repeats that take a crashing request from server to server.
 test('the more requests ended servers under a part, the fewer may end under one request before it is given up', () => {
 	const own = toRequestTrait('own');
-	const traits = {shared: [shared, guilty], own};
+	const traits = {shared: [shared, guilty], forms: [own], own};
 	const countEnds = (crashes: number, known = traits) =>
 		computeAllowedEnds(
 			computeStandings(
@@ -218,12 +218,109 @@
 	expect([0, 1, 2, 3].map((crashes) => countEnds(crashes))).toEqual([
 		3, 2, 1, 1,
 	]);
-	expect(countEnds(3, {shared: [shared, topic], own})).toBe(3);
+	expect(countEnds(3, {shared: [shared, topic], forms: [own], own})).toBe(3);
 	const standings = computeStandings(
 		recordCrashes(buildSeries(1, [shared, guilty])),
 	);
 	expect(hasSuspectTrait(standings, traits)).toBe(true);
-	expect(hasSuspectTrait(standings, {shared: [topic], own})).toBe(false);
+	expect(hasSuspectTrait(standings, {shared: [topic], forms: [own], own})).toBe(
+		false,
+	);
+});
+
+/** Builds the end of an instance under one run of a request with the given forms, from the widest. */
+const buildFormCrash = (
+	instance: string,
+	endedAt: number,
+	request: string,
+	forms: readonly RequestTrait[],
+): Crash => ({
+	instance: toInstanceKey(instance),
+	endedAt,
+	citedAt: endedAt,
+	isBegun: false,
+	suspects: new Map(
+		forms.map((trait, form) => [
+			trait,
+			{witnesses: [request], sentAt: endedAt - 100, form},
+		]),
+	),
+});
+
+const [wide, narrow, otherNarrow] = ['wide', 'narrow', 'other'].map((name) =>
+	toRequestTrait(name),
+) as [RequestTrait, RequestTrait, RequestTrait];
+
+// Guards against a client attempt that counts once however many servers end under it.
+test('three ends under one client attempt blame its form', () => {
+	const crashes = [1, 2, 3].map((count) =>
+		buildFormCrash(`server-${count}`, 150 * count, 'one', [narrow]),
+	);
+	expect(isRefused(recordCrashes(crashes.slice(0, 2)), [narrow])).toBe(false);
+	expect(isRefused(recordCrashes(crashes), [narrow])).toBe(true);
+	expect(
+		computeAllowedEnds(computeStandings(recordCrashes(crashes.slice(0, 2))), {
+			shared: [],
+			forms: [narrow],
+			own: narrow,
+		}),
+	).toBe(1);
+});
+
+test('a wide form is to blame only where no narrower one explains the ends', () => {
+	const ends = (buildForms: (count: number) => RequestTrait[]) =>
+		recordCrashes(
+			[1, 2, 3].map((count) =>
+				buildFormCrash(
+					`server-${count}`,
+					400 * count,
+					`request-${count}`,
+					buildForms(count),
+				),
+			),
+		);
+	const same = ends(() => [wide, narrow]);
+	expect(isRefused(same, [narrow, wide])).toBe(true);
+	expect(isRefused(same, [otherNarrow, wide])).toBe(false);
+	const changing = ends((count) => [wide, toRequestTrait(`narrow-${count}`)]);
+	expect(isRefused(changing, [otherNarrow, wide])).toBe(true);
+	expect(
+		isRefused(recordSound(changing, wide, 1300), [otherNarrow, wide]),
+	).toBe(false);
+});
+
+// Guards against two guilty requests of which each is taken as the cause of the other one's ends.
+test('two forms that ran wherever servers ended are both to blame', () => {
+	const crashes = [1, 2, 3].map((count) => {
+		const [one, other] = [narrow, otherNarrow].map((trait) =>
+			buildFormCrash(`server-${count}`, 400 * count, `${trait}`, [trait]),
+		);
+		return {
+			...one!,
+			suspects: new Map([...(one?.suspects ?? []), ...(other?.suspects ?? [])]),
+		};
+	});
+	expect(isRefused(recordCrashes(crashes), [narrow])).toBe(true);
+	expect(isRefused(recordCrashes(crashes), [otherNarrow])).toBe(true);
+});
+
+test('after five ends under a form no request with it is let through', () => {
+	const countProbes = (ends: number) => {
+		const crashes = Array.from({length: ends}, (_, count) =>
+			buildFormCrash(`server-${count}`, 400 * count, `request-${count}`, [
+				narrow,
+			]),
+		);
+		const evidence = recordCrashes(crashes);
+		const blame = findBlame(evidence, computeStandings(evidence), [narrow]);
+		const place = {members: [], self: 'a', computePlace: () => 0};
+		return Array.from({length: 600}, (_, second) => second * 1000).filter(
+			(now) => blame && isProbeDue(blame, evidence, place, now),
+		).length;
+	};
+
+	expect(countProbes(4)).toBeGreaterThan(0);
+	expect(countProbes(5)).toBe(0);
 });
 
 test('crashes that gateways report in any order, twice or in parts give the same verdicts', () => {
--- a/packages/bramleystage/src/coordination/crash-blame.ts
+++ b/packages/bramleystage/src/coordination/crash-blame.ts
@@ -8,6 +8,9 @@
  * each crash: servers that end together, as with the loss of a rack, blame nobody. In
  * a request, a crash counts against a trait only if no other trait explains it that
  * the request doesn't have: one that is as suspect and was there too.
+ *
+ * What only repeats of one request have in common, its forms, needs no several
+ * requests: it is to blame once a number of instances ended under it.
  */
 import type {RequestTrait} from '../protocol/ids.js';
 import type {Crash, CrashEvidence} from './crash-evidence.js';
@@ -21,6 +24,11 @@
 /** Crashes from which on other traits no longer explain those of a trait. */
 const maxExplainedCrashes = 8;
 
+/** Ends of instances that blame a form of a request. */
+const minFormEnds = 3;
+/** Ends under a form after which no request with it is let through any more. */
+const maxProbedEnds = 4;
+
 /** Servers that may end under a request if nothing but that speaks against it. */
 const maxEnds = 3;
 /** The same if it has a part that no sound answer is known on. */
@@ -30,6 +38,8 @@
 const maxProbes = 2;
 /** Least time from the last crash or probe to each probe, in milliseconds. */
 const probeDelaysMs = [15_000, 120_000] as const;
+/** The same for a form whose ends were all in one round, as when servers end together that answer one popular request. */
+const singleRoundProbeDelaysMs = [2000, 120_000] as const;
 /** Time for which one gateway may probe before the next one may, in milliseconds. */
 const probeTurnMs = 5000;
 /** Part of each turn at its ends in which nobody probes, as gateways know the time of a crash only roughly, in milliseconds. */
@@ -39,6 +49,10 @@
 export type Standing = {
 	/** Crashes since its last sound answer, each with a request of its own. */
 	readonly count: number;
+	/** Instances that ended since its last sound answer. */
+	readonly ends: number;
+	/** Place among the forms of its requests; undefined if it is none. */
+	readonly form?: number;
 	readonly rounds: number;
 	/** Whether a request with it ever got a sound answer, as far as is known. */
 	readonly wasSound: boolean;
@@ -49,7 +63,9 @@
 export type RequestTraits = {
 	/** Parts of its prompt that other callers' requests have too. */
 	readonly shared: readonly RequestTrait[];
-	/** Its own part of the prompt, or all of its content; only repeats and requests of one session have the same. */
+	/** What only its repeats have in common, or requests of its session, from the widest to the narrowest. */
+	readonly forms: readonly RequestTrait[];
+	/** The form that tells it from other requests with a shared part. */
 	readonly own: RequestTrait;
 };
 
@@ -68,6 +84,9 @@
 	readonly crashes: readonly Crash[];
 	/** Steady-clock time of the last crash, in milliseconds. */
 	readonly lastAt: number;
+	readonly rounds: number;
+	/** Most ends under a form of the request. */
+	readonly formEnds: number;
 };
 
 const listCrashesSinceSound = (
@@ -104,6 +123,8 @@
 
 	return {
 		count: used.size,
+		ends: crashes.length,
+		form: crashes.at(-1)?.suspects.get(trait)?.form,
 		rounds,
 		wasSound,
 		lastAt: crashes.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY,
@@ -134,10 +155,21 @@
 	);
 }
 
-const isToBlame = ({count, rounds, wasSound}: Standing): boolean =>
-	wasSound
+function isToBlame({form, ends, count, rounds, wasSound}: Standing): boolean {
+	if (form !== undefined) {
+		return ends >= minFormEnds;
+	}
+
+	return wasSound
 		? rounds >= minCrashes
 		: count >= certainCrashes || (count >= minCrashes && rounds >= minRounds);
+}
+
+/** Whether another form explains the crashes of one: more instances ended under it, or as many while it is narrower. */
+const isFormExplained = (own: Standing, other: Standing): boolean =>
+	other.form !== undefined &&
+	(other.ends > own.ends ||
+		(other.ends === own.ends && other.form > (own.form ?? 0)));
 
 /**
  * Whether a trait that a request doesn't have explains a crash as well as one that it
@@ -156,6 +188,10 @@
 			return false;
 		}
 
+		if (own.form !== undefined) {
+			return isFormExplained(own, standing);
+		}
+
 		const isAsSuspect =
 			standing.count >= own.count && own.count < maxExplainedCrashes;
 		return own.wasSound
@@ -169,6 +205,7 @@
 	standings: Standings,
 	traits: readonly RequestTrait[],
 ): Blame | undefined {
+	const formEnds = computeMaxFormEnds(standings, traits);
 	for (const trait of traits) {
 		const own = standings.get(trait);
 		if (!own || !isToBlame(own)) {
@@ -180,23 +217,37 @@
 		);
 		const unexplained = computeStanding(trait, crashes, own.wasSound);
 		if (isToBlame(unexplained)) {
-			return {trait, crashes, lastAt: own.lastAt};
+			const {lastAt, rounds} = own;
+			return {trait, crashes, lastAt, rounds, formEnds};
 		}
 	}
 
 	return undefined;
 }
 
+const computeMaxFormEnds = (
+	standings: Standings,
+	traits: readonly RequestTrait[],
+): number =>
+	Math.max(
+		0,
+		...traits.map((trait) => {
+			const {form, ends = 0} = standings.get(trait) ?? {};
+			return form === undefined ? 0 : ends;
+		}),
+	);
+
 /** Whether any crash since its last sound answer speaks against a trait. */
-const isSuspect = ({count, rounds, wasSound}: Standing): boolean =>
-	wasSound ? rounds > 1 : count > 0;
+function isSuspect({form, ends, rounds, wasSound}: Standing): boolean {
+	return form === undefined && wasSound ? rounds > 1 : ends > 0;
+}
 
 /** Whether other requests with a trait of this one may have ended a server. */
 export const hasSuspectTrait = (
 	standings: Standings,
-	{shared, own}: RequestTraits,
+	{shared, forms}: RequestTraits,
 ): boolean =>
-	[...shared, own].some((trait) => {
+	[...shared, ...forms].some((trait) => {
 		const standing = standings.get(trait);
 		return standing !== undefined && isSuspect(standing);
 	});
@@ -208,14 +259,16 @@
  */
 export function computeAllowedEnds(
 	standings: Standings,
-	{shared, own}: RequestTraits,
+	{shared, forms}: RequestTraits,
 ): number {
 	const counts = shared.flatMap((trait) => {
 		const standing = standings.get(trait);
 		return standing && isSuspect(standing) ? [standing.count] : [];
 	});
-	const ownCount = standings.get(own)?.count ?? 0;
-	if (ownCount > 1 || counts.some((count) => count > 1)) {
+	if (
+		computeMaxFormEnds(standings, forms) > 1 ||
+		counts.some((count) => count > 1)
+	) {
 		return 1;
 	}
 
@@ -228,7 +281,7 @@
  * time, whatever their number.
  */
 export function isProbeDue(
-	{trait, lastAt}: Blame,
+	{trait, lastAt, rounds, formEnds}: Blame,
 	evidence: CrashEvidence,
 	{members, self, computePlace}: ProbeContext,
 	now: number,
@@ -237,8 +290,16 @@
 		count: 0,
 		at: Number.NEGATIVE_INFINITY,
 	};
-	const delayMs = probeDelaysMs[count] ?? Number.POSITIVE_INFINITY;
-	if (count >= maxProbes || now - Math.max(lastAt, at) < delayMs) {
+	const delaysMs =
+		formEnds > 0 && rounds < minRounds
+			? singleRoundProbeDelaysMs
+			: probeDelaysMs;
+	const delayMs = delaysMs[count] ?? Number.POSITIVE_INFINITY;
+	if (
+		count >= maxProbes ||
+		formEnds > maxProbedEnds ||
+		now - Math.max(lastAt, at) < delayMs
+	) {
 		return false;
 	}
 
--- a/packages/bramleystage/src/coordination/crash-evidence.ts
+++ b/packages/bramleystage/src/coordination/crash-evidence.ts
@@ -14,6 +14,8 @@
 	readonly witnesses: readonly string[];
 	/** Steady-clock time at which the last of them was sent, in milliseconds. */
 	readonly sentAt: number;
+	/** Place of the trait among the forms of its requests, from 0 for the widest; absent for parts that others share. */
+	readonly form?: number;
 };
 
 /** The end of an instance, with what the requests had in common that it was about to answer. */
@@ -23,7 +25,7 @@
 	readonly endedAt: number;
 	/** Steady-clock time at which it was last used to refuse a request, in milliseconds. */
 	readonly citedAt: number;
-	/** Whether the suspects' answers had begun; then the requests that still waited are none. */
+	/** Whether the suspects' answers had begun; then only forms of the requests that still waited are suspects too. */
 	readonly isBegun: boolean;
 	readonly suspects: ReadonlyMap<RequestTrait, Suspicion>;
 };
@@ -46,8 +48,10 @@
 const maxCrashes = 64;
 const maxSuspects = 96;
 const maxWitnesses = 4;
-/** Time after which a crash is forgotten if no request was refused for it, in milliseconds. */
+/** Time after which a crash is forgotten if no request was ever refused for it, in milliseconds. */
 const keepMs = 600_000;
+/** Time after the last refusal for a crash after which it is forgotten, in milliseconds. */
+const keepCitedMs = 24 * 3_600_000;
 /** By how much a sound answer must be later than the last known one to count as news, in milliseconds; more than messages between gateways usually take. */
 const minSoundAdvanceMs = 500;
 /** The same for a crash that is used to refuse requests, in milliseconds. */
@@ -82,17 +86,24 @@
 	at > crash.citedAt + (isCited(crash) ? minCitedAdvanceMs : 0);
 
 function mergeCrashes(known: Crash, other: Crash): Crash {
+	if (known.isBegun !== other.isBegun) {
+		const endedAt = Math.min(known.endedAt, other.endedAt);
+		return known.isBegun
+			? mergeCrashes(known, {...selectForms(other), isBegun: true})
+			: mergeCrashes(
+					{
+						...selectSuspects(other),
+						endedAt,
+						citedAt: isCited(other) ? other.citedAt : endedAt,
+					},
+					{...selectForms(known), isBegun: true},
+				);
+	}
+
 	const citedAt =
 		isCited(other) && isLaterCitation(known, other.citedAt)
 			? other.citedAt
 			: known.citedAt;
-	if (known.isBegun !== other.isBegun) {
-		const begun = known.isBegun ? known : selectSuspects(other);
-		return begun === known && citedAt === known.citedAt
-			? known
-			: {...begun, citedAt, endedAt: Math.min(known.endedAt, other.endedAt)};
-	}
-
 	const suspects = new Map(known.suspects);
 	let hasNews = citedAt !== known.citedAt;
 	for (const [trait, suspicion] of other.suspects) {
@@ -116,20 +127,30 @@
 	return added.length === 0 || room <= 0
 		? known
 		: {
+				...known,
 				witnesses: [...known.witnesses, ...added.slice(0, room)],
 				sentAt: Math.max(known.sentAt, other.sentAt),
 			};
 }
 
+/** Selects the suspects that are forms of requests. */
+const selectForms = (crash: Crash): Crash => ({
+	...crash,
+	suspects: new Map(
+		[...crash.suspects].filter(([, {form}]) => form !== undefined),
+	),
+});
+
 const selectSuspects = (crash: Crash): Crash => ({
 	...crash,
 	suspects: new Map(
-		[...crash.suspects]
-			.slice(0, maxSuspects)
-			.map(([trait, {witnesses, sentAt}]) => [
-				trait,
-				{witnesses: witnesses.slice(0, maxWitnesses), sentAt},
-			]),
+		[...crash.suspects].slice(0, maxSuspects).map(([trait, suspicion]) => [
+			trait,
+			{
+				...suspicion,
+				witnesses: suspicion.witnesses.slice(0, maxWitnesses),
+			},
+		]),
 	),
 });
 
@@ -226,7 +247,8 @@
 	now: number,
 ): CrashEvidence {
 	const kept = [...evidence.crashes].filter(
-		([, {citedAt}]) => now - citedAt < keepMs,
+		([, crash]) =>
+			now - crash.citedAt < (isCited(crash) ? keepCitedMs : keepMs),
 	);
 	return kept.length === evidence.crashes.size
 		? evidence
