Weigh the content of a request that names parts like a part that others share

Prompts may all have the same body and be told by their parts alone. As a form of each request such a body was to blame after three ends of engines, whatever had ended them, and then nothing could be answered that would have cleared it.

A content beside parts is counted by different requests and by its sound answers now, as parts are. A form again lets one request lose three servers as long as no other request lost one, so that a stream goes on at a third engine.

--- a/packages/bramleystage-gateway/src/request-traits.ts
+++ b/packages/bramleystage-gateway/src/request-traits.ts
@@ -23,24 +23,31 @@
 
 /**
  * Builds the traits of a request: the parts of its prompt, and the forms of its content.
- * The last part is the request's or its session's own. A request that names parts and
- * has no body is told from others by its parts alone.
+ * The last part is the request's or its session's own. Prompts may be told by their parts
+ * alone, so that the content of a request that names parts counts like a part that
+ * others share.
  */
 export function buildRequestTraits(call: Call): RequestTraits {
 	const parts = call.metadata.promptParts.map((part) =>
 		toRequestTrait(`${call.service.name} part ${part}`),
 	);
 	const ownPart = parts.at(-1);
+	const contentForms = buildContentForms(call);
+	const [repeat] = contentForms;
 	if (ownPart) {
-		const forms =
-			call.body.length > 0
-				? [ownPart, ...buildContentForms(call).slice(0, 1)]
-				: [ownPart];
-		return {shared: [...new Set(parts.slice(0, -1))], forms, own: ownPart};
+		const others = new Set(parts.slice(0, -1));
+		return {
+			shared: call.body.length > 0 ? [...others, repeat] : [...others],
+			forms: [ownPart],
+			own: ownPart,
+		};
 	}
 
-	const forms = buildContentForms(call);
-	return {shared: [], forms, own: forms.at(-1) ?? forms[0]};
+	return {
+		shared: [],
+		forms: contentForms,
+		own: contentForms.at(-1) ?? repeat,
+	};
 }
 
 /** Names of what repeats of a request have in common, for the log: the same path, caller and body, and the same target with its query. */
