Take an end of a server as one by any evidence, not by a refused connection alone

Callers lost bookings and look-ups for as long as a request came again that ended servers whose address then accepted connections and closed them. Only a refused connection of a listed server counted as an end, so that none of these ends was one.

What closes connections at once or is silent has ended if the list confirms it within six seconds: the entry goes, or another instance stands at the address or under the id. An entry that has gone or says that it leaves since less than 1.5 s is no bar, as a server that leaves serves on for longer. Overloaded servers, which reset connections too, stay in the list. Connections that break later belong to an end of their own.

--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -206,8 +206,9 @@
 				return 'refused';
 			}
 
-			return report?.isOk() ? 'open' : 'unknown';
+			return report?.isOk() ? 'open' : 'silent';
 		},
+		lifeCycle,
 		logger,
 		readClock,
 		readLinkDelayMs: () => 0,
--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -10,12 +10,8 @@
 	type CrashLedgerOptions,
 	formatCrashes,
 } from './crash-ledger.js';
-import {
-	checkConnection,
-	CutCheck,
-	type CutCheckOptions,
-	type InstanceCut,
-} from './cut-check.js';
+import {checkConnection} from './connection-check.js';
+import {CutCheck, type CutCheckOptions, type InstanceCut} from './cut-check.js';
 import {buildSuspects, type CutRun, isBegunCut} from './crash-suspects.js';
 import {buildRequestTraits, formatContentPrefix} from './request-traits.js';
 import type {RequestRecorder} from './request-recorder.js';
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -772,6 +772,13 @@
 	listBackends,
 	replaceBackends,
 } from './state/backends.js';
+export {
+	type Departure,
+	type Departures,
+	findSentInstance,
+	formatInstance,
+	recordDepartures,
+} from './state/departures.js';
 export {
 	createInstanceEnds,
 	hasInstanceEnded,
