Check again whether a request may run once it has waited for its turn at a server

A request that was in line at a server with a limit was sent there although requests like it had been found to end servers meanwhile. The check comes after the wait as well; a probe stays one.

Before: the new test failed, as the request was opened. After: it is refused, as not run.

--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -82,7 +82,7 @@
 		open: (hasWaited: boolean) => void,
 	): void {
 		this.turns.take(id, this.computeMaxWaitMs(), (isGranted, hasWaited) => {
-			if (this.isFinished) {
+			if (this.isFinished || (hasWaited && this.#refuseBlocked())) {
 				return;
 			}
 
