Save what ends servers in the platform's store, for gateways that start when none is left

After a start of all gateways a request that had ended servers ended three more each time, and its later repeats too. What is known of such requests was kept in the gateways only.

The gateway that gives the orders saves it in a keyed topic of its own, at most once a second and only when it has changed: ends under a form that ended two servers or more, parts that are to blame, and their probes. Each gateway reads it at its start, before it is ready; without the store it serves with what its peers know, and writes nothing before it has read.

--- a/packages/bramleystage-gateway/src/__tests__/gateway-start.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/gateway-start.test.ts
@@ -33,6 +33,8 @@
 		joinGroup: failCall,
 		leaveGroup: failCall,
 		listMembers: failCall,
+		loadRecord: failCall,
+		saveRecord: failCall,
 	};
 	const taken = await listenOnFreePort();
 	const free = await listenOnFreePort();
--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -12,8 +12,7 @@
 } from 'bramleystage';
 import type {Call} from './call.js';
 import {formatCrashes} from './blame-log.js';
-import {CrashLedger, type CrashLedgerOptions} from './crash-ledger.js';
-import {checkConnection} from './connection-check.js';
+import type {CrashLedger} from './crash-ledger.js';
 import {CutCheck, type CutCheckOptions, type InstanceCut} from './cut-check.js';
 import {buildSuspects, type CutRun, isBegunCut} from './crash-suspects.js';
 import type {Fleet} from './fleet.js';
@@ -164,13 +163,3 @@
 		}
 	}
 }
-
-/** Creates a guard with a ledger of its own. */
-export function createCrashGuard(
-	options: CrashLedgerOptions &
-		Omit<CrashGuardOptions, 'ledger' | 'checkConnection'>,
-): {readonly ledger: CrashLedger; readonly crashGuard: CrashGuard} {
-	const ledger = new CrashLedger(options);
-	const crashGuard = new CrashGuard({...options, ledger, checkConnection});
-	return {ledger, crashGuard};
-}
--- a/packages/bramleystage-gateway/src/crash-ledger.ts
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -21,6 +21,7 @@
 	recordProbe,
 	recordSound,
 	removeOldCrashes,
+	selectLastingEvidence,
 	type RequestTrait,
 	type RequestTraits,
 	type Standings,
@@ -204,6 +205,12 @@
 		return {news, revision: this.#revision};
 	}
 
+	/** Builds what gateways that start later need to know: ends that speak against a trait again or blame it. */
+	buildLastingNews(now: number): CrashNews | undefined {
+		const lasting = selectLastingEvidence(this.#evidence, this.#standings);
+		return buildCrashNews(lasting, () => true, now);
+	}
+
 	/**
 	 * Merges news of a peer. When they were written is known only roughly, so crashes
 	 * and probes count as late as they can have been, and sound answers as early.
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -1,13 +1,13 @@
 /**
  * Starts a gateway. It accepts callers' requests and sends them directly to
  * engines and plain services, using the configuration and the list of backend
- * servers in the platform's store. It keeps no durable state.
+ * servers in the platform's store. No state of it lasts but what it saves there.
  */
 import {LifeCycle, type Logger, type ServiceName} from 'bramleystage';
 import {followBackends} from './backend-follower.js';
 import {createCallAdmission} from './call-handler.js';
 import {listenForCallers} from './caller-server.js';
-import {createCrashGuard} from './crash-guard.js';
+import {createCrashControl} from './crash-control.js';
 import {followConfiguration} from './configuration-follower.js';
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
@@ -70,10 +70,10 @@
 	lifeCycle: LifeCycle,
 ): Promise<RunningGateway> {
 	const {store, engines, headers} = platform;
-	const base = {lifeCycle, logger, readClock};
 	let drainTimes: DrainTimes | undefined;
 	const isStopping = () => drainTimes !== undefined;
 	const readLinkDelayMs = () => ownLink.delayMs;
+	const base = {lifeCycle, logger, readClock, readLinkDelayMs};
 	const fleet: Fleet = new Fleet({
 		dataCentre: settings.dataCentre,
 		logger,
@@ -94,7 +94,6 @@
 		listPeers: () => group.listPeers(),
 		registry: recorder.registry,
 		...base,
-		readLinkDelayMs,
 	});
 	const {limits, permits} = limitControl;
 	const instances = new InstanceWatch({
@@ -106,14 +105,15 @@
 		readClock,
 	});
 	const ownLink = new OwnLink({recorder, lifeCycle, logger, readClock});
-	const {ledger, crashGuard} = createCrashGuard({
+	const {ledger, crashGuard, memory} = createCrashControl({
+		store,
 		listMembers: () => group.listPeers(),
 		self: settings.peerListen,
+		isWriter: () => group.isLeader,
 		recorder,
 		fleet,
 		instances,
 		...base,
-		readLinkDelayMs,
 	});
 	const peerLinks: PeerLinks = new PeerLinks({
 		listPeers: () => group.listPeers(),
@@ -141,7 +141,6 @@
 		findPeerGroup: () => peerLinks.findGroup(),
 		isInformedByPeer: () => isInformedByPeer(),
 		...base,
-		readLinkDelayMs,
 	});
 	const contact = new StoreContact();
 	const isInformedByPeer = () =>
@@ -209,10 +208,7 @@
 	const monitor = new StreamMonitor({
 		fleet,
 		instances,
-		logger,
-		lifeCycle,
-		readClock,
-		readLinkDelayMs,
+		...base,
 	});
 	const retryBudget = new RetryBudget(
 		settings,
@@ -236,8 +232,11 @@
 		replacePath: engines.replacePath,
 		...buildStreamHooks(monitor),
 	};
+	// Serves no request before it is known which ones end servers, if the store tells.
+	const readConfiguration = () =>
+		memory.isRead() ? configurations.value : undefined;
 	const isReady = () =>
-		!isStopping() && configurations.value !== undefined && fleet.hasBackends;
+		!isStopping() && readConfiguration() !== undefined && fleet.hasBackends;
 	const admission = createCallAdmission({
 		context,
 		retryBudget,
@@ -259,7 +258,7 @@
 		address: settings.listen,
 		headers,
 		lifeCycle,
-		readConfiguration: () => configurations.value,
+		readConfiguration,
 		admission,
 		recordUnreadRefusal() {
 			recorder.recordUnreadRefusal();
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -90,6 +90,10 @@
 	readonly leaveGroup: (self: string) => Promise<Result<void, StoreFailure>>;
 	/** Reads the addresses of the members of the gateways' group. */
 	readonly listMembers: () => Promise<Result<readonly string[], StoreFailure>>;
+	/** Reads what a gateway saved last for those that start later; undefined if nothing was. */
+	readonly loadRecord: () => Promise<Result<string | undefined, StoreFailure>>;
+	/** Saves a text in place of the last one. */
+	readonly saveRecord: (text: string) => Promise<Result<void, StoreFailure>>;
 };
 
 /** An engine's report on itself. */
--- a/packages/bramleystage/src/coordination/crash-blame.ts
+++ b/packages/bramleystage/src/coordination/crash-blame.ts
@@ -264,3 +264,37 @@
 
 	return counts.length > 0 ? maxEndsInDoubt : maxEnds;
 }
+
+/** Ends from which on evidence against a form is worth saving. */
+const minLastingEnds = 2;
+
+/** Selects what is worth saving for gateways that start later: what speaks against a form more than once, or is to blame. */
+export function selectLastingEvidence(
+	{crashes, soundAt, probes}: CrashEvidence,
+	standings: Standings,
+): CrashEvidence {
+	const isLasting = (trait: RequestTrait) => {
+		const standing = standings.get(trait);
+		return (
+			standing !== undefined &&
+			(isToBlame(standing) ||
+				(standing.form !== undefined && standing.ends >= minLastingEnds))
+		);
+	};
+
+	const selected = [...crashes.values()].map((crash) => ({
+		...crash,
+		suspects: new Map(
+			[...crash.suspects].filter(([trait]) => isLasting(trait)),
+		),
+	}));
+	return {
+		crashes: new Map(
+			selected
+				.filter(({suspects}) => suspects.size > 0)
+				.map((crash) => [crash.instance, crash]),
+		),
+		soundAt: new Map([...soundAt].filter(([trait]) => isLasting(trait))),
+		probes: new Map([...probes].filter(([trait]) => isLasting(trait))),
+	};
+}
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -691,6 +691,7 @@
 	findLastEnd,
 	hasSuspectTrait,
 	type RequestTraits,
+	selectLastingEvidence,
 	type Standings,
 } from './coordination/crash-blame.js';
 export {isProbeDue} from './coordination/crash-probe.js';
