Take late in a planned stop what can end, pass streams on only when whole, and answer the rest

Callers whose streams were taken three seconds after the stop signal or later were cut at the end of the process; those of plain requests were refused for most of the stop; what was still at work at the end heard nothing. The estimate of a stream knew its tokens only, none if it named none, and not the wait before the first event or engines that turn slow; the estimate of a plain request was its deadline.

A call is expected to take twice as long as its tokens say and as any of its route has taken lately or is taking. A stream taken late is passed on when it is whole, so that one that does not end after all gets an answer with a status, as all do that have not begun to be answered when the process exits.

--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -230,6 +230,7 @@
 		readClock,
 		readLinkDelayMs: () => 0,
 		isStopping: () => false,
+		holdsStreams: () => false,
 		drawRandom: () => 0.5,
 		replacePath: async () => ok('unknownRequest'),
 		registerStream: (stream) => monitor.register(stream),
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -183,6 +183,7 @@
 		readClock,
 		readLinkDelayMs,
 		isStopping: () => false,
+		holdsStreams: () => false,
 		drawRandom: () => 0.5,
 		registerStream: () => () => undefined,
 		recordPause: () => undefined,
--- a/packages/bramleystage-gateway/src/__tests__/stop-gate.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/stop-gate.test.ts
@@ -3,6 +3,7 @@
 	computeSuccessorServingAt,
 	computeEndAt,
 	computeAcceptUntil,
+	computeCallMs,
 	decideDrainRefusal,
 } from '../drain-policy.js';
 
@@ -32,3 +33,14 @@
 	expect(refuse()?.retryAfterSeconds).toBe(ownMs / 1000);
 	expect(refuse(now + 60_000)?.retryAfterSeconds).toBe(ownMs / 1000);
 });
+
+test('a call is expected to take twice as long as its tokens say and as any of its route took', () => {
+	const untilDeadlineMs = 20_000;
+	const compute = (namedMs?: number, longestMs?: number) =>
+		computeCallMs({namedMs, longestMs, untilDeadlineMs});
+	expect(compute(400, 300)).toBe(800);
+	expect(compute(400, 1500)).toBe(3000);
+	expect(compute(undefined, 20)).toBe(40);
+	expect(compute(undefined, undefined)).toBe(untilDeadlineMs);
+	expect(compute(undefined, 15_000)).toBe(untilDeadlineMs);
+});
--- a/packages/bramleystage-gateway/src/__tests__/waiting-call.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/waiting-call.test.ts
@@ -127,6 +127,7 @@
 		trySpendRetry: () => true,
 		readClock,
 		isStopping: () => false,
+		holdsStreams: () => false,
 		drawRandom: () => 0.5,
 	};
 	const response = new http.ServerResponse(
--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -3,6 +3,7 @@
 import {CallAdmission, type CallAdmissionOptions} from './call-admission.js';
 import type {Call} from './call.js';
 import {writeErrorResponse} from './error-response.js';
+import type {OpenCalls} from './open-calls.js';
 import {PlainRun} from './plain-run.js';
 import type {RetryBudget} from './retry-budget.js';
 import {StreamRun, type StreamRunContext} from './stream-run.js';
@@ -10,6 +11,7 @@
 export type CallHandlerOptions = {
 	readonly context: Omit<StreamRunContext, 'admission'>;
 	readonly retryBudget: Pick<RetryBudget, 'recordRequest'>;
+	readonly openCalls: Pick<OpenCalls, 'add' | 'recordEnd'>;
 	/** Finds the reason to refuse a call that might still be running when this process exits. */
 	readonly findDrainRefusal: (call: Call) => Failure | undefined;
 };
@@ -18,10 +20,20 @@
 
 /** Creates what starts the run of a call, and tells the admission how it goes on. */
 function createCallHandler(
-	{context: base, retryBudget, findDrainRefusal}: CallHandlerOptions,
-	admission: StreamRunContext['admission'],
+	{context: base, retryBudget, openCalls, findDrainRefusal}: CallHandlerOptions,
+	admission: CallAdmission,
 ): (call: Call) => void {
-	const context = {...base, admission};
+	const {readClock} = base;
+	const context = {
+		...base,
+		admission: {
+			recordDelay: admission.recordDelay.bind(admission),
+			recordEnd(call: Call) {
+				openCalls.recordEnd(call, readClock());
+				admission.recordEnd(call);
+			},
+		},
+	};
 	return (call) => {
 		const refusal = findDrainRefusal(call);
 		if (refusal) {
@@ -34,6 +46,12 @@
 		const run = call.service.pipeline
 			? new StreamRun(call, context)
 			: new PlainRun(call, context);
+		openCalls.add(call, {
+			begunAt: readClock(),
+			stop() {
+				run.stop();
+			},
+		});
 		run.tryNextAttempt();
 	};
 }
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -43,16 +43,19 @@
 		this.turns = new TurnTaker(call, context);
 		this.#deadlineTimer = setTimeout(
 			() => {
-				this.failWith(
-					this.#history.mayHaveRun || this.isInFlight()
-						? createFailure('deadlinePassed', 'The deadline passed.')
-						: this.buildRefusal('deadlineUnreachable', 'The deadline passed.'),
+				const detail = 'The deadline passed.';
+				this.#failByRun(
+					createFailure('deadlinePassed', detail),
+					this.buildRefusal('deadlineUnreachable', detail),
 				);
 			},
 			Math.max(0, this.remainingMs()),
 		);
 		this.#unregisterLeave = call.caller.registerLeave(() => {
-			this.#handleLeave();
+			this.#failByRun(
+				createFailure('cancelled', 'The caller disconnected.'),
+				createFailure('callerLeft', 'The caller ended its connection.'),
+			);
 		});
 	}
 
@@ -68,6 +71,15 @@
 		}
 	}
 
+	/** Ends the request with what is known of it, as the process is about to exit. */
+	stop(): void {
+		const detail = 'The gateway stopped.';
+		this.#failByRun(
+			createFailure('backendLost', detail),
+			createFailure('stopping', detail),
+		);
+	}
+
 	protected remainingMs(): number {
 		return this.call.deadlineAt - this.context.readClock();
 	}
@@ -266,12 +278,10 @@
 		}
 	}
 
-	#handleLeave(): void {
-		this.failWith(
-			this.#history.mayHaveRun || this.isInFlight()
-				? createFailure('cancelled', 'The caller disconnected.')
-				: createFailure('callerLeft', 'The caller ended its connection.'),
-		);
+	/** Fails the request in one of two ways: a server may have run it, or none has. */
+	#failByRun(ran: Failure, notRun: Failure): void {
+		const mayRun = this.#history.mayHaveRun || this.isInFlight();
+		this.failWith(mayRun ? ran : notRun);
 	}
 
 	/** Fails the request if requests like it end servers; returns whether it did. */
@@ -281,11 +291,8 @@
 			this.#sentCount === 0,
 		);
 		if (refusal) {
-			this.failWith(
-				this.#history.mayHaveRun
-					? createFailure('backendLost', refusal.detail)
-					: refusal,
-			);
+			const lost = createFailure('backendLost', refusal.detail);
+			this.failWith(this.#history.mayHaveRun ? lost : refusal);
 		}
 
 		return refusal !== undefined;
--- a/packages/bramleystage-gateway/src/drain-policy.ts
+++ b/packages/bramleystage-gateway/src/drain-policy.ts
@@ -9,6 +9,8 @@
 const successorStartMs = 1500;
 /** Least time until a refused caller retries, in milliseconds, used when another gateway accepts it at once. */
 const minRetryAfterMs = 50;
+/** By how much servers may turn slower while a call runs that is accepted late. */
+const slowdownFactor = 2;
 const msPerSecond = 1000;
 
 export type DrainTimes = {
@@ -30,6 +32,28 @@
 export const computeSuccessorServingAt = (times: DrainTimes) =>
 	computeEndAt(times) + successorStartMs;
 
+/** How long a call may take, in milliseconds. */
+export type CallFacts = {
+	/** What its tokens say; undefined if it names none. */
+	readonly namedMs: number | undefined;
+	/** Longest recent call of its route; undefined if there was none. */
+	readonly longestMs: number | undefined;
+	readonly untilDeadlineMs: number;
+};
+
+/** Computes how long a call takes at most, in milliseconds: servers may turn slower meanwhile. */
+export function computeCallMs({
+	namedMs = 0,
+	longestMs,
+	untilDeadlineMs,
+}: CallFacts): number {
+	const usualMs =
+		longestMs === undefined ? namedMs : Math.max(namedMs, longestMs);
+	return usualMs > 0
+		? Math.min(untilDeadlineMs, slowdownFactor * usualMs)
+		: untilDeadlineMs;
+}
+
 /**
  * Returns a refusal if a call might outlast a draining gateway, else undefined.
  * `servingAt` is the steady-clock time at which the first other gateway serves,
--- a/packages/bramleystage-gateway/src/drain-wait.ts
+++ b/packages/bramleystage-gateway/src/drain-wait.ts
@@ -6,9 +6,12 @@
 	computeEndAt,
 	type DrainTimes,
 } from './drain-policy.js';
+import type {OpenCalls} from './open-calls.js';
 
 /** How often a draining gateway checks whether all requests have ended, in milliseconds. */
 const drainCheckMs = 100;
+/** Time for the last answers to reach their callers, in milliseconds. */
+const lastAnswersMs = 250;
 
 /** Waits until no request is open and none is accepted any more, or until the gateway has to end them. */
 async function waitForOpenRequests(
@@ -26,18 +29,20 @@
 	}
 }
 
-/** Waits for the open requests and for those that are arriving on open connections. */
+/** Waits for the open requests and for those that are arriving on open connections; those that are left get a last answer. */
 export async function waitForCallers(
 	callers: CallerServer,
+	openCalls: Pick<OpenCalls, 'stop'>,
 	times: DrainTimes,
-	logger: Logger,
-	readClock: () => number,
+	{logger, readClock}: {logger: Logger; readClock: () => number},
 ): Promise<void> {
 	await waitForOpenRequests(
 		times,
 		() => callers.countOpenRequests(),
 		readClock,
 	);
-	await callers.drain(computeEndAt(times) - readClock());
+	openCalls.stop();
+	const leftMs = computeEndAt(times) - readClock();
+	await callers.drain(Math.max(lastAnswersMs, leftMs));
 	logger.info('gateway.stopped', {in_flight: callers.countOpenRequests()});
 }
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -27,12 +27,7 @@
 import type {GatewayState} from './peer-update.js';
 import {startPlacement} from './placement-controller.js';
 import type {GatewaySettings, PlatformPort} from './platform-port.js';
-import {
-	computeSuccessorServingAt,
-	decideDrainRefusal,
-	type DrainTimes,
-} from './drain-policy.js';
-import {waitForCallers} from './drain-wait.js';
+import {DrainControl} from './drain-control.js';
 import {OwnLink} from './own-link.js';
 import {listenForOperations} from './readiness-server.js';
 import {StoreContact} from './store-contact.js';
@@ -70,8 +65,7 @@
 	lifeCycle: LifeCycle,
 ): Promise<RunningGateway> {
 	const {store, engines, headers} = platform;
-	let drainTimes: DrainTimes | undefined;
-	const isStopping = () => drainTimes !== undefined;
+	const isStopping = () => drain.isStopping;
 	const readLinkDelayMs = () => ownLink.delayMs;
 	const base = {lifeCycle, logger, readClock, readLinkDelayMs};
 	const fleet: Fleet = new Fleet({
@@ -172,7 +166,7 @@
 		...base,
 	});
 	const readState = (): GatewayState => ({
-		...(drainTimes && {backAt: computeSuccessorServingAt(drainTimes)}),
+		...(drain.isStopping && {backAt: drain.backAt}),
 		storeEra: fleet.storeEra,
 		...(fleet.hasBackends && {reader: fleet.reader ?? settings.peerListen}),
 		group: group.state,
@@ -210,6 +204,12 @@
 		instances,
 		...base,
 	});
+	const drain = new DrainControl({
+		graceMs: settings.graceMs,
+		computeStreamMs: (call) => monitor.computeDurationMs(call),
+		findServingAt: () => peerLinks.findServingAt(),
+		...base,
+	});
 	const retryBudget = new RetryBudget(
 		settings,
 		(now) => group.computeBudgetShare(now),
@@ -228,6 +228,7 @@
 		readClock,
 		readLinkDelayMs,
 		isStopping,
+		holdsStreams: () => drain.holdsStreams,
 		drawRandom: Math.random,
 		replacePath: engines.replacePath,
 		...buildStreamHooks(monitor),
@@ -240,16 +241,8 @@
 	const admission = createCallAdmission({
 		context,
 		retryBudget,
-		findDrainRefusal: (call) =>
-			drainTimes &&
-			decideDrainRefusal(
-				drainTimes,
-				{
-					estimateMs: monitor.estimateMs(call),
-					servingAt: peerLinks.findServingAt(),
-				},
-				readClock(),
-			),
+		openCalls: drain.openCalls,
+		findDrainRefusal: (call) => drain.findRefusal(call),
 		measureUnreadMs: (now) => loopWatch.measureUnreadMs(now),
 		waitForTurn: setImmediate,
 		waitForTime: setTimeout,
@@ -282,13 +275,13 @@
 	logger.info('gateway.started', {listen: settings.listen});
 	return {
 		async drain() {
-			drainTimes = {stoppingAt: readClock(), graceMs: settings.graceMs};
+			drain.start();
 			logger.info('gateway.stopping', {
 				in_flight: callers.countOpenRequests(),
 			});
 			publisher.publish();
 			void group.leave();
-			await waitForCallers(callers, drainTimes, logger, readClock);
+			await drain.waitForCallers(callers);
 			await lifeCycle.stop();
 		},
 		async stop() {
--- a/packages/bramleystage-gateway/src/run-context.ts
+++ b/packages/bramleystage-gateway/src/run-context.ts
@@ -35,5 +35,7 @@
 	readonly readLinkDelayMs: () => number;
 	/** Whether the process is draining. */
 	readonly isStopping: () => boolean;
+	/** Whether the process exits so soon that a stream is passed on only when it is whole. */
+	readonly holdsStreams: () => boolean;
 	readonly drawRandom: () => number;
 };
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -42,7 +42,11 @@
 	) {
 		super(call, context);
 		this.lastProgressAt = call.arrivedAt;
-		this.writer = new StreamWriter(call, context.isStopping);
+		this.writer = new StreamWriter(
+			call,
+			context.isStopping,
+			context.holdsStreams(),
+		);
 	}
 
 	protected handleData(active: StreamAttempt, chunk: Buffer): void {
@@ -247,7 +251,7 @@
 
 		this.context.crashGuard.recordSound(this.call);
 		this.recordOutcome('answered', active);
-		this.call.response.end();
+		this.writer.finish();
 		this.end({status: 200});
 	}
 
--- a/packages/bramleystage-gateway/src/stream-answer.ts
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -68,10 +68,15 @@
 /** Writes the events of one stream to its caller, in order and each once. */
 export class StreamWriter {
 	#lastEvent: string | undefined;
+	#head: AnswerHead | undefined;
+	readonly #held: Buffer[] = [];
+	#heldBytes = 0;
 
 	constructor(
 		private readonly call: Call,
 		private readonly isStopping: () => boolean,
+		/** Whether nothing is written before the stream is whole. */
+		private readonly isHeld: boolean,
 	) {
 		this.#lastEvent = call.metadata.lastEvent;
 	}
@@ -81,17 +86,29 @@
 		return this.#lastEvent;
 	}
 
-	/** Writes the head of a stream. */
-	start({status, headers}: AnswerHead): void {
-		this.call.response.writeHead(status, [
-			...listEndToEndHeaders(headers).flat(),
-			...(this.isStopping() ? ['Connection', 'close'] : []),
-		]);
+	/** Begins a stream with the head of its answer. */
+	start(head: AnswerHead): void {
+		this.#head = head;
+		if (!this.isHeld) {
+			this.#writeHead(head);
+		}
+	}
+
+	/** Ends a stream that is whole. */
+	finish(): void {
+		const {response} = this.call;
+		if (this.isHeld && this.#head) {
+			this.#writeHead(this.#head);
+			response.write(Buffer.concat(this.#held));
+		}
+
+		response.end();
 	}
 
 	/** Whether the caller leaves too many bytes unread. */
 	get isUnread(): boolean {
-		return this.call.response.writableLength > maxUnreadBytes;
+		const unreadBytes = this.call.response.writableLength + this.#heldBytes;
+		return unreadBytes > maxUnreadBytes;
 	}
 
 	/** Writes complete events; returns false and writes nothing if they don't follow the last one. */
@@ -103,7 +120,13 @@
 		}
 
 		this.#lastEvent = ids.at(-1) ?? this.#lastEvent;
-		this.call.response.write(bytes);
+		if (this.isHeld) {
+			this.#held.push(bytes);
+			this.#heldBytes += bytes.length;
+		} else {
+			this.call.response.write(bytes);
+		}
+
 		return true;
 	}
 
@@ -112,4 +135,11 @@
 		this.call.response.writeHead(status, listEndToEndHeaders(headers).flat());
 		this.call.response.end(body);
 	}
+
+	#writeHead({status, headers}: AnswerHead): void {
+		this.call.response.writeHead(status, [
+			...listEndToEndHeaders(headers).flat(),
+			...(this.isStopping() ? ['Connection', 'close'] : []),
+		]);
+	}
 }
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -86,15 +86,15 @@
 		};
 	}
 
-	/** Estimates the longest duration of a call, in milliseconds, from its tokens and the pace of the paths. */
-	estimateMs({service, metadata, deadlineAt, arrivedAt}: Call): number {
-		if (!service.pipeline) {
-			return deadlineAt - arrivedAt;
+	/** Computes the longest duration that is expected of a stream, in milliseconds, from its tokens and the pace of the paths; undefined if it names none. */
+	computeDurationMs({service, metadata}: Call): number | undefined {
+		if (!service.pipeline || metadata.maxAnswerTokens === 0) {
+			return undefined;
 		}
 
 		const pauseMs = Math.max(minAssumedPauseMs, ...this.#pauses.values());
 		const events = metadata.maxAnswerTokens / service.pipeline.tokensPerEvent;
-		return Math.min(deadlineAt - arrivedAt, events * pauseMs);
+		return this.#firstEventMs + events * pauseMs;
 	}
 
 	/** Records a pause between two events of a stream, in milliseconds. */
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -774,6 +774,11 @@
 	listBackends,
 	replaceBackends,
 } from './state/backends.js';
+export {
+	type CallDurations,
+	findLongestDuration,
+	recordDuration,
+} from './state/call-durations.js';
 export {
 	type Departure,
 	type Departures,
