Serve before a slow store has answered, and let a begun stream go on at a third engine

A gateway that started while the store trickled served nobody until the saved record had come; it waits for a second at most. A form is counted by requests for that bound now, and what has begun is not held back from the last server, as it would end incomplete.

--- a/packages/bramleystage-gateway/src/__tests__/crash-memory.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/crash-memory.test.ts
@@ -20,11 +20,18 @@
 let saved: string | undefined;
 let saves: number;
 let isAway: boolean;
+let isSlow: boolean;
 let era: number;
 
 const fail = err<never, StoreFailure>({kind: 'lost', detail: 'away'});
 const store = {
 	async loadRecord(): Promise<Result<string | undefined, StoreFailure>> {
+		if (isSlow) {
+			await new Promise(() => {
+				// Never answers.
+			});
+		}
+
 		return isAway ? fail : ok(saved);
 	},
 	async saveRecord(text: string): Promise<Result<void, StoreFailure>> {
@@ -85,6 +92,7 @@
 	saved = undefined;
 	saves = 0;
 	isAway = false;
+	isSlow = false;
 	era = 1;
 });
 
@@ -175,3 +183,13 @@
 	expect(memory.isRead()).toBe(true);
 	expect(ledger.hasCrashes).toBe(false);
 });
+
+// Guards against a gateway that serves nobody while the store answers slowly.
+test('a slow store keeps a gateway that starts from serving for a second at most', async () => {
+	isSlow = true;
+	const {memory} = startGateway();
+	await passTime(900);
+	expect(memory.isRead()).toBe(false);
+	await passTime(200);
+	expect(memory.isRead()).toBe(true);
+});
--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -286,10 +286,10 @@
 
 	/** Fails the request if requests like it end servers; returns whether it did. */
 	#refuseBlocked(): boolean {
-		const refusal = this.context.crashGuard.findRefusal(
-			this.call,
-			this.#sentCount === 0,
-		);
+		const refusal = this.context.crashGuard.findRefusal(this.call, {
+			isFirstAttempt: this.#sentCount === 0,
+			isStarted: this.answerStartedAt !== undefined,
+		});
 		if (refusal) {
 			const lost = createFailure('backendLost', refusal.detail);
 			this.failWith(this.#history.mayHaveRun ? lost : refusal);
--- a/packages/bramleystage-gateway/src/crash-guard.ts
+++ b/packages/bramleystage-gateway/src/crash-guard.ts
@@ -25,6 +25,13 @@
 const spareLastMs = 3000;
 const msPerSecond = 1000;
 
+/** How far a request has come. */
+export type AttemptState = {
+	readonly isFirstAttempt: boolean;
+	/** Whether the caller has received a part of the answer: without another attempt it ends incomplete. */
+	readonly isStarted: boolean;
+};
+
 export type CrashGuardOptions = CutCheckOptions & {
 	readonly fleet: Pick<Fleet, 'listUsable'>;
 	readonly ledger: CrashLedger;
@@ -49,7 +56,10 @@
 	}
 
 	/** Finds the reason to send a request to no server; the first attempt may be let through as a probe. */
-	findRefusal(call: Call, isFirstAttempt: boolean): Failure | undefined {
+	findRefusal(
+		call: Call,
+		{isFirstAttempt, isStarted}: AttemptState,
+	): Failure | undefined {
 		if (!this.#mayBeSuspect(call)) {
 			return undefined;
 		}
@@ -59,7 +69,9 @@
 		const traits = buildRequestTraits(call);
 		const blame = ledger.findBlame(traits);
 		if (!blame) {
-			return this.#findLastServerRefusal(call, traits, now);
+			return isStarted
+				? undefined
+				: this.#findLastServerRefusal(call, traits, now);
 		}
 
 		const isProbe =
--- a/packages/bramleystage-gateway/src/crash-memory.ts
+++ b/packages/bramleystage-gateway/src/crash-memory.ts
@@ -12,6 +12,8 @@
 
 /** How often a changed record is saved at most, in milliseconds. */
 const saveIntervalMs = 1000;
+/** Time for which a gateway that starts waits for the record, in milliseconds; a slow store must not keep it from serving. */
+const maxWaitMs = 1000;
 /** Delay before a failed read is repeated, in milliseconds. */
 const retryDelayMs = 1000;
 /** Largest record that is saved, in characters; the store takes larger ones, but each costs all that read it. */
@@ -38,12 +40,13 @@
 };
 
 export type CrashMemory = {
-	/** Whether the saved record has been read, or could not be at once. */
+	/** Whether the saved record has been read, or could not be in time. */
 	readonly isRead: () => boolean;
 };
 
 export function startCrashMemory(options: CrashMemoryOptions): CrashMemory {
 	const {store, ledger, lifeCycle, logger, readClock, readWallClock} = options;
+	const startedAt = readClock();
 	let hasTried = false;
 	let isLoaded = false;
 	let isSaving = false;
@@ -123,7 +126,7 @@
 		void trySave();
 	});
 	void load();
-	return {isRead: () => hasTried};
+	return {isRead: () => hasTried || readClock() - startedAt >= maxWaitMs};
 }
 
 const emptyNews: CrashNews = {crashes: [], sounds: [], probes: []};
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -75,7 +75,10 @@
 		const mayFailOver =
 			this.canRunAgain(active.isSent ? [active.sent] : []) &&
 			this.#choosePath() !== undefined &&
-			!crashGuard.findRefusal(this.call, false) &&
+			!crashGuard.findRefusal(this.call, {
+				isFirstAttempt: false,
+				isStarted: this.answerStartedAt !== undefined,
+			}) &&
 			trySpendRetry(this.call.service.name);
 		if (!mayFailOver) {
 			const [first] = active.path;
--- a/packages/bramleystage/src/coordination/crash-blame.ts
+++ b/packages/bramleystage/src/coordination/crash-blame.ts
@@ -255,10 +255,8 @@
 		const standing = standings.get(trait);
 		return standing && isSuspect(standing) ? [standing.count] : [];
 	});
-	if (
-		computeMaxFormEnds(standings, forms) > 1 ||
-		counts.some((count) => count > 1)
-	) {
+	const formCounts = forms.map((trait) => standings.get(trait)?.count ?? 0);
+	if ([...counts, ...formCounts].some((count) => count > 1)) {
 		return 1;
 	}
 
