Review case 3: a truncated answer without a length looks complete

A server that is killed while it sends an answer without a length leaves its caller with a part of the body as a whole success.

--- a/review/stand-ins/caller.mjs
+++ b/review/stand-ins/caller.mjs
@@ -9,8 +9,8 @@
 	new http.Agent({keepAlive: true, maxSockets: 1});
 
 /**
- * Sends a request and resolves to its answer: the status, 0 if there is none, whether
- * it is whole, and whether the connection had been used before.
+ * Sends a request and resolves to its answer: the status, 0 if there is none, its
+ * text, whether it is whole, and whether the connection had been used before.
  */
 export async function sendRequest(
 	address,
@@ -20,7 +20,7 @@
 	return new Promise((resolve) => {
 		let status = 0;
 		let stamp;
-		let retryAfter;
+		let text = '';
 		const request = http.request({
 			hostname,
 			port,
@@ -39,7 +39,7 @@
 			resolve({
 				status,
 				stamp,
-				retryAfter,
+				text,
 				isWhole,
 				isKept: request.reusedSocket,
 			});
@@ -51,8 +51,10 @@
 		request.on('response', (response) => {
 			status = response.statusCode;
 			stamp = response.headers['x-bramleystage-response-stamp'];
-			retryAfter = response.headers['retry-after'];
-			response.resume();
+			response.setEncoding('utf8');
+			response.on('data', (piece) => {
+				text += piece;
+			});
 			response.on('error', () => undefined);
 			response.on('close', () => {
 				finish(response.complete);
