--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -36,15 +36,29 @@
 		setTimeout(resolve, ms);
 	});
 
-/** Finds a free port of a loopback address. */
-export async function findPort() {
+/** Ports from which free ones are drawn, below those that the kernel gives to connections. */
+const portRange = {from: 20_000, to: 32_000};
+
+async function isPortFree(port) {
 	const server = net.createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address();
+	server.listen(port, '127.0.0.1');
+	const isFree = await once(server, 'listening').then(
+		() => true,
+		() => false,
+	);
 	server.close();
-	await once(server, 'close');
-	return port;
+	return isFree;
+}
+
+/** Finds a free port of a loopback address. */
+async function findPort() {
+	for (;;) {
+		const {from, to} = portRange;
+		const port = from + Math.floor(Math.random() * (to - from));
+		if (await isPortFree(port)) {
+			return port;
+		}
+	}
 }
 
 /** Opens the record of a case; its lines begin with the seconds since the start. */
@@ -64,7 +78,7 @@
 }
 
 /** Formats the settings of a gateway as the platform writes them; the figures are those of kale-gise. */
-function formatSettings({name, store, seeds, ports}) {
+function formatSettings({name, store, seeds, ports, isFirstStart}) {
 	return `
 node_name = "${name}"
 role = "gateway"
@@ -73,7 +87,7 @@
 zone = "izmir-a"
 port_range = [${ports.operators - 1}, ${ports.operators}]
 seeds = ${JSON.stringify(seeds)}
-bootstrap = true
+bootstrap = ${isFirstStart}
 heartbeat_ms = ${heartbeatMs}
 [listen]
 front = "127.0.0.1:${ports.front}"
@@ -127,8 +141,6 @@
 	const gateways = portsOfGateways.map((ports, index) => {
 		const name = `front-${index}`;
 		const settings = path.join(directory, `${name}.toml`);
-		const text = formatSettings({name, store: store.address, seeds, ports});
-		writeFileSync(settings, text);
 		const gateway = {
 			name,
 			address: `127.0.0.1:${ports.front}`,
@@ -137,7 +149,9 @@
 			ends: [],
 			process: undefined,
 		};
-		const start = () => {
+		const start = (isFirstStart) => {
+			const facts = {name, store: store.address, seeds, ports, isFirstStart};
+			writeFileSync(settings, formatSettings(facts));
 			const child = spawn(program, parameters, {
 				cwd: root,
 				env: {PATH: process.env.PATH, BRAMLEYSTAGE_SETTINGS: settings},
@@ -162,13 +176,13 @@
 				record.write(name, 'ends by itself', status ?? signal);
 				setTimeout(() => {
 					if (!isClosing) {
-						start();
+						start(false);
 					}
 				}, restartMs);
 			});
 		};
 
-		start();
+		start(true);
 		return gateway;
 	});
 	return {
