--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -50,6 +50,30 @@
 	return isFree;
 }
 
+/** Processes that the case has started; they end with it, however it ends. */
+const startedProcesses = new Set();
+
+/** Starts a process that ends with the case. */
+export function startProcess(program, parameters, options) {
+	const child = spawn(program, parameters, options);
+	startedProcesses.add(child);
+	child.on('exit', () => {
+		startedProcesses.delete(child);
+	});
+	return child;
+}
+
+process.on('exit', () => {
+	for (const child of startedProcesses) {
+		child.kill('SIGKILL');
+	}
+});
+for (const signal of ['SIGINT', 'SIGTERM']) {
+	process.on(signal, () => {
+		process.exit(2);
+	});
+}
+
 /** Finds a free port of a loopback address. */
 async function findPort() {
 	for (;;) {
@@ -152,7 +176,7 @@
 		const start = (isFirstStart) => {
 			const facts = {name, store: store.address, seeds, ports, isFirstStart};
 			writeFileSync(settings, formatSettings(facts));
-			const child = spawn(program, parameters, {
+			const child = startProcess(program, parameters, {
 				cwd: root,
 				env: {PATH: process.env.PATH, BRAMLEYSTAGE_SETTINGS: settings},
 				stdio: ['ignore', 'pipe', 'inherit'],
