--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -38,6 +38,7 @@
 
 /** Ports from which free ones are drawn, below those that the kernel gives to connections. */
 const portRange = {from: 20_000, to: 32_000};
+const givenPorts = new Set();
 
 async function isPortFree(port) {
 	const server = net.createServer();
@@ -46,7 +47,11 @@
 		() => true,
 		() => false,
 	);
-	server.close();
+	if (isFree) {
+		server.close();
+		await once(server, 'close');
+	}
+
 	return isFree;
 }
 
@@ -79,7 +84,8 @@
 	for (;;) {
 		const {from, to} = portRange;
 		const port = from + Math.floor(Math.random() * (to - from));
-		if (await isPortFree(port)) {
+		if (!givenPorts.has(port) && (await isPortFree(port))) {
+			givenPorts.add(port);
 			return port;
 		}
 	}
