--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -37,7 +37,7 @@
 	});
 
 /** Ports from which free ones are drawn, below those that the kernel gives to connections. */
-const portRange = {from: 20_000, to: 32_000};
+const portRange = {from: 10_000, to: 18_000};
 const givenPorts = new Set();
 
 async function isPortFree(port) {
