--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,7 @@
 #!/usr/bin/env bash
 # A failing server answers 503 after it has worked on bookings, and does not say that they have not run.
-exec node "$(dirname "$0")/case.mjs"
+folder=$(dirname "$0")
+for file in "$folder/../dist/stand-in-store.mjs" "$folder/../../target/gateway.cjs"; do
+	[ -f "$file" ] || exit 2
+done
+exec node "$folder/case.mjs"
--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -73,6 +73,10 @@
 		child.kill('SIGKILL');
 	}
 });
+process.on('uncaughtException', (error) => {
+	process.stderr.write(`${error.stack}\n`);
+	process.exit(2);
+});
 for (const signal of ['SIGINT', 'SIGTERM']) {
 	process.on(signal, () => {
 		process.exit(2);
