Pass on heads that Node's writer accepts only

Cause: Node's parser takes header names, targets and values for which its writer throws. Heads were copied unchecked, and the writer was called in event handlers, where nobody catches. Trailers: a plain answer gets a length, with which the writer allows no announced trailer.

Ruled out: ending the attempt alone, and a catch around forwarding, as the booking has run and its caller needs the answer.

Now http-heads.ts has the one rule for both directions. Unwritable headers of an answer are left out with a log line, requests with one are refused with 400, names are sent as UTF-8, and opening a request gives an error instead of throwing. An answer without a length beside a spoiled header counts as cut off. A stream no longer gets the length of its first engine, since another one may finish it.

--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -233,7 +233,7 @@
 			retryBudget = recordRequest(retryBudget);
 		},
 		modelRoute,
-		serviceRoute: {calls: serviceCalls, audit, readClock, limits},
+		serviceRoute: {calls: serviceCalls, audit, logger, readClock, limits},
 	});
 
 	await peers.start();
--- a/packages/bramleystage-entry/src/headers.ts
+++ b/packages/bramleystage-entry/src/headers.ts
@@ -2,18 +2,7 @@
  * Header selection for plain service calls; hop-by-hop headers are not
  * forwarded.
  */
-
-const hopByHop = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-]);
+import {type HeaderPairs, hopByHopHeaders} from 'bramleystage';
 
 /** Request headers for the entry only: the caller's key, host and framing. */
 const entryOnlyHeaders = new Set([
@@ -23,8 +12,6 @@
 	'expect',
 ]);
 
-type HeaderPairs = ReadonlyArray<readonly [string, string]>;
-
 /** Selects the request headers to forward to the backend server. */
 export const selectRequestHeaders = (pairs: HeaderPairs) =>
 	selectHeaders(pairs, (name) => !entryOnlyHeaders.has(name));
@@ -41,7 +28,9 @@
 	return pairs
 		.filter(([name]) => {
 			const lower = name.toLowerCase();
-			return !hopByHop.has(lower) && !named.has(lower) && isForwarded(lower);
+			return (
+				!hopByHopHeaders.has(lower) && !named.has(lower) && isForwarded(lower)
+			);
 		})
 		.map(([name, value]) => [name, value]);
 }
--- a/packages/bramleystage-entry/src/service-route.ts
+++ b/packages/bramleystage-entry/src/service-route.ts
@@ -8,8 +8,10 @@
 	createFailure,
 	type Failure,
 	listHeaders,
+	type Logger,
 	type ServiceCells,
 	toServiceName,
+	writeForwardedHead,
 } from 'bramleystage';
 import {registerResponseClose, writeFailure} from './caller-response.js';
 import type {Audit} from './audit.js';
@@ -24,6 +26,7 @@
 export type ServiceRouteOptions = {
 	readonly calls: ServiceCallManager;
 	readonly audit: Audit;
+	readonly logger: Logger;
 	readonly readClock: () => number;
 	readonly limits: PermitSource;
 };
@@ -123,7 +126,7 @@
 			if ('result' in result) {
 				writeFailure(context.response, result);
 			} else {
-				writeServiceResponse(context, result);
+				writeServiceResponse(context, result, options.logger);
 			}
 
 			recordEnd(options, context, {
@@ -172,19 +175,25 @@
 }
 
 function writeServiceResponse(
-	{response}: RequestContext,
+	{response, request}: RequestContext,
 	answer: CallAnswer,
+	logger: Logger,
 ): void {
 	if (response.destroyed) {
 		return;
 	}
 
 	const headers = selectResponseHeaders(answer.headers);
-	response.writeHead(answer.status, [
-		...headers.flat(),
-		'content-length',
-		String(answer.body.length),
+	const omitted = writeForwardedHead(response, answer.status, headers, [
+		['content-length', String(answer.body.length)],
 	]);
+	if (omitted.length > 0) {
+		logger.warn('answer.header_omitted', {
+			request,
+			headers: omitted.join(', '),
+		});
+	}
+
 	response.end(answer.body);
 }
 
--- a/packages/bramleystage-gateway/src/answer-status.ts
+++ b/packages/bramleystage-gateway/src/answer-status.ts
@@ -1,6 +1,6 @@
 /** What the status and the headers of a backend server's answer mean for forwarding it. */
 import type {RequestId} from 'bramleystage';
-import type {AnswerMetadata, Headers} from './platform-port.js';
+import type {AnswerMetadata} from './platform-port.js';
 
 /** Lowest status of a server's error. */
 export const minErrorStatus = 500;
@@ -10,19 +10,6 @@
 export const replacedStatus = 421;
 /** Status of a server that refuses a request for now. */
 export const refusedStatus = 503;
-/** Hop-by-hop headers, which concern one connection only. */
-const hopByHop = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-connection',
-	'transfer-encoding',
-	'upgrade',
-]);
-
-/** Lists the headers of an answer without the hop-by-hop ones. */
-export const listEndToEndHeaders = (headers: Headers): Headers =>
-	headers.filter(([name]) => !hopByHop.has(name.toLowerCase()));
-
 /** Whether a status shows trouble of the server, and not only that the time was over. */
 export const isServerError = (status: number): boolean =>
 	status >= minErrorStatus && status !== deadlineStatus;
--- a/packages/bramleystage-gateway/src/attempt.ts
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -3,10 +3,13 @@
  * new connection has no unread bytes of an earlier answer, and a server that
  * closes idle connections cannot make it unclear whether the request ran.
  */
-import http, {type IncomingMessage} from 'node:http';
+import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import {
 	isRefusedConnection,
+	isWritableHeader,
 	listHeaders,
+	minFinalStatus,
+	openHttpRequest,
 	parseAddress,
 	registerAnswerGuard,
 } from 'bramleystage';
@@ -55,9 +58,6 @@
 	readonly isSent: () => boolean;
 };
 
-/** Lowest status that ends a request. */
-const minStatus = 200;
-
 const heldAnswers = new HeldAnswers();
 
 /** Sends a request and reports its answer or failure to the handlers. */
@@ -82,14 +82,19 @@
 	};
 
 	const {host, port} = parseAddress(request.address);
-	const outgoing = http.request({
+	const opened = openHttpRequest({
 		host,
 		port,
 		method: request.method,
 		path: request.target,
 		agent: false,
-		headers: buildHeaders(request) as unknown as http.OutgoingHttpHeaders,
+		headers: buildHeaders(request),
 	});
+	if (opened.isErr()) {
+		return rejectUnsent(opened.error.message, handlers);
+	}
+
+	const outgoing = opened.value;
 	const fail = (detail: string, isRefused = false) => {
 		finish(() => {
 			outgoing.destroy();
@@ -121,12 +126,13 @@
 		}
 
 		const status = response.statusCode ?? 0;
-		if (status < minStatus) {
+		if (status < minFinalStatus) {
 			fail(`Status ${status} ends no request.`);
 			return;
 		}
 
-		handlers.onHead({status, headers: listHeaders(response)});
+		const headers = listHeaders(response);
+		handlers.onHead({status, headers});
 		if (!isFinished && request.isHeld(status)) {
 			held = heldAnswers.register(fail);
 		}
@@ -154,7 +160,8 @@
 				});
 			},
 			isComplete: () =>
-				response.complete && !(wasReset && isUnframed(response)),
+				response.complete &&
+				!(isUnframed(response) && (wasReset || hasUnreadableField(headers))),
 			fail,
 		});
 	});
@@ -169,6 +176,19 @@
 	};
 }
 
+/** Reports the failure of a request that could not be written, once the caller has its attempt. */
+function rejectUnsent(detail: string, {onFail}: AttemptHandlers): Attempt {
+	const immediate = setImmediate(() => {
+		onFail({isSent: false, isRefused: false, detail});
+	});
+	return {
+		cancel() {
+			clearImmediate(immediate);
+		},
+		isSent: () => false,
+	};
+}
+
 function listenForBody(
 	response: IncomingMessage,
 	state: {
@@ -194,6 +214,10 @@
 	});
 }
 
+/** Whether the field that gives the length of the answer may be among those that can't be read. */
+const hasUnreadableField = (headers: Headers): boolean =>
+	!headers.every((header) => isWritableHeader(header));
+
 /** Whether the answer is delimited only by the end of the connection. */
 const isUnframed = ({headers}: IncomingMessage) =>
 	headers['content-length'] === undefined &&
--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -4,6 +4,7 @@
 import {
 	buildRouteIndex,
 	createFailure,
+	describeUnwritableHead,
 	type Failure,
 	findRoute,
 	type GatewayService,
@@ -175,6 +176,13 @@
 	request.on('error', () => {
 		response.destroy();
 	});
+	const unwritable = describeUnwritableHead(request);
+	if (unwritable) {
+		const failure = createFailure('badHttp', unwritable);
+		refuseEarly(request, response, failure, true);
+		return;
+	}
+
 	const configuration = options.readConfiguration();
 	if (!configuration) {
 		const failure = createFailure(
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -16,11 +16,11 @@
 	isOwnAnswer,
 	isRefusal,
 	isServerError,
-	listEndToEndHeaders,
 	minErrorStatus,
 	replacedStatus,
 } from './answer-status.js';
 import {CallRun} from './call-run.js';
+import {writeAnswerHead} from './answer-head.js';
 import type {AttemptRun} from './run-history.js';
 import type {RunContext} from './run-context.js';
 import {recordServerState} from './server-state.js';
@@ -287,14 +287,8 @@
 		this.recordAnswerStart();
 		const body = Buffer.concat(chunks);
 		const {response} = this.call;
-		const headers = listEndToEndHeaders(head.headers).filter(
-			([name]) => name.toLowerCase() !== 'content-length',
-		);
-		response.writeHead(head.status, [
-			...headers.flat(),
-			'Content-Length',
-			String(body.length),
-			...(this.context.isStopping() ? ['Connection', 'close'] : []),
+		writeAnswerHead(this.call, head, this.context, [
+			['Content-Length', String(body.length)],
 		]);
 		response.end(body);
 		this.end({status: head.status});
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -17,12 +17,9 @@
 import type {OverloadState} from './call-admission.js';
 import type {Call} from './call.js';
 import type {TurnResult} from './permit-owner.js';
+import {LineLimit} from './line-limit.js';
 import {describeContent} from './request-traits.js';
 
-/** Successes logged per second; more are only counted. */
-const maxSuccessLinesPerSecond = 5;
-/** Failures logged per second; a flood of them must not block the process. */
-const maxFailureLinesPerSecond = 200;
 /** Suspects that the line of a crash names. */
 const maxLoggedSuspects = 12;
 const secondMs = 1000;
@@ -119,10 +116,7 @@
 		registers: [this.registry],
 	});
 
-	#windowStart = 0;
-	#successLines = 0;
-	#failureLines = 0;
-	#omittedLines = 0;
+	readonly #lines = new LineLimit();
 
 	constructor(
 		private readonly logger: Logger,
@@ -172,6 +166,16 @@
 		}
 	}
 
+	/** Records that headers of an answer could not be written to the caller. */
+	recordOmittedHeaders(call: Call, headers: readonly string[]): void {
+		if (this.#tryAcquireLine('failure')) {
+			this.logger.warn('answer.header_omitted', {
+				request: call.metadata.request,
+				headers: headers.join(', '),
+			});
+		}
+	}
+
 	/** Records that a running request was ordered to move onto another path. */
 	recordReplacement(call: Call, path: string, outcome: string): void {
 		this.#attempts.inc({outcome: `replaced_${outcome}`});
@@ -276,25 +280,11 @@
 			sent_ms: computeElapsedMs(end.sentAt),
 			first_ms: firstMs,
 			duration_ms: Math.round(durationMs),
-			left_out: this.#omittedLines || undefined,
+			left_out: this.#lines.takeOmittedCount() || undefined,
 		});
-		this.#omittedLines = 0;
 	}
 
-	/** Takes one log line out of this second's limit; a refused line is counted. */
 	#tryAcquireLine(kind: 'success' | 'failure'): boolean {
-		const now = this.readClock();
-		if (now - this.#windowStart >= secondMs) {
-			this.#windowStart = now;
-			this.#successLines = 0;
-			this.#failureLines = 0;
-		}
-
-		const isAllowed =
-			kind === 'success'
-				? this.#successLines++ < maxSuccessLinesPerSecond
-				: this.#failureLines++ < maxFailureLinesPerSecond;
-		this.#omittedLines += isAllowed ? 0 : 1;
-		return isAllowed;
+		return this.#lines.tryAcquire(kind, this.readClock());
 	}
 }
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -42,11 +42,7 @@
 	) {
 		super(call, context);
 		this.lastProgressAt = call.arrivedAt;
-		this.writer = new StreamWriter(
-			call,
-			context.isStopping,
-			context.holdsStreams(),
-		);
+		this.writer = new StreamWriter(call, context, context.holdsStreams());
 	}
 
 	protected handleData(active: StreamAttempt, chunk: Buffer): void {
--- a/packages/bramleystage-gateway/src/stream-answer.ts
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -9,12 +9,12 @@
 	isOwnAnswer,
 	isRefusal,
 	isServerError,
-	listEndToEndHeaders,
 	minErrorStatus,
 	refusedStatus,
 	replacedStatus,
 } from './answer-status.js';
 import {type CompleteEvents, isConsecutive} from './event-splitter.js';
+import {type ForwardingContext, writeAnswerHead} from './answer-head.js';
 import type {HeaderPort} from './platform-port.js';
 
 /** Bytes of a stream that wait in the process for its caller to read, beside the kernel's buffers. */
@@ -74,7 +74,7 @@
 
 	constructor(
 		private readonly call: Call,
-		private readonly isStopping: () => boolean,
+		private readonly context: ForwardingContext,
 		/** Whether nothing is written before the stream is whole. */
 		private readonly isHeld: boolean,
 	) {
@@ -90,7 +90,7 @@
 	start(head: AnswerHead): void {
 		this.#head = head;
 		if (!this.isHeld) {
-			this.#writeHead(head);
+			writeAnswerHead(this.call, head, this.context);
 		}
 	}
 
@@ -98,7 +98,7 @@
 	finish(): void {
 		const {response} = this.call;
 		if (this.isHeld && this.#head) {
-			this.#writeHead(this.#head);
+			writeAnswerHead(this.call, this.#head, this.context);
 			response.write(Buffer.concat(this.#held));
 		}
 
@@ -131,15 +131,10 @@
 	}
 
 	/** Writes a complete answer that is not a stream. */
-	writeWhole({status, headers}: AnswerHead, body: Buffer): void {
-		this.call.response.writeHead(status, listEndToEndHeaders(headers).flat());
-		this.call.response.end(body);
-	}
-
-	#writeHead({status, headers}: AnswerHead): void {
-		this.call.response.writeHead(status, [
-			...listEndToEndHeaders(headers).flat(),
-			...(this.isStopping() ? ['Connection', 'close'] : []),
+	writeWhole(head: AnswerHead, body: Buffer): void {
+		writeAnswerHead(this.call, head, this.context, [
+			['Content-Length', String(body.length)],
 		]);
+		this.call.response.end(body);
 	}
 }
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -585,11 +585,21 @@
 	type HttpError,
 	type HttpRequest,
 	isRefusedConnection,
-	listHeaders,
 	type OpenHttpResponse,
 	openHttpResponse,
 	sendHttpRequest,
 } from './transport/http-client.js';
+export {
+	describeUnwritableHead,
+	formatHeaderValue,
+	type HeaderPairs,
+	hopByHopHeaders,
+	isWritableHeader,
+	listHeaders,
+	minFinalStatus,
+	openHttpRequest,
+	writeForwardedHead,
+} from './transport/http-heads.js';
 export {
 	defaultHttpBounds,
 	formatRawErrorResponse,
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -35,6 +35,8 @@
 export const protocolVersion = 1;
 
 const count = z.int().min(0);
+/** A status of HTTP that ends a request; no other can be written as an answer. */
+const finalStatus = z.int().min(200).max(999);
 const amount = z.number().min(0);
 const bytes = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
 const headers = z.array(z.tuple([z.string(), z.string()])).max(200);
@@ -136,7 +138,7 @@
 export const callAnswerSchema = z.object({
 	type: z.literal('callAnswer'),
 	request: requestIdSchema,
-	status: count,
+	status: finalStatus,
 	headers,
 	body: bytes,
 });
--- a/packages/bramleystage/src/transport/http-client.ts
+++ b/packages/bramleystage/src/transport/http-client.ts
@@ -2,9 +2,10 @@
  * HTTP requests with Node's `http`, with limits on the size of the response body,
  * on its silence, and on the whole time.
  */
-import http, {type Agent, type IncomingMessage} from 'node:http';
+import type {Agent, IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {registerAnswerGuard} from './answer-guard.js';
+import {listHeaders, minFinalStatus, openHttpRequest} from './http-heads.js';
 
 export type HttpRequest = {
 	readonly method: string;
@@ -67,6 +68,13 @@
 	}
 
 	const {response, toHttpError, countBody} = opened.value;
+	const status = response.statusCode ?? 0;
+	if (status < minFinalStatus) {
+		response.destroy();
+		const detail = `Status ${status} ends no request.`;
+		return err({kind: 'lost', sent: true, detail});
+	}
+
 	const chunks: Buffer[] = [];
 	let size = 0;
 	const limit = options.maxBodyBytes ?? defaultMaxBodyBytes;
@@ -90,7 +98,7 @@
 	}
 
 	return ok({
-		status: response.statusCode ?? 0,
+		status,
 		headers: listHeaders(response),
 		body: Buffer.concat(chunks),
 	});
@@ -123,12 +131,23 @@
 			sent: isConnected,
 			detail: timeoutDetail ?? error.message,
 		});
-		const request = http.request(options.url, {
-			method: options.method,
-			headers: {...options.headers},
-			agent: options.agent,
-			signal: options.signal,
-		});
+		const opened = openHttpRequest(
+			{
+				method: options.method,
+				headers: {...options.headers},
+				agent: options.agent,
+				signal: options.signal,
+			},
+			options.url,
+		);
+		if (opened.isErr()) {
+			resolve(
+				err({kind: 'connect', sent: false, detail: opened.error.message}),
+			);
+			return;
+		}
+
+		const request = opened.value;
 		const limits = startResponseLimits(options, (detail) => {
 			timeoutDetail ??= detail;
 			request.destroy(new Error(detail));
@@ -229,19 +248,3 @@
 
 	return isRefusedConnection(error) ? 'refused' : 'connect';
 }
-
-/**
- * Returns a message's headers as pairs of name and value, in the order of
- * arrival.
- */
-export function listHeaders(message: IncomingMessage): Array<[string, string]> {
-	const pairs: Array<[string, string]> = [];
-	for (let index = 0; index + 1 < message.rawHeaders.length; index += 2) {
-		pairs.push([
-			message.rawHeaders[index] ?? '',
-			message.rawHeaders[index + 1] ?? '',
-		]);
-	}
-
-	return pairs;
-}
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -12,6 +12,7 @@
 	resultCodes,
 } from '../protocol/result-codes.js';
 import {formatAddress, parseAddress} from './address.js';
+import {describeUnwritableHead} from './http-heads.js';
 
 export type HttpBounds = {
 	readonly maxBodyBytes: number;
@@ -63,6 +64,12 @@
 			noDelay: true,
 		},
 		async (request, response) => {
+			const unwritable = describeUnwritableHead(request);
+			if (unwritable) {
+				refuseBadHttp(request, response, unwritable);
+				return;
+			}
+
 			try {
 				await handler(request, response);
 			} catch (error) {
@@ -139,6 +146,22 @@
 	].join('\r\n');
 }
 
+/** Refuses a request that could not be sent on, and closes its connection. */
+function refuseBadHttp(
+	request: IncomingMessage,
+	response: ServerResponse,
+	detail: string,
+): void {
+	request.resume();
+	const failure = createFailure('badHttp', detail);
+	writeJson(
+		response,
+		resultCodes[failure.result].status,
+		buildErrorBody(failure),
+		{connection: 'close'},
+	);
+}
+
 function writeInternalError(response: ServerResponse, error: Error): void {
 	if (response.headersSent) {
 		response.destroy();
