Keep callers' headers of a service call in a map

What callers saw: one request with a header named `constructor`, `toString` or `__proto__` ended the agent that sent it on, with all its calls.

Cause: the names were keys of a plain object, so that these found a property that every object has, and `push` of it threw; nobody catches there.

No other place keys a plain object by received names in this way (searched).

--- a/packages/bramleystage-agent/src/service-client.ts
+++ b/packages/bramleystage-agent/src/service-client.ts
@@ -54,12 +54,12 @@
 function mergeHeaders(
 	pairs: ReadonlyArray<readonly [string, string]>,
 ): Record<string, string[]> {
-	const merged: Record<string, string[]> = {};
+	const merged = new Map<string, string[]>();
 	for (const [name, value] of pairs) {
-		(merged[name] ??= []).push(value);
+		merged.set(name, [...(merged.get(name) ?? []), value]);
 	}
 
-	return merged;
+	return Object.fromEntries(merged);
 }
 
 function createCallFailure({kind, sent, detail}: HttpError): Failure {
--- a/packages/bramleystage-site/src/__tests__/unwritable-heads.test.ts
+++ b/packages/bramleystage-site/src/__tests__/unwritable-heads.test.ts
@@ -65,6 +65,14 @@
 	},
 );
 
+// Guards against headers that are taken for properties of every object, and end the agent.
+test.each(['__proto__', 'constructor', 'toString'])(
+	'a header named %s is sent on as any other',
+	async (name) => {
+		expect(await sendRaw(path, `${name}: 1\r\n`)).toMatch(/^HTTP\/1\.1 201 /v);
+	},
+);
+
 // Guards against a status that ends the entry that writes it.
 test('an answer with a status that ends no request is a failure of the service', async () => {
 	const server = net.createServer((socket) => {
