Tell callers that a request has not run only with proof

On our own interface a service's status went through as well, and a call that a first agent may have run was refused with 503 when no other agent was left.

Cause: an own answer of a server was forwarded whatever its status; nothing asked what the status tells the caller. Ruled out: that isRefusal takes it for a refusal; it rightly finds none.

Now isNotRunStatus names the statuses that are promises. A server's own answer with one leaves open whether the request ran: it is repeated only where it may be and ends as 502. selectStatus gives no failure such a status unless its outcome is not-run.

--- a/packages/bramleystage-entry/src/caller-response.ts
+++ b/packages/bramleystage-entry/src/caller-response.ts
@@ -3,7 +3,7 @@
 import {
 	buildErrorBody,
 	type Failure,
-	resultCodes,
+	selectStatus,
 	writeJson,
 } from 'bramleystage';
 
@@ -26,7 +26,7 @@
 		failure.retryAfterSeconds === undefined
 			? {}
 			: {'retry-after': String(Math.ceil(failure.retryAfterSeconds))};
-	writeJson(response, resultCodes[failure.result].status, body, headers);
+	writeJson(response, selectStatus(failure), body, headers);
 }
 
 /**
--- a/packages/bramleystage-entry/src/service-route.ts
+++ b/packages/bramleystage-entry/src/service-route.ts
@@ -7,6 +7,7 @@
 	type CallAnswer,
 	createFailure,
 	type Failure,
+	isNotRunStatus,
 	listHeaders,
 	type Logger,
 	type ServiceCells,
@@ -120,8 +121,9 @@
 	const startedAt = options.readClock();
 	options.calls.start({
 		call,
-		onEnd(result, {attempts, target: lastTarget}) {
+		onEnd(end, {attempts, target: lastTarget}) {
 			permits.value();
+			const result = 'result' in end ? end : checkPromise(end);
 			const failure = 'result' in result ? result : undefined;
 			if ('result' in result) {
 				writeFailure(context.response, result);
@@ -143,6 +145,12 @@
 	});
 }
 
+/** Replaces an answer whose status would tell the caller that the call has not run, which a service does not show. */
+const checkPromise = (answer: CallAnswer): CallAnswer | Failure =>
+	isNotRunStatus(answer.status)
+		? createFailure('backendLost', `The service answered ${answer.status}.`)
+		: answer;
+
 function buildCall(
 	{request, customer, view, deadlineMs}: RequestContext,
 	message: IncomingMessage,
--- a/packages/bramleystage-gateway/src/answer-status.ts
+++ b/packages/bramleystage-gateway/src/answer-status.ts
@@ -1,5 +1,9 @@
 /** What the status and the headers of a backend server's answer mean for forwarding it. */
-import type {RequestId} from 'bramleystage';
+import {
+	type AttemptOutcome,
+	isNotRunStatus,
+	type RequestId,
+} from 'bramleystage';
 import type {AnswerMetadata} from './platform-port.js';
 
 /** Lowest status of a server's error. */
@@ -14,6 +18,18 @@
 export const isServerError = (status: number): boolean =>
 	status >= minErrorStatus && status !== deadlineStatus;
 
+/**
+ * Decides what a server's own answer means that is no refusal. A status by which callers
+ * learn that a request has not run shows nothing here: the server may have run it.
+ */
+export function decideOwnOutcome(status: number): AttemptOutcome | 'answered' {
+	if (isNotRunStatus(status)) {
+		return 'unknown';
+	}
+
+	return status >= minErrorStatus ? 'failed' : 'answered';
+}
+
 /** Whether an answer is to the given request and bears its server's stamp. */
 export const isOwnAnswer = (
 	{request, isStamped}: AnswerMetadata,
--- a/packages/bramleystage-gateway/src/error-response.ts
+++ b/packages/bramleystage-gateway/src/error-response.ts
@@ -1,6 +1,6 @@
 /** Error responses that the gateway itself sends to callers. */
 import type {ServerResponse} from 'node:http';
-import {buildErrorBody, type Failure, resultCodes} from 'bramleystage';
+import {buildErrorBody, type Failure, selectStatus} from 'bramleystage';
 
 /** Writes a failure as the response, or closes the connection if the head has already been sent. */
 export function writeErrorResponse(
@@ -20,7 +20,7 @@
 
 	const body = Buffer.from(JSON.stringify(buildErrorBody(failure)));
 	const {retryAfterSeconds} = failure;
-	response.writeHead(resultCodes[failure.result].status, {
+	response.writeHead(selectStatus(failure), {
 		'content-type': 'application/json',
 		'content-length': body.length,
 		...(retryAfterSeconds !== undefined && {
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -13,10 +13,10 @@
 import {type AnswerHead, type Attempt, type AttemptFailure} from './attempt.js';
 import {type Call, computePriority} from './call.js';
 import {
+	decideOwnOutcome,
 	isOwnAnswer,
 	isRefusal,
 	isServerError,
-	minErrorStatus,
 	replacedStatus,
 } from './answer-status.js';
 import {CallRun} from './call-run.js';
@@ -228,7 +228,8 @@
 		}
 
 		const {health} = this.context.fleet;
-		if (head.status < minErrorStatus) {
+		const outcome = decideOwnOutcome(head.status);
+		if (outcome === 'answered') {
 			health.recordSuccess(active.backend.id);
 			this.context.crashGuard.recordSound(this.call);
 			this.#acceptAnswer(active, head);
@@ -240,10 +241,10 @@
 			health.recordFailure(active.backend.id, 'failed', detail);
 		}
 
-		if (this.call.route.kind === 'idempotent') {
-			this.#handleOutcome(active, 'failed', detail);
-		} else {
+		if (outcome === 'failed' && this.call.route.kind !== 'idempotent') {
 			this.#acceptAnswer(active, head);
+		} else {
+			this.#handleOutcome(active, outcome, detail);
 		}
 	}
 
--- a/packages/bramleystage-gateway/src/stream-answer.ts
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -6,10 +6,10 @@
 import type {AnswerHead} from './attempt.js';
 import type {Call} from './call.js';
 import {
+	decideOwnOutcome,
 	isOwnAnswer,
 	isRefusal,
 	isServerError,
-	minErrorStatus,
 	refusedStatus,
 	replacedStatus,
 } from './answer-status.js';
@@ -62,7 +62,7 @@
 		return {outcome: 'unknown', faulty};
 	}
 
-	return {outcome: status >= minErrorStatus ? 'failed' : 'answered', faulty};
+	return {outcome: decideOwnOutcome(status), faulty};
 }
 
 /** Writes the events of one stream to its caller, in order and each once. */
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -387,6 +387,8 @@
 	outcomeSchema,
 	type ResultCodeRow,
 	resultCodes,
+	isNotRunStatus,
+	selectStatus,
 	type ResultName,
 	resultNameSchema,
 } from './protocol/result-codes.js';
--- a/packages/bramleystage/src/protocol/result-codes.ts
+++ b/packages/bramleystage/src/protocol/result-codes.ts
@@ -263,6 +263,23 @@
 	readonly retryAfterSeconds?: number;
 };
 
+/** Statuses that tell callers that a request has not run and will not. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Status of a failure that leaves open whether the request has run. */
+const unknownOutcomeStatus = 502;
+
+/** Whether a status tells callers that a request has not run, so that they may send it again. */
+export const isNotRunStatus = (status: number): boolean =>
+	notRunStatuses.has(status);
+
+/** Selects the HTTP status of a failure: that of its result code, unless it would promise too much. */
+export function selectStatus({result, outcome}: Failure): number {
+	const {status} = resultCodes[result];
+	return isNotRunStatus(status) && outcome !== 'not-run'
+		? unknownOutcomeStatus
+		: status;
+}
+
 /** Builds a failure, with the default outcome of its result code unless given. */
 export function createFailure(
 	result: ResultName,
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -10,6 +10,7 @@
 	createFailure,
 	type Failure,
 	resultCodes,
+	selectStatus,
 } from '../protocol/result-codes.js';
 import {formatAddress, parseAddress} from './address.js';
 import {describeUnwritableHead} from './http-heads.js';
@@ -131,7 +132,7 @@
 
 /** Formats the response to a request that Node's parser rejected or never saw; it ends the connection. */
 export function formatRawErrorResponse(failure: Failure): string {
-	const {status} = resultCodes[failure.result];
+	const status = selectStatus(failure);
 	const body = JSON.stringify(buildErrorBody(failure));
 	return [
 		`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
@@ -154,12 +155,9 @@
 ): void {
 	request.resume();
 	const failure = createFailure('badHttp', detail);
-	writeJson(
-		response,
-		resultCodes[failure.result].status,
-		buildErrorBody(failure),
-		{connection: 'close'},
-	);
+	writeJson(response, selectStatus(failure), buildErrorBody(failure), {
+		connection: 'close',
+	});
 }
 
 function writeInternalError(response: ServerResponse, error: Error): void {
