Wait for listening addresses that are taken

A taken metrics port (the second of port_range) ended the process before it served anything, as with several gateways of one address and port range; so did a front, readiness or control address that the process before still held.

Cause: each address was opened once, and any error of it was the end.

The metrics are opened whenever their port is free; the gateway serves without them. Callers' address is opened last, and readiness says no until then.

--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -245,7 +245,12 @@
 	});
 	await agentNetwork.refreshHostList();
 	limits.start();
-	const listener = await listenHttp(settings.listen, handleRequest, httpBounds);
+	const listener = await listenHttp(
+		settings.listen,
+		handleRequest,
+		httpBounds,
+		{logger},
+	);
 	lifeCycle.register(async () => listener.close());
 	entryTable.registerGauges(metrics);
 	metrics.registerGauge(
--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -11,11 +11,12 @@
 	type KeyHolder,
 	type LifeCycle,
 	listHeaders,
-	parseAddress,
+	type Logger,
 	pickRouteTarget,
 	type Route,
 	type RouteIndex,
 	type RoutingConfiguration,
+	startServer,
 	waitFor,
 } from 'bramleystage';
 import {writeErrorResponse} from './error-response.js';
@@ -29,6 +30,7 @@
 	readonly address: string;
 	readonly headers: HeaderPort;
 	readonly lifeCycle: LifeCycle;
+	readonly logger: Logger;
 	readonly readConfiguration: () => RoutingConfiguration | undefined;
 	readonly admission: CallAdmission;
 	readonly recordUnreadRefusal: () => void;
@@ -132,10 +134,9 @@
 			serve.call(server, socket);
 		}
 	});
-	const {host, port} = parseAddress(options.address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen({host, port, backlog}, resolve);
+	await startServer(server, options.address, {
+		logger: options.logger,
+		backlog,
 	});
 	options.lifeCycle.register(() => {
 		server.close();
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -236,8 +236,12 @@
 	// Serves no request before it is known which ones end servers, if the store tells.
 	const readConfiguration = () =>
 		memory.isRead() ? configurations.value : undefined;
+	let isListening = false;
 	const isReady = () =>
-		!isStopping() && readConfiguration() !== undefined && fleet.hasBackends;
+		isListening &&
+		!isStopping() &&
+		readConfiguration() !== undefined &&
+		fleet.hasBackends;
 	const admission = createCallAdmission({
 		context,
 		retryBudget,
@@ -247,10 +251,19 @@
 		waitForTurn: setImmediate,
 		waitForTime: setTimeout,
 	});
+	// Callers connect last, so that a process that ends before has accepted nothing.
+	await listenForOperations(settings, {
+		registry: recorder.registry,
+		isReady,
+		dump: () => ({backends: [...fleet.snapshots.value.backends.values()]}),
+		lifeCycle,
+		logger,
+	});
 	const callers = await listenForCallers({
 		address: settings.listen,
 		headers,
 		lifeCycle,
+		logger,
 		readConfiguration,
 		admission,
 		recordUnreadRefusal() {
@@ -260,18 +273,13 @@
 		drawRandom: Math.random,
 		readClock,
 	});
+	isListening = true;
 	configurations.subscribe((configuration) => {
 		if (configuration) {
 			callers.update(configuration);
 			publisher.publish();
 		}
 	});
-	await listenForOperations(settings, {
-		registry: recorder.registry,
-		isReady,
-		dump: () => ({backends: [...fleet.snapshots.value.backends.values()]}),
-		lifeCycle,
-	});
 	logger.info('gateway.started', {listen: settings.listen});
 	return {
 		async drain() {
--- a/packages/bramleystage-gateway/src/peer-server.ts
+++ b/packages/bramleystage-gateway/src/peer-server.ts
@@ -4,7 +4,7 @@
 	encodeValueFrame,
 	type LifeCycle,
 	type Logger,
-	parseAddress,
+	startServer,
 } from 'bramleystage';
 import {merge} from 'rxjs';
 import {ConfigurationEncoder} from './configuration-codec.js';
@@ -77,11 +77,7 @@
 			}
 		});
 	});
-	const {host, port} = parseAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
+	await startServer(server, address, {logger});
 	lifeCycle.register(() => {
 		server.close();
 		for (const socket of sockets) {
--- a/packages/bramleystage-gateway/src/readiness-server.ts
+++ b/packages/bramleystage-gateway/src/readiness-server.ts
@@ -1,6 +1,12 @@
 /** Answers the platform's readiness checks, and operators' queries for metrics and state. */
 import http from 'node:http';
-import {type LifeCycle, listenForOperators, parseAddress} from 'bramleystage';
+import {
+	type LifeCycle,
+	type ListenOptions,
+	listenForOperators,
+	type Logger,
+	startServer,
+} from 'bramleystage';
 import type {Registry} from 'prom-client';
 import type {GatewaySettings} from './platform-port.js';
 
@@ -9,42 +15,74 @@
 	readonly isReady: () => boolean;
 	readonly dump: () => unknown;
 	readonly lifeCycle: LifeCycle;
+	readonly logger: Logger;
 };
 
-/** Listens for readiness checks and, if the settings name an address for them, for operators. */
+/** Interval at which the operators' address is tried again while it is taken, in milliseconds. */
+const operatorRetryMs = 1000;
+
+/**
+ * Listens for readiness checks and, if the settings name an address for them, for
+ * operators. The gateway serves without the latter, which is only for observation.
+ */
 export async function listenForOperations(
 	{
 		readyListen,
 		operatorListen,
 	}: Pick<GatewaySettings, 'readyListen' | 'operatorListen'>,
-	{registry, isReady, dump, lifeCycle}: OperationsOptions,
+	options: OperationsOptions,
 ): Promise<void> {
-	await listenForReadinessChecks(readyListen, isReady, lifeCycle);
-	if (operatorListen) {
-		const listener = await listenForOperators(operatorListen, {
-			registry,
-			isReady,
-			dump,
+	await listenForReadinessChecks(readyListen, options);
+	if (!operatorListen) {
+		return;
+	}
+
+	const first = await tryListenForOperators(operatorListen, options, {
+		maxTries: 1,
+	});
+	if (!first) {
+		void tryListenForOperators(operatorListen, options, {
+			maxTries: Number.POSITIVE_INFINITY,
+			intervalMs: operatorRetryMs,
+		});
+	}
+}
+
+/** Listens for operators until the life cycle stops; returns false and logs why if that fails. */
+async function tryListenForOperators(
+	address: string,
+	{lifeCycle, logger, ...options}: OperationsOptions,
+	listenOptions: ListenOptions,
+): Promise<boolean> {
+	const abortController = new AbortController();
+	lifeCycle.register(() => {
+		abortController.abort();
+	});
+	try {
+		const listener = await listenForOperators(address, options, {
+			logger,
+			signal: abortController.signal,
+			...listenOptions,
 		});
 		lifeCycle.register(async () => listener.close());
+		return true;
+	} catch (error) {
+		const detail = (error as Error).message;
+		logger.warn('operators.unavailable', {address, detail});
+		return false;
 	}
 }
 
 /** Listens for readiness checks until the life cycle stops. */
 async function listenForReadinessChecks(
 	address: string,
-	isReady: () => boolean,
-	lifeCycle: LifeCycle,
+	{isReady, lifeCycle, logger}: OperationsOptions,
 ): Promise<void> {
 	const server = http.createServer((_request, response) => {
 		response.writeHead(isReady() ? 200 : 503, {'content-length': 0});
 		response.end();
 	});
-	const {host, port} = parseAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
+	await startServer(server, address, {logger});
 	lifeCycle.register(() => {
 		server.close();
 		server.closeAllConnections();
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -613,6 +613,7 @@
 	readBody,
 	writeJson,
 } from './transport/http-server.js';
+export {type ListenOptions, startServer} from './transport/listening.js';
 export {
 	type CleanUp,
 	LifeCycle,
@@ -644,13 +645,9 @@
 export {
 	listenForSessions,
 	type SessionListener,
-	startServer,
 } from './transport/session-listener.js';
-export {
-	type SessionPoolEvent,
-	SessionPool,
-	waitFor,
-} from './transport/session-pool.js';
+export {type SessionPoolEvent, SessionPool} from './transport/session-pool.js';
+export {waitFor} from './transport/wait-for.js';
 export {
 	defaultSessionTiming,
 	type DescribeSelf,
--- a/packages/bramleystage/src/transport/__tests__/session-silence.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/session-silence.test.ts
@@ -2,9 +2,9 @@
 import {expect, test} from 'vitest';
 import {toDataCentreId, toHostId, toIncarnation} from '../../protocol/ids.js';
 import {FrameDecoder} from '../framing.js';
-import {startServer} from '../session-listener.js';
+import {startServer} from '../listening.js';
 import {Session} from '../session.js';
-import {waitFor} from '../session-pool.js';
+import {waitFor} from '../wait-for.js';
 
 const timing = {
 	heartbeatMs: 20,
--- a/packages/bramleystage/src/transport/__tests__/table-log-reader.test.ts
+++ b/packages/bramleystage/src/transport/__tests__/table-log-reader.test.ts
@@ -5,7 +5,7 @@
 import {afterEach, expect, test} from 'vitest';
 import {toLogOffset} from '../../protocol/ids.js';
 import {type LogRecords, PlatformClient} from '../platform-client.js';
-import {waitFor} from '../session-pool.js';
+import {waitFor} from '../wait-for.js';
 import {TableLogReader} from '../table-log-reader.js';
 
 const pieceIntervalMs = 100;
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -3,7 +3,6 @@
  * senders.
  */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import {
 	buildErrorBody,
@@ -12,8 +11,8 @@
 	resultCodes,
 	selectStatus,
 } from '../protocol/result-codes.js';
-import {formatAddress, parseAddress} from './address.js';
 import {describeUnwritableHead} from './http-heads.js';
+import {type ListenOptions, startServer} from './listening.js';
 
 export type HttpBounds = {
 	readonly maxBodyBytes: number;
@@ -52,6 +51,7 @@
 	address: string,
 	handler: HttpHandler,
 	bounds: HttpBounds = defaultHttpBounds,
+	listenOptions: ListenOptions = {},
 ): Promise<HttpListener> {
 	const server = http.createServer(
 		{
@@ -85,18 +85,12 @@
 			socket.destroy();
 		}
 	});
-	const {host, port} = parseAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, () => {
-			resolve();
-		});
-	});
+	const bound = await startServer(server, address, listenOptions);
 	const closed = new Promise<void>((resolve) => {
 		server.once('close', resolve);
 	});
 	return {
-		address: formatAddress(server.address()),
+		address: bound,
 		async drain() {
 			server.close();
 			// A keep-alive connection becomes idle only when its last response ends.
--- a/packages/bramleystage/src/transport/operator-server.ts
+++ b/packages/bramleystage/src/transport/operator-server.ts
@@ -3,7 +3,14 @@
  * `/readyz`, and `/dump`, the state of the process as JSON.
  */
 import type {Registry} from 'prom-client';
-import {type HttpListener, listenHttp, writeJson} from './http-server.js';
+import {
+	defaultHttpBounds,
+	type HttpHandler,
+	type HttpListener,
+	listenHttp,
+	writeJson,
+} from './http-server.js';
+import type {ListenOptions} from './listening.js';
 
 export type OperatorServerOptions = {
 	readonly registry: Registry;
@@ -16,8 +23,9 @@
 export async function listenForOperators(
 	address: string,
 	options: OperatorServerOptions,
+	listenOptions: ListenOptions = {},
 ): Promise<HttpListener> {
-	return listenHttp(address, async (request, response) => {
+	const handleRequest: HttpHandler = async (request, response) => {
 		switch (request.url) {
 			case '/healthz': {
 				writeJson(response, 200, {status: 'ok'});
@@ -46,5 +54,7 @@
 				writeJson(response, 404, {error: 'No such path.'});
 			}
 		}
-	});
+	};
+
+	return listenHttp(address, handleRequest, defaultHttpBounds, listenOptions);
 }
--- a/packages/bramleystage/src/transport/platform-client.ts
+++ b/packages/bramleystage/src/transport/platform-client.ts
@@ -15,7 +15,7 @@
 import type {ListedHost} from '../state/hosts.js';
 import {type HttpRequest, sendHttpRequest} from './http-client.js';
 import {parseJson} from './http-server.js';
-import {waitFor} from './session-pool.js';
+import {waitFor} from './wait-for.js';
 
 const appendedSchema = z.object({offset: logOffsetSchema});
 const recordsSchema = z.object({
--- a/packages/bramleystage/src/transport/session-listener.ts
+++ b/packages/bramleystage/src/transport/session-listener.ts
@@ -1,9 +1,10 @@
 /** Listens for sessions that other processes open. */
-import {createServer, type Server, type Socket} from 'node:net';
+import {createServer, type Socket} from 'node:net';
 import type {Hello, Welcome} from '../protocol/messages.js';
 import {createFailure} from '../protocol/result-codes.js';
-import {formatAddress, parseAddress} from './address.js';
 import {encodeFrame, FrameDecoder} from './framing.js';
+import {startServer} from './listening.js';
+import type {Logger} from './logger.js';
 import {type CheckHello, readFirstMessage} from './session-handshake.js';
 import {type DescribeSelf, Session, type SessionTiming} from './session.js';
 import type {TrafficMeter} from './traffic-meter.js';
@@ -19,6 +20,8 @@
  */
 export async function listenForSessions(options: {
 	address: string;
+	/** Logs how the address is opened. */
+	logger?: Logger;
 	welcome: Welcome;
 	timing: SessionTiming;
 	describeSelf: DescribeSelf;
@@ -38,7 +41,9 @@
 			sessions.delete(session);
 		}
 	});
-	const address = await startServer(server, options.address);
+	const address = await startServer(server, options.address, {
+		logger: options.logger,
+	});
 	return {
 		address,
 		async close() {
@@ -87,22 +92,3 @@
 		return undefined;
 	}
 }
-
-/**
- * Starts a server on `host:port`; returns the address that it is bound to,
- * which has the actual port for port 0.
- */
-export async function startServer(
-	server: Server,
-	address: string,
-): Promise<string> {
-	const {host, port} = parseAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, () => {
-			server.removeListener('error', reject);
-			resolve();
-		});
-	});
-	return formatAddress(server.address());
-}
--- a/packages/bramleystage/src/transport/session-pool.ts
+++ b/packages/bramleystage/src/transport/session-pool.ts
@@ -188,10 +188,3 @@
 		};
 	});
 }
-
-/** Resolves after a delay in milliseconds. */
-export async function waitFor(durationMs: number): Promise<void> {
-	return new Promise((resolve) => {
-		setTimeout(resolve, durationMs);
-	});
-}
--- a/packages/bramleystage/src/transport/table-log-reader.ts
+++ b/packages/bramleystage/src/transport/table-log-reader.ts
@@ -6,7 +6,7 @@
  */
 import type {LogOffset} from '../protocol/ids.js';
 import type {LogRecords, PlatformClient} from './platform-client.js';
-import {waitFor} from './session-pool.js';
+import {waitFor} from './wait-for.js';
 
 export const tableStream = 'table';
 
--- a/packages/bramleystage/src/transport/table-snapshot-writer.ts
+++ b/packages/bramleystage/src/transport/table-snapshot-writer.ts
@@ -9,7 +9,7 @@
 import type {LifeCycle} from './life-cycle.js';
 import type {Logger} from './logger.js';
 import type {PlatformClient} from './platform-client.js';
-import {waitFor} from './session-pool.js';
+import {waitFor} from './wait-for.js';
 import {appendSnapshot, readNewestSnapshot} from './table-snapshot-stream.js';
 
 export type SnapshotTiming = {
