--- a/packages/bramleystage-gateway/src/call-run.ts
+++ b/packages/bramleystage-gateway/src/call-run.ts
@@ -13,7 +13,7 @@
 } from 'bramleystage';
 import {writeErrorResponse} from './error-response.js';
 import {type Call, isRepeatable} from './call.js';
-import type {AttemptEnd} from './request-recorder.js';
+import type {AttemptEnd} from './request-ends.js';
 import {
 	buildRefusal,
 	describeNoBackend,
--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -19,10 +19,13 @@
 	startServer,
 	waitFor,
 } from 'bramleystage';
-import {writeErrorResponse} from './error-response.js';
+import {refuseWhileArriving} from './error-response.js';
+import type {BodyBudget} from './body-budget.js';
+import {readCallBody} from './body-reader.js';
 import type {CallAdmission} from './call-admission.js';
 import {CallerConnection} from './caller-connection.js';
 import type {CallMetadata, HeaderPort} from './platform-port.js';
+import type {RequestRecorder} from './request-recorder.js';
 import {refuseUnread} from './unread-refusal.js';
 
 export type CallerServerOptions = {
@@ -33,7 +36,11 @@
 	readonly logger: Logger;
 	readonly readConfiguration: () => RoutingConfiguration | undefined;
 	readonly admission: CallAdmission;
-	readonly recordUnreadRefusal: () => void;
+	readonly bodyBudget: BodyBudget;
+	readonly recorder: Pick<
+		RequestRecorder,
+		'recordBodyRefusal' | 'recordUnreadRefusal'
+	>;
 	readonly isStopping: () => boolean;
 	readonly drawRandom: () => number;
 	readonly readClock: () => number;
@@ -122,7 +129,7 @@
 	server.on('connection', (socket) => {
 		resolveCaller(socket);
 		if (options.admission.isFlooded) {
-			options.recordUnreadRefusal();
+			options.recorder.recordUnreadRefusal();
 			refuseUnread(
 				socket,
 				options.admission.buildUnreadFailure(unreadRemainingMs),
@@ -180,7 +187,7 @@
 	const unwritable = describeUnwritableHead(request);
 	if (unwritable) {
 		const failure = createFailure('badHttp', unwritable);
-		refuseEarly(request, response, failure, true);
+		refuseWhileArriving(request, response, failure, true);
 		return;
 	}
 
@@ -191,20 +198,32 @@
 			'No configuration is known yet.',
 			{retryAfterSeconds: 0.5},
 		);
-		refuseEarly(request, response, failure, options.isStopping());
+		refuseWhileArriving(request, response, failure, options.isStopping());
 		return;
 	}
 
 	const routed = resolveRoute(options, configuration, index, request);
 	if ('result' in routed) {
-		refuseEarly(request, response, routed, options.isStopping());
+		refuseWhileArriving(request, response, routed, options.isStopping());
 		return;
 	}
 
-	const body = await readBody(request, configuration.bounds.maxBodyBytes);
-	if (!body) {
-		const detail = `The body is over ${configuration.bounds.maxBodyBytes} bytes.`;
-		refuseEarly(request, response, createFailure('bodyTooLarge', detail), true);
+	const body = await readCallBody(
+		request,
+		response,
+		configuration.bounds.maxBodyBytes,
+		options.bodyBudget,
+	);
+	if (body.isErr()) {
+		const failure = body.error;
+		const isTooLarge = failure.result === 'bodyTooLarge';
+		options.recorder.recordBodyRefusal(routed.metadata.request, failure);
+		refuseWhileArriving(
+			request,
+			response,
+			failure,
+			isTooLarge || options.isStopping(),
+		);
 		return;
 	}
 
@@ -218,7 +237,7 @@
 		method: request.method ?? 'GET',
 		target: request.url ?? '/',
 		headers: listHeaders(request),
-		body,
+		body: body.value,
 		response,
 		caller,
 		arrivedAt,
@@ -231,16 +250,6 @@
 	options.admission.add(call, options.readClock());
 }
 
-function refuseEarly(
-	request: IncomingMessage,
-	response: ServerResponse,
-	failure: Failure,
-	isClosing: boolean,
-): void {
-	request.resume();
-	writeErrorResponse(response, failure, isClosing);
-}
-
 function resolveRoute(
 	{headers, drawRandom}: CallerServerOptions,
 	configuration: RoutingConfiguration,
@@ -277,28 +286,3 @@
 				retryAfterSeconds: 0.5,
 			});
 }
-
-/** Reads a body; returns undefined if it is larger than `maxBytes`. */
-async function readBody(
-	request: IncomingMessage,
-	maxBytes: number,
-): Promise<Buffer | undefined> {
-	const chunks: Buffer[] = [];
-	let size = 0;
-	return new Promise((resolve) => {
-		request.on('data', (chunk: Buffer) => {
-			size += chunk.length;
-			if (size > maxBytes) {
-				resolve(undefined);
-			} else {
-				chunks.push(chunk);
-			}
-		});
-		request.on('end', () => {
-			resolve(Buffer.concat(chunks));
-		});
-		request.on('close', () => {
-			resolve(Buffer.concat(chunks));
-		});
-	});
-}
--- a/packages/bramleystage-gateway/src/crash-suspects.ts
+++ b/packages/bramleystage-gateway/src/crash-suspects.ts
@@ -1,7 +1,7 @@
 /** The suspects of a crash: what the requests had in common that an instance was about to answer when it ended. */
 import type {RequestTrait, SentRequest, Suspicion} from 'bramleystage';
 import type {Call} from './call.js';
-import type {AttemptProgress} from './request-recorder.js';
+import type {AttemptProgress} from './request-ends.js';
 import {buildRequestTraits} from './request-traits.js';
 
 /** Suspects of one crash that a gateway reports. */
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -5,6 +5,7 @@
  */
 import {LifeCycle, type Logger, type ServiceName} from 'bramleystage';
 import {followBackends} from './backend-follower.js';
+import {createBodyBudget} from './body-budget.js';
 import {createCallAdmission} from './call-handler.js';
 import {listenForCallers} from './caller-server.js';
 import {createCrashControl} from './crash-control.js';
@@ -266,9 +267,8 @@
 		logger,
 		readConfiguration,
 		admission,
-		recordUnreadRefusal() {
-			recorder.recordUnreadRefusal();
-		},
+		bodyBudget: createBodyBudget(recorder),
+		recorder,
 		isStopping,
 		drawRandom: Math.random,
 		readClock,
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -5,11 +5,11 @@
  * those left out.
  */
 import {
-	type AttemptOutcome,
 	type BackendId,
 	type Failure,
 	type InstanceKey,
 	type Logger,
+	type RequestId,
 	type RequestTrait,
 	resultCodes,
 } from 'bramleystage';
@@ -18,6 +18,7 @@
 import type {Call} from './call.js';
 import type {TurnResult} from './permit-owner.js';
 import {LineLimit} from './line-limit.js';
+import type {AttemptEnd, CallEnd} from './request-ends.js';
 import {describeContent} from './request-traits.js';
 
 /** Suspects that the line of a crash names. */
@@ -26,39 +27,6 @@
 /** Wait for a turn at a server from which on it is logged, in milliseconds. */
 const minLoggedWaitMs = 20;
 
-/** How a request ended. */
-export type CallEnd = {
-	/** Absent if an answer of a backend server was forwarded. */
-	readonly failure?: Failure;
-	readonly status?: number;
-	readonly attempts: number;
-	/** Address of the last backend server, or the stages of the last path. */
-	readonly where: string;
-	/** Runs that count towards the route's limit. */
-	readonly runs: number;
-	/** Steady-clock time of the first event or of the answer, in milliseconds. */
-	readonly answerStartedAt?: number;
-	/** Steady-clock time at which the request was last sent to a server, in milliseconds. */
-	readonly sentAt?: number;
-};
-
-/** How far the answer of an attempt came before the attempt ended. */
-export type AttemptProgress = 'none' | 'head' | 'events';
-
-/** How one attempt at a backend server ended. */
-export type AttemptEnd = {
-	readonly outcome: AttemptOutcome | 'answered';
-	readonly backend: BackendId;
-	/** Address of the backend server, or the stages of the path. */
-	readonly where: string;
-	readonly detail: string;
-	readonly progress: AttemptProgress;
-	/** Runs so far that count towards the route's limit. */
-	readonly runs: number;
-	/** Whether it may have run but doesn't count as a run, as its instance has ended. */
-	readonly isUncounted: boolean;
-};
-
 export class RequestRecorder {
 	readonly registry = new Registry();
 	readonly #requests = new Counter({
@@ -116,6 +84,13 @@
 		registers: [this.registry],
 	});
 
+	readonly #bodyRefusals = new Counter({
+		name: 'bramleystage_gateway_body_refusals_total',
+		help: 'Requests refused while their body was read, for its size or that of all',
+		labelNames: ['result'],
+		registers: [this.registry],
+	});
+
 	readonly #lines = new LineLimit();
 
 	constructor(
@@ -166,6 +141,14 @@
 		}
 	}
 
+	/** Records that a request was refused while its body was read. */
+	recordBodyRefusal(request: RequestId, {result, detail}: Failure): void {
+		this.#bodyRefusals.inc({result});
+		if (this.#tryAcquireLine('failure')) {
+			this.logger.warn('body.refused', {request, result, detail});
+		}
+	}
+
 	/** Records that headers of an answer could not be written to the caller. */
 	recordOmittedHeaders(call: Call, headers: readonly string[]): void {
 		if (this.#tryAcquireLine('failure')) {
--- a/packages/bramleystage-gateway/src/run-history.ts
+++ b/packages/bramleystage-gateway/src/run-history.ts
@@ -1,7 +1,7 @@
 /** The runs of one request so far: which count towards its route's limit, and how many servers ended under it. */
 import type {SentRequest} from 'bramleystage';
 import type {InstanceWatch} from './instance-watch.js';
-import type {AttemptProgress} from './request-recorder.js';
+import type {AttemptProgress} from './request-ends.js';
 
 /** One run of a request at a backend server. */
 export type AttemptRun = {
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -12,7 +12,7 @@
 import {EventSplitter} from './event-splitter.js';
 import type {Fleet} from './fleet.js';
 import type {HeaderPort} from './platform-port.js';
-import type {AttemptProgress} from './request-recorder.js';
+import type {AttemptProgress} from './request-ends.js';
 import type {OpenTimedAttempt} from './timed-attempt.js';
 
 /** Timeout for opening a connection over a sound link, in milliseconds; a live engine accepts one within a few milliseconds. */
