Bound the sum of answers that callers leave unread

What operators could see: a process over its memory (FAULT). 120 callers that read nothing of answers of 3.9 MiB each took 424 MiB of one gateway, where a process may have 350.

Cause: an answer is bounded while it is held, but not once it is written to a caller who doesn't read; streams had a bound on each and none on their sum.

--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -20,7 +20,7 @@
 	replacedStatus,
 } from './answer-status.js';
 import {CallRun} from './call-run.js';
-import {writeAnswerHead} from './answer-head.js';
+import {writeAnswerBytes, writeAnswerHead} from './answer-writer.js';
 import type {AttemptRun} from './run-history.js';
 import type {RunContext} from './run-context.js';
 import {recordServerState} from './server-state.js';
@@ -287,11 +287,10 @@
 	#forwardAnswer({chunks}: ActiveAttempt, head: AnswerHead): void {
 		this.recordAnswerStart();
 		const body = Buffer.concat(chunks);
-		const {response} = this.call;
 		writeAnswerHead(this.call, head, this.context, [
 			['Content-Length', String(body.length)],
 		]);
-		response.end(body);
+		writeAnswerBytes(this.call, body, this.context, true);
 		this.end({status: head.status});
 	}
 }
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -91,6 +91,12 @@
 		registers: [this.registry],
 	});
 
+	readonly #unreadAnswers = new Counter({
+		name: 'bramleystage_gateway_unread_answers_total',
+		help: 'Answers broken off, as callers left too many bytes of all answers unread',
+		registers: [this.registry],
+	});
+
 	readonly #lines = new LineLimit();
 
 	constructor(
@@ -149,6 +155,14 @@
 		}
 	}
 
+	/** Records that an answer was broken off, as callers leave too many bytes of all answers unread. */
+	recordUnreadAnswer(unreadBytes: number): void {
+		this.#unreadAnswers.inc();
+		if (this.#tryAcquireLine('failure')) {
+			this.logger.warn('answer.unread', {bytes: unreadBytes});
+		}
+	}
+
 	/** Records that headers of an answer could not be written to the caller. */
 	recordOmittedHeaders(call: Call, headers: readonly string[]): void {
 		if (this.#tryAcquireLine('failure')) {
--- a/packages/bramleystage-gateway/src/stream-answer.ts
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -14,7 +14,11 @@
 	replacedStatus,
 } from './answer-status.js';
 import {type CompleteEvents, isConsecutive} from './event-splitter.js';
-import {type ForwardingContext, writeAnswerHead} from './answer-head.js';
+import {
+	type ForwardingContext,
+	writeAnswerBytes,
+	writeAnswerHead,
+} from './answer-writer.js';
 import type {HeaderPort} from './platform-port.js';
 
 /** Bytes of a stream that wait in the process for its caller to read, beside the kernel's buffers. */
@@ -99,7 +103,12 @@
 		const {response} = this.call;
 		if (this.isHeld && this.#head) {
 			writeAnswerHead(this.call, this.#head, this.context);
-			response.write(Buffer.concat(this.#held));
+			writeAnswerBytes(
+				this.call,
+				Buffer.concat(this.#held),
+				this.context,
+				false,
+			);
 		}
 
 		response.end();
@@ -124,7 +133,7 @@
 			this.#held.push(bytes);
 			this.#heldBytes += bytes.length;
 		} else {
-			this.call.response.write(bytes);
+			writeAnswerBytes(this.call, bytes, this.context, false);
 		}
 
 		return true;
@@ -135,6 +144,6 @@
 		writeAnswerHead(this.call, head, this.context, [
 			['Content-Length', String(body.length)],
 		]);
-		this.call.response.end(body);
+		writeAnswerBytes(this.call, body, this.context, true);
 	}
 }
