--- a/packages/bramleystage-gateway/src/__tests__/unread-answers.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/unread-answers.test.ts
@@ -5,16 +5,16 @@
 
 class StandInResponse implements UnreadResponse {
 	isBroken = false;
-	#handleClose = (): void => undefined;
+	private handleClose: (() => void) | undefined;
 
 	constructor(public writableLength: number) {}
 
 	once(_event: 'close', listener: () => void): void {
-		this.#handleClose = listener;
+		this.handleClose = listener;
 	}
 
 	close(): void {
-		this.#handleClose();
+		this.handleClose?.();
 	}
 
 	destroy(): void {
