Keep the pause of a server whose entry returns

What servers saw: one that had asked for a pause, was cut off from the store until its entry expired and was then listed again got requests at once, more than two in the time that it had named (BUDGET).

Cause: Fleet took each entry that the list didn't show before for a restart and removed all records of its id.

InstanceReturns remembers the start of paused instances that are away; a return with the same start keeps the pause and clears signs of trouble only.

--- a/packages/bramleystage-gateway/src/backend-health.ts
+++ b/packages/bramleystage-gateway/src/backend-health.ts
@@ -105,9 +105,11 @@
 		return isAvoided(this.#avoidance, id, this.options.readClock());
 	}
 
-	/** Removes all records of a server, for example after it restarted. */
-	removeRecords(id: BackendId): void {
+	/** Removes the records of a server that is listed anew; the pause of one that has only returned holds. */
+	removeRecords(id: BackendId, isReturned: boolean): void {
 		this.#avoidance = removeFailures(this.#avoidance, id);
-		this.#pauses = removePause(this.#pauses, id);
+		if (!isReturned) {
+			this.#pauses = removePause(this.#pauses, id);
+		}
 	}
 }
--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -31,6 +31,7 @@
 import {BehaviorSubject} from 'rxjs';
 import {BackendHealth} from './backend-health.js';
 import {recordBackendChanges} from './backend-log.js';
+import {InstanceReturns} from './instance-returns.js';
 import {type LimitedChoice, unlimitedChoice} from './limited-choice.js';
 import {PathChoice} from './path-choice.js';
 import {PathCosts} from './path-costs.js';
@@ -56,6 +57,7 @@
 
 	readonly #limitedChoice: LimitedChoice;
 	readonly #paths: PathChoice;
+	readonly #returns = new InstanceReturns();
 
 	constructor(private readonly options: FleetOptions) {
 		this.#limitedChoice = options.limitedChoice ?? unlimitedChoice;
@@ -286,11 +288,13 @@
 		}
 
 		recordBackendChanges(this.options.logger, previous.backends, next.backends);
-		for (const [id, {bornAt}] of next.backends) {
-			const known = previous.backends.get(id);
-			if (known?.bornAt !== bornAt) {
-				this.health.removeRecords(id);
-			}
+		const listed = this.#returns.update(
+			previous.backends,
+			next.backends,
+			(id) => this.health.isPaused(id),
+		);
+		for (const {id, isReturned} of listed) {
+			this.health.removeRecords(id, isReturned);
 		}
 
 		this.snapshots.next(next);
