Address orders to an engine, not to an address

Cause: the order leader read the count of orders from whatever report came from the address that the list still had, and the order named no engine.

Reading the count is a module of its own, as the controller was too long.

--- a/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/placement-controller.test.ts
@@ -186,6 +186,21 @@
 	},
 );
 
+// Guards against an order to an engine that has taken over the address of one that ended, and can't hold it.
+test('no order is sent while the report at an address is that of another instance', async () => {
+	fleet.replace(
+		[
+			createEngine('full', {from: 0, to: 4}),
+			{...createEngine('idle'), bornAt: 2},
+		],
+		0,
+	);
+	const {orders, readTimes} = startLeaders(1);
+	await waitFor(1500);
+	expect(readTimes.length).toBeGreaterThan(0);
+	expect(orders).toHaveLength(0);
+});
+
 test('an engine that asked for a pause gets neither orders nor reads of its report until the end', async () => {
 	const engines = [
 		createEngine('full', {from: 0, to: 4}),
--- a/packages/bramleystage-gateway/src/path-replacement.ts
+++ b/packages/bramleystage-gateway/src/path-replacement.ts
@@ -70,6 +70,7 @@
 		this.#lastAt = now;
 		this.context.limits.recordSend(first.id, 'order');
 		const outcome = await replacePath(first.address, {
+			backend: first.id,
 			request: this.call.metadata.request,
 			path,
 			timeoutMs: replaceTimeoutMs + readLinkDelayMs(),
--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -27,6 +27,11 @@
 import type {LimitWatch} from './limit-watch.js';
 import type {Permits} from './permits.js';
 import type {GatewayGroup} from './gateway-group.js';
+import {
+	engineTimeoutMs,
+	isSameStart,
+	readExpectedOrders,
+} from './expected-orders.js';
 import type {EnginePort} from './platform-port.js';
 
 /** How often placement is decided, in milliseconds. */
@@ -35,8 +40,6 @@
 const listSettleMs = 1500;
 /** Longest wait for the list to settle before the first placement, in milliseconds. */
 const maxListSettleMs = 6000;
-/** Timeout for an answer of an engine, in milliseconds. */
-const engineTimeoutMs = 500;
 /** An order stays pending for the load time of its layers plus this slack, in milliseconds. */
 const orderSlackMs = 1500;
 /** Time until an engine that was sent no order is planned again, in milliseconds. */
@@ -199,7 +202,10 @@
 					{id, address},
 					engineTimeoutMs,
 				);
-				const layers = report?.isOk() ? report.value.layers : undefined;
+				const layers =
+					report?.isOk() && isSameStart(backend.bornAt, report.value.bornAt)
+						? report.value.layers
+						: undefined;
 				const size = describeSize(backend, pending.layers);
 				if (layers && isSameRange(layers, pending.layers)) {
 					fleet.recordLayers(id, layers);
@@ -227,8 +233,8 @@
 	}
 
 	async #send(backend: Backend, order: LayerOrder): Promise<void> {
-		const expectedOrders = await this.#readExpectedOrders(backend);
-		if (expectedOrders === undefined) {
+		const expectedOrders = await readExpectedOrders(backend, this.options);
+		if (expectedOrders === undefined || !this.options.group.isLeader) {
 			this.#shortenPending(backend.id);
 			return;
 		}
@@ -243,6 +249,7 @@
 
 		limits.recordSend(id, 'order');
 		const outcome = await engines.orderLayers(address, {
+			backend: id,
 			layers,
 			expectedOrders,
 			fence: group.fence,
@@ -263,26 +270,6 @@
 		});
 	}
 
-	/** Reads how many orders an engine has accepted; undefined if it takes no order now. */
-	async #readExpectedOrders({
-		id,
-		address,
-	}: Backend): Promise<number | undefined> {
-		const {instances, logger, group} = this.options;
-		const report = await instances.readReport({id, address}, engineTimeoutMs);
-		if (!report) {
-			return undefined;
-		}
-
-		if (report.isErr()) {
-			logger.warn('order.unsent', {backend: id, detail: report.error.detail});
-			return undefined;
-		}
-
-		const {isLeaving, isBusy, orderCount} = report.value;
-		return isLeaving || isBusy || !group.isLeader ? undefined : orderCount;
-	}
-
 	/** Lets an engine that was sent no order be planned again soon. */
 	#shortenPending(id: BackendId): void {
 		const pending = this.#pending.get(id);
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -159,6 +159,8 @@
 	readonly orderLayers: (
 		address: string,
 		order: {
+			/** Engine that the order is for; any other one at the address refuses it. */
+			readonly backend: BackendId;
 			readonly layers: LayerRange;
 			readonly expectedOrders: number;
 			readonly fence: number;
@@ -169,6 +171,8 @@
 	readonly replacePath: (
 		address: string,
 		order: {
+			/** Engine that the order is for; any other one at the address refuses it. */
+			readonly backend: BackendId;
 			readonly request: RequestId;
 			readonly path: readonly PathStage[];
 			readonly timeoutMs: number;
