--- a/packages/bramleystage-gateway/src/unread-answers.ts
+++ b/packages/bramleystage-gateway/src/unread-answers.ts
@@ -6,6 +6,9 @@
 /** Bytes of all answers beside what the kernel's buffers hold; buffers lie outside V8's heap. */
 const maxUnreadBytes = 48 * 1024 * 1024;
 
+/** Unread bytes from which on a response counts; most answers are read at once. */
+const minCountedBytes = 16 * 1024;
+
 /** The part of a response that counts. */
 export type UnreadResponse = {
 	readonly writableLength: number;
@@ -24,6 +27,10 @@
 		recordBroken: (bytes: number) => void,
 	): void {
 		if (!this.#bytes.has(response)) {
+			if (response.writableLength < minCountedBytes) {
+				return;
+			}
+
 			response.once('close', () => {
 				this.#remove(response);
 			});
