Let the engine alone tell that an order is not for it

An order was held back while the report at its address had another start than the entry. The id in the order is enough: any other engine refuses it.

--- a/packages/bramleystage-gateway/src/attempt.ts
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -3,7 +3,7 @@
  * new connection has no unread bytes of an earlier answer, and a server that
  * closes idle connections cannot make it unclear whether the request ran.
  */
-import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {
 	isRefusedConnection,
 	isWritableHeader,
--- a/packages/bramleystage-gateway/src/expected-orders.ts
+++ b/packages/bramleystage-gateway/src/expected-orders.ts
@@ -1,7 +1,7 @@
 /**
  * Reads from an engine's report how many orders it has accepted, which the next order
- * names. The address of an engine that has ended may belong to another one by now, whose
- * report says nothing of the first.
+ * names. The report may be that of another engine, which has taken the address over: the
+ * order names its engine too, so that any other one refuses it.
  */
 import type {Backend, Logger} from 'bramleystage';
 import type {InstanceWatch} from './instance-watch.js';
@@ -9,13 +9,9 @@
 /** Timeout for an answer of an engine, in milliseconds. */
 export const engineTimeoutMs = 500;
 
-/** Whether a list entry and a report are of one instance, as far as both give its start. */
-export const isSameStart = (listed: number, reported: number): boolean =>
-	listed === 0 || reported === 0 || listed === reported;
-
 /** Reads how many orders an engine has accepted; undefined if it takes no order now. */
 export async function readExpectedOrders(
-	{id, address, bornAt}: Backend,
+	{id, address}: Backend,
 	{
 		instances,
 		logger,
@@ -35,11 +31,5 @@
 	}
 
 	const {isLeaving, isBusy, orderCount} = report.value;
-	if (!isSameStart(bornAt, report.value.bornAt)) {
-		const detail = 'The report is that of another instance.';
-		logger.warn('order.unsent', {backend: id, address, detail});
-		return undefined;
-	}
-
 	return isLeaving || isBusy ? undefined : orderCount;
 }
--- a/packages/bramleystage-gateway/src/placement-controller.ts
+++ b/packages/bramleystage-gateway/src/placement-controller.ts
@@ -27,11 +27,7 @@
 import type {LimitWatch} from './limit-watch.js';
 import type {Permits} from './permits.js';
 import type {GatewayGroup} from './gateway-group.js';
-import {
-	engineTimeoutMs,
-	isSameStart,
-	readExpectedOrders,
-} from './expected-orders.js';
+import {engineTimeoutMs, readExpectedOrders} from './expected-orders.js';
 import type {EnginePort} from './platform-port.js';
 
 /** How often placement is decided, in milliseconds. */
@@ -202,10 +198,7 @@
 					{id, address},
 					engineTimeoutMs,
 				);
-				const layers =
-					report?.isOk() && isSameStart(backend.bornAt, report.value.bornAt)
-						? report.value.layers
-						: undefined;
+				const layers = report?.isOk() ? report.value.layers : undefined;
 				const size = describeSize(backend, pending.layers);
 				if (layers && isSameRange(layers, pending.layers)) {
 					fleet.recordLayers(id, layers);
