Log each request that is refused for its head, and addresses of the own interface

A request that can't be sent on was refused with 400 but left no line, at the gateway and on our own interface, and the listeners of entries and agents tried a taken address without one. Found by reading the change: an operator could not tell either from a caller's mistake or a hanging start.

The event is request.refused, also for bodies (it was body.refused), with one counter by result. Tests of both sides, and of the packages touched, pass.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -254,6 +254,7 @@
 	const listener = await listenForSessions({
 		meter: trafficMeter,
 		address: settings.listen,
+		logger,
 		welcome: {type: 'welcome', ...identity},
 		timing,
 		describeSelf,
@@ -267,7 +268,7 @@
 		() => follower.table.value.next,
 	);
 	registerTrafficCounters(registry, trafficMeter);
-	const operators = await listenForOperators(settings.operatorListen, {
+	const operatorOptions = {
 		registry,
 		isReady: () => !isDraining && offers.length > 0,
 		dump: () => ({
@@ -284,7 +285,12 @@
 			stageRecords: stages?.recordCount ?? 0,
 			callRecords: calls?.recordCount ?? 0,
 		}),
-	});
+	};
+	const operators = await listenForOperators(
+		settings.operatorListen,
+		operatorOptions,
+		{logger},
+	);
 	lifeCycle.register(async () => operators.close());
 	logger.info('agent.started', {address: listener.address, incarnation});
 
--- a/packages/bramleystage-entry/src/entry-peers.ts
+++ b/packages/bramleystage-entry/src/entry-peers.ts
@@ -8,6 +8,7 @@
 	type Hello,
 	type HostId,
 	type LifeCycle,
+	type Logger,
 	type ListedHost,
 	listenForSessions,
 	type Message,
@@ -33,6 +34,7 @@
 	readonly timing: SessionTiming;
 	readonly isDraining: () => boolean;
 	readonly lifeCycle: LifeCycle;
+	readonly logger: Logger;
 	readonly meter: TrafficMeter;
 };
 
@@ -62,12 +64,13 @@
 
 	/** Starts accepting sessions of other entries. */
 	async start(): Promise<void> {
-		const {listen, identity, timing, isDraining, lifeCycle, meter} =
+		const {listen, identity, timing, isDraining, lifeCycle, logger, meter} =
 			this.options;
 		const {version: _version, deployment, ...welcome} = identity;
 		const listener = await listenForSessions({
 			meter,
 			address: listen,
+			logger,
 			welcome: {type: 'welcome', ...welcome},
 			timing,
 			describeSelf: () => ({leaving: isDraining()}),
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -147,6 +147,7 @@
 		timing,
 		isDraining: () => isDraining,
 		lifeCycle,
+		logger,
 	});
 	const limits = new EntryLimits({
 		self: {host, incarnation},
@@ -268,7 +269,7 @@
 		'Requests that have no whole answer yet',
 		() => modelRuns.size + serviceCalls.size,
 	);
-	const operatorListener = await listenForOperators(settings.operatorListen, {
+	const operatorOptions = {
 		registry: metrics.registry,
 		isReady,
 		dump: () => ({
@@ -285,7 +286,12 @@
 			admission: admission.describe(),
 			limits: limits.describe(),
 		}),
-	});
+	};
+	const operatorListener = await listenForOperators(
+		settings.operatorListen,
+		operatorOptions,
+		{logger},
+	);
 	lifeCycle.register(async () => operatorListener.close());
 	logger.info('entry.started', {address: listener.address, incarnation});
 
--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -39,7 +39,7 @@
 	readonly bodyBudget: BodyBudget;
 	readonly recorder: Pick<
 		RequestRecorder,
-		'recordBodyRefusal' | 'recordUnreadRefusal'
+		'recordEarlyRefusal' | 'recordUnreadRefusal'
 	>;
 	readonly isStopping: () => boolean;
 	readonly drawRandom: () => number;
@@ -187,6 +187,7 @@
 	const unwritable = describeUnwritableHead(request);
 	if (unwritable) {
 		const failure = createFailure('badHttp', unwritable);
+		options.recorder.recordEarlyRefusal(failure, undefined);
 		refuseWhileArriving(request, response, failure, true);
 		return;
 	}
@@ -217,7 +218,7 @@
 	if (body.isErr()) {
 		const failure = body.error;
 		const isTooLarge = failure.result === 'bodyTooLarge';
-		options.recorder.recordBodyRefusal(routed.metadata.request, failure);
+		options.recorder.recordEarlyRefusal(failure, routed.metadata.request);
 		refuseWhileArriving(
 			request,
 			response,
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -84,9 +84,9 @@
 		registers: [this.registry],
 	});
 
-	readonly #bodyRefusals = new Counter({
-		name: 'bramleystage_gateway_body_refusals_total',
-		help: 'Requests refused while their body was read, for its size or that of all',
+	readonly #earlyRefusals = new Counter({
+		name: 'bramleystage_gateway_early_refusals_total',
+		help: 'Requests refused for their head, for the size of their body or for that of all',
 		labelNames: ['result'],
 		registers: [this.registry],
 	});
@@ -147,11 +147,14 @@
 		}
 	}
 
-	/** Records that a request was refused while its body was read. */
-	recordBodyRefusal(request: RequestId, {result, detail}: Failure): void {
-		this.#bodyRefusals.inc({result});
+	/** Records that a request was refused for its head or its body; one whose head is bad has no id. */
+	recordEarlyRefusal(
+		{result, detail}: Failure,
+		request: RequestId | undefined,
+	): void {
+		this.#earlyRefusals.inc({result});
 		if (this.#tryAcquireLine('failure')) {
-			this.logger.warn('body.refused', {request, result, detail});
+			this.logger.warn('request.refused', {request, result, detail});
 		}
 	}
 
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -67,6 +67,7 @@
 		async (request, response) => {
 			const unwritable = describeUnwritableHead(request);
 			if (unwritable) {
+				listenOptions.logger?.warn('request.refused', {detail: unwritable});
 				refuseBadHttp(request, response, unwritable);
 				return;
 			}
