Tell the end of an answer without a length from the end of its server

Cause: such an answer was whole whenever its connection ended in order, and the kernel ends the connections of a killed process in order, without a reset. Ruled out: a reset that is missed.

Answers with a length or in chunks cost nothing more.

--- a/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/attempt.test.ts
@@ -47,6 +47,7 @@
 				body: Buffer.alloc(0),
 				connectTimeoutMs: 1000,
 				isHeld: () => false,
+				hasServerEnded: async () => false,
 			},
 			{
 				onHead: () => undefined,
--- a/packages/bramleystage-gateway/src/__tests__/half-heads.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/half-heads.test.ts
@@ -71,6 +71,7 @@
 				body: Buffer.from('body'),
 				connectTimeoutMs: 1000,
 				isHeld: () => true,
+				hasServerEnded: async () => false,
 			},
 			{
 				onHead: () => undefined,
--- a/packages/bramleystage-gateway/src/__tests__/odd-status.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/odd-status.test.ts
@@ -25,6 +25,7 @@
 					body: Buffer.alloc(0),
 					connectTimeoutMs: 1000,
 					isHeld: () => true,
+					hasServerEnded: async () => false,
 				},
 				{
 					onHead: () => undefined,
--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -224,6 +224,7 @@
 			byAddress,
 			() => response.events.at(-1) ?? 0,
 		),
+		checkEnd: async () => false,
 		headers,
 		recorder,
 		trySpendRetry: () => isBudgetLeft,
--- a/packages/bramleystage-gateway/src/__tests__/timed-attempt.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/timed-attempt.test.ts
@@ -26,6 +26,7 @@
 				headers: [['Host', 'test']],
 				body: Buffer.alloc(0),
 				isHeld: () => true,
+				hasServerEnded: async () => false,
 			},
 			{timeoutMs, readLinkDelayMs: () => 0, readClock: () => performance.now()},
 			{
--- a/packages/bramleystage-gateway/src/attempt.ts
+++ b/packages/bramleystage-gateway/src/attempt.ts
@@ -27,6 +27,8 @@
 	readonly connectTimeoutMs: number;
 	/** Whether an answer of this status is held until it is complete, and its length bounded. */
 	readonly isHeld: (status: number) => boolean;
+	/** Resolves to whether the server has ended since; asked when only the end of its connection delimits an answer. */
+	readonly hasServerEnded: () => Promise<boolean>;
 };
 
 export type AttemptFailure = {
@@ -150,7 +152,12 @@
 					handlers.onData(chunk);
 				}
 			},
-			handleEnd() {
+			async handleEnd() {
+				if (isUnframed(response) && (await request.hasServerEnded())) {
+					fail('The server ended with its answer.');
+					return;
+				}
+
 				finish(() => {
 					if (held) {
 						handlers.onData(held.body.take());
@@ -194,14 +201,16 @@
 	state: {
 		handleData: (chunk: Buffer) => void;
 		isComplete: () => boolean;
-		handleEnd: () => void;
+		handleEnd: () => Promise<void>;
 		fail: (detail: string) => void;
 	},
 ) {
+	let hasEnded = false;
 	response.on('data', state.handleData);
 	response.on('end', () => {
 		if (state.isComplete()) {
-			state.handleEnd();
+			hasEnded = true;
+			void state.handleEnd();
 		} else {
 			state.fail('The answer was truncated.');
 		}
@@ -210,7 +219,9 @@
 		state.fail(error.message);
 	});
 	response.on('close', () => {
-		state.fail('The connection closed during the answer.');
+		if (!hasEnded) {
+			state.fail('The connection closed during the answer.');
+		}
 	});
 }
 
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import {listenForCallers} from './caller-server.js';
 import {createCrashControl} from './crash-control.js';
 import {followConfiguration} from './configuration-follower.js';
+import {createEndCheck} from './end-check.js';
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
 import {InstanceWatch} from './instance-watch.js';
@@ -223,6 +224,7 @@
 		permits,
 		crashGuard,
 		openAttempt: openTimedAttempt,
+		checkEnd: createEndCheck({instances, ...base}),
 		headers,
 		recorder,
 		trySpendRetry: (service: ServiceName) => retryBudget.trySpendRetry(service),
--- a/packages/bramleystage-gateway/src/plain-run.ts
+++ b/packages/bramleystage-gateway/src/plain-run.ts
@@ -121,6 +121,7 @@
 					}),
 					body: call.body,
 					isHeld: () => true,
+					hasServerEnded: async () => context.checkEnd(active.sent),
 				},
 				{
 					timeoutMs: connectTimeoutMs,
--- a/packages/bramleystage-gateway/src/run-context.ts
+++ b/packages/bramleystage-gateway/src/run-context.ts
@@ -2,6 +2,7 @@
 import type {ServiceName} from 'bramleystage';
 import type {CallAdmission} from './call-admission.js';
 import type {CrashGuard} from './crash-guard.js';
+import type {CheckEnd} from './end-check.js';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
 import type {LimitWatch} from './limit-watch.js';
@@ -26,6 +27,7 @@
 	/** Learns how calls that have begun go on, to decide how many may. */
 	readonly admission: Pick<CallAdmission, 'recordDelay' | 'recordEnd'>;
 	readonly openAttempt: OpenTimedAttempt;
+	readonly checkEnd: CheckEnd;
 	readonly headers: HeaderPort;
 	readonly recorder: RequestRecorder;
 	/** Spends one retry of the service's retry budget; returns false if none is left. */
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -9,6 +9,7 @@
 	type AttemptHandlers,
 } from './attempt.js';
 import {type Call, computePriority} from './call.js';
+import type {CheckEnd} from './end-check.js';
 import {EventSplitter} from './event-splitter.js';
 import type {Fleet} from './fleet.js';
 import type {HeaderPort} from './platform-port.js';
@@ -25,6 +26,7 @@
 	readonly call: Call;
 	readonly fleet: Fleet;
 	readonly openAttempt: OpenTimedAttempt;
+	readonly checkEnd: CheckEnd;
 	readonly headers: HeaderPort;
 	readonly path: readonly PathStage[];
 	readonly first: PathStage;
@@ -88,6 +90,7 @@
 				}),
 				body: call.body,
 				isHeld: (status) => status !== streamStatus,
+				hasServerEnded: async () => options.checkEnd(this.sent),
 			},
 			{
 				timeoutMs: connectTimeoutMs,
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -190,6 +190,7 @@
 			readClock: context.readClock,
 			lastEvent: this.writer.lastEvent,
 			openAttempt: context.openAttempt,
+			checkEnd: context.checkEnd,
 			handlers: {
 				onHead: (head) => {
 					const metadata = context.headers.readAnswerHeaders(head.headers);
