Let no result code promise more than its outcome

The code logUnavailable had status 503 with the outcome `unknown`, so that the table of codes said what selectStatus never sends. Cause: the table was older than the rule.

--- a/packages/bramleystage/src/protocol/result-codes.ts
+++ b/packages/bramleystage/src/protocol/result-codes.ts
@@ -236,7 +236,7 @@
 	),
 	logUnavailable: row(
 		5003,
-		503,
+		502,
 		'unknown',
 		"The platform's log does not answer.",
 	),
