Give tests ports that nothing else takes

The test had found the port by listening at port 0 and closing it, in the kernel's ephemeral range, from which every other listener at port 0 and every outgoing connection of the tests beside it is served. That a listener had it is inferred from the 10 s; the run does not say which process it was.

Not the product: startServer waited and threw as documented.

The tests of the platform already took ports below that range, by process id modulo 140, so that two processes could share a range. pickPort moves to the stand-ins, a process claims its range by listening at its first port, and permits.test.ts and slow-peer.ts use it in place of port 0. No check or bound is changed.

--- a/packages/bramleystage-gateway/src/__tests__/permits.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/permits.test.ts
@@ -2,6 +2,7 @@
 import net from 'node:net';
 import {once} from 'node:events';
 import {LifeCycle, toBackendId, toInstanceKey} from 'bramleystage';
+import {pickPort} from 'bramleystage-stand-ins';
 import {Registry} from 'prom-client';
 import {BehaviorSubject} from 'rxjs';
 import {afterEach, expect, test} from 'vitest';
@@ -50,20 +51,11 @@
 	return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
 }
 
-/** Picks addresses of which nothing listens at any yet. */
+/** Picks addresses at which nothing listens yet. */
 async function pickAddresses(count: number): Promise<string[]> {
-	const servers = Array.from({length: count}, () => net.createServer());
-	for (const server of servers) {
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-	}
-
-	const addresses = servers.map(
-		(server) => `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
-	);
-	for (const server of servers) {
-		server.close();
-		await once(server, 'close');
+	const addresses: string[] = [];
+	for (let picked = 0; picked < count; picked++) {
+		addresses.push(`127.0.0.1:${await pickPort()}`);
 	}
 
 	return addresses;
--- a/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
@@ -16,6 +16,7 @@
 	toRouteName,
 	toServiceName,
 } from 'bramleystage';
+import {pickPort} from 'bramleystage-stand-ins';
 import {BehaviorSubject} from 'rxjs';
 import type {ConfigurationFollower} from '../configuration-follower.js';
 import {Fleet} from '../fleet.js';
@@ -193,7 +194,7 @@
 		logger: silentLogger,
 		readClock,
 	});
-	const port = await findFreePort();
+	const port = await pickPort();
 	await listenForPeers(
 		`127.0.0.1:${port}`,
 		{
@@ -208,15 +209,6 @@
 	return {address, follower, fleet};
 }
 
-async function findFreePort(): Promise<number> {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return port;
-}
-
 async function startRelay(
 	port: number,
 	options: SlowPeerOptions,
--- a/packages/bramleystage-stand-ins/src/index.ts
+++ b/packages/bramleystage-stand-ins/src/index.ts
@@ -35,6 +35,7 @@
 	type EngineOptions,
 	startEngineStandIn,
 } from './engine.js';
+export {pickPort} from './free-ports.js';
 export {
 	type Faults,
 	faultsSchema,
