Tell how each version of the configuration came into force

The line configuration.applied tells from where a version came, how long it took from its first sign, how old the gateway's knowledge was before and how many calls of the store failed meanwhile; a histogram and two gauges show the same. That tells apart a gateway that knows no informed peer, one that believes to be up to date, and one whose time limits add up.

--- a/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
@@ -1,11 +1,13 @@
 /** When a gateway needs peers for the configuration while the store's answer is under way. */
 import {LifeCycle, type RoutingConfiguration} from 'bramleystage';
 import {err, ok} from 'neverthrow';
+import {Registry} from 'prom-client';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {
 	type ConfigurationFollower,
 	followConfiguration,
 } from '../configuration-follower.js';
+import {ConfigurationRecord} from '../configuration-record.js';
 import type {ConfigurationRead, StorePort} from '../platform-port.js';
 import {StoreContact} from '../store-contact.js';
 
@@ -79,6 +81,8 @@
 		events.push(event);
 	};
 
+	const logger = {error: log, warn: log, info: log, debug: log};
+
 	follower = followConfiguration({
 		store: {
 			loadConfiguration: async (onArrival?: () => void) =>
@@ -93,7 +97,8 @@
 		recordStoreEra: () => undefined,
 		contact: new StoreContact(),
 		lifeCycle,
-		logger: {error: log, warn: log, info: log, debug: log},
+		record: new ConfigurationRecord(new Registry(), logger),
+		logger,
 		readClock: () => performance.now(),
 	});
 });
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -14,14 +14,17 @@
 	waitFor,
 } from 'bramleystage';
 import {BehaviorSubject} from 'rxjs';
+import type {
+	ConfigurationRecord,
+	ConfigurationSource,
+} from './configuration-record.js';
 import type {
 	ConfigurationRead,
-	StoreEra,
 	StoreFailure,
-	StoreOffset,
 	StorePort,
 } from './platform-port.js';
-import type {StoreContact} from './store-contact.js';
+import {choosePosition, type ReadPosition} from './read-position.js';
+import {recordContact, type StoreContact} from './store-contact.js';
 
 /** Time for which a long poll waits, in milliseconds: bounds the time until a silent connection is noticed. */
 const pollTimeoutMs = 700;
@@ -31,10 +34,6 @@
 const lostVersionDelayMs = 600;
 /** Time for which the store waits for the record of a version that a peer announced, in milliseconds. */
 const announcedWaitMs = 150;
-/** How often a gateway that polls loads the newest version regardless of the polls, in milliseconds. */
-const refreshIntervalMs = 5000;
-/** Age of an offset up to which reading continues there, in milliseconds: bounds the records of other keys that are read too. */
-const maxResumeAgeMs = 300_000;
 /** Time for which a load from the store makes peers unnecessary, in milliseconds: after it a peer can still bring a change into force in time. */
 const loadGraceMs = 2000;
 
@@ -59,19 +58,19 @@
 	/** Called with the era of each answer of the store. */
 	readonly recordStoreEra: (era: number) => void;
 	readonly contact: StoreContact;
+	readonly record: ConfigurationRecord;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
 };
 
-type ReadPosition = {
-	readonly next: StoreOffset;
-	/** Era in which `next` is valid. */
-	readonly era: StoreEra;
-	/** Version in force after the read. */
-	readonly version: number;
-	/** When the read began; steady-clock time in milliseconds. */
-	readonly readAt: number;
+/** How a version came; times are steady-clock times in milliseconds. */
+type Origin = {
+	readonly source: ConfigurationSource;
+	/** When there was no newer version, as known before. */
+	readonly readBefore: number;
+	/** First sign of the version. */
+	readonly signAt: number;
 };
 
 /** Starts following the configuration until the life cycle stops. */
@@ -83,6 +82,7 @@
 		readMaxAgeMs,
 		recordStoreEra,
 		contact,
+		record,
 		lifeCycle,
 		logger,
 		readClock,
@@ -95,25 +95,30 @@
 	let announced = -1;
 	let isStoreLost = false;
 	const readVersion = () => configurations.value?.version ?? -1;
-	const acceptConfiguration = (configuration: RoutingConfiguration) => {
+	record.registerAge(() => readClock() - readAt);
+	const applyConfiguration = (
+		configuration: RoutingConfiguration,
+		{source, readBefore, signAt}: Origin,
+	) => {
 		const previous = readVersion();
 		if (configuration.version > previous) {
-			logger.info('configuration.applied', {
-				version: configuration.version,
-				previous,
-				routes: configuration.routes.length,
-			});
+			record.recordSign(configuration.version, signAt);
+			record.recordApplied(
+				configuration,
+				{source, previous, readAt: readBefore},
+				readClock(),
+			);
 			configurations.next(configuration);
 		}
 	};
 
-	const applyRead = (read: ConfigurationRead) => {
+	const applyRead = (read: ConfigurationRead, origin: Origin) => {
 		for (const {key, reason} of read.skipped) {
 			logger.warn('configuration.skipped', {key, reason});
 		}
 
 		if (read.configuration) {
-			acceptConfiguration(read.configuration);
+			applyConfiguration(read.configuration, origin);
 		}
 	};
 
@@ -132,6 +137,20 @@
 		loadingSince ??= readClock();
 	};
 
+	/** Records a failed read; returns the delay until the next one, in milliseconds. */
+	const handleFailure = (failure: StoreFailure): number => {
+		position = undefined;
+		if (failure.kind === 'expired') {
+			logger.info('configuration.expired', {detail: failure.detail});
+			return retryDelayMs;
+		}
+
+		isStoreLost = recordContact(logger, isStoreLost, failure);
+		contact.recordFailure(readClock());
+		record.recordFailure();
+		return contact.computeRetryDelayMs(retryDelayMs);
+	};
+
 	/** Reads the store once; returns the delay until the next read, in milliseconds. */
 	const step = async (): Promise<number> => {
 		const startedAt = readClock();
@@ -161,26 +180,23 @@
 		const arrivedAt = loadingSince;
 		loadingSince = undefined;
 		if (read.isErr()) {
-			position = undefined;
-			if (read.error.kind === 'expired') {
-				logger.info('configuration.expired', {detail: read.error.detail});
-				return retryDelayMs;
-			}
-
-			isStoreLost = recordContact(logger, isStoreLost, read.error);
-			contact.recordFailure(readClock());
-			return contact.computeRetryDelayMs(retryDelayMs);
+			return handleFailure(read.error);
 		}
 
 		// A page with a configuration may have taken long; newer versions may have come meanwhile.
 		const pageReadAt = read.value.configuration && arrivedAt;
 		const readSince = isFullRead ? startedAt : (pageReadAt ?? readClock());
+		const origin: Origin = {
+			source: isFullRead ? 'load' : 'poll',
+			readBefore: readAt,
+			signAt: arrivedAt ?? startedAt,
+		};
 		readAt = Math.max(readAt, readSince);
 		refreshedAt = isFullRead ? startedAt : refreshedAt;
 		contact.recordSuccess();
 		const {era, next} = read.value;
 		recordStoreEra(era);
-		applyRead(read.value);
+		applyRead(read.value, origin);
 		isStoreLost = recordContact(logger, isStoreLost, undefined);
 		if (from && era !== from.era) {
 			// The offset belongs to records that the store no longer has.
@@ -223,7 +239,13 @@
 
 	return {
 		configurations,
-		acceptConfiguration,
+		acceptConfiguration(configuration) {
+			applyConfiguration(configuration, {
+				source: 'peer',
+				readBefore: readAt,
+				signAt: readClock(),
+			});
+		},
 		readAt: () => readAt,
 		isLoading,
 		needsPeers: () =>
@@ -233,6 +255,7 @@
 		acceptVersion(version, versionReadAt) {
 			if (version > Math.max(announced, readVersion())) {
 				announced = version;
+				record.recordSign(version, readClock());
 				wake();
 			} else if (version === readVersion()) {
 				readAt = Math.max(readAt, versionReadAt);
@@ -240,35 +263,3 @@
 		},
 	};
 }
-
-/**
- * Chooses to read on at a position; undefined if the newest version is to be
- * loaded. Records pile up behind a position if a version has come from elsewhere
- * since; the numbers of versions tell nothing, as they rise in uneven steps.
- */
-function choosePosition(
-	position: ReadPosition | undefined,
-	{version, refreshedAt}: {version: number; refreshedAt: number},
-	now: number,
-): ReadPosition | undefined {
-	return position?.version === version &&
-		now - position.readAt <= maxResumeAgeMs &&
-		now - refreshedAt <= refreshIntervalMs
-		? position
-		: undefined;
-}
-
-/** Logs when the store becomes unreachable or reachable again; returns whether it is unreachable. */
-function recordContact(
-	logger: Logger,
-	wasLost: boolean,
-	failure: StoreFailure | undefined,
-): boolean {
-	if (failure && !wasLost) {
-		logger.warn('store.lost', {kind: failure.kind, detail: failure.detail});
-	} else if (!failure && wasLost) {
-		logger.info('store.regained');
-	}
-
-	return failure !== undefined;
-}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -4,12 +4,10 @@
  * servers in the platform's store. No state of it lasts but what it saves there.
  */
 import {LifeCycle, type Logger, type ServiceName} from 'bramleystage';
-import {followBackends} from './backend-follower.js';
 import {createBodyBudget} from './body-budget.js';
 import {createCallAdmission} from './call-handler.js';
 import {listenForCallers} from './caller-server.js';
 import {createCrashControl} from './crash-control.js';
-import {followConfiguration} from './configuration-follower.js';
 import {createEndCheck} from './end-check.js';
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
@@ -19,20 +17,15 @@
 	createLimitedChoice,
 	type LimitControl,
 } from './limit-control.js';
-import {GatewayGroup} from './gateway-group.js';
 import {LoopWatch} from './loop-watch.js';
 import {RequestRecorder} from './request-recorder.js';
-import {PeerSync} from './peer-sync.js';
 import {startPeerServer} from './peer-server.js';
-import {PeerLinks} from './peer-links.js';
-import {computeOwnReadAgeMs} from './peer-selection.js';
-import type {GatewayState} from './peer-update.js';
 import {startPlacement} from './placement-controller.js';
 import type {GatewaySettings, PlatformPort} from './platform-port.js';
 import {DrainControl} from './drain-control.js';
 import {OwnLink} from './own-link.js';
 import {listenForOperations} from './readiness-server.js';
-import {StoreContact} from './store-contact.js';
+import {followSharedState, type SharedState} from './shared-state.js';
 import {openTimedAttempt} from './timed-attempt.js';
 import {buildStreamHooks} from './stream-hooks.js';
 import {StreamMonitor} from './stream-monitor.js';
@@ -74,7 +67,7 @@
 		dataCentre: settings.dataCentre,
 		logger,
 		readClock,
-		countGateways: () => group.size,
+		countGateways: () => shared.group.size,
 		readLinkDelayMs,
 		limitedChoice: createLimitedChoice(() => limitControl),
 	});
@@ -87,7 +80,7 @@
 	const limitControl: LimitControl = createLimitControl({
 		fleet,
 		self: settings.peerListen,
-		listPeers: () => group.listPeers(),
+		listPeers: () => shared.group.listPeers(),
 		registry: recorder.registry,
 		...base,
 	});
@@ -103,80 +96,28 @@
 	const ownLink = new OwnLink({recorder, lifeCycle, logger, readClock});
 	const {ledger, crashGuard, memory} = createCrashControl({
 		store,
-		listMembers: () => group.listPeers(),
+		listMembers: () => shared.group.listPeers(),
 		self: settings.peerListen,
-		isWriter: () => group.isLeader,
+		isWriter: () => shared.group.isLeader,
 		recorder,
 		fleet,
 		instances,
 		...base,
 	});
-	const peerLinks: PeerLinks = new PeerLinks({
-		listPeers: () => group.listPeers(),
-		onUpdate(state) {
-			peerSync.acceptUpdate(state);
-			group.applyPeerGroup();
-		},
+	const shared: SharedState = followSharedState({
+		settings,
+		store,
+		fleet,
+		registry: recorder.registry,
 		crashes: ledger,
 		limits,
-		readGroupFence: () => group.state?.fence,
+		findBackAt: () => (drain.isStopping ? drain.backAt : undefined),
 		recordLinkEvent(event) {
 			ownLink.record(event);
 		},
 		...base,
 	});
-	const group: GatewayGroup = new GatewayGroup({
-		store,
-		self: settings.peerListen,
-		seeds: settings.seeds,
-		memberMs: settings.memberMs,
-		windowMs: settings.retryWindowMs,
-		isStoreUnreachable: () => peerLinks.isStoreUnreachable,
-		readListReadAt: () => fleet.readAt,
-		findPeerState: (address) => peerLinks.findPeerState(address),
-		findPeerGroup: () => peerLinks.findGroup(),
-		isInformedByPeer: () => isInformedByPeer(),
-		...base,
-	});
-	const contact = new StoreContact();
-	const isInformedByPeer = () =>
-		peerLinks.hasPublisher(settings.peerListen, contact.isLost(readClock()));
-	const readMaxAgeMs = () =>
-		computeOwnReadAgeMs(isInformedByPeer(), group.rank);
-	const follower = followConfiguration({
-		store,
-		readMaxAgeMs,
-		recordStoreEra(era) {
-			fleet.recordStoreEra(era);
-		},
-		contact,
-		...base,
-	});
-	const {configurations} = follower;
-	followBackends({
-		store,
-		fleet,
-		readMaxAgeMs,
-		contact,
-		...base,
-	});
-	const peerSync = new PeerSync({
-		follower,
-		fleet,
-		listPeers: () => group.listPeers(),
-		isStopping,
-		...base,
-	});
-	const readState = (): GatewayState => ({
-		...(drain.isStopping && {backAt: drain.backAt}),
-		storeEra: fleet.storeEra,
-		...(fleet.hasBackends && {reader: fleet.reader ?? settings.peerListen}),
-		group: group.state,
-		version: configurations.value?.version ?? -1,
-		configurationReadAt: follower.readAt(),
-		listReadAt: fleet.readAt,
-		backends: fleet.snapshots.value.backends,
-	});
+	const {peerLinks, group, peerSync, configurations, readState} = shared;
 	const publisher = await startPeerServer({
 		address: settings.peerListen,
 		readState,
--- /dev/null
+++ b/packages/bramleystage-gateway/src/shared-state.ts
@@ -0,0 +1,138 @@
+/**
+ * What all gateways know alike: the configuration, the list of backend servers and the
+ * group's members. Each gateway follows them in the platform's store, or at peers that
+ * read the store for it or that it still reaches while the store turns it away.
+ */
+import type {LifeCycle, LinkEvent, Logger} from 'bramleystage';
+import type {Registry} from 'prom-client';
+import {followBackends} from './backend-follower.js';
+import {
+	type ConfigurationFollower,
+	followConfiguration,
+} from './configuration-follower.js';
+import {ConfigurationRecord} from './configuration-record.js';
+import type {CrashLedger} from './crash-ledger.js';
+import type {Fleet} from './fleet.js';
+import {GatewayGroup} from './gateway-group.js';
+import type {LimitWatch} from './limit-watch.js';
+import {PeerLinks} from './peer-links.js';
+import {computeOwnReadAgeMs} from './peer-selection.js';
+import {PeerSync} from './peer-sync.js';
+import type {GatewayState} from './peer-update.js';
+import type {GatewaySettings, StorePort} from './platform-port.js';
+import {StoreContact} from './store-contact.js';
+
+export type SharedStateOptions = {
+	readonly settings: Pick<
+		GatewaySettings,
+		'peerListen' | 'seeds' | 'memberMs' | 'retryWindowMs'
+	>;
+	readonly store: StorePort;
+	readonly fleet: Fleet;
+	readonly registry: Registry;
+	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
+	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
+	/** Returns the steady-clock time at which this gateway serves again, in milliseconds; undefined if it is not stopping. */
+	readonly findBackAt: () => number | undefined;
+	/** Receives what the connections to peers show of the own link's delay. */
+	readonly recordLinkEvent: (event: LinkEvent) => void;
+	readonly lifeCycle: LifeCycle;
+	readonly logger: Logger;
+	readonly readClock: () => number;
+	/** Returns the delay of the own network link, in milliseconds. */
+	readonly readLinkDelayMs: () => number;
+};
+
+export type SharedState = {
+	readonly peerLinks: PeerLinks;
+	readonly group: GatewayGroup;
+	readonly peerSync: PeerSync;
+	readonly configurations: ConfigurationFollower['configurations'];
+	/** Reads the state that is sent to followers. */
+	readonly readState: () => GatewayState;
+};
+
+/** Starts following until the life cycle stops. */
+export function followSharedState({
+	settings,
+	store,
+	fleet,
+	registry,
+	crashes,
+	limits,
+	findBackAt,
+	recordLinkEvent,
+	...base
+}: SharedStateOptions): SharedState {
+	const {logger, readClock} = base;
+	const peerLinks: PeerLinks = new PeerLinks({
+		listPeers: () => group.listPeers(),
+		onUpdate(state) {
+			peerSync.acceptUpdate(state);
+			group.applyPeerGroup();
+		},
+		crashes,
+		limits,
+		readGroupFence: () => group.state?.fence,
+		recordLinkEvent,
+		...base,
+	});
+	const contact = new StoreContact();
+	const isInformedByPeer = () =>
+		peerLinks.hasPublisher(settings.peerListen, contact.isLost(readClock()));
+	const group: GatewayGroup = new GatewayGroup({
+		store,
+		self: settings.peerListen,
+		seeds: settings.seeds,
+		memberMs: settings.memberMs,
+		windowMs: settings.retryWindowMs,
+		isStoreUnreachable: () => peerLinks.isStoreUnreachable,
+		readListReadAt: () => fleet.readAt,
+		findPeerState: (address) => peerLinks.findPeerState(address),
+		findPeerGroup: () => peerLinks.findGroup(),
+		isInformedByPeer,
+		...base,
+	});
+	const readMaxAgeMs = () =>
+		computeOwnReadAgeMs(isInformedByPeer(), group.rank);
+	const follower = followConfiguration({
+		store,
+		readMaxAgeMs,
+		recordStoreEra(era) {
+			fleet.recordStoreEra(era);
+		},
+		contact,
+		record: new ConfigurationRecord(registry, logger),
+		...base,
+	});
+	const {configurations} = follower;
+	followBackends({store, fleet, readMaxAgeMs, contact, ...base});
+	const peerSync: PeerSync = new PeerSync({
+		follower,
+		fleet,
+		listPeers: () => group.listPeers(),
+		isStopping: () => findBackAt() !== undefined,
+		...base,
+	});
+	return {
+		peerLinks,
+		group,
+		peerSync,
+		configurations,
+		readState() {
+			const backAt = findBackAt();
+			return {
+				...(backAt !== undefined && {backAt}),
+				storeEra: fleet.storeEra,
+				...(fleet.hasBackends && {
+					reader: fleet.reader ?? settings.peerListen,
+				}),
+				group: group.state,
+				version: configurations.value?.version ?? -1,
+				configurationReadAt: follower.readAt(),
+				listReadAt: fleet.readAt,
+				backends: fleet.snapshots.value.backends,
+			};
+		},
+	};
+}
--- a/packages/bramleystage-gateway/src/store-contact.ts
+++ b/packages/bramleystage-gateway/src/store-contact.ts
@@ -3,6 +3,8 @@
  * A gateway that the store turns away relies on any other one that is informed,
  * and tries the store again now and then.
  */
+import type {Logger} from 'bramleystage';
+import type {StoreFailure} from './platform-port.js';
 
 /** Time after a failed call for which the store counts as lost, in milliseconds. */
 const lostMs = 3000;
@@ -36,3 +38,18 @@
 		);
 	}
 }
+
+/** Logs when the store becomes unreachable or reachable again; returns whether it is unreachable. */
+export function recordContact(
+	logger: Logger,
+	wasLost: boolean,
+	failure: StoreFailure | undefined,
+): boolean {
+	if (failure && !wasLost) {
+		logger.warn('store.lost', {kind: failure.kind, detail: failure.detail});
+	} else if (!failure && wasLost) {
+		logger.info('store.regained');
+	}
+
+	return failure !== undefined;
+}
