--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -16,6 +16,7 @@
 	waitFor,
 } from 'bramleystage';
 import {sendPeerQuery} from './peer-exchange.js';
+import type {OpenPeerSocket} from './peer-socket.js';
 import type {GroupState, PeerState} from './peer-update.js';
 import type {StorePort} from './platform-port.js';
 
@@ -59,6 +60,7 @@
 	readonly readClock: () => number;
 	/** Returns the delay of the own network link, in milliseconds. */
 	readonly readLinkDelayMs: () => number;
+	readonly openSocket?: OpenPeerSocket;
 };
 
 export class GatewayGroup {
@@ -269,7 +271,8 @@
 
 	/** Reads as of when a peer knows its list; undefined if it is stopping or does not answer. */
 	async #readPeerListReadAt(address: string): Promise<number | undefined> {
-		const {findPeerState, readClock, readLinkDelayMs} = this.options;
+		const {findPeerState, readClock, readLinkDelayMs, openSocket} =
+			this.options;
 		const state = findPeerState(address);
 		if (state) {
 			return state.backAt === undefined ? state.listReadAt : undefined;
@@ -279,7 +282,7 @@
 		const answer = await sendPeerQuery(
 			address,
 			{version: Number.MAX_SAFE_INTEGER, listAgeMs: 0},
-			{linkDelayMs: readLinkDelayMs()},
+			{linkDelayMs: readLinkDelayMs(), openSocket},
 		);
 		if (answer.isErr() || answer.value.isStopping) {
 			return undefined;
--- a/packages/bramleystage-gateway/src/index.ts
+++ b/packages/bramleystage-gateway/src/index.ts
@@ -1,4 +1,10 @@
 export {type RunningGateway, startGateway} from './gateway.js';
+export {Fleet} from './fleet.js';
+export {
+	type PeerHandlers,
+	servePeerSocket,
+	startPeerServer,
+} from './peer-server.js';
 export type {
 	AnswerMetadata,
 	AttemptMetadata,
@@ -20,3 +26,4 @@
 	StoreOffset,
 	StorePort,
 } from './platform-port.js';
+export {followSharedState, type SharedState} from './shared-state.js';
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -5,18 +5,17 @@
  * servers. A gateway that follows another keeps its connection open and sends
  * pings (peer-update.ts). All values are framed.
  */
-import {connect} from 'node:net';
 import {
 	type Backend,
 	encodeValueFrame,
 	type Failure,
-	parseAddress,
 	type RoutingConfiguration,
 } from 'bramleystage';
 import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
 import {decodeCompressed} from './configuration-codec.js';
 import {checkValue, listenForFrames, readFrameBytes} from './peer-frames.js';
+import {openPeerSocket, type OpenPeerSocket} from './peer-socket.js';
 import {backendSchema, pingSchema} from './peer-update.js';
 import {permitMessageSchema} from './permit-messages.js';
 
@@ -104,6 +103,7 @@
 	readonly linkDelayMs?: number;
 	/** Gives the query up. */
 	readonly signal?: AbortSignal;
+	readonly openSocket?: OpenPeerSocket;
 };
 
 export type PeerQueryFailure = {
@@ -139,9 +139,14 @@
 export async function sendPeerQuery(
 	address: string,
 	query: PeerQuery,
-	{spanMs = answerSpanMs, linkDelayMs = 0, signal}: PeerQueryOptions = {},
+	{
+		spanMs = answerSpanMs,
+		linkDelayMs = 0,
+		signal,
+		openSocket = openPeerSocket,
+	}: PeerQueryOptions = {},
 ): Promise<Result<PeerAnswer, PeerQueryFailure>> {
-	const socket = connect({...parseAddress(address), noDelay: true, signal});
+	const socket = openSocket(address, signal);
 	let answerBytes: number | undefined;
 	let spanTimer: NodeJS.Timeout | undefined;
 	let earlyTimer: NodeJS.Timeout | undefined;
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -1,15 +1,15 @@
 /** A persistent connection to a followed gateway, which sends peer updates over it. */
-import {connect, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {
 	encodeValueFrame,
 	LifeCycle,
 	type LinkEvent,
 	type Logger,
-	parseAddress,
 } from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
 import type {LimitWatch} from './limit-watch.js';
 import {checkValue, listenForFrames} from './peer-frames.js';
+import {openPeerSocket, type OpenPeerSocket} from './peer-socket.js';
 import {
 	applyPeerUpdate,
 	createPeerState,
@@ -59,6 +59,7 @@
 	readonly readGroupFence: () => number | undefined;
 	/** Receives what the connection shows of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
+	readonly openSocket?: OpenPeerSocket;
 	/** Called once, when the connection has ended. */
 	readonly onEnd: () => void;
 };
@@ -77,14 +78,19 @@
 	#limitChangeCount = 0;
 
 	constructor(private readonly options: PeerLinkOptions) {
-		const {address, readClock, recordLinkEvent} = options;
+		const {
+			address,
+			readClock,
+			recordLinkEvent,
+			openSocket = openPeerSocket,
+		} = options;
 		this.openedAt = readClock();
 		recordLinkEvent({
 			kind: 'pingSent',
 			peer: address,
 			sentAt: this.openedAt,
 		});
-		this.#socket = connect({...parseAddress(address), noDelay: true});
+		this.#socket = openSocket(address);
 		this.#socket.on('connect', () => {
 			this.#recordAnswer(this.openedAt, 0);
 			this.sendPing();
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -8,6 +8,7 @@
 	type PeerRecord,
 	selectFollowedPeers,
 } from './peer-selection.js';
+import type {OpenPeerSocket} from './peer-socket.js';
 import type {GroupState, PeerState} from './peer-update.js';
 
 /** How often the followed gateways are selected again, in milliseconds. */
@@ -23,6 +24,7 @@
 	readonly readGroupFence: () => number | undefined;
 	/** Receives what the connections show of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
+	readonly openSocket?: OpenPeerSocket;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
--- a/packages/bramleystage-gateway/src/peer-server.ts
+++ b/packages/bramleystage-gateway/src/peer-server.ts
@@ -48,34 +48,10 @@
 	const encoder = new ConfigurationEncoder();
 	const server = createServer((socket) => {
 		sockets.add(socket);
-		socket.setNoDelay(true);
-		socket.setTimeout(idleTimeoutMs, () => {
-			socket.destroy();
-		});
-		socket.on('error', (error) => {
-			logger.debug('peer.lost', {detail: error.message});
-		});
+		servePeerSocket(socket, handlers, {encoder, logger});
 		socket.on('close', () => {
 			sockets.delete(socket);
 		});
-		listenForFrames(socket, (value) => {
-			const request = value.andThen((decoded) =>
-				checkValue(decoded, requestSchema),
-			);
-			if (request.isErr()) {
-				logger.warn('peer.bad', {detail: request.error.detail});
-				socket.destroy();
-			} else if ('beatAt' in request.value) {
-				handlers.acceptPing(socket, request.value);
-			} else if ('type' in request.value) {
-				handlers.acceptPermitMessage(socket, request.value);
-			} else {
-				const answer = handlers.answer(request.value);
-				void buildWireAnswer(request.value, answer, encoder, logger).then(
-					(built) => socket.end(encodeValueFrame(built)),
-				);
-			}
-		});
 	});
 	await startServer(server, address, {logger});
 	lifeCycle.register(() => {
@@ -86,11 +62,47 @@
 	});
 }
 
+/** Answers what another gateway sends over a connection. */
+export function servePeerSocket(
+	socket: Socket,
+	handlers: PeerHandlers,
+	{
+		encoder,
+		logger,
+	}: {encoder: Pick<ConfigurationEncoder, 'encode'>; logger: Logger},
+): void {
+	socket.setNoDelay(true);
+	socket.setTimeout(idleTimeoutMs, () => {
+		socket.destroy();
+	});
+	socket.on('error', (error) => {
+		logger.debug('peer.lost', {detail: error.message});
+	});
+	listenForFrames(socket, (value) => {
+		const request = value.andThen((decoded) =>
+			checkValue(decoded, requestSchema),
+		);
+		if (request.isErr()) {
+			logger.warn('peer.bad', {detail: request.error.detail});
+			socket.destroy();
+		} else if ('beatAt' in request.value) {
+			handlers.acceptPing(socket, request.value);
+		} else if ('type' in request.value) {
+			handlers.acceptPermitMessage(socket, request.value);
+		} else {
+			const answer = handlers.answer(request.value);
+			void buildWireAnswer(request.value, answer, encoder, logger).then(
+				(built) => socket.end(encodeValueFrame(built)),
+			);
+		}
+	});
+}
+
 /** Compresses the configuration of an answer if the sender of the query can read that. */
 async function buildWireAnswer(
 	query: PeerQuery,
 	answer: PeerAnswer,
-	encoder: ConfigurationEncoder,
+	encoder: Pick<ConfigurationEncoder, 'encode'>,
 	logger: Logger,
 ): Promise<PeerAnswer | WireAnswer> {
 	const {configuration, ...others} = answer;
@@ -113,9 +125,11 @@
 	readonly peerLinks: Pick<PeerLinks, 'sendPings'>;
 	readonly peerSync: Pick<PeerSync, 'answer'>;
 	readonly fleet: Pick<Fleet, 'snapshots'>;
-	readonly crashes: CrashLedger;
-	readonly limits: LimitWatch;
-	readonly permits: Permits;
+	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews' | 'news'>;
+	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews' | 'news'>;
+	readonly permits: Pick<Permits, 'accept'>;
+	/** Opens the server. */
+	readonly listen?: typeof listenForPeers;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 };
@@ -129,6 +143,7 @@
 	permits,
 	lifeCycle,
 	logger,
+	listen = listenForPeers,
 	...options
 }: PeerServerOptions): Promise<PeerPublisher> {
 	const publisher = new PeerPublisher(options);
@@ -136,7 +151,7 @@
 		peerLinks.sendPings();
 		publisher.publish();
 	});
-	await listenForPeers(
+	await listen(
 		address,
 		{
 			answer: (query) => peerSync.answer(query),
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -16,6 +16,7 @@
 	type PeerQuery,
 	type PeerQueryFailure,
 } from './peer-exchange.js';
+import type {OpenPeerSocket} from './peer-socket.js';
 import type {GatewayState} from './peer-update.js';
 
 /** How often it is checked whether peers are to be queried, in milliseconds. */
@@ -44,6 +45,7 @@
 	readonly readClock: () => number;
 	/** Returns a number from 0 to below 1, for the first peer that is queried. */
 	readonly drawRandom?: () => number;
+	readonly openSocket?: OpenPeerSocket;
 };
 
 export class PeerSync {
@@ -178,7 +180,7 @@
 		const answer = await sendPeerQuery(
 			address,
 			this.#buildQuery(subject, now),
-			{spanMs, signal},
+			{spanMs, signal, openSocket: this.options.openSocket},
 		);
 		if (answer.isOk()) {
 			return this.#applyAnswer(address, answer.value, now);
--- a/packages/bramleystage-gateway/src/shared-state.ts
+++ b/packages/bramleystage-gateway/src/shared-state.ts
@@ -18,6 +18,7 @@
 import {PeerLinks} from './peer-links.js';
 import {computeOwnReadAgeMs} from './peer-selection.js';
 import {PeerSync} from './peer-sync.js';
+import type {OpenPeerSocket} from './peer-socket.js';
 import type {GatewayState} from './peer-update.js';
 import type {GatewaySettings, StorePort} from './platform-port.js';
 import {StoreContact} from './store-contact.js';
@@ -41,6 +42,9 @@
 	readonly readClock: () => number;
 	/** Returns the delay of the own network link, in milliseconds. */
 	readonly readLinkDelayMs: () => number;
+	/** Returns a number from 0 to below 1. */
+	readonly drawRandom?: () => number;
+	readonly openSocket?: OpenPeerSocket;
 };
 
 export type SharedState = {
