Keep gateways known that the store does not list but that answer

Cause: the group's members are read from who owns partitions. A member that has joined owns none until those before it renew or lapse, and one that the store turns away lapses although it runs. So the list can hold exactly those that lack the store, and each gateway forgot all others at once. Class: a resource's assignment read as a list of who is alive; absence from a list taken for an end.

KnownMembers keeps a gateway that is no longer listed until it answers no check or says that it stops, adds those that send pings, and takes over whom peers know. Checks go only to gateways that are not listed and silent; their rate is bounded for any number of gateways. The same list now counts for the number of gateways, the shares of the retry budget, permits, the order leader and crash evidence: a gateway that joins while others lapse no longer takes a larger share than it has.

Two tests of the group expected that members vanish with the list; their members now answer no check, and their expectations are as before.

--- a/packages/bramleystage-check/src/simulated-gateway.ts
+++ b/packages/bramleystage-check/src/simulated-gateway.ts
@@ -161,6 +161,7 @@
 		const publisher = await startPeerServer({
 			address,
 			readState: state.readState,
+			onPing: state.recordPing,
 			onGroupFence(fence) {
 				state.group.recordPeerFence(fence);
 			},
--- a/packages/bramleystage-gateway/src/__tests__/group.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/group.test.ts
@@ -4,6 +4,7 @@
 import {err, ok} from 'neverthrow';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {GatewayGroup, type GatewayGroupOptions} from '../gateway-group.js';
+import {KnownMembers} from '../known-members.js';
 import type {StorePort} from '../platform-port.js';
 
 const logger = {
@@ -25,6 +26,19 @@
 	await lifeCycle.stop();
 });
 
+/** Members that answer no check, so that those that are not listed are forgotten. */
+function createKnown(seeds: readonly string[] = []): KnownMembers {
+	const known = new KnownMembers({
+		self,
+		seeds,
+		checkMember: async () => 'none',
+		logger,
+		readClock: () => performance.now(),
+	});
+	known.registerChecks(lifeCycle);
+	return known;
+}
+
 const createGroup = (
 	store: Partial<StorePort>,
 	overrides: Partial<GatewayGroupOptions> = {},
@@ -32,7 +46,7 @@
 	new GatewayGroup({
 		store: store as StorePort,
 		self,
-		seeds: [],
+		known: createKnown(),
 		memberMs: 30,
 		windowMs: 1000,
 		isStoreUnreachable: () => false,
@@ -151,7 +165,7 @@
 			},
 			{
 				self: '127.0.0.2:1',
-				seeds: [leader],
+				known: createKnown([leader]),
 				readLinkDelayMs: () => linkDelayMs,
 			},
 		);
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -15,8 +15,9 @@
 	recordRenewal,
 	waitFor,
 } from 'bramleystage';
-import {sendPeerQuery} from './peer-exchange.js';
+import {emptyQuery, sendPeerQuery} from './peer-exchange.js';
 import type {OpenPeerSocket} from './peer-socket.js';
+import type {KnownMembers} from './known-members.js';
 import type {GroupState, PeerState} from './peer-update.js';
 import type {StorePort} from './platform-port.js';
 
@@ -39,8 +40,7 @@
 	readonly store: StorePort;
 	/** `host:port` at which other gateways reach this one. */
 	readonly self: string;
-	/** Addresses of gateways that are known without the store. */
-	readonly seeds: readonly string[];
+	readonly known: KnownMembers;
 	/** Time after which the store drops a silent member, in milliseconds. */
 	readonly memberMs: number;
 	/** Time window of the shared retry budget, in milliseconds. */
@@ -77,6 +77,9 @@
 
 	constructor(private readonly options: GatewayGroupOptions) {
 		this.#budgetShare = createBudgetShare(maxGroupSize, options.readClock());
+		options.known.confirmed.subscribe(() => {
+			this.#shareBudget();
+		});
 		void this.#renew();
 		void this.#watchLeader();
 	}
@@ -96,24 +99,17 @@
 		return this.#isLeader;
 	}
 
-	/** Lists the known addresses of the other gateways, sorted. */
-	listPeers(): string[] {
-		const {self, seeds} = this.options;
-		return [...new Set([...(this.#state?.members ?? []), ...seeds])]
-			.filter((address) => address !== self)
-			.toSorted();
-	}
-
 	/** Number of known gateways before this one by address. */
 	get rank(): number {
-		const {self} = this.options;
-		return this.listPeers().filter((address) => address < self).length;
+		const {self, known} = this.options;
+		return known.listPeers().filter((address) => address < self).length;
 	}
 
 	/** Number of gateways that share the load. */
 	get size(): number {
-		const count = this.#state?.members.length ?? 0;
-		return count > 0 ? count : assumedGroupSize;
+		return this.#state
+			? this.options.known.confirmed.value.length + 1
+			: assumedGroupSize;
 	}
 
 	/** Computes the share of a budget of all gateways that this one may spend, 0 to 1. */
@@ -218,20 +214,29 @@
 			return;
 		}
 
-		const {self, readClock, logger} = this.options;
+		const {known, readClock, logger} = this.options;
 		this.#state = state;
-		// A new member gets no share before the others have renewed their membership.
-		this.#budgetShare = recordMembers(
-			this.#budgetShare,
-			[...state.members, self],
-			readClock(),
-		);
+		known.recordListed(state.members, readClock());
+		this.#shareBudget();
 		logger.info('group.changed', {
 			fence: state.fence,
 			members: state.members.join(','),
 		});
 	}
 
+	/** Shares the budget among the known gateways, once the group has been read. */
+	#shareBudget(): void {
+		const {self, known, readClock} = this.options;
+		if (this.#state) {
+			// A new member gets no share before the others have renewed their membership.
+			this.#budgetShare = recordMembers(
+				this.#budgetShare,
+				[...known.confirmed.value, self],
+				readClock(),
+			);
+		}
+	}
+
 	#recordRenewal(sentAt: number): void {
 		this.#budgetShare = recordRenewal(this.#budgetShare, this.options, sentAt);
 	}
@@ -253,8 +258,8 @@
 
 	/** Finds a live gateway before this one by address; undefined if this one is the leader. */
 	async #findLeaderBefore(): Promise<string | undefined> {
-		const {self, readListReadAt} = this.options;
-		for (const address of this.listPeers().filter((peer) => peer < self)) {
+		const {self, known, readListReadAt} = this.options;
+		for (const address of known.listPeers().filter((peer) => peer < self)) {
 			// Each is queried only if none before it answers.
 			// eslint-disable-next-line no-await-in-loop
 			const listReadAt = await this.#readPeerListReadAt(address);
@@ -279,11 +284,10 @@
 		}
 
 		const sentAt = readClock();
-		const answer = await sendPeerQuery(
-			address,
-			{version: Number.MAX_SAFE_INTEGER, listAgeMs: 0},
-			{linkDelayMs: readLinkDelayMs(), openSocket},
-		);
+		const answer = await sendPeerQuery(address, emptyQuery, {
+			linkDelayMs: readLinkDelayMs(),
+			openSocket,
+		});
 		if (answer.isErr() || answer.value.isStopping) {
 			return undefined;
 		}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -80,7 +80,7 @@
 	const limitControl: LimitControl = createLimitControl({
 		fleet,
 		self: settings.peerListen,
-		listPeers: () => shared.group.listPeers(),
+		listPeers: () => shared.known.listPeers(),
 		registry: recorder.registry,
 		...base,
 	});
@@ -96,7 +96,7 @@
 	const ownLink = new OwnLink({recorder, lifeCycle, logger, readClock});
 	const {ledger, crashGuard, memory} = createCrashControl({
 		store,
-		listMembers: () => shared.group.listPeers(),
+		listMembers: () => shared.known.listPeers(),
 		self: settings.peerListen,
 		isWriter: () => shared.group.isLeader,
 		recorder,
@@ -121,6 +121,7 @@
 	const publisher = await startPeerServer({
 		address: settings.peerListen,
 		readState,
+		onPing: shared.recordPing,
 		onGroupFence(fence) {
 			group.recordPeerFence(fence);
 		},
--- a/packages/bramleystage-gateway/src/peer-exchange.ts
+++ b/packages/bramleystage-gateway/src/peer-exchange.ts
@@ -73,6 +73,12 @@
 	};
 };
 
+/** A query that asks for nothing but whether a gateway serves. */
+export const emptyQuery: PeerQuery = {
+	version: Number.MAX_SAFE_INTEGER,
+	listAgeMs: 0,
+};
+
 /** Time without a byte after which a query has failed, in milliseconds; peers are within a region. */
 const maxSilenceMs = 400;
 /** Time after which an answer under way must be worth waiting for, in milliseconds: a change is in force by then. */
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -50,9 +50,11 @@
 export type PeerLinkOptions = {
 	/** `host:port`. */
 	readonly address: string;
+	/** Returns `host:port` at which other gateways reach this one; undefined if it is stopping. */
+	readonly findSender?: () => string | undefined;
 	readonly logger: Logger;
 	readonly readClock: () => number;
-	readonly onUpdate: (state: PeerState) => void;
+	readonly onUpdate: (state: PeerState, address: string) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
 	/** Returns the fence of the group's state that this gateway knows. */
@@ -138,7 +140,7 @@
 			}
 
 			this.state = applyPeerUpdate(this.state, update.value);
-			options.onUpdate(this.state);
+			options.onUpdate(this.state, address);
 		});
 		this.#lifeCycle.registerInterval(pingIntervalMs, () => {
 			const contact = {
@@ -194,6 +196,7 @@
 			this.#socket.write(
 				encodeValueFrame({
 					beatAt,
+					sender: this.options.findSender?.(),
 					groupFence: this.options.readGroupFence(),
 					crashNews: news,
 					limitNews: limitNews.news,
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -15,9 +15,11 @@
 const selectIntervalMs = 200;
 
 export type PeerLinksOptions = {
+	/** Returns `host:port` at which other gateways reach this one; undefined if it is stopping. */
+	readonly findSender?: () => string | undefined;
 	/** Returns the addresses of the other gateways, sorted. */
 	readonly listPeers: () => readonly string[];
-	readonly onUpdate: (state: PeerState) => void;
+	readonly onUpdate: (state: PeerState, address: string) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
 	/** Returns the fence of the group's state that this gateway knows. */
--- a/packages/bramleystage-gateway/src/peer-publisher.ts
+++ b/packages/bramleystage-gateway/src/peer-publisher.ts
@@ -24,6 +24,8 @@
 
 export type PeerPublisherOptions = {
 	readonly readState: () => GatewayState;
+	/** Receives the address of a follower that has sent a ping. */
+	readonly onPing?: (sender: string) => void;
 	/** Receives the fence of the group's state that a follower knows. */
 	readonly onGroupFence: (fence: number) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
@@ -39,7 +41,7 @@
 	/** Records a follower's ping and sends it an update. */
 	acceptPing(
 		socket: Socket,
-		{beatAt, groupFence, crashNews, limitNews}: Ping,
+		{beatAt, sender, groupFence, crashNews, limitNews}: Ping,
 	): void {
 		const ping = {beatAt, arrivedAt: this.options.readClock()};
 		if (crashNews) {
@@ -49,6 +51,10 @@
 			});
 		}
 
+		if (sender !== undefined) {
+			this.options.onPing?.(sender);
+		}
+
 		if (groupFence !== undefined) {
 			this.options.onGroupFence(groupFence);
 		}
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -34,6 +34,8 @@
 export const pingSchema = z.object({
 	/** Follower's steady-clock time when it sent this ping, in milliseconds. */
 	beatAt: z.number(),
+	/** `host:port` at which other gateways reach the follower; absent from gateways of older builds. */
+	sender: z.string().optional(),
 	/** Fence of the group's state that the follower knows; absent if none. */
 	groupFence: z.number().optional(),
 	/** Crash evidence that the follower has not sent before. */
@@ -51,6 +53,8 @@
 	reader: z.string().nullable(),
 	/** Members of the gateways' group, if they changed since the last update. */
 	group: z.object({fence: z.number(), members: z.array(z.string())}).nullable(),
+	/** Gateways that it knows, if they changed since the last update. */
+	known: z.array(z.string()).readonly().optional(),
 	/** Version of the newest configuration; -1 if none is known. */
 	version: z.int(),
 	/** Time since the configuration was read from the store, in milliseconds; null if never. */
@@ -82,7 +86,7 @@
 };
 
 /** What was sent to a follower before. */
-export type SentState = Pick<GatewayState, 'backends' | 'group'>;
+export type SentState = Pick<GatewayState, 'backends' | 'group' | 'known'>;
 
 /** What a gateway knows from the store; times are in milliseconds of its steady clock. */
 export type GatewayState = {
@@ -94,6 +98,8 @@
 	readonly reader?: string;
 	/** Absent before the group was read. */
 	readonly group?: GroupState;
+	/** `host:port` of each gateway that it knows; the same array as before unless they change. */
+	readonly known?: readonly string[];
 	readonly version: number;
 	/** Time as of which the configuration is known. */
 	readonly configurationReadAt: number;
@@ -122,6 +128,7 @@
 			group && group.fence !== lastSent.group?.fence
 				? {...group, members: [...group.members]}
 				: null,
+		...(state.known !== lastSent.known && {known: state.known}),
 		version: state.version,
 		configurationAgeMs: computeAge(now, state.configurationReadAt),
 		listAgeMs: computeAge(now, state.listReadAt),
@@ -183,6 +190,7 @@
 		...(update.storeEra !== null && {storeEra: update.storeEra}),
 		...(update.reader !== null && {reader: update.reader}),
 		group: update.group ?? state.group,
+		known: update.known ?? state.known,
 		version: update.version,
 		configurationReadAt: toReadAt(update.configurationAgeMs),
 		listReadAt: toReadAt(update.listAgeMs),
--- a/packages/bramleystage-gateway/src/shared-state.ts
+++ b/packages/bramleystage-gateway/src/shared-state.ts
@@ -14,7 +14,9 @@
 import type {CrashLedger} from './crash-ledger.js';
 import type {Fleet} from './fleet.js';
 import {GatewayGroup} from './gateway-group.js';
+import {KnownMembers} from './known-members.js';
 import type {LimitWatch} from './limit-watch.js';
+import {emptyQuery, sendPeerQuery} from './peer-exchange.js';
 import {PeerLinks} from './peer-links.js';
 import {computeOwnReadAgeMs} from './peer-selection.js';
 import {PeerSync} from './peer-sync.js';
@@ -48,10 +50,13 @@
 };
 
 export type SharedState = {
+	readonly known: KnownMembers;
 	readonly peerLinks: PeerLinks;
 	readonly group: GatewayGroup;
 	readonly peerSync: PeerSync;
 	readonly configurations: ConfigurationFollower['configurations'];
+	/** Records that a gateway has sent a ping. */
+	readonly recordPing: (sender: string) => void;
 	/** Reads the state that is sent to followers. */
 	readonly readState: () => GatewayState;
 };
@@ -69,9 +74,33 @@
 	...base
 }: SharedStateOptions): SharedState {
 	const {logger, readClock} = base;
+	const {peerListen: self, seeds} = settings;
+	const known = new KnownMembers({
+		self,
+		seeds,
+		async checkMember(address) {
+			const answer = await sendPeerQuery(address, emptyQuery, {
+				linkDelayMs: base.readLinkDelayMs(),
+				openSocket: base.openSocket,
+			});
+			return answer.match(
+				({isStopping}) => (isStopping ? 'stopping' : 'serves'),
+				() => 'none',
+			);
+		},
+		...base,
+	});
+	known.registerChecks(base.lifeCycle);
 	const peerLinks: PeerLinks = new PeerLinks({
-		listPeers: () => group.listPeers(),
-		onUpdate(state) {
+		findSender: () => (findBackAt() === undefined ? self : undefined),
+		listPeers: () => known.listPeers(),
+		onUpdate(state, address) {
+			const now = readClock();
+			if (state.backAt === undefined) {
+				known.recordContact(address, now);
+			}
+
+			known.recordTold(state.known ?? [], now);
 			peerSync.acceptUpdate(state);
 			group.applyPeerGroup();
 		},
@@ -83,11 +112,11 @@
 	});
 	const contact = new StoreContact();
 	const isInformedByPeer = () =>
-		peerLinks.hasPublisher(settings.peerListen, contact.isLost(readClock()));
+		peerLinks.hasPublisher(self, contact.isLost(readClock()));
 	const group: GatewayGroup = new GatewayGroup({
 		store,
-		self: settings.peerListen,
-		seeds: settings.seeds,
+		self,
+		known,
 		memberMs: settings.memberMs,
 		windowMs: settings.retryWindowMs,
 		isStoreUnreachable: () => peerLinks.isStoreUnreachable,
@@ -114,24 +143,29 @@
 	const peerSync: PeerSync = new PeerSync({
 		follower,
 		fleet,
-		listPeers: () => group.listPeers(),
+		listPeers: () => known.listPeers(),
 		isStopping: () => findBackAt() !== undefined,
 		...base,
 	});
 	return {
+		known,
 		peerLinks,
 		group,
 		peerSync,
 		configurations,
+		recordPing(sender) {
+			known.recordContact(sender, readClock());
+		},
 		readState() {
 			const backAt = findBackAt();
 			return {
 				...(backAt !== undefined && {backAt}),
 				storeEra: fleet.storeEra,
 				...(fleet.hasBackends && {
-					reader: fleet.reader ?? settings.peerListen,
+					reader: fleet.reader ?? self,
 				}),
 				group: group.state,
+				known: known.confirmed.value,
 				version: configurations.value?.version ?? -1,
 				configurationReadAt: follower.readAt(),
 				listReadAt: fleet.readAt,
