Ask peers sooner for a version that the store does not give

Cause: time limits that add up. A gateway that hears of a version waited for its silent call (650 to 1,200 ms) before it asked peers, and then asked them in turn, 400 ms for each one without power.

--- a/packages/bramleystage-check/src/state-cases.ts
+++ b/packages/bramleystage-check/src/state-cases.ts
@@ -9,9 +9,17 @@
 /** Time from the first start to the first change, in milliseconds. */
 export const trafficFromMs = 6000;
 
+/** Time in which a change must be in force at small sites and at all others, in milliseconds. */
+const smallInForceMs = 2000;
+const inForceMs = 3000;
+/** Gateways of a small site. */
+const maxSmallGateways = 8;
+
 export type StateCase = {
 	readonly seed: number;
 	readonly gateways: number;
+	/** Time in which a change must be in force, in milliseconds. */
+	readonly inForceMs: number;
 	/** Time between two versions, in milliseconds. */
 	readonly changeIntervalMs: number;
 	/** Longest transfer of a version, in milliseconds. */
@@ -45,6 +53,7 @@
 	return {
 		seed,
 		gateways,
+		inForceMs: gateways <= maxSmallGateways ? smallInForceMs : inForceMs,
 		changeIntervalMs: 300 + draw() * 2000,
 		maxTransferMs: draw() < 0.3 ? 500 : 20,
 		troubles: drawTroubles(draw, {
@@ -74,6 +83,7 @@
 	return {
 		seed,
 		gateways: 5,
+		inForceMs: smallInForceMs,
 		changeIntervalMs: 600,
 		maxTransferMs: 30,
 		troubles: [
--- a/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
@@ -297,3 +297,28 @@
 
 	expect(takeCall().name).toBe('load');
 });
+
+// Guards against a gateway that waits for a silent store although a peer has the version.
+test('peers are needed soon if the store does not give an announced version', async () => {
+	await takeCall().answer(buildRead(1, 3));
+	takeCall();
+	follower.acceptVersion(2, performance.now(), '10.0.0.2:1');
+	expect(follower.needsPeers()).toBe(false);
+	expect(follower.findAnnouncer()).toBe('10.0.0.2:1');
+	await vi.advanceTimersByTimeAsync(350);
+	expect(follower.needsPeers()).toBe(true);
+});
+
+test('a load without a byte makes peers unnecessary only for a short time', async () => {
+	readMaxAgeMs = 5000;
+	await takeCall().answer(buildRead(1, 3));
+	follower.acceptVersion(2, performance.now());
+	await settle();
+	const call = takeCall();
+	await vi.advanceTimersByTimeAsync(350);
+	expect(follower.needsPeers()).toBe(true);
+	call.arrive();
+	expect(follower.needsPeers()).toBe(false);
+	await call.answer(buildRead(2, 4));
+	expect(follower.findAnnouncer()).toBeUndefined();
+});
--- a/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-peer.ts
@@ -118,6 +118,7 @@
 		needsPeers: () => follower.announced > readVersion(),
 		isLoading: () => follower.isStoreLoading,
 		acceptVersion: () => undefined,
+		findAnnouncer: () => undefined,
 		acceptConfiguration(configuration) {
 			follower.accepted.push(configuration.version);
 			if (configuration.version > readVersion()) {
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -36,6 +36,8 @@
 const announcedWaitMs = 150;
 /** Time for which a load from the store makes peers unnecessary, in milliseconds: after it a peer can still bring a change into force in time. */
 const loadGraceMs = 2000;
+/** Time for which a version that was announced, or a load without a byte, makes peers unnecessary, in milliseconds: the store responds within a few. */
+const silentGraceMs = 300;
 
 export type ConfigurationFollower = {
 	readonly configurations: BehaviorSubject<RoutingConfiguration | undefined>;
@@ -48,7 +50,13 @@
 	/** Applies a peer's configuration if it is newer. */
 	readonly acceptConfiguration: (configuration: RoutingConfiguration) => void;
 	/** Records a peer's version and the steady-clock time as of which the peer read it. */
-	readonly acceptVersion: (version: number, readAt: number) => void;
+	readonly acceptVersion: (
+		version: number,
+		readAt: number,
+		announcer?: string,
+	) => void;
+	/** Returns the address of the peer that announced a version that is not in force here; undefined if there is none. */
+	readonly findAnnouncer: () => string | undefined;
 };
 
 export type ConfigurationFollowerOptions = {
@@ -93,6 +101,9 @@
 	let readAt = Number.NEGATIVE_INFINITY;
 	/** Newest version that a peer has announced. */
 	let announced = -1;
+	let announcer: string | undefined;
+	/** When it was announced; steady-clock time in milliseconds. */
+	let announcedAt = Number.NEGATIVE_INFINITY;
 	let isStoreLost = false;
 	const readVersion = () => configurations.value?.version ?? -1;
 	record.registerAge(() => readClock() - readAt);
@@ -131,10 +142,14 @@
 	let missedVersion = -1;
 	/** When the load under way began or, after a failed call, when its first bytes arrived; steady-clock time in milliseconds. */
 	let loadingSince: number | undefined;
+	/** Whether bytes of the answer under way have arrived. */
+	let hasArrived = false;
 	const isLoading = () =>
-		loadingSince !== undefined && readClock() - loadingSince < loadGraceMs;
+		loadingSince !== undefined &&
+		readClock() - loadingSince < (hasArrived ? loadGraceMs : silentGraceMs);
 	const recordArrival = () => {
 		loadingSince ??= readClock();
+		hasArrived = true;
 	};
 
 	/** Records a failed read; returns the delay until the next one, in milliseconds. */
@@ -168,6 +183,7 @@
 			startedAt,
 		);
 		const isFullRead = from === undefined;
+		hasArrived = false;
 		loadingSince =
 			(isFullRead || isBehind) && !isStoreLost ? startedAt : undefined;
 		const read = await (isFullRead
@@ -251,10 +267,15 @@
 		needsPeers: () =>
 			!isLoading() &&
 			announced > readVersion() &&
-			(isStoreLost || missedVersion > readVersion()),
-		acceptVersion(version, versionReadAt) {
+			(isStoreLost ||
+				missedVersion > readVersion() ||
+				readClock() - announcedAt >= silentGraceMs),
+		findAnnouncer: () => (announced > readVersion() ? announcer : undefined),
+		acceptVersion(version, versionReadAt, address) {
 			if (version > Math.max(announced, readVersion())) {
 				announced = version;
+				announcer = address;
+				announcedAt = readClock();
 				record.recordSign(version, readClock());
 				wake();
 			} else if (version === readVersion()) {
--- a/packages/bramleystage-gateway/src/peer-sync.ts
+++ b/packages/bramleystage-gateway/src/peer-sync.ts
@@ -18,6 +18,7 @@
 } from './peer-exchange.js';
 import type {OpenPeerSocket} from './peer-socket.js';
 import type {GatewayState} from './peer-update.js';
+import {QueryChoice} from './query-choice.js';
 
 /** How often it is checked whether peers are to be queried, in milliseconds. */
 const queryIntervalMs = 250;
@@ -43,16 +44,13 @@
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
 	readonly readClock: () => number;
-	/** Returns a number from 0 to below 1, for the first peer that is queried. */
+	/** Returns a number from 0 to below 1, for the choice of peers. */
 	readonly drawRandom?: () => number;
 	readonly openSocket?: OpenPeerSocket;
 };
 
 export class PeerSync {
-	/** Place of the first peer that is queried among all peers, 0 to 1: gateways that lose the store together do not all query the same one. */
-	readonly #firstPlace: number;
-	/** Number of queries for each subject; each peer is queried once before any is again. */
-	readonly #queryCounts: Record<Subject, number> = {configuration: 0, list: 0};
+	readonly #choices: Record<Subject, QueryChoice>;
 	/** Cancels the queries under way. */
 	readonly #rounds = new Map<Subject, AbortController>();
 	/** Time after which a configuration under way must be worth waiting for, in milliseconds; it doubles with each one that was not. */
@@ -60,7 +58,10 @@
 
 	constructor(private readonly options: PeerSyncOptions) {
 		const {follower, lifeCycle, readClock, drawRandom = Math.random} = options;
-		this.#firstPlace = drawRandom();
+		this.#choices = {
+			configuration: new QueryChoice(drawRandom),
+			list: new QueryChoice(drawRandom),
+		};
 		lifeCycle.registerInterval(queryIntervalMs, () => {
 			const now = readClock();
 			void this.#runRound('configuration', now);
@@ -101,20 +102,23 @@
 	}
 
 	/** Applies the state that a followed peer has sent. */
-	acceptUpdate({
-		storeEra,
-		reader,
-		version,
-		configurationReadAt,
-		listReadAt,
-		backends,
-	}: GatewayState) {
+	acceptUpdate(
+		{
+			storeEra,
+			reader,
+			version,
+			configurationReadAt,
+			listReadAt,
+			backends,
+		}: GatewayState,
+		address?: string,
+	) {
 		const {follower, fleet} = this.options;
 		if (storeEra !== undefined) {
 			fleet.recordStoreEra(storeEra);
 		}
 
-		follower.acceptVersion(version, configurationReadAt);
+		follower.acceptVersion(version, configurationReadAt, address);
 		// Two gateways that read the store right after each other would else each take the
 		// other's list, and neither would find itself informed.
 		const marginMs = fleet.reader === undefined ? minListLeadMs : 0;
@@ -147,10 +151,13 @@
 		const count = Math.min(peersPerRound, peers.length);
 		try {
 			for (let index = 0; index < count && isWanted(readClock()); index++) {
-				const first = Math.floor(this.#firstPlace * peers.length);
+				const announcer =
+					subject === 'configuration' && index === 0
+						? follower.findAnnouncer()
+						: undefined;
 				const address =
-					peers[(first + this.#queryCounts[subject]) % peers.length] ?? '';
-				this.#queryCounts[subject]++;
+					this.#choices[subject].choosePeer(peers, announcer, readClock()) ??
+					'';
 				// One peer is queried at a time.
 				// eslint-disable-next-line no-await-in-loop
 				const isDone = await this.#queryPeer(
@@ -190,6 +197,10 @@
 			return true;
 		}
 
+		if (answer.error.arrivedBytes === 0) {
+			this.#choices[subject].recordSilence(address, this.options.readClock());
+		}
+
 		if (subject === 'configuration' && answer.error.isTooSlow) {
 			this.#configurationSpanMs = Math.min(maxAnswerSpanMs, 2 * spanMs);
 		}
--- a/packages/bramleystage-gateway/src/shared-state.ts
+++ b/packages/bramleystage-gateway/src/shared-state.ts
@@ -101,7 +101,7 @@
 			}
 
 			known.recordTold(state.known ?? [], now);
-			peerSync.acceptUpdate(state);
+			peerSync.acceptUpdate(state, address);
 			group.applyPeerGroup();
 		},
 		crashes,
