Count an empty answer of a poll as of the end of its wait

After a pause of the process or over a slow link, an empty answer counted as of its arrival, so that followers held back their own reads for up to 1.1 s more than they may. The store writes an empty answer when the wait ends; that is the latest time it proves. The new test of configuration-follower.test.ts fails without the change (2,500 ms instead of 700).

--- a/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
@@ -322,3 +322,13 @@
 	await call.answer(buildRead(2, 4));
 	expect(follower.findAnnouncer()).toBeUndefined();
 });
+
+// Guards against knowledge that looks new after a pause or a slow link.
+test('an empty answer of a poll is as old as the end of its wait', async () => {
+	await takeCall().answer(buildRead(1, 3));
+	const startedAt = performance.now();
+	const poll = takeCall();
+	await vi.advanceTimersByTimeAsync(2500);
+	await poll.answer(buildEmptyRead(3));
+	expect(follower.readAt()).toBe(startedAt + 700);
+});
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -183,25 +183,25 @@
 			startedAt,
 		);
 		const isFullRead = from === undefined;
+		const waitMs = isBehind ? announcedWaitMs : pollTimeoutMs;
 		hasArrived = false;
 		loadingSince =
 			(isFullRead || isBehind) && !isStoreLost ? startedAt : undefined;
 		const read = await (isFullRead
 			? store.loadConfiguration(recordArrival)
-			: store.awaitConfiguration(
-					from.next,
-					isBehind ? announcedWaitMs : pollTimeoutMs,
-					recordArrival,
-				));
+			: store.awaitConfiguration(from.next, waitMs, recordArrival));
 		const arrivedAt = loadingSince;
 		loadingSince = undefined;
 		if (read.isErr()) {
 			return handleFailure(read.error);
 		}
 
-		// A page with a configuration may have taken long; newer versions may have come meanwhile.
-		const pageReadAt = read.value.configuration && arrivedAt;
-		const readSince = isFullRead ? startedAt : (pageReadAt ?? readClock());
+		// Newer versions may have come while an answer was under way: one without a
+		// configuration was written at the end of the wait.
+		const writtenAt = read.value.configuration
+			? (arrivedAt ?? startedAt)
+			: Math.min(readClock(), startedAt + waitMs);
+		const readSince = isFullRead ? startedAt : writtenAt;
 		const origin: Origin = {
 			source: isFullRead ? 'load' : 'poll',
 			readBefore: readAt,
