Refuse addresses of peers to which no connection can be opened

A ping or an update with a member, a known gateway or a sender that is no host:port would end the process that opens a connection to it (Node throws for the port); only a faulty peer sends one.

--- a/packages/bramleystage-gateway/src/__tests__/known-members.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/known-members.test.ts
@@ -2,6 +2,7 @@
 import {LifeCycle} from 'bramleystage';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {KnownMembers, type MemberAnswer} from '../known-members.js';
+import {buildPeerUpdate, peerUpdateSchema, pingSchema} from '../peer-update.js';
 import {silentLogger} from './slow-peer.js';
 
 const self = '10.0.0.3:1';
@@ -102,3 +103,33 @@
 	expect(known.confirmed.value).toHaveLength(others.length);
 	expect(checks.length / 100).toBeLessThan(5);
 });
+
+// Guards against an address that ends the process when a connection to it is opened.
+test.each(['', 'host', ':80', 'host:', 'host:0', 'host:65536', 'host:1.5'])(
+	'a ping, members or known gateways with the address %j are refused',
+	(address) => {
+		const update = buildPeerUpdate(
+			{
+				version: 1,
+				configurationReadAt: 0,
+				listReadAt: 0,
+				backends: new Map(),
+				group: {fence: 1, members: [first]},
+				known: [first],
+			},
+			{backends: new Map()},
+			{beatAt: 0, arrivedAt: 0},
+			0,
+		);
+		const group = {fence: 1, members: [address]};
+		expect(pingSchema.safeParse({beatAt: 1, sender: first}).success).toBe(true);
+		expect(peerUpdateSchema.safeParse(update).success).toBe(true);
+		for (const result of [
+			pingSchema.safeParse({beatAt: 1, sender: address}),
+			peerUpdateSchema.safeParse({...update, known: [address]}),
+			peerUpdateSchema.safeParse({...update, group}),
+		]) {
+			expect(result.success).toBe(false);
+		}
+	},
+);
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -10,12 +10,21 @@
 	type BackendsSnapshot,
 	dataCentreIdSchema,
 	modelNameSchema,
+	parseAddress,
 	serviceNameSchema,
 } from 'bramleystage';
 import * as z from 'zod';
 import {crashNewsSchema} from './crash-exchange.js';
 import {limitNewsSchema} from './permit-messages.js';
 
+const maxPort = 65_535;
+
+/** `host:port` to which a connection can be opened. */
+const addressSchema = z.string().refine((address) => {
+	const {host, port} = parseAddress(address);
+	return host !== '' && Number.isInteger(port) && port > 0 && port <= maxPort;
+}, 'Not host:port.');
+
 const layersSchema = z.object({from: z.int(), to: z.int()});
 
 export const backendSchema = z.object({
@@ -35,7 +44,7 @@
 	/** Follower's steady-clock time when it sent this ping, in milliseconds. */
 	beatAt: z.number(),
 	/** `host:port` at which other gateways reach the follower; absent from gateways of older builds. */
-	sender: z.string().optional(),
+	sender: addressSchema.optional(),
 	/** Fence of the group's state that the follower knows; absent if none. */
 	groupFence: z.number().optional(),
 	/** Crash evidence that the follower has not sent before. */
@@ -52,9 +61,11 @@
 	/** Gateway that read the list from the store; null if the list was never read. */
 	reader: z.string().nullable(),
 	/** Members of the gateways' group, if they changed since the last update. */
-	group: z.object({fence: z.number(), members: z.array(z.string())}).nullable(),
+	group: z
+		.object({fence: z.number(), members: z.array(addressSchema)})
+		.nullable(),
 	/** Gateways that it knows, if they changed since the last update. */
-	known: z.array(z.string()).readonly().optional(),
+	known: z.array(addressSchema).readonly().optional(),
 	/** Version of the newest configuration; -1 if none is known. */
 	version: z.int(),
 	/** Time since the configuration was read from the store, in milliseconds; null if never. */
