--- a/packages/bramleystage-gateway/src/known-members.ts
+++ b/packages/bramleystage-gateway/src/known-members.ts
@@ -99,15 +99,19 @@
 
 	/** Records the gateways that a peer knows. */
 	recordTold(addresses: readonly string[], now: number): void {
-		for (const address of addresses) {
+		const added = addresses.filter((address) => {
 			const deadAt = this.#deadAt.get(address);
 			const isDead = deadAt !== undefined && now - deadAt < deadMs;
-			if (!isDead && !this.#members.has(address)) {
-				this.#members.set(address, toldMember);
-			}
+			return !isDead && !this.#members.has(address);
+		});
+		for (const address of added) {
+			this.#deadAt.delete(address);
+			this.#members.set(address, toldMember);
 		}
 
-		this.#update();
+		if (added.length > 0) {
+			this.#update();
+		}
 	}
 
 	/** Records that a gateway has sent something and does not stop. */
