Count the delay of each version from its own first sign

A version that was announced before an earlier one was in force lost its sign with that one, so that its delay was logged as 0.

--- a/packages/bramleystage-gateway/src/configuration-record.ts
+++ b/packages/bramleystage-gateway/src/configuration-record.ts
@@ -14,8 +14,8 @@
 export class ConfigurationRecord {
 	readonly #delays: Histogram;
 	readonly #version: Gauge;
-	/** First sign of a version that is not in force yet; steady-clock time in milliseconds. */
-	#sign: {readonly version: number; readonly at: number} | undefined;
+	/** First sign of each version that is not in force yet; steady-clock times in milliseconds. */
+	readonly #signs = new Map<number, number>();
 	#failedCalls = 0;
 
 	constructor(
@@ -50,7 +50,9 @@
 
 	/** Records that a version newer than the one in force was announced, or that bytes of one arrived. */
 	recordSign(version: number, now: number): void {
-		this.#sign ??= {version, at: now};
+		if (!this.#signs.has(version)) {
+			this.#signs.set(version, now);
+		}
 	}
 
 	/** Records that a call of the store failed. */
@@ -73,7 +75,7 @@
 		},
 		now: number,
 	): void {
-		const delayMs = now - (this.#sign?.at ?? now);
+		const delayMs = now - (this.#signs.get(version) ?? now);
 		this.#delays.observe({source}, delayMs / secondMs);
 		this.#version.set(version);
 		this.logger.info('configuration.applied', {
@@ -88,8 +90,10 @@
 			failed_calls: this.#failedCalls,
 		});
 		this.#failedCalls = 0;
-		if (this.#sign && this.#sign.version <= version) {
-			this.#sign = undefined;
+		for (const signed of this.#signs.keys()) {
+			if (signed <= version) {
+				this.#signs.delete(signed);
+			}
 		}
 	}
 }
