--- a/packages/bramleystage-check/src/__tests__/shared-state.test.ts
+++ b/packages/bramleystage-check/src/__tests__/shared-state.test.ts
@@ -1,6 +1,11 @@
 /** Gateways that follow the configuration while the store, links and other gateways fail. */
 import {expect, test, vi} from 'vitest';
-import {drawIslandCase, drawStateCase} from '../state-cases.js';
+import {
+	drawIslandCase,
+	drawSingleFailureCase,
+	drawStateCase,
+	singleFailures,
+} from '../state-cases.js';
 import {listCaseSeeds, listStateViolations} from '../state-check.js';
 
 // A case takes its time from the machine, not from the simulated clock.
@@ -38,3 +43,14 @@
 	const cases = listCaseSeeds(1, 25).map((each) => drawIslandCase(each));
 	expect(await listStateViolations(cases)).toEqual([]);
 });
+
+// Guards against a time limit that grows and makes each failure last longer for callers.
+test.each(singleFailures)(
+	'beside one failure a version is in force within the sum of its limits: $name',
+	async (failure) => {
+		const cases = listCaseSeeds(7, 40).map((each) =>
+			drawSingleFailureCase(each, failure),
+		);
+		expect(await listStateViolations(cases)).toEqual([]);
+	},
+);
--- a/packages/bramleystage-check/src/state-cases.ts
+++ b/packages/bramleystage-check/src/state-cases.ts
@@ -104,3 +104,59 @@
 		endMs: 30_000,
 	};
 }
+
+/**
+ * Single failures and the time in which a version must be in force beside each, in
+ * milliseconds (docs/CONFIGURATION.md), with what a transfer may take on top.
+ */
+export const singleFailures = [
+	{
+		name: 'a gateway that others inform loses the store',
+		kind: 'refuse',
+		target: 4,
+		inForceMs: 560,
+	},
+	{
+		name: 'the gateway that informs the others loses power',
+		kind: 'powerLoss',
+		target: 0,
+		inForceMs: 1110,
+	},
+	{
+		name: 'the gateway that informs the others loses the store',
+		kind: 'refuse',
+		target: 0,
+		inForceMs: 1670,
+	},
+] as const;
+
+const maxSingleTransferMs = 20;
+/** What the delays of links and the intervals of checks add, in milliseconds. */
+const singleSlackMs = 60;
+
+/** Draws a case with one failure in a group of five. */
+export function drawSingleFailureCase(
+	seed: number,
+	{kind, target, inForceMs}: (typeof singleFailures)[number],
+): StateCase {
+	const draw = createDraw(seed);
+	const refusals = ['busy', 'reset', 'silent'] as const;
+	return {
+		seed,
+		gateways: 5,
+		inForceMs: inForceMs + singleSlackMs,
+		changeIntervalMs: 700 + draw() * 2000,
+		maxTransferMs: maxSingleTransferMs,
+		troubles: [
+			{
+				kind,
+				at: trafficFromMs + 1000 + draw() * 3000,
+				forMs: 7000,
+				targets: [target],
+				refusal: refusals[Math.floor(draw() * refusals.length)]!,
+				direction: 'both',
+			},
+		],
+		endMs: 20_000,
+	};
+}
