--- a/packages/bramleystage-bench/src/decide-bench.ts
+++ b/packages/bramleystage-bench/src/decide-bench.ts
@@ -8,11 +8,11 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {Router} from 'bramleystage-entry';
+import {VirtualClock} from 'bramleystage-stand-ins';
 import {benchLayers, createFleet, nearLinkLatency} from './bench-fleet.js';
 import type {BenchFlags} from './benches.js';
 import {createDrawIndex} from './throughput-bench.js';
 import {benchModel, SimulatedSite} from './simulated-site.js';
-import {VirtualClock} from './virtual-clock.js';
 
 const sizes = [40, 400, 3700];
 const measuredBatches = 600;
--- a/packages/bramleystage-bench/src/demand.ts
+++ b/packages/bramleystage-bench/src/demand.ts
@@ -11,9 +11,9 @@
 	toCustomerId,
 } from 'bramleystage';
 import {Router} from 'bramleystage-entry';
+import type {VirtualClock} from 'bramleystage-stand-ins';
 import {benchLayers} from './bench-fleet.js';
 import {benchModel, type SimulatedSite} from './simulated-site.js';
-import type {VirtualClock} from './virtual-clock.js';
 
 export type Shape = {
 	readonly promptTokens: number;
--- a/packages/bramleystage-bench/src/fairness-bench.ts
+++ b/packages/bramleystage-bench/src/fairness-bench.ts
@@ -5,12 +5,12 @@
  * weighted max-min shares of the total throughput.
  */
 import {createRandom} from 'bramleystage';
+import {VirtualClock} from 'bramleystage-stand-ins';
 import {createFleet, nearLinkLatency} from './bench-fleet.js';
 import type {BenchFlags} from './benches.js';
 import {type Demand, startDemand, type Shape} from './demand.js';
 import {computeFleetBound} from './overload-bench.js';
 import {SimulatedSite} from './simulated-site.js';
-import {VirtualClock} from './virtual-clock.js';
 
 const weights = [1, 1, 2, 3, 5, 8, 12, 20, 30, 50];
 /** Indexes of the customers that request ten times their share of half the bound. */
--- a/packages/bramleystage-bench/src/index.ts
+++ b/packages/bramleystage-bench/src/index.ts
@@ -112,4 +112,3 @@
 	type SimulatedRequest,
 	SimulatedSite,
 } from './simulated-site.js';
-export {VirtualClock} from './virtual-clock.js';
--- a/packages/bramleystage-bench/src/limit-simulation.ts
+++ b/packages/bramleystage-bench/src/limit-simulation.ts
@@ -21,7 +21,7 @@
 	toIncarnation,
 	toLogOffset,
 } from 'bramleystage';
-import {VirtualClock} from './virtual-clock.js';
+import {VirtualClock} from 'bramleystage-stand-ins';
 
 const tickMs = 50;
 const logPollMs = 100;
--- a/packages/bramleystage-bench/src/overload-bench.ts
+++ b/packages/bramleystage-bench/src/overload-bench.ts
@@ -4,6 +4,7 @@
  * has one customer burst while the others stay below their shares.
  */
 import {createRandom} from 'bramleystage';
+import {VirtualClock} from 'bramleystage-stand-ins';
 import {benchLayers, createFleet, nearLinkLatency} from './bench-fleet.js';
 import type {BenchFlags} from './benches.js';
 import {
@@ -15,7 +16,6 @@
 } from './demand.js';
 import {computeTokenBound} from './engine-bound.js';
 import {SimulatedSite} from './simulated-site.js';
-import {VirtualClock} from './virtual-clock.js';
 
 export const overloadShapes: readonly Shape[] = [
 	{promptTokens: 8, answerTokens: 24},
--- a/packages/bramleystage-bench/src/simulated-engine.ts
+++ b/packages/bramleystage-bench/src/simulated-engine.ts
@@ -3,8 +3,11 @@
  * stand-in engine, a batch costs a fixed time plus a time per layer-token (one
  * token run through one layer). Nothing is computed.
  */
-import {type AcceleratorKind, acceleratorKinds} from 'bramleystage-stand-ins';
-import type {VirtualClock} from './virtual-clock.js';
+import {
+	type AcceleratorKind,
+	acceleratorKinds,
+	type VirtualClock,
+} from 'bramleystage-stand-ins';
 
 export type SimulatedStep = {
 	readonly layerTokens: number;
--- a/packages/bramleystage-bench/src/simulated-site.ts
+++ b/packages/bramleystage-bench/src/simulated-site.ts
@@ -17,9 +17,8 @@
 	updateConnectedHost,
 	WorkScheduler,
 } from 'bramleystage';
-import type {AcceleratorKind} from 'bramleystage-stand-ins';
+import {type AcceleratorKind, type VirtualClock} from 'bramleystage-stand-ins';
 import {SimulatedEngine} from './simulated-engine.js';
-import type {VirtualClock} from './virtual-clock.js';
 
 export const benchModel = toModelName('bench-model');
 
--- a/packages/bramleystage-bench/src/throughput-bench.ts
+++ b/packages/bramleystage-bench/src/throughput-bench.ts
@@ -13,6 +13,7 @@
 	type StageCandidate,
 } from 'bramleystage';
 import {Router} from 'bramleystage-entry';
+import {VirtualClock} from 'bramleystage-stand-ins';
 import {benchLayers, createFleet, fleetLinkLatency} from './bench-fleet.js';
 import type {BenchFlags} from './benches.js';
 import {computeTokenBound} from './engine-bound.js';
@@ -22,7 +23,6 @@
 	siteDeployment,
 } from './site-throughput.js';
 import {benchModel, type EngineSpec, SimulatedSite} from './simulated-site.js';
-import {VirtualClock} from './virtual-clock.js';
 
 type Shape = {readonly promptTokens: number; readonly answerTokens: number};
 type Choose = (shape: Shape, now: number) => readonly Stage[];
--- a/packages/bramleystage-check/src/call-history-agent.ts
+++ b/packages/bramleystage-check/src/call-history-agent.ts
@@ -18,9 +18,9 @@
 	toIncarnation,
 	updateSessionFence,
 } from 'bramleystage';
+import type {VirtualClock} from 'bramleystage-stand-ins';
 import type {DrawNumber} from './call-history-channel.js';
 import type {RequestMechanisms} from './request-mechanisms.js';
-import type {VirtualTime} from './virtual-time.js';
 
 /** Calls that the backend server runs concurrently. */
 const maxRunningCalls = 2;
@@ -34,7 +34,7 @@
 const lossProbability = 0.1;
 
 export type HistoryAgentOptions = {
-	readonly time: VirtualTime;
+	readonly time: VirtualClock;
 	readonly draw: DrawNumber;
 	readonly host: DispatchTarget['host'];
 	readonly mechanisms: RequestMechanisms;
--- a/packages/bramleystage-check/src/call-history-channel.ts
+++ b/packages/bramleystage-check/src/call-history-channel.ts
@@ -4,7 +4,7 @@
  * may stop delivering for good.
  */
 import {encodeFrame, FrameDecoder, type Message} from 'bramleystage';
-import type {VirtualTime} from './virtual-time.js';
+import type {VirtualClock} from 'bramleystage-stand-ins';
 
 /** Draws a number from 0 (inclusive) to 1 (exclusive). */
 export type DrawNumber = () => number;
@@ -19,7 +19,7 @@
 
 	constructor(
 		private readonly options: {
-			readonly time: VirtualTime;
+			readonly time: VirtualClock;
 			readonly draw: DrawNumber;
 			/**
 			 * Returns the time at which the receiver next reads: later than now
--- a/packages/bramleystage-check/src/call-history.ts
+++ b/packages/bramleystage-check/src/call-history.ts
@@ -21,6 +21,7 @@
 	toSessionNumber,
 } from 'bramleystage';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {VirtualClock} from 'bramleystage-stand-ins';
 import {HistoryAgent} from './call-history-agent.js';
 import {HistoryChannel} from './call-history-channel.js';
 import {
@@ -33,7 +34,6 @@
 	createMechanisms,
 	type RequestMechanisms,
 } from './request-mechanisms.js';
-import {VirtualTime} from './virtual-time.js';
 
 type HistorySession = {
 	readonly host: number;
@@ -55,7 +55,7 @@
 	script: CallScript,
 	mechanisms: RequestMechanisms = createMechanisms(undefined),
 ): string[] {
-	const time = new VirtualTime();
+	const time = new VirtualClock();
 	const generator = xoroshiro128plus(script.seed);
 	const draw = () => generator.next() / 2 ** 32 + 0.5;
 	const calls = new Map<RequestId, HistoryCall>();
@@ -286,6 +286,6 @@
 		});
 	}
 
-	time.run(historyEndMs);
+	time.runUntil(historyEndMs);
 	return [...calls.values()].flatMap((call) => checkCall(call));
 }
--- a/packages/bramleystage-check/src/simulated-host.ts
+++ b/packages/bramleystage-check/src/simulated-host.ts
@@ -3,7 +3,7 @@
  * process is paused and is dropped once the process has ended. While a simulation
  * runs, the global timers schedule tasks of the process whose task runs.
  */
-import {VirtualTime} from './virtual-time.js';
+import {VirtualClock} from 'bramleystage-stand-ins';
 
 /** One run of a process, from its start to its end. */
 export type SimulatedProcess = {
@@ -22,7 +22,7 @@
 const takeTurn = setImmediate;
 
 export class SimulatedHosts {
-	readonly time = new VirtualTime();
+	readonly time = new VirtualClock();
 	#current: SimulatedProcess | undefined;
 
 	get now(): number {
--- a/packages/bramleystage-check/src/stage-simulation.ts
+++ b/packages/bramleystage-check/src/stage-simulation.ts
@@ -30,12 +30,12 @@
 	type ConnectedHost,
 	toDataCentreId,
 } from 'bramleystage';
+import {VirtualClock} from 'bramleystage-stand-ins';
 import {
 	runEngineStep,
 	type SimulatedHost,
 	simulatedLayerCount,
 } from './simulated-engine.js';
-import {VirtualTime} from './virtual-time.js';
 
 /** A fault of the host with the index `host`, at a time in milliseconds. */
 export type StageFault = {
@@ -84,7 +84,7 @@
 const model = toModelName('model');
 
 export class StageSimulation {
-	readonly #clock = new VirtualTime();
+	readonly #clock = new VirtualClock();
 	readonly #hosts: SimulatedHost[];
 	/**
 	 * Number of the session between two processes: an integer while it is open,
@@ -129,7 +129,7 @@
 		}
 
 		this.#handleRunEvent({type: 'started'});
-		this.#clock.run(simulationEndMs);
+		this.#clock.runUntil(simulationEndMs);
 		return {
 			tokens: this.#tokens,
 			outcome: this.#outcome,
--- a/packages/bramleystage-stand-ins/src/index.ts
+++ b/packages/bramleystage-stand-ins/src/index.ts
@@ -69,3 +69,4 @@
 	vocabularySize,
 } from './reference-model.js';
 export {type ServiceOptions, startServiceStandIn} from './service.js';
+export {VirtualClock} from './virtual-clock.js';
--- a/packages/bramleystage-bench/src/virtual-clock.ts
+++ b/packages/bramleystage-stand-ins/src/virtual-clock.ts
@@ -4,7 +4,8 @@
 	readonly at: number;
 	/** Order of scheduling; decides between events of the same time. */
 	readonly sequence: number;
-	readonly callback: () => void;
+	/** Undefined once the event is cancelled. */
+	callback: (() => void) | undefined;
 };
 
 export class VirtualClock {
@@ -17,25 +18,44 @@
 		return this.#now;
 	}
 
-	/** Schedules a callback after a delay in milliseconds; negative delays count as 0. */
-	schedule(delayMs: number, callback: () => void): void {
+	/**
+	 * Schedules a callback after a delay in milliseconds; negative delays count as 0.
+	 * Returns a function that cancels it.
+	 */
+	schedule(delayMs: number, callback: () => void): () => void {
 		this.#sequence++;
-		this.#push({
+		const event: Event = {
 			at: this.#now + Math.max(0, delayMs),
 			sequence: this.#sequence,
 			callback,
-		});
+		};
+		this.#push(event);
+		return () => {
+			event.callback = undefined;
+		};
 	}
 
 	/** Runs all callbacks scheduled up to and including a time, in milliseconds, and advances the clock to it. */
 	runUntil(until: number): void {
+		while (this.runNext(until)) {
+			// The next callback runs.
+		}
+
+		this.#now = until;
+	}
+
+	/** Runs the next callback scheduled up to and including a time, in milliseconds; returns whether there was one. */
+	runNext(until: number): boolean {
 		while (this.#heap[0] && this.#heap[0].at <= until) {
 			const event = this.#pop();
-			this.#now = event.at;
-			event.callback();
+			if (event.callback) {
+				this.#now = event.at;
+				event.callback();
+				return true;
+			}
 		}
 
-		this.#now = until;
+		return false;
 	}
 
 	#push(event: Event): void {
