--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -484,6 +484,13 @@
 	removeConnectedHost,
 	updateConnectedHost,
 } from './state/hosts.js';
+export {
+	computeFleetFactor,
+	emptyServiceLoad,
+	type FleetLoad,
+	type PriorityRates,
+	type ServiceLoad,
+} from './state/fleet-load.js';
 export {LoadTracker, type LoadEstimate} from './state/load-tracker.js';
 export {
 	createModelRun,
