Measure demand per gateway and share it with pings and updates

Cause: fleet load was assumed to be a gateway's own work times the number of gateways, which is off severalfold where gateways carry 0.2 to 5 times the mean, and the expected answer was always half of the maximum.

Change: DemandMeter measures a gateway's own load per service, SenderSums and computeFleetLoad build the fleet's from what gateways send (optional field demand of pings and updates), answer-length combines hint, maximum and recent answers of the route. DemandWatch owns them in the gateway and offers readFleetLoad.

--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -30,6 +30,7 @@
 	type TroubleKind,
 } from './simulated-engines.js';
 import {noAdmission} from './no-admission.js';
+import {noDemand} from './no-demand.js';
 import {noLimits, noPermits} from './no-limits.js';
 import {stayingCaller} from './staying-caller.js';
 
@@ -220,6 +221,7 @@
 		permits: noPermits,
 		crashGuard,
 		admission: noAdmission,
+		demand: noDemand,
 		openAttempt: createOpenAttempt(
 			byAddress,
 			() => response.events.at(-1) ?? 0,
--- a/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/slow-connections.test.ts
@@ -29,6 +29,7 @@
 import {StreamRun, type StreamRunContext} from '../stream-run.js';
 import {modelService} from './model-service.js';
 import {noAdmission} from './no-admission.js';
+import {noDemand} from './no-demand.js';
 import {noLimits, noPermits} from './no-limits.js';
 import {stayingCaller} from './staying-caller.js';
 
@@ -169,6 +170,7 @@
 			readClock,
 		}),
 		admission: noAdmission,
+		demand: noDemand,
 		openAttempt: openTimedAttempt,
 		headers,
 		crashGuard: {
--- a/packages/bramleystage-gateway/src/call-admission.ts
+++ b/packages/bramleystage-gateway/src/call-admission.ts
@@ -40,6 +40,8 @@
 	ArrivalWatchOptions,
 	'measureUnreadMs' | 'waitForTurn' | 'waitForTime' | 'readClock'
 > & {
+	/** Learns that a call has arrived, whether or not it begins. */
+	readonly recordArrival?: (call: Call, now: number) => void;
 	readonly beginCall: (call: Call) => void;
 	readonly refuseCall: (call: Call, failure: Failure) => void;
 	/** Called each second in which calls were refused, with the state of each service. */
@@ -108,6 +110,7 @@
 	/** Lets a call begin as soon as its turn comes, or refuses it. */
 	add(call: Call, now: number): void {
 		this.arrivals.recordInput(now);
+		this.options.recordArrival?.(call, now);
 		this.#arrived.push(call);
 	}
 
--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -2,6 +2,7 @@
 import {createFailure, type Failure, ReturnSchedule} from 'bramleystage';
 import {CallAdmission, type CallAdmissionOptions} from './call-admission.js';
 import type {Call} from './call.js';
+import type {DemandWatch} from './demand-watch.js';
 import {writeErrorResponse} from './error-response.js';
 import type {OpenCalls} from './open-calls.js';
 import {PlainRun} from './plain-run.js';
@@ -10,6 +11,10 @@
 
 export type CallHandlerOptions = {
 	readonly context: Omit<StreamRunContext, 'admission'>;
+	readonly demand: Pick<
+		DemandWatch,
+		'recordAdmission' | 'recordArrival' | 'recordEnd'
+	>;
 	readonly retryBudget: Pick<RetryBudget, 'recordRequest'>;
 	readonly openCalls: Pick<OpenCalls, 'add' | 'recordEnd'>;
 	/** Finds the reason to refuse a call that might still be running when this process exits. */
@@ -20,7 +25,13 @@
 
 /** Creates what starts the run of a call, and tells the admission how it goes on. */
 function createCallHandler(
-	{context: base, retryBudget, openCalls, findDrainRefusal}: CallHandlerOptions,
+	{
+		context: base,
+		demand,
+		retryBudget,
+		openCalls,
+		findDrainRefusal,
+	}: CallHandlerOptions,
 	admission: CallAdmission,
 ): (call: Call) => void {
 	const {readClock} = base;
@@ -29,6 +40,7 @@
 		admission: {
 			recordDelay: admission.recordDelay.bind(admission),
 			recordEnd(call: Call) {
+				demand.recordEnd(call, readClock());
 				openCalls.recordEnd(call, readClock());
 				admission.recordEnd(call);
 			},
@@ -42,6 +54,7 @@
 			return;
 		}
 
+		demand.recordAdmission(call, readClock());
 		retryBudget.recordRequest(call.service.name);
 		const run = call.service.pipeline
 			? new StreamRun(call, context)
@@ -70,6 +83,9 @@
 	const admission: CallAdmission = new CallAdmission({
 		...options,
 		readClock,
+		recordArrival(call, now) {
+			options.demand.recordArrival(call, now);
+		},
 		beginCall(call) {
 			handleCall(call);
 		},
--- /dev/null
+++ b/packages/bramleystage-gateway/src/demand-codec.ts
@@ -0,0 +1,119 @@
+/**
+ * Compact form of load sums in pings and updates: one list of whole numbers for each service,
+ * as they are sent several times a second. Gateways of older builds send and read none.
+ */
+import {
+	type DemandSums,
+	type DemandTotal,
+	type PriorityRates,
+	type ServiceLoad,
+	serviceNameSchema,
+} from 'bramleystage';
+import * as z from 'zod';
+
+/** Rates are sent in hundredths a second: whole numbers take 1 to 5 bytes, others 9. */
+const rateScale = 100;
+/** Numbers before the rates, and numbers for each priority. */
+const headLength = 3;
+const priorityLength = 3;
+
+/**
+ * Load of each service: running requests, their tokens, the rate of ends, and for each
+ * priority its number and the rates of arrivals and admissions.
+ */
+const wireSumsSchema = z.record(
+	serviceNameSchema,
+	z.array(z.number().min(0)).min(headLength),
+);
+
+const wireTotalSchema = z.object({
+	/** Gateways that the total counts. */
+	gateways: z.int().min(1),
+	/** Gateways that have ended and are not counted; absent if none. */
+	ended: z.int().min(0).optional(),
+	/** Age of the oldest sums that are counted, in milliseconds. */
+	ageMs: z.number().min(0),
+	loads: wireSumsSchema,
+});
+
+export type WireSums = z.infer<typeof wireSumsSchema>;
+export type WireTotal = z.infer<typeof wireTotalSchema>;
+
+/** Reads a form of later builds as absent: the rest of the message matters more. */
+const toLenientSchema = <T>(schema: z.ZodType<T>) =>
+	z
+		.unknown()
+		.transform((value) => schema.safeParse(value).data)
+		.optional();
+
+export const pingDemandSchema = toLenientSchema(wireSumsSchema);
+export const updateDemandSchema = toLenientSchema(wireTotalSchema);
+
+const encodeRate = (rate: number) => Math.round(rate * rateScale);
+
+const encodeLoad = ({running, tokens, ends, rates}: ServiceLoad): number[] => [
+	Math.round(running),
+	Math.round(tokens),
+	encodeRate(ends),
+	...rates.flatMap(({priority, arrivals, admissions}) => [
+		priority,
+		encodeRate(arrivals),
+		encodeRate(admissions),
+	]),
+];
+
+function decodeLoad(numbers: readonly number[]): ServiceLoad {
+	const [running = 0, tokens = 0, ends = 0] = numbers;
+	const rates: PriorityRates[] = [];
+	for (
+		let start = headLength;
+		start + priorityLength <= numbers.length;
+		start += priorityLength
+	) {
+		const [priority = 0, arrivals = 0, admissions = 0] = numbers.slice(start);
+		rates.push({
+			priority,
+			arrivals: arrivals / rateScale,
+			admissions: admissions / rateScale,
+		});
+	}
+
+	return {running, tokens, ends: ends / rateScale, rates};
+}
+
+export const encodeSums = (sums: DemandSums): WireSums =>
+	Object.fromEntries(
+		[...sums].map(([service, load]) => [service, encodeLoad(load)]),
+	);
+
+export const decodeSums = (wire: WireSums): DemandSums =>
+	new Map(
+		Object.entries(wire).map(([service, numbers]) => [
+			serviceNameSchema.parse(service),
+			decodeLoad(numbers),
+		]),
+	);
+
+export const encodeTotal = ({
+	loads,
+	gateways,
+	ended,
+	ageMs,
+}: DemandTotal): WireTotal => ({
+	gateways,
+	...(ended > 0 && {ended}),
+	ageMs: Math.round(ageMs),
+	loads: encodeSums(loads),
+});
+
+export const decodeTotal = ({
+	loads,
+	gateways,
+	ended = 0,
+	ageMs,
+}: WireTotal): DemandTotal => ({
+	gateways,
+	ended,
+	ageMs,
+	loads: decodeSums(loads),
+});
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -8,6 +8,8 @@
 import {createCallAdmission} from './call-handler.js';
 import {listenForCallers} from './caller-server.js';
 import {createCrashControl} from './crash-control.js';
+import {registerDemandGauges} from './demand-gauges.js';
+import {DemandWatch} from './demand-watch.js';
 import {createEndCheck} from './end-check.js';
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
@@ -104,6 +106,11 @@
 		instances,
 		...base,
 	});
+	const demand = new DemandWatch({
+		countGateways: () => shared.group.size,
+		listTotals: () => shared.peerLinks.listTotals(),
+	});
+	registerDemandGauges(recorder.registry, demand, readClock);
 	const shared: SharedState = followSharedState({
 		settings,
 		store,
@@ -111,6 +118,7 @@
 		registry: recorder.registry,
 		crashes: ledger,
 		limits,
+		demand,
 		findBackAt: () => (drain.isStopping ? drain.backAt : undefined),
 		recordLinkEvent(event) {
 			ownLink.record(event);
@@ -131,6 +139,7 @@
 		crashes: ledger,
 		limits,
 		permits,
+		demand,
 		...base,
 	});
 	startPlacement({
@@ -164,6 +173,7 @@
 		instances,
 		limits,
 		permits,
+		demand,
 		crashGuard,
 		openAttempt: openTimedAttempt,
 		checkEnd: createEndCheck({instances, ...base}),
@@ -189,6 +199,7 @@
 		fleet.hasBackends;
 	const admission = createCallAdmission({
 		context,
+		demand,
 		retryBudget,
 		openCalls: drain.openCalls,
 		findDrainRefusal: (call) => drain.findRefusal(call),
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -7,6 +7,7 @@
 	type Logger,
 } from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
+import type {DemandWatch} from './demand-watch.js';
 import type {LimitWatch} from './limit-watch.js';
 import {checkValue, listenForFrames} from './peer-frames.js';
 import {openPeerSocket, type OpenPeerSocket} from './peer-socket.js';
@@ -57,6 +58,8 @@
 	readonly onUpdate: (state: PeerState, address: string) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
+	/** Builds the own load that is sent; absent if none is measured. */
+	readonly demand?: Pick<DemandWatch, 'buildSums'>;
 	/** Returns the fence of the group's state that this gateway knows. */
 	readonly readGroupFence: () => number | undefined;
 	/** Receives what the connection shows of the own link's delay. */
@@ -200,6 +203,7 @@
 					groupFence: this.options.readGroupFence(),
 					crashNews: news,
 					limitNews: limitNews.news,
+					demand: this.options.demand?.buildSums(beatAt),
 				}),
 			);
 		}
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -1,6 +1,7 @@
 /** The connections to the gateways that this one follows, and what they tell. */
-import type {LifeCycle, LinkEvent, Logger} from 'bramleystage';
+import type {LifeCycle, LinkEvent, Logger, TimedTotal} from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
+import type {DemandWatch} from './demand-watch.js';
 import type {LimitWatch} from './limit-watch.js';
 import {PeerLink} from './peer-link.js';
 import {
@@ -22,6 +23,8 @@
 	readonly onUpdate: (state: PeerState, address: string) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
+	/** Builds the own load that is sent to followed peers; absent if none is measured. */
+	readonly demand?: Pick<DemandWatch, 'buildSums'>;
 	/** Returns the fence of the group's state that this gateway knows. */
 	readonly readGroupFence: () => number | undefined;
 	/** Receives what the connections show of the own link's delay. */
@@ -105,6 +108,13 @@
 		return groups.toSorted((a, b) => b.fence - a.fence)[0];
 	}
 
+	/** Lists the totals of load that the followed peers have sent last. */
+	listTotals(): TimedTotal[] {
+		return [...this.#links.keys()].flatMap(
+			(address) => this.findPeerState(address)?.demand ?? [],
+		);
+	}
+
 	/** Finds the steady-clock time at which the first followed peer serves; in the past if one serves now. */
 	findServingAt(): number | undefined {
 		const times = [...this.#links.keys()].flatMap((address) => {
--- a/packages/bramleystage-gateway/src/peer-publisher.ts
+++ b/packages/bramleystage-gateway/src/peer-publisher.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {encodeValueFrame} from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
+import type {DemandWatch} from './demand-watch.js';
 import type {LimitWatch} from './limit-watch.js';
 import {
 	type Ping,
@@ -20,6 +21,10 @@
 	crashRevision: number;
 	/** Number of changes of servers' limits that were sent. */
 	limitChangeCount: number;
+	/** Its address; absent if it has sent none. */
+	sender?: string;
+	/** Whether its last ping had no address any more, as it stops. */
+	isStopping: boolean;
 };
 
 export type PeerPublisherOptions = {
@@ -30,6 +35,11 @@
 	readonly onGroupFence: (fence: number) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
+	/** Takes the load of followers and builds the total that is sent; absent if none is measured. */
+	readonly demand?: Pick<
+		DemandWatch,
+		'acceptSums' | 'buildTotal' | 'recordSenderEnd'
+	>;
 	readonly readClock: () => number;
 };
 
@@ -41,7 +51,7 @@
 	/** Records a follower's ping and sends it an update. */
 	acceptPing(
 		socket: Socket,
-		{beatAt, sender, groupFence, crashNews, limitNews}: Ping,
+		{beatAt, sender, groupFence, crashNews, limitNews, demand}: Ping,
 	): void {
 		const ping = {beatAt, arrivedAt: this.options.readClock()};
 		if (crashNews) {
@@ -63,19 +73,13 @@
 			this.options.limits.acceptNews(limitNews);
 		}
 
-		const follower = this.#followers.get(socket);
-		if (follower) {
-			follower.lastPing = ping;
-		} else {
-			this.#followers.set(socket, {
-				lastSent: {backends: new Map()},
-				lastPing: ping,
-				crashRevision: 0,
-				limitChangeCount: 0,
-			});
-			socket.on('close', () => {
-				this.#followers.delete(socket);
-			});
+		const follower = this.#openFollower(socket, ping);
+		follower.lastPing = ping;
+		follower.isStopping = sender === undefined;
+		follower.sender = sender ?? follower.sender;
+		// Load counts by address, so that a follower that connects anew counts once.
+		if (demand && follower.sender !== undefined) {
+			this.options.demand?.acceptSums(follower.sender, demand, ping.arrivedAt);
 		}
 
 		this.#sendUpdate(socket);
@@ -88,6 +92,31 @@
 		}
 	}
 
+	#openFollower(socket: Socket, lastPing: Follower['lastPing']): Follower {
+		const known = this.#followers.get(socket);
+		if (known) {
+			return known;
+		}
+
+		const follower: Follower = {
+			lastSent: {backends: new Map()},
+			lastPing,
+			crashRevision: 0,
+			limitChangeCount: 0,
+			isStopping: false,
+		};
+		this.#followers.set(socket, follower);
+		socket.on('close', () => {
+			this.#followers.delete(socket);
+			const {sender, isStopping} = follower;
+			if (sender !== undefined) {
+				const {demand, readClock} = this.options;
+				demand?.recordSenderEnd(sender, isStopping, readClock());
+			}
+		});
+		return follower;
+	}
+
 	#sendUpdate(socket: Socket): void {
 		const follower = this.#followers.get(socket);
 		// A follower that reads slowly gets all changes at a later ping.
@@ -114,6 +143,7 @@
 				...update,
 				crashNews: news,
 				limitNews: limitNews.news,
+				demand: this.options.demand?.buildTotal(now),
 			}),
 		);
 	}
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -12,9 +12,15 @@
 	modelNameSchema,
 	parseAddress,
 	serviceNameSchema,
+	type TimedTotal,
 } from 'bramleystage';
 import * as z from 'zod';
 import {crashNewsSchema} from './crash-exchange.js';
+import {
+	decodeTotal,
+	pingDemandSchema,
+	updateDemandSchema,
+} from './demand-codec.js';
 import {limitNewsSchema} from './permit-messages.js';
 
 const maxPort = 65_535;
@@ -51,6 +57,8 @@
 	crashNews: crashNewsSchema.optional(),
 	/** Limits of servers that the follower has not sent before. */
 	limitNews: z.array(limitNewsSchema).readonly().optional(),
+	/** The follower's own load; absent from gateways of older builds. */
+	demand: pingDemandSchema,
 });
 
 export const peerUpdateSchema = z.object({
@@ -84,6 +92,8 @@
 	crashNews: crashNewsSchema.optional(),
 	/** Limits of servers that were not sent to the follower before. */
 	limitNews: z.array(limitNewsSchema).readonly().optional(),
+	/** Load of the gateway and of all that follow it; absent from gateways of older builds. */
+	demand: updateDemandSchema,
 });
 
 export type Ping = z.infer<typeof pingSchema>;
@@ -160,6 +170,8 @@
 export type PeerState = GatewayState & {
 	/** Latest time at which the peer was certainly alive. */
 	readonly aliveAt: number;
+	/** Load of the peer and of all that follow it; absent if its last update had none. */
+	readonly demand?: TimedTotal;
 };
 
 export const createPeerState = (): PeerState => ({
@@ -207,5 +219,6 @@
 		listReadAt: toReadAt(update.listAgeMs),
 		backends,
 		aliveAt: writtenAt,
+		...(update.demand && {demand: {...decodeTotal(update.demand), writtenAt}}),
 	};
 }
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -190,6 +190,8 @@
 	readonly model?: ModelName;
 	readonly promptTokens: number;
 	readonly maxAnswerTokens: number;
+	/** Answer tokens that the caller expects; often far off. */
+	readonly answerTokensHint?: number;
 	/** Parts of the prompt, in order; requests share all but the last. Empty if the caller names none. */
 	readonly promptParts: readonly PromptPartId[];
 	/** Id of the last event of the stream that the caller received. */
--- a/packages/bramleystage-gateway/src/run-context.ts
+++ b/packages/bramleystage-gateway/src/run-context.ts
@@ -2,6 +2,7 @@
 import type {ServiceName} from 'bramleystage';
 import type {CallAdmission} from './call-admission.js';
 import type {CrashGuard} from './crash-guard.js';
+import type {DemandWatch} from './demand-watch.js';
 import type {CheckEnd} from './end-check.js';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
@@ -26,6 +27,8 @@
 	>;
 	/** Learns how calls that have begun go on, to decide how many may. */
 	readonly admission: Pick<CallAdmission, 'recordDelay' | 'recordEnd'>;
+	/** Estimates the tokens of requests, and learns how long answers are. */
+	readonly demand: Pick<DemandWatch, 'countExpectedTokens' | 'recordAnswer'>;
 	readonly openAttempt: OpenTimedAttempt;
 	readonly checkEnd: CheckEnd;
 	readonly headers: HeaderPort;
--- a/packages/bramleystage-gateway/src/shared-state.ts
+++ b/packages/bramleystage-gateway/src/shared-state.ts
@@ -12,6 +12,7 @@
 } from './configuration-follower.js';
 import {ConfigurationRecord} from './configuration-record.js';
 import type {CrashLedger} from './crash-ledger.js';
+import type {DemandWatch} from './demand-watch.js';
 import type {Fleet} from './fleet.js';
 import {GatewayGroup} from './gateway-group.js';
 import {KnownMembers} from './known-members.js';
@@ -35,6 +36,8 @@
 	readonly registry: Registry;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
+	/** Builds the own load that is sent to followed peers; absent if none is measured. */
+	readonly demand?: Pick<DemandWatch, 'buildSums'>;
 	/** Returns the steady-clock time at which this gateway serves again, in milliseconds; undefined if it is not stopping. */
 	readonly findBackAt: () => number | undefined;
 	/** Receives what the connections to peers show of the own link's delay. */
@@ -69,6 +72,7 @@
 	registry,
 	crashes,
 	limits,
+	demand,
 	findBackAt,
 	recordLinkEvent,
 	...base
@@ -106,6 +110,7 @@
 		},
 		crashes,
 		limits,
+		demand,
 		readGroupFence: () => group.state?.fence,
 		recordLinkEvent,
 		...base,
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -246,6 +246,7 @@
 		}
 
 		this.context.crashGuard.recordSound(this.call);
+		this.context.demand.recordAnswer(this.call, this.writer.eventCount);
 		this.recordOutcome('answered', active);
 		this.writer.finish();
 		this.end({status: 200});
--- a/packages/bramleystage-gateway/src/stream-answer.ts
+++ b/packages/bramleystage-gateway/src/stream-answer.ts
@@ -75,6 +75,7 @@
 	#head: AnswerHead | undefined;
 	readonly #held: Buffer[] = [];
 	#heldBytes = 0;
+	#eventCount = 0;
 
 	constructor(
 		private readonly call: Call,
@@ -90,6 +91,11 @@
 		return this.#lastEvent;
 	}
 
+	/** Number of events with ids that were written. */
+	get eventCount(): number {
+		return this.#eventCount;
+	}
+
 	/** Begins a stream with the head of its answer. */
 	start(head: AnswerHead): void {
 		this.#head = head;
@@ -129,6 +135,7 @@
 		}
 
 		this.#lastEvent = ids.at(-1) ?? this.#lastEvent;
+		this.#eventCount += ids.length;
 		if (this.isHeld) {
 			this.#held.push(bytes);
 			this.#heldBytes += bytes.length;
--- a/packages/bramleystage-gateway/src/stream-attempt.ts
+++ b/packages/bramleystage-gateway/src/stream-attempt.ts
@@ -9,6 +9,7 @@
 	type AttemptHandlers,
 } from './attempt.js';
 import {type Call, computePriority} from './call.js';
+import type {DemandWatch} from './demand-watch.js';
 import type {CheckEnd} from './end-check.js';
 import {EventSplitter} from './event-splitter.js';
 import type {Fleet} from './fleet.js';
@@ -25,6 +26,7 @@
 export type StreamAttemptOptions = {
 	readonly call: Call;
 	readonly fleet: Fleet;
+	readonly demand: Pick<DemandWatch, 'countExpectedTokens'>;
 	readonly openAttempt: OpenTimedAttempt;
 	readonly checkEnd: CheckEnd;
 	readonly headers: HeaderPort;
@@ -56,7 +58,7 @@
 	readonly #attempt: Attempt;
 
 	constructor(private readonly options: StreamAttemptOptions) {
-		const {call, fleet, headers, path, first, handlers} = options;
+		const {call, fleet, demand, headers, path, first, handlers} = options;
 		this.sent = {
 			id: first.id,
 			address: first.address,
@@ -65,7 +67,7 @@
 		this.#path = path;
 		this.#releaseWork = fleet.costs.registerWork(
 			path,
-			countExpectedTokens(call),
+			demand.countExpectedTokens(call),
 		);
 		if (call.service.pipeline) {
 			fleet.recordPrompt(
@@ -140,12 +142,12 @@
 
 	/** Records that the request now runs on another path with the same first stage. */
 	replacePath(path: readonly PathStage[]): void {
-		const {call, fleet} = this.options;
+		const {call, fleet, demand} = this.options;
 		this.#releaseWork();
 		this.#path = path;
 		this.#releaseWork = fleet.costs.registerWork(
 			path,
-			countExpectedTokens(call),
+			demand.countExpectedTokens(call),
 		);
 		this.hasEvents = false;
 	}
@@ -161,6 +163,3 @@
 		this.#attempt.cancel();
 	}
 }
-
-const countExpectedTokens = ({metadata}: Call): number =>
-	metadata.promptTokens + metadata.maxAnswerTokens / 2;
--- a/packages/bramleystage-gateway/src/stream-run.ts
+++ b/packages/bramleystage-gateway/src/stream-run.ts
@@ -182,6 +182,7 @@
 		const active: StreamAttempt = new StreamAttempt({
 			call,
 			fleet: context.fleet,
+			demand: context.demand,
 			headers: context.headers,
 			path,
 			first,
--- /dev/null
+++ b/packages/bramleystage/src/coordination/fleet-demand.ts
@@ -0,0 +1,210 @@
+/**
+ * Load of all gateways together, from the sums that each of them sends. Gateways carry up to
+ * ten times each other's load, so that their own loads say little about the fleet's.
+ *
+ * A gateway sends its own sums to the gateways that it follows. A followed gateway counts the
+ * last sums of each sender once, by the sender's address, adds its own and sends the total
+ * back. Totals are never added to each other: a gateway uses the one that counts the most
+ * gateways. So a gateway that only some others reach counts at most once.
+ */
+import type {Milliseconds} from '../protocol/decision.js';
+import type {ServiceName} from '../protocol/ids.js';
+import {
+	emptyServiceLoad,
+	type FleetLoad,
+	type PriorityRates,
+	type ServiceLoad,
+} from '../state/fleet-load.js';
+
+/** Age above which sums and totals don't count, in milliseconds: five pings. */
+export const maxDemandAgeMs = 1500;
+/**
+ * Time for which a gateway whose connection ended and which sends no sums is known to have
+ * ended, in milliseconds. The group lists it no longer by then, so that the number of
+ * gateways leaves it out.
+ */
+const endedMs = 10_000;
+
+/** Load of each service; services without load are left out. */
+export type DemandSums = ReadonlyMap<ServiceName, ServiceLoad>;
+
+export type DemandTotal = {
+	readonly loads: DemandSums;
+	/** Gateways that the total counts. */
+	readonly gateways: number;
+	/** Gateways that the total leaves out, as they have ended. */
+	readonly ended: number;
+	/** Age of the oldest sums that it counts when it was written, in milliseconds. */
+	readonly ageMs: number;
+};
+
+/** A total with the receiver's steady-clock time at which it was written, in milliseconds. */
+export type TimedTotal = DemandTotal & {readonly writtenAt: Milliseconds};
+
+type SenderState = {
+	/** Absent once the sender has stopped or its sums are too old. */
+	readonly sums?: DemandSums;
+	readonly arrivedAt: Milliseconds;
+	/** When its connection ended after which it has sent nothing; absent while it is connected. */
+	readonly endedAt?: Milliseconds;
+};
+
+/** The last sums of each gateway that follows this one. */
+export class SenderSums {
+	readonly #senders = new Map<string, SenderState>();
+
+	/** Records the sums that a gateway has sent, which replace its earlier ones. */
+	recordSums(sender: string, sums: DemandSums, now: Milliseconds): void {
+		this.#senders.set(sender, {sums, arrivedAt: now});
+	}
+
+	/**
+	 * Records that the connection of a sender has ended. Only the sums of one that stops leave
+	 * at once: any other may still run and send its next sums elsewhere or on a new connection.
+	 */
+	recordEnd(sender: string, isStopping: boolean, now: Milliseconds): void {
+		const known = this.#senders.get(sender);
+		if (known) {
+			this.#senders.set(sender, {
+				sums: isStopping ? undefined : known.sums,
+				arrivedAt: known.arrivedAt,
+				endedAt: now,
+			});
+		}
+	}
+
+	/** Adds the sums that are recent enough to this gateway's own ones. */
+	computeTotal(own: DemandSums, now: Milliseconds): DemandTotal {
+		this.#removeOld(now);
+		const recent = [...this.#senders.values()].flatMap(({sums, arrivedAt}) =>
+			sums ? [{sums, ageMs: now - arrivedAt}] : [],
+		);
+		return {
+			loads: mergeSums([own, ...recent.map(({sums}) => sums)]),
+			gateways: recent.length + 1,
+			ended: this.#senders.size - recent.length,
+			ageMs: Math.max(0, ...recent.map(({ageMs}) => ageMs)),
+		};
+	}
+
+	#removeOld(now: Milliseconds): void {
+		for (const [sender, {sums, arrivedAt, endedAt}] of this.#senders) {
+			const isRecent = sums !== undefined && now - arrivedAt <= maxDemandAgeMs;
+			const hasEnded = endedAt !== undefined && now - endedAt <= endedMs;
+			if (!isRecent && !hasEnded) {
+				this.#senders.delete(sender);
+			} else if (!isRecent && sums) {
+				this.#senders.set(sender, {arrivedAt, endedAt});
+			}
+		}
+	}
+}
+
+/**
+ * Computes the load of a service over all gateways from this gateway's own total and those of
+ * the gateways that it follows. For gateways that no total counts, the mean of the counted
+ * ones is assumed: alone, that is the own load times the number of gateways.
+ */
+export function computeFleetLoad(
+	service: ServiceName,
+	{
+		own,
+		totals,
+		gateways,
+	}: {
+		readonly own: ServiceLoad;
+		readonly totals: readonly TimedTotal[];
+		/** Number of gateways that share the load. */
+		readonly gateways: number;
+	},
+	now: Milliseconds,
+): FleetLoad {
+	const [total] = totals
+		.filter(({writtenAt}) => now - writtenAt <= maxDemandAgeMs)
+		.toSorted(
+			(a, b) =>
+				b.gateways - a.gateways || computeAgeMs(a, now) - computeAgeMs(b, now),
+		);
+	const counted = total?.gateways ?? 1;
+	const running = Math.max(counted, gateways - (total?.ended ?? 0));
+	const measured = total ? (total.loads.get(service) ?? emptyServiceLoad) : own;
+	return {
+		own,
+		// The own load in the total may be older.
+		fleet: mergeLoads([scaleLoad(measured, running / counted), own], Math.max),
+		// Fewer may be the smaller side of a partition, or a few of newer builds.
+		isMeasured: counted * 2 > running,
+		ageMs: total ? computeAgeMs(total, now) : 0,
+	};
+}
+
+const computeAgeMs = (
+	{ageMs, writtenAt}: TimedTotal,
+	now: Milliseconds,
+): number => ageMs + Math.max(0, now - writtenAt);
+
+const addNumbers = (...values: readonly number[]): number => {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return sum;
+};
+
+function mergeSums(parts: readonly DemandSums[]): DemandSums {
+	const loads = new Map<ServiceName, ServiceLoad[]>();
+	for (const part of parts) {
+		for (const [service, load] of part) {
+			const known = loads.get(service) ?? [];
+			known.push(load);
+			loads.set(service, known);
+		}
+	}
+
+	return new Map(
+		[...loads].map(([service, list]) => [
+			service,
+			mergeLoads(list, addNumbers),
+		]),
+	);
+}
+
+function mergeLoads(
+	loads: readonly ServiceLoad[],
+	merge: (...values: readonly number[]) => number,
+): ServiceLoad {
+	const rates = new Map<number, PriorityRates[]>();
+	for (const rate of loads.flatMap((load) => load.rates)) {
+		const known = rates.get(rate.priority) ?? [];
+		known.push(rate);
+		rates.set(rate.priority, known);
+	}
+
+	return {
+		running: merge(...loads.map(({running}) => running)),
+		tokens: merge(...loads.map(({tokens}) => tokens)),
+		ends: merge(...loads.map(({ends}) => ends)),
+		rates: [...rates]
+			.map(([priority, list]) => ({
+				priority,
+				arrivals: merge(...list.map(({arrivals}) => arrivals)),
+				admissions: merge(...list.map(({admissions}) => admissions)),
+			}))
+			.toSorted((a, b) => a.priority - b.priority),
+	};
+}
+
+const scaleLoad = (
+	{running, tokens, ends, rates}: ServiceLoad,
+	factor: number,
+): ServiceLoad => ({
+	running: running * factor,
+	tokens: tokens * factor,
+	ends: ends * factor,
+	rates: rates.map(({priority, arrivals, admissions}) => ({
+		priority,
+		arrivals: arrivals * factor,
+		admissions: admissions * factor,
+	})),
+});
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -5,6 +5,13 @@
 	type AdmissionTargets,
 	defaultAdmissionTargets,
 } from './coordination/admission.js';
+export {
+	type AnswerLengths,
+	type AnswerRequest,
+	createAnswerLengths,
+	computeAnswerTokens,
+	recordAnswerLength,
+} from './coordination/answer-length.js';
 export {
 	decideClaimAnswered,
 	decideClaimed,
@@ -93,6 +100,7 @@
 	idempotencyKeyLifetimeMs,
 	maxClaimedKeys,
 } from './coordination/claims.js';
+export {DemandMeter} from './coordination/demand-meter.js';
 export {
 	FairQueue,
 	type WeightedShare,
@@ -106,6 +114,14 @@
 	type FenceState,
 	type FencedOrder,
 } from './coordination/fence.js';
+export {
+	computeFleetLoad,
+	type DemandSums,
+	type DemandTotal,
+	maxDemandAgeMs,
+	SenderSums,
+	type TimedTotal,
+} from './coordination/fleet-demand.js';
 export {
 	createLease,
 	decideLease,
