Admit shares by priority while a model service is short

Each gateway admits its own calls until the engines reject them: in a flood of the least urgent priority, urgent calls were refused more often than the flood. While the fleet's load exceeds what the engines carry, each gateway now admits the same share of its own arrivals of each priority, and refuses the rest at once with a time to return at the pace of admission. Without a source of the fleet's load nothing is shed.

--- a/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
@@ -9,8 +9,9 @@
 } from 'bramleystage';
 import {beforeEach, expect, test} from 'vitest';
 import type {Call} from '../call.js';
-import {CallAdmission, type OverloadState} from '../call-admission.js';
+import {CallAdmission} from '../call-admission.js';
 import {CallerConnection} from '../caller-connection.js';
+import type {OverloadState} from '../overload-state.js';
 
 let now: number;
 let unreadMs: number;
--- a/packages/bramleystage-gateway/src/call-admission.ts
+++ b/packages/bramleystage-gateway/src/call-admission.ts
@@ -23,6 +23,8 @@
 	type WorkLeft,
 } from './arrival-watch.js';
 import {type Call, computePriority} from './call.js';
+import type {LoadShedding} from './load-shedding.js';
+import type {OverloadState} from './overload-state.js';
 import {computeTurnPatienceMs} from './turn-taker.js';
 
 /** Share of the target latency for which a call may wait to begin. */
@@ -42,6 +44,8 @@
 > & {
 	readonly beginCall: (call: Call) => void;
 	readonly refuseCall: (call: Call, failure: Failure) => void;
+	/** Refuses calls while the fleet is short; absent if nothing is shed. */
+	readonly shedding?: Pick<LoadShedding, 'findRefusal'>;
 	/** Called each second in which calls were refused, with the state of each service. */
 	readonly recordOverload: (state: OverloadState) => void;
 	/** Builds the refusal of a caller that has some time left, in milliseconds; calls begin at the given interval. */
@@ -51,20 +55,6 @@
 	) => Failure;
 };
 
-/** How the calls of a service go on while some are refused; times are in milliseconds. */
-export type OverloadState = {
-	readonly service: ServiceName;
-	readonly refused: number;
-	readonly waiting: number;
-	readonly running: number;
-	/** Calls that may run at a time; infinite if the servers set no limit. */
-	readonly limit: number;
-	/** Time between the beginnings of two calls. */
-	readonly intervalMs: number;
-	/** Length of the last round of reading and beginning. */
-	readonly roundMs: number;
-};
-
 type WaitingCall = {
 	readonly call: Call;
 	/** Ends the wait for the caller to leave. */
@@ -224,6 +214,12 @@
 			return;
 		}
 
+		const refusal = this.options.shedding?.findRefusal(call, now);
+		if (refusal) {
+			this.options.refuseCall(call, refusal);
+			return;
+		}
+
 		const calls = this.#openService(service.name);
 		const {queue} = calls;
 		const answerMs = Math.min(
--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -1,11 +1,23 @@
 /** Starts the run of each call, or refuses it while the process drains or has too many. */
-import {createFailure, type Failure, ReturnSchedule} from 'bramleystage';
+import {
+	computeServiceCapacity,
+	createFailure,
+	type Failure,
+	type Logger,
+	ReturnSchedule,
+} from 'bramleystage';
 import {CallAdmission, type CallAdmissionOptions} from './call-admission.js';
 import type {Call} from './call.js';
 import {writeErrorResponse} from './error-response.js';
+import {
+	idleFleetLoad,
+	LoadShedding,
+	type ReadFleetLoad,
+} from './load-shedding.js';
 import type {OpenCalls} from './open-calls.js';
 import {PlainRun} from './plain-run.js';
 import type {RetryBudget} from './retry-budget.js';
+import {createSheddingRecorder} from './shedding-recorder.js';
 import {StreamRun, type StreamRunContext} from './stream-run.js';
 
 export type CallHandlerOptions = {
@@ -14,6 +26,9 @@
 	readonly openCalls: Pick<OpenCalls, 'add' | 'recordEnd'>;
 	/** Finds the reason to refuse a call that might still be running when this process exits. */
 	readonly findDrainRefusal: (call: Call) => Failure | undefined;
+	/** Reads the load of all gateways, by which calls are shed; absent if none are. */
+	readonly readFleetLoad?: ReadFleetLoad;
+	readonly logger: Logger;
 };
 
 const msPerSecond = 1000;
@@ -56,6 +71,23 @@
 	};
 }
 
+/** Creates what refuses calls while the fleet is short of engines. */
+function createLoadShedding({
+	context: {fleet, recorder, drawRandom},
+	readFleetLoad = () => idleFleetLoad,
+	logger,
+}: CallHandlerOptions): LoadShedding {
+	return new LoadShedding({
+		readFleetLoad,
+		readCapacity: ({name, pipeline}) =>
+			pipeline
+				? computeServiceCapacity(pipeline, fleet.listUsable(name, true))
+				: {slots: 0, tokens: 0},
+		drawRandom,
+		...createSheddingRecorder(logger, recorder.registry),
+	});
+}
+
 /** Creates the admission of calls, which starts or refuses each. */
 export function createCallAdmission(
 	options: CallHandlerOptions &
@@ -70,6 +102,7 @@
 	const admission: CallAdmission = new CallAdmission({
 		...options,
 		readClock,
+		shedding: createLoadShedding(options),
 		beginCall(call) {
 			handleCall(call);
 		},
--- a/packages/bramleystage-gateway/src/call.ts
+++ b/packages/bramleystage-gateway/src/call.ts
@@ -31,5 +31,8 @@
 	(route.kind === 'streaming' && route.isResumable);
 
 /** Computes the priority that is sent to backend servers, 0 (most urgent) to 9. */
-export const computePriority = ({route, holder}: Call) =>
+export const computePriority = ({
+	route,
+	holder,
+}: Pick<Call, 'route' | 'holder'>) =>
 	Math.max(0, Math.min(9, holder?.priority ?? route.priority));
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -192,6 +192,7 @@
 		retryBudget,
 		openCalls: drain.openCalls,
 		findDrainRefusal: (call) => drain.findRefusal(call),
+		logger,
 		measureUnreadMs: (now) => loopWatch.measureUnreadMs(now),
 		waitForTurn: setImmediate,
 		waitForTime: setTimeout,
--- a/packages/bramleystage-gateway/src/request-recorder.ts
+++ b/packages/bramleystage-gateway/src/request-recorder.ts
@@ -14,10 +14,10 @@
 	resultCodes,
 } from 'bramleystage';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {OverloadState} from './call-admission.js';
 import type {Call} from './call.js';
 import type {TurnResult} from './permit-owner.js';
 import {LineLimit} from './line-limit.js';
+import type {OverloadState} from './overload-state.js';
 import type {AttemptEnd, CallEnd} from './request-ends.js';
 import {describeContent} from './request-traits.js';
 
--- a/packages/bramleystage/src/coordination/return-time.ts
+++ b/packages/bramleystage/src/coordination/return-time.ts
@@ -39,24 +39,36 @@
 	/** `drawRandom` returns a number from 0 to 1. */
 	constructor(private readonly drawRandom: () => number) {}
 
-	/** Takes the time after which the next refused caller should return, in milliseconds; `intervalMs` is the time between two calls that begin. */
+	/**
+	 * Takes the time after which the next refused caller should return, in milliseconds;
+	 * `intervalMs` is the time between two calls that begin. `share` is the admitted share of
+	 * calls: a caller needs the more attempts the lower it is, and returns that much later.
+	 */
 	take(
 		{
 			intervalMs,
 			remainingMs,
-		}: {readonly intervalMs: number; readonly remainingMs: number},
+			share = 1,
+		}: {
+			readonly intervalMs: number;
+			readonly remainingMs: number;
+			readonly share?: number;
+		},
 		now: number,
 	): number {
-		const returnAt = Math.max(now + minReturnMs, this.#lastAt + intervalMs);
 		const latestMs = Math.max(minReturnMs, remainingMs * maxWaitShare);
+		// Half of the time is left to spread those for whom there is no place.
+		const earliestMs = Math.max(
+			minReturnMs,
+			Math.min(minReturnMs / share, latestMs / 2),
+		);
+		const returnAt = Math.max(now + earliestMs, this.#lastAt + intervalMs);
 		if (returnAt - now <= latestMs) {
 			this.#lastAt = returnAt;
 			return Math.ceil(returnAt - now);
 		}
 
 		// Others have the places for which this caller would wait.
-		return Math.ceil(
-			minReturnMs + (latestMs - minReturnMs) * this.drawRandom(),
-		);
+		return Math.ceil(earliestMs + (latestMs - earliestMs) * this.drawRandom());
 	}
 }
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -841,6 +841,16 @@
 	recordLoopTick,
 } from './coordination/loop-delay.js';
 export {computeReturnMs, ReturnSchedule} from './coordination/return-time.js';
+export {
+	computeRoom,
+	computeServiceCapacity,
+	initialShortage,
+	isRoomExceeded,
+	type RoomEstimate,
+	type ServiceCapacity,
+	type Shortage,
+	updateShortage,
+} from './coordination/room-estimate.js';
 export {
 	addTurn,
 	computeNextTurnAt,
@@ -852,6 +862,12 @@
 	type TurnQueue,
 	type TurnRequest,
 } from './coordination/turn-queue.js';
+export {
+	computeUrgencyShares,
+	CustomerShares,
+	findUrgencyShare,
+	type UrgencyShare,
+} from './coordination/urgency-shares.js';
 export {
 	applyLimitNews,
 	createServerLimits,
