--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -150,6 +150,10 @@
 		limits,
 		permits,
 		listServices: () => [...(configurations.value?.services.values() ?? [])],
+		readDemand: ({name}, now) => ({
+			running: demand.readFleetLoad(name, now).fleet.running,
+			reserve: settings.toleratedLosses,
+		}),
 		...base,
 	});
 	const monitor = new StreamMonitor({
@@ -203,6 +207,8 @@
 		retryBudget,
 		openCalls: drain.openCalls,
 		findDrainRefusal: (call) => drain.findRefusal(call),
+		readFleetLoad: (service, now) => demand.readFleetLoad(service, now),
+		logger,
 		measureUnreadMs: (now) => loopWatch.measureUnreadMs(now),
 		waitForTurn: setImmediate,
 		waitForTime: setTimeout,
