Choose first stages by the load of all gateways

Cause: a gateway took its own work times the number of gateways for the load of an engine. Gateways carry 0.2 to 5 times the mean, and all of them saw the same engine empty, so one first stage got 557 of 1,488 streams.

Change: the load of a first stage comes from the own work, the measured work of the other gateways and the engine's last report with an answer, which loses its weight within two seconds. Of two drawn first stages of near-equal cost the cheaper one is chosen; one without a free slot only if no other has any. Without a measured load and reports the choice is as before.

--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -34,7 +34,7 @@
 import {InstanceReturns} from './instance-returns.js';
 import {type LimitedChoice, unlimitedChoice} from './limited-choice.js';
 import {PathChoice} from './path-choice.js';
-import {PathCosts} from './path-costs.js';
+import {PathCosts, type ReadFleetLoad} from './path-costs.js';
 
 export type FleetOptions = {
 	readonly dataCentre: DataCentreId;
@@ -45,27 +45,36 @@
 	readonly readLinkDelayMs: () => number;
 	/** Chooses between servers that name a limit and others; absent if none does. */
 	readonly limitedChoice?: LimitedChoice;
+	/** Reads the load of all gateways; not measured if absent. */
+	readonly readFleetLoad?: ReadFleetLoad;
+	/** Returns a number from 0 to below 1. */
+	readonly drawRandom?: () => number;
 };
 
 export class Fleet {
 	readonly snapshots = new BehaviorSubject<BackendsSnapshot>(createBackends());
 	readonly health: BackendHealth;
 	readonly costs: PathCosts;
+	readonly paths: PathChoice;
 	#storeEra: StoreEraState = createStoreEra();
 	#readAt = Number.NEGATIVE_INFINITY;
 	#reader: string | undefined;
 
 	readonly #limitedChoice: LimitedChoice;
-	readonly #paths: PathChoice;
 	readonly #returns = new InstanceReturns();
 
 	constructor(private readonly options: FleetOptions) {
 		this.#limitedChoice = options.limitedChoice ?? unlimitedChoice;
-		this.costs = new PathCosts(options.countGateways, options.readClock);
-		this.#paths = new PathChoice(
+		this.costs = new PathCosts(
+			options.countGateways,
+			options.readClock,
+			options.readFleetLoad,
+		);
+		this.paths = new PathChoice(
 			this.costs,
 			this.#limitedChoice,
 			(service, includeAvoided) => this.listUsable(service, includeAvoided),
+			options.drawRandom ?? Math.random,
 		);
 		this.health = new BackendHealth({
 			...options,
@@ -193,9 +202,10 @@
 
 	/** Whether a service takes a request without a turn at a server that names a limit. */
 	hasUnlimitedRoom({name, pipeline}: GatewayService): boolean {
+		const usable = this.listUsable(name, true);
 		return this.#limitedChoice.hasUnlimitedRoom(
-			this.listUsable(name, true),
-			(backend) => this.costs.hasRoom(backend, pipeline),
+			usable,
+			this.costs.createRoomCheck(usable, pipeline),
 		);
 	}
 
@@ -217,8 +227,9 @@
 		return (
 			candidates &&
 			pickLowest(
-				this.#limitedChoice.selectPreferred(candidates, (backend) =>
-					costs.hasRoom(backend),
+				this.#limitedChoice.selectPreferred(
+					candidates,
+					costs.createRoomCheck(candidates),
 				),
 				score,
 			)
@@ -231,7 +242,7 @@
 		excluded: ReadonlySet<BackendId>,
 		full: ReadonlySet<BackendId> = new Set(),
 	): PathStage[] | undefined {
-		return this.#paths.choose(service, excluded, full);
+		return this.paths.choose(service, excluded, full);
 	}
 
 	/** Chooses new stages after the first one, which may be leaving or paused. */
@@ -243,7 +254,7 @@
 		const own = this.snapshots.value.backends.get(first.id);
 		return (
 			own &&
-			this.#paths.chooseAfter(
+			this.paths.chooseAfter(
 				{...first, dataCentre: own.dataCentre},
 				service,
 				excluded,
@@ -295,6 +306,7 @@
 		);
 		for (const {id, isReturned} of listed) {
 			this.health.removeRecords(id, isReturned);
+			this.costs.removeReport(id);
 		}
 
 		this.snapshots.next(next);
--- a/packages/bramleystage-gateway/src/path-choice.ts
+++ b/packages/bramleystage-gateway/src/path-choice.ts
@@ -1,11 +1,18 @@
-/** The choice of a path of engines for a model request: the cheapest one over usable engines. */
+/**
+ * The choice of a path of engines for a model request: the cheapest one over usable
+ * engines. When the load of first stages is known, the first stage is drawn among those
+ * of near-equal cost, as all gateways know much the same load.
+ */
 import {
 	type Backend,
 	type BackendId,
+	chooseFirstStage,
 	choosePath,
 	choosePathFromStage,
+	type ComputeHopCost,
 	type DataCentreId,
 	type GatewayService,
+	listPathOptions,
 	type PathEngine,
 	type PathStage,
 	type PipelineModel,
@@ -15,6 +22,9 @@
 import type {PathCosts} from './path-costs.js';
 
 export class PathChoice {
+	/** Choices of a first stage by load, and those among them that found none with a free slot. */
+	readonly counts = {byLoad: 0, withoutSlot: 0};
+
 	constructor(
 		private readonly costs: PathCosts,
 		private readonly limitedChoice: LimitedChoice,
@@ -23,6 +33,8 @@
 			service: ServiceName,
 			includeAvoided: boolean,
 		) => Backend[],
+		/** Returns a number from 0 to below 1. */
+		private readonly drawRandom: () => number,
 	) {}
 
 	/** Chooses a path that doesn't begin at an engine in `full`; undefined if none covers all layers. */
@@ -35,12 +47,13 @@
 			return undefined;
 		}
 
-		const chooseAmong = (engines: readonly PathEngine[]) =>
-			choosePath(
-				this.limitedChoice.applyFirstStageLimits(engines, full),
-				model.layers,
-				(from, to) => this.costs.computeHopCost(model, from, to),
-			);
+		const chooseAmong = (usable: readonly PathEngine[]) => {
+			const engines = this.limitedChoice.applyFirstStageLimits(usable, full);
+			return engines.some(({firstStageLoad}) => firstStageLoad)
+				? this.#chooseByLoad(name, model, engines)
+				: choosePath(engines, model.layers, this.#createHopCost(name, model));
+		};
+
 		// Falls back to engines that only refused work or did not complete an answer: better than no path.
 		return (
 			chooseAmong(this.#listEngines(name, model, excluded, false)) ??
@@ -60,7 +73,7 @@
 				first,
 				this.#listEngines(name, model, excluded, false),
 				model.layers,
-				(from, to) => this.costs.computeHopCost(model, from, to),
+				this.#createHopCost(name, model),
 			)
 		);
 	}
@@ -71,8 +84,45 @@
 		excluded: ReadonlySet<BackendId>,
 		includeAvoided: boolean,
 	): PathEngine[] {
-		return this.listUsable(service, includeAvoided)
-			.filter(({id}) => !excluded.has(id))
-			.flatMap((backend) => this.costs.buildPathEngine(backend, model) ?? []);
+		return this.costs
+			.buildPathEngines(this.listUsable(service, includeAvoided), model)
+			.filter(({id}) => !excluded.has(id));
+	}
+
+	#chooseByLoad(
+		service: ServiceName,
+		model: PipelineModel,
+		engines: readonly PathEngine[],
+	): PathStage[] | undefined {
+		const options = listPathOptions(
+			engines,
+			model.layers,
+			this.#createHopCost(service, model),
+		).map((option) => ({
+			...option,
+			...(option.first.firstStageLoad ?? {slots: model.slots, slotLoad: 0}),
+		}));
+		const chosen = chooseFirstStage(options, {
+			ownShare: this.costs.computeOwnShare(service),
+			drawRandom: this.drawRandom,
+		});
+		if (chosen) {
+			this.counts.byLoad++;
+			this.counts.withoutSlot += chosen.slotLoad < 1 ? 0 : 1;
+		}
+
+		return chosen?.listStages();
+	}
+
+	/** Computes each hop's cost once, as all paths of one choice share the links. */
+	#createHopCost(service: ServiceName, model: PipelineModel): ComputeHopCost {
+		const known = new Map<string, number>();
+		return (from, to) => {
+			const key = `${from}>${to}`;
+			const cost =
+				known.get(key) ?? this.costs.computeHopCost(model, [from, to], service);
+			known.set(key, cost);
+			return cost;
+		};
 	}
 }
--- a/packages/bramleystage-gateway/src/path-costs.ts
+++ b/packages/bramleystage-gateway/src/path-costs.ts
@@ -1,20 +1,34 @@
 /**
- * Computes the cost of paths from the speed of the engines, this gateway's
- * requests in flight at them, and the load of the links between data centres.
- * Every other gateway is assumed to have as much work in flight as this one.
+ * Computes the cost of paths from the speed of the engines, their load, and the load
+ * of the links between data centres. The load of an engine comes from this gateway's
+ * requests in flight, the measured load of all gateways and the engine's last report
+ * (coordination/path-load.ts). Without these two every other gateway is assumed to have
+ * as much work in flight as this one.
  */
 import {
 	type Backend,
 	type BackendId,
+	computeBlendedRequests,
+	computeCrowdCost,
+	computeEvenWork,
+	computeFleetFactor,
+	computeFleetWork,
 	computeLinkMbps,
+	computeReportedOthers,
 	computeTokenCapacity,
 	createLinkLoads,
 	type DataCentreId,
+	type EngineLoad,
+	type EngineLoadReport,
+	type FleetLoad,
+	type LayerRange,
 	type LinkLoads,
 	type PathEngine,
 	type PathStage,
 	type PipelineModel,
 	recordTransfer,
+	type ServiceName,
+	unmeasuredLoad,
 } from 'bramleystage';
 
 /** Cost of a hop between two engines of one data centre, in milliseconds: its delay. */
@@ -27,20 +41,70 @@
 const linkLoadWeight = 3;
 /** Load above which an engine or a link gets no new work; above 1, as the other gateways may have less work there than this one. */
 const maxLoad = 2;
+/** Multiple of the number of gateways that the factor from the own traffic on a link to that of all doesn't exceed: few own requests say little. */
+const maxLinkFactor = 4;
 
-/** Work that this gateway has in flight at one backend server. */
-type InFlightWork = {requests: number; layerTokens: number};
+/** Work that this gateway has in flight at one backend server; `received` counts the requests that it sent there. */
+type InFlightWork = {requests: number; received: number; layerTokens: number};
+const noWork: InFlightWork = {requests: 0, received: 0, layerTokens: 0};
+
+export type ReadFleetLoad = (service: ServiceName, now: number) => FleetLoad;
+
+/** An engine that holds layers, with its capacity in tokens times layers. */
+type Holder = {
+	readonly backend: Backend & {readonly layers: LayerRange};
+	readonly work: InFlightWork;
+	readonly report?: EngineLoadReport;
+	readonly capacity: number;
+	readonly stepFactor: number;
+};
+
+/** What the engines of a service have and do together. */
+type FleetTotals = {
+	readonly load: FleetLoad;
+	readonly firstStages: number;
+	readonly received: number;
+	readonly layerTokens: number;
+	readonly capacity: number;
+	/** Requests of the other gateways; undefined if only their number is known. */
+	readonly others?: number;
+};
 
 export class PathCosts {
 	#links: LinkLoads = createLinkLoads();
 	readonly #inFlight = new Map<BackendId, InFlightWork>();
+	readonly #reports = new Map<BackendId, EngineLoadReport>();
 
 	constructor(
 		/** Returns the number of gateways that share the load. */
 		private readonly countGateways: () => number,
 		private readonly readClock: () => number,
+		private readonly readFleetLoad: ReadFleetLoad = () => unmeasuredLoad,
 	) {}
 
+	/** Records the load that an engine reports with an answer; one that can't be true is ignored. */
+	recordReport(id: BackendId, load: EngineLoad): void {
+		if (load.running < 0 || load.waiting < 0 || load.slots <= 0) {
+			return;
+		}
+
+		this.#reports.set(id, {
+			...load,
+			receivedAt: this.readClock(),
+			ownRequests: this.#inFlight.get(id)?.received ?? 0,
+		});
+	}
+
+	/** Finds the last load that an engine reported. */
+	findReport(id: BackendId): EngineLoadReport | undefined {
+		return this.#reports.get(id);
+	}
+
+	/** Removes what is known of a server that is no longer listed or listed anew. */
+	removeReport(id: BackendId): void {
+		this.#reports.delete(id);
+	}
+
 	/** Counts this gateway's requests in flight at a backend server. */
 	countRequests(id: BackendId): number {
 		return this.#inFlight.get(id)?.requests ?? 0;
@@ -52,9 +116,10 @@
 		tokens: number,
 	): () => void {
 		const add = (sign: 1 | -1) => {
-			for (const {id, layers} of stages) {
-				const known = this.#inFlight.get(id) ?? {requests: 0, layerTokens: 0};
+			for (const [index, {id, layers}] of stages.entries()) {
+				const known = this.#inFlight.get(id) ?? {...noWork};
 				known.requests += sign;
+				known.received += index === 0 ? sign : 0;
 				known.layerTokens += sign * tokens * (layers.to - layers.from);
 				this.#inFlight.set(id, known);
 			}
@@ -86,22 +151,36 @@
 		}
 	}
 
-	/** Whether a server takes a request at once, as the first stage if it serves a model. */
-	hasRoom(backend: Backend, model?: PipelineModel): boolean {
+	/** Returns whether one of the servers takes a request at once, as the first stage if they serve a model. */
+	createRoomCheck(
+		backends: readonly Backend[],
+		model?: PipelineModel,
+	): (backend: Backend) => boolean {
 		if (!model) {
-			const requests = this.countRequests(backend.id) * this.countGateways();
-			return requests <= maxLoad * backend.slots;
+			return ({id, service, slots}) =>
+				this.countRequests(id) * this.#computeFactor(service, 1) <=
+				maxLoad * slots;
 		}
 
-		const engine = this.buildPathEngine(backend, model);
-		return engine?.layers.from === 0 && Number.isFinite(engine.firstStageCost);
+		let roomy: ReadonlySet<BackendId> | undefined;
+		return ({id}) => {
+			roomy ??= new Set(
+				this.buildPathEngines(backends, model)
+					.filter(
+						({layers, firstStageCost}) =>
+							layers.from === 0 && Number.isFinite(firstStageCost),
+					)
+					.map((engine) => engine.id),
+			);
+			return roomy.has(id);
+		};
 	}
 
 	/** Computes the cost of sending activations to the next stage, in milliseconds; infinite if the link is full. */
 	computeHopCost(
 		model: PipelineModel,
-		from: DataCentreId,
-		to: DataCentreId,
+		[from, to]: readonly [DataCentreId, DataCentreId],
+		service: ServiceName,
 	): number {
 		if (from === to) {
 			return localHopCostMs;
@@ -109,36 +188,90 @@
 
 		const now = this.readClock();
 		const mbps = computeLinkMbps(this.#links, [from, to], now);
-		const load = (mbps * this.countGateways()) / model.linkMbps;
+		const load =
+			(mbps * this.#computeFactor(service, maxLinkFactor)) / model.linkMbps;
 		return load > maxLoad
 			? Number.POSITIVE_INFINITY
 			: remoteHopCostMs * (1 + linkLoadWeight * load);
 	}
 
-	/** Describes an engine for the choice of a path; undefined if it holds no layers or is full. */
-	buildPathEngine(
-		backend: Backend,
+	/** Describes the engines of a service for the choice of a path, without those that hold no layers or are full. */
+	buildPathEngines(
+		backends: readonly Backend[],
 		model: PipelineModel,
-	): PathEngine | undefined {
-		const {id, address, dataCentre, layers, kind} = backend;
+	): PathEngine[] {
+		const now = this.readClock();
+		const holders = backends.flatMap(
+			(backend) => this.#buildHolder(backend, model) ?? [],
+		);
+		const [first] = holders;
+		if (!first) {
+			return [];
+		}
+
+		const load = this.readFleetLoad(first.backend.service, now);
+		const firstStages = holders.filter(
+			({backend}) => backend.layers.from === 0,
+		);
+		const sum = (read: (holder: Holder) => number) =>
+			holders.reduce((total, holder) => total + read(holder), 0);
+		const totals: FleetTotals = {
+			load,
+			firstStages: firstStages.length,
+			received: sum(({work}) => work.received),
+			layerTokens: sum(({work}) => work.layerTokens),
+			capacity: sum(({capacity}) => capacity),
+			others: load.isMeasured
+				? Math.max(0, load.fleet.running - load.own.running)
+				: computeReportedOthers(
+						firstStages.map(({report}) => report),
+						now,
+					),
+		};
+		return holders.flatMap(
+			(holder) => this.#buildPathEngine(holder, totals, model, now) ?? [],
+		);
+	}
+
+	/** Computes the part of the work of all gateways that is this one's, from 0 to 1. */
+	computeOwnShare(service: ServiceName): number {
+		return 1 / this.#computeFactor(service, Number.POSITIVE_INFINITY);
+	}
+
+	#buildHolder(backend: Backend, model: PipelineModel): Holder | undefined {
+		const {id, layers, kind} = backend;
 		if (!layers || kind === undefined) {
 			return undefined;
 		}
 
 		const heldLayers = layers.to - layers.from;
-		const layerTokenCapacity =
-			computeTokenCapacity(model, kind, heldLayers) * heldLayers;
-		const work = this.#inFlight.get(id) ?? {requests: 0, layerTokens: 0};
-		const gateways = this.countGateways();
-		const load =
-			(work.layerTokens * gateways) / Math.max(1, layerTokenCapacity);
-		const slotLoad = (work.requests * gateways) / model.slots;
-		const stepFactor = model.kinds.get(kind)?.stepFactor ?? 1;
-		const stepMs = (model.stepMs * stepFactor) / model.layers;
+		return {
+			backend: {...backend, layers},
+			work: this.#inFlight.get(id) ?? noWork,
+			report: this.#reports.get(id),
+			capacity: computeTokenCapacity(model, kind, heldLayers) * heldLayers,
+			stepFactor: model.kinds.get(kind)?.stepFactor ?? 1,
+		};
+	}
+
+	#buildPathEngine(
+		holder: Holder,
+		totals: FleetTotals,
+		model: PipelineModel,
+		now: number,
+	): PathEngine | undefined {
+		const {backend, capacity, stepFactor} = holder;
+		const {id, address, dataCentre, layers} = backend;
+		const layerTokens = this.#estimateLayerTokens(holder, totals, model);
+		const load = layerTokens / Math.max(1, capacity);
 		if (load > maxLoad) {
 			return undefined;
 		}
 
+		const slots = holder.report?.slots ?? model.slots;
+		const slotLoad = this.#estimateRequests(holder, totals, now) / slots;
+		const isKnown = totals.others !== undefined;
+		const stepMs = (model.stepMs * stepFactor) / model.layers;
 		return {
 			id,
 			address,
@@ -148,7 +281,59 @@
 			firstStageCost:
 				slotLoad > maxLoad
 					? Number.POSITIVE_INFINITY
-					: engineLoadWeight * slotLoad,
+					: engineLoadWeight * slotLoad +
+						(isKnown ? computeCrowdCost(slotLoad) : 0),
+			...(isKnown && {firstStageLoad: {slots, slotLoad}}),
 		};
 	}
+
+	/** Estimates the requests of all gateways at an engine as the first stage. */
+	#estimateRequests(
+		{work, report}: Holder,
+		{others, firstStages, received}: FleetTotals,
+		now: number,
+	): number {
+		if (others === undefined) {
+			return work.requests * this.countGateways();
+		}
+
+		const estimated = computeFleetWork({
+			own: work.received,
+			ownTotal: received,
+			othersTotal: others,
+			share: 1 / Math.max(1, firstStages),
+			evenWork: computeEvenWork(firstStages),
+		});
+		return computeBlendedRequests(estimated, work.received, report, now);
+	}
+
+	/** Estimates the tokens of all gateways at an engine, times layers. */
+	#estimateLayerTokens(
+		{work, capacity}: Holder,
+		totals: FleetTotals,
+		{layers}: PipelineModel,
+	): number {
+		const {own, fleet, isMeasured} = totals.load;
+		if (!isMeasured) {
+			return work.layerTokens * this.countGateways();
+		}
+
+		const requestTokens = fleet.tokens / Math.max(1, fleet.running);
+		return computeFleetWork({
+			own: work.layerTokens,
+			ownTotal: totals.layerTokens,
+			othersTotal: Math.max(0, fleet.tokens - own.tokens) * layers,
+			share: capacity / Math.max(1, totals.capacity),
+			evenWork: computeEvenWork(totals.firstStages) * requestTokens * layers,
+		});
+	}
+
+	/** Computes the factor from this gateway's work to that of all, at most a multiple of their number. */
+	#computeFactor(service: ServiceName, maxMultiple: number): number {
+		const gateways = this.countGateways();
+		const load = this.readFleetLoad(service, this.readClock());
+		return load.isMeasured
+			? Math.min(gateways * maxMultiple, computeFleetFactor(load, gateways))
+			: Math.max(1, gateways);
+	}
 }
--- a/packages/bramleystage/src/coordination/layer-path.ts
+++ b/packages/bramleystage/src/coordination/layer-path.ts
@@ -3,7 +3,8 @@
  * that together cover all layers. A stage may run only part of the layers that
  * its engine holds, so the ranges of the engines may overlap.
  *
- * The search is a shortest path by dynamic programming over the layers.
+ * The search is a shortest path by dynamic programming over the layers: from the first
+ * one on for a single cheapest path, from the last one back for one from each engine.
  */
 import type {BackendId, DataCentreId} from '../protocol/ids.js';
 import type {LayerRange} from '../state/backends.js';
@@ -19,6 +20,8 @@
 	readonly layerCost: number;
 	/** Extra cost of being the first stage, in milliseconds; infinite if it must not be. */
 	readonly firstStageCost: number;
+	/** Slots as the first stage and requests for each of them, over all gateways; absent if not known. */
+	readonly firstStageLoad?: {readonly slots: number; readonly slotLoad: number};
 };
 
 /** A pipeline stage: the layers that one engine runs. */
@@ -83,11 +86,91 @@
 	return mergeRepeatedEngines(listStages(last, layers));
 }
 
+/** The cheapest path from one engine over all layers. */
+export type PathOption = {
+	readonly first: PathEngine;
+	readonly cost: number;
+	readonly listStages: () => PathStage[];
+};
+
+/** The cheapest rest of a path that runs the current layer on `engine`. */
+type OnwardStep = {
+	readonly engine: PathEngine;
+	readonly cost: number;
+	readonly next?: OnwardStep;
+};
+
+/** Lists a cheapest path over all layers from each engine that can be the first stage. */
+export function listPathOptions(
+	engines: readonly PathEngine[],
+	layers: number,
+	computeHopCost: ComputeHopCost,
+): PathOption[] {
+	let reached = new Map<PathEngine, OnwardStep>();
+	for (let layer = layers - 1; layer >= 0; layer--) {
+		const steps = new Map<PathEngine, OnwardStep>();
+		const best = findBestSteps(reached.values());
+		for (const engine of engines) {
+			if (layer < engine.layers.from || layer >= engine.layers.to) {
+				continue;
+			}
+
+			if (layer === layers - 1) {
+				steps.set(engine, {engine, cost: engine.layerCost});
+				continue;
+			}
+
+			let next = reached.get(engine);
+			let cost = next?.cost ?? Number.POSITIVE_INFINITY;
+			for (const step of best.values()) {
+				const hopCost = computeHopCost(
+					engine.dataCentre,
+					step.engine.dataCentre,
+				);
+				if (step.engine !== engine && step.cost + hopCost < cost) {
+					next = step;
+					cost = step.cost + hopCost;
+				}
+			}
+
+			if (next) {
+				steps.set(engine, {engine, cost: cost + engine.layerCost, next});
+			}
+		}
+
+		reached = steps;
+	}
+
+	return [...reached.values()]
+		.map((step) => ({
+			first: step.engine,
+			cost: step.cost + step.engine.firstStageCost,
+			listStages: () => mergeRepeatedEngines(listOnwardStages(step)),
+		}))
+		.filter(({cost}) => Number.isFinite(cost));
+}
+
+function listOnwardStages(first: OnwardStep): PathStage[] {
+	const stages: PathStage[] = [];
+	let from = 0;
+	let to = 0;
+	for (let step: OnwardStep | undefined = first; step; step = step.next) {
+		to++;
+		if (step.next?.engine !== step.engine) {
+			const {id, address} = step.engine;
+			stages.push({id, address, layers: {from, to}});
+			from = to;
+		}
+	}
+
+	return stages;
+}
+
 /** Finds the cheapest step of each data centre. */
-function findBestSteps(
-	reached: readonly PathStep[],
-): ReadonlyMap<DataCentreId, PathStep> {
-	const best = new Map<DataCentreId, PathStep>();
+function findBestSteps<Step extends Pick<PathStep, 'engine' | 'cost'>>(
+	reached: Iterable<Step>,
+): ReadonlyMap<DataCentreId, Step> {
+	const best = new Map<DataCentreId, Step>();
 	for (const step of reached) {
 		const current = best.get(step.engine.dataCentre);
 		if (!current || step.cost < current.cost) {
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -757,7 +757,9 @@
 	choosePath,
 	choosePathFromStage,
 	type ComputeHopCost,
+	listPathOptions,
 	type PathEngine,
+	type PathOption,
 	type PathStage,
 } from './coordination/layer-path.js';
 export {
@@ -769,6 +771,22 @@
 	planLayers,
 	splitLayersByCapacity,
 } from './coordination/layer-plan.js';
+export {
+	chooseFirstStage,
+	computeBlendedRequests,
+	computeCrowdCost,
+	computeEvenWork,
+	computeFleetWork,
+	computeReportedOthers,
+	computeReportWeight,
+	type EngineLoad,
+	type EngineLoadReport,
+	type EngineWork,
+	type FirstStageDraw,
+	type FirstStageOption,
+	isCrowded,
+	unmeasuredLoad,
+} from './coordination/path-load.js';
 export {
 	createRetryWindow,
 	decideWindowRetry,
