--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -72,6 +72,7 @@
 		countGateways: () => shared.group.size,
 		readLinkDelayMs,
 		limitedChoice: createLimitedChoice(() => limitControl),
+		readFleetLoad: (service, now) => demand.readFleetLoad(service, now),
 	});
 	const recorder = new RequestRecorder(
 		logger,
@@ -106,7 +107,7 @@
 		instances,
 		...base,
 	});
-	const demand = new DemandWatch({
+	const demand: DemandWatch = new DemandWatch({
 		countGateways: () => shared.group.size,
 		listTotals: () => shared.peerLinks.listTotals(),
 	});
