--- a/packages/bramleystage-gateway/src/demand-codec.ts
+++ b/packages/bramleystage-gateway/src/demand-codec.ts
@@ -29,8 +29,10 @@
 const wireTotalSchema = z.object({
 	/** Gateways that the total counts. */
 	gateways: z.int().min(1),
-	/** Gateways that have ended and are not counted; absent if none. */
-	ended: z.int().min(0).optional(),
+	/** Gateways that have said that they stop; absent if none. */
+	stopped: z.int().min(0).optional(),
+	/** Gateways whose connections ended otherwise; absent if none. */
+	lost: z.int().min(0).optional(),
 	/** Age of the oldest sums that are counted, in milliseconds. */
 	ageMs: z.number().min(0),
 	loads: wireSumsSchema,
@@ -97,11 +99,13 @@
 export const encodeTotal = ({
 	loads,
 	gateways,
-	ended,
+	stopped,
+	lost,
 	ageMs,
 }: DemandTotal): WireTotal => ({
 	gateways,
-	...(ended > 0 && {ended}),
+	...(stopped > 0 && {stopped}),
+	...(lost > 0 && {lost}),
 	ageMs: Math.round(ageMs),
 	loads: encodeSums(loads),
 });
@@ -109,11 +113,13 @@
 export const decodeTotal = ({
 	loads,
 	gateways,
-	ended = 0,
+	stopped = 0,
+	lost = 0,
 	ageMs,
 }: WireTotal): DemandTotal => ({
 	gateways,
-	ended,
+	stopped,
+	lost,
 	ageMs,
 	loads: decodeSums(loads),
 });
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -108,11 +108,9 @@
 		return groups.toSorted((a, b) => b.fence - a.fence)[0];
 	}
 
-	/** Lists the totals of load that the followed peers have sent last. */
+	/** Lists the totals of load that the followed peers have sent last; over a slow link they are older than what counts as alive. */
 	listTotals(): TimedTotal[] {
-		return [...this.#links.keys()].flatMap(
-			(address) => this.findPeerState(address)?.demand ?? [],
-		);
+		return [...this.#links.values()].flatMap(({state}) => state.demand ?? []);
 	}
 
 	/** Finds the steady-clock time at which the first followed peer serves; in the past if one serves now. */
--- a/packages/bramleystage/src/coordination/fleet-demand.ts
+++ b/packages/bramleystage/src/coordination/fleet-demand.ts
@@ -4,7 +4,7 @@
  *
  * A gateway sends its own sums to the gateways that it follows. A followed gateway counts the
  * last sums of each sender once, by the sender's address, adds its own and sends the total
- * back. Totals are never added to each other: a gateway uses the one that counts the most
+ * back. Totals are never added to each other: a gateway uses the one that accounts for the most
  * gateways. So a gateway that only some others reach counts at most once.
  */
 import type {Milliseconds} from '../protocol/decision.js';
@@ -19,9 +19,9 @@
 /** Age above which sums and totals don't count, in milliseconds: five pings. */
 export const maxDemandAgeMs = 1500;
 /**
- * Time for which a gateway whose connection ended and which sends no sums is known to have
- * ended, in milliseconds. The group lists it no longer by then, so that the number of
- * gateways leaves it out.
+ * Time for which a gateway whose connection ended and which sends no sums is remembered, in
+ * milliseconds. The group lists a dead one no longer by then, so that the number of gateways
+ * leaves it out.
  */
 const endedMs = 10_000;
 
@@ -32,8 +32,10 @@
 	readonly loads: DemandSums;
 	/** Gateways that the total counts. */
 	readonly gateways: number;
-	/** Gateways that the total leaves out, as they have ended. */
-	readonly ended: number;
+	/** Gateways that the total leaves out, as they have said that they stop. */
+	readonly stopped: number;
+	/** Gateways that it leaves out, as their connections ended and they have sent nothing since. */
+	readonly lost: number;
 	/** Age of the oldest sums that it counts when it was written, in milliseconds. */
 	readonly ageMs: number;
 };
@@ -44,6 +46,8 @@
 type SenderState = {
 	/** Absent once the sender has stopped or its sums are too old. */
 	readonly sums?: DemandSums;
+	/** Whether it has said that it stops. */
+	readonly isStopped: boolean;
 	readonly arrivedAt: Milliseconds;
 	/** When its connection ended after which it has sent nothing; absent while it is connected. */
 	readonly endedAt?: Milliseconds;
@@ -55,7 +59,7 @@
 
 	/** Records the sums that a gateway has sent, which replace its earlier ones. */
 	recordSums(sender: string, sums: DemandSums, now: Milliseconds): void {
-		this.#senders.set(sender, {sums, arrivedAt: now});
+		this.#senders.set(sender, {sums, isStopped: false, arrivedAt: now});
 	}
 
 	/**
@@ -67,6 +71,7 @@
 		if (known) {
 			this.#senders.set(sender, {
 				sums: isStopping ? undefined : known.sums,
+				isStopped: isStopping,
 				arrivedAt: known.arrivedAt,
 				endedAt: now,
 			});
@@ -79,22 +84,27 @@
 		const recent = [...this.#senders.values()].flatMap(({sums, arrivedAt}) =>
 			sums ? [{sums, ageMs: now - arrivedAt}] : [],
 		);
+		const stopped = [...this.#senders.values()].filter(
+			({isStopped}) => isStopped,
+		).length;
 		return {
 			loads: mergeSums([own, ...recent.map(({sums}) => sums)]),
 			gateways: recent.length + 1,
-			ended: this.#senders.size - recent.length,
+			stopped,
+			lost: this.#senders.size - recent.length - stopped,
 			ageMs: Math.max(0, ...recent.map(({ageMs}) => ageMs)),
 		};
 	}
 
 	#removeOld(now: Milliseconds): void {
-		for (const [sender, {sums, arrivedAt, endedAt}] of this.#senders) {
+		for (const [sender, state] of this.#senders) {
+			const {sums, arrivedAt, endedAt} = state;
 			const isRecent = sums !== undefined && now - arrivedAt <= maxDemandAgeMs;
 			const hasEnded = endedAt !== undefined && now - endedAt <= endedMs;
 			if (!isRecent && !hasEnded) {
 				this.#senders.delete(sender);
 			} else if (!isRecent && sums) {
-				this.#senders.set(sender, {arrivedAt, endedAt});
+				this.#senders.set(sender, {...state, sums: undefined});
 			}
 		}
 	}
@@ -123,10 +133,11 @@
 		.filter(({writtenAt}) => now - writtenAt <= maxDemandAgeMs)
 		.toSorted(
 			(a, b) =>
-				b.gateways - a.gateways || computeAgeMs(a, now) - computeAgeMs(b, now),
+				b.gateways + b.stopped - a.gateways - a.stopped ||
+				computeAgeMs(a, now) - computeAgeMs(b, now),
 		);
 	const counted = total?.gateways ?? 1;
-	const running = Math.max(counted, gateways - (total?.ended ?? 0));
+	const running = Math.max(counted, gateways - (total ? countGone(total) : 0));
 	const measured = total ? (total.loads.get(service) ?? emptyServiceLoad) : own;
 	return {
 		own,
@@ -138,6 +149,13 @@
 	};
 }
 
+/**
+ * Counts the gateways that run no more. If as many connections have ended as are left, the
+ * others have more likely turned away from a gateway that was paused or cut off.
+ */
+const countGone = ({gateways, stopped, lost}: DemandTotal): number =>
+	stopped + (lost < gateways ? lost : 0);
+
 const computeAgeMs = (
 	{ageMs, writtenAt}: TimedTotal,
 	now: Milliseconds,
