--- a/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/call-admission.test.ts
@@ -21,6 +21,7 @@
 let refused: Array<{id: string; result: Failure['result']}>;
 let states: OverloadState[];
 let beginMs: number;
+let shed: Set<string>;
 let admission: CallAdmission;
 
 beforeEach(() => {
@@ -32,6 +33,7 @@
 	refused = [];
 	states = [];
 	beginMs = 1;
+	shed = new Set();
 	admission = new CallAdmission({
 		readClock: () => now,
 		measureUnreadMs: () => unreadMs,
@@ -45,6 +47,10 @@
 			begun.push(metadata.request);
 			now += beginMs;
 		},
+		findShortage: ({metadata}) =>
+			shed.has(metadata.request)
+				? createFailure('overloaded', 'The fleet is short.')
+				: undefined,
 		refuseCall({metadata}, {result}) {
 			refused.push({id: metadata.request, result});
 		},
@@ -132,6 +138,20 @@
 	]);
 });
 
+// Guards against a call that waits, or even runs, although the fleet has no room for it.
+test('a call that is shed is refused at once and never begins', () => {
+	const {caller} = openCaller();
+	shed.add('shed');
+	admission.add(buildCall('shed', caller), now);
+	admission.add(buildCall('other', caller), now);
+	advanceTurn();
+	expect(refused).toEqual([{id: 'shed', result: 'overloaded'}]);
+	advanceTurn();
+	advanceTurn();
+	expect(begun).toEqual(['other']);
+	expect(refused).toHaveLength(1);
+});
+
 // Guards against a process that spins while calls wait for running ones to end.
 test('calls that wait for running ones are looked at now and then', () => {
 	const {caller} = openCaller();
--- a/packages/bramleystage-gateway/src/call-admission.ts
+++ b/packages/bramleystage-gateway/src/call-admission.ts
@@ -23,7 +23,6 @@
 	type WorkLeft,
 } from './arrival-watch.js';
 import {type Call, computePriority} from './call.js';
-import type {LoadShedding} from './load-shedding.js';
 import type {OverloadState} from './overload-state.js';
 import {computeTurnPatienceMs} from './turn-taker.js';
 
@@ -44,8 +43,8 @@
 > & {
 	readonly beginCall: (call: Call) => void;
 	readonly refuseCall: (call: Call, failure: Failure) => void;
-	/** Refuses calls while the fleet is short; absent if nothing is shed. */
-	readonly shedding?: Pick<LoadShedding, 'findRefusal'>;
+	/** Finds the reason to refuse a call while the fleet is short; absent if nothing is shed. */
+	readonly findShortage?: (call: Call, now: number) => Failure | undefined;
 	/** Called each second in which calls were refused, with the state of each service. */
 	readonly recordOverload: (state: OverloadState) => void;
 	/** Builds the refusal of a caller that has some time left, in milliseconds; calls begin at the given interval. */
@@ -214,7 +213,7 @@
 			return;
 		}
 
-		const refusal = this.options.shedding?.findRefusal(call, now);
+		const refusal = this.options.findShortage?.(call, now);
 		if (refusal) {
 			this.options.refuseCall(call, refusal);
 			return;
--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -99,10 +99,11 @@
 	const {context} = options;
 	const {readClock, drawRandom} = context;
 	const returns = new ReturnSchedule(drawRandom);
+	const shedding = createLoadShedding(options);
 	const admission: CallAdmission = new CallAdmission({
 		...options,
 		readClock,
-		shedding: createLoadShedding(options),
+		findShortage: (call, now) => shedding.findRefusal(call, now),
 		beginCall(call) {
 			handleCall(call);
 		},
--- a/packages/bramleystage-gateway/src/load-shedding.ts
+++ b/packages/bramleystage-gateway/src/load-shedding.ts
@@ -45,8 +45,6 @@
 	readonly service: ServiceName;
 	readonly isShort: boolean;
 	readonly shares: readonly UrgencyShare[];
-	/** Requests in flight in the fleet. */
-	readonly running: number;
 	/** Calls that this gateway refused since the last record. */
 	readonly refused: number;
 	readonly isMeasured: boolean;
@@ -186,7 +184,6 @@
 			service,
 			isShort: shortage.isShort,
 			shares,
-			running: load.fleet.running,
 			refused,
 			isMeasured: load.isMeasured,
 			ageMs: load.ageMs,
@@ -205,7 +202,7 @@
 		returns.set(priority, schedule);
 		const own = load.own.rates.find((rates) => rates.priority === priority);
 		const admittedRate = (own?.arrivals ?? 0) * share;
-		const returnMs = schedule.take(
+		const returnMs = schedule.takePlace(
 			{
 				intervalMs: Math.min(maxReturnIntervalMs, msPerSecond / admittedRate),
 				remainingMs: deadlineAt - now,
--- a/packages/bramleystage/src/coordination/__tests__/return-time.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/return-time.test.ts
@@ -53,3 +53,23 @@
 	// The rest finds no place in the third of its time for which it would wait.
 	expect(times.at(-1)).toBe(1625);
 });
+
+// Load pattern: callers of a lasting shortage return in shorter and shorter intervals as their time runs out.
+test('in a shortage callers take places at the pace of admission, the least admitted ones later', () => {
+	const returns = new ReturnSchedule(() => 0.5);
+	const times = Array.from({length: 500}, () =>
+		returns.takePlace({intervalMs: 40, remainingMs: 20_000, share: 0.5}, 1000),
+	);
+	expect(times.slice(0, 3)).toEqual([500, 540, 580]);
+	expect(times.filter((time, index) => time === 500 + 40 * index)).toHaveLength(
+		238,
+	);
+	// No place is left in time: half of its time, or its end if little is left.
+	expect(times.at(-1)).toBe(10_000);
+	const late = {intervalMs: 40, remainingMs: 4000, share: 0.5};
+	expect(returns.takePlace(late, 1000)).toBe(6000);
+	const fresh = () => new ReturnSchedule(() => 0.5);
+	const place = {intervalMs: 40, remainingMs: 20_000};
+	expect(fresh().takePlace({...place, share: 0.05}, 1000)).toBe(5000);
+	expect(fresh().takePlace({...place, share: 0}, 1000)).toBe(10_000);
+});
--- a/packages/bramleystage/src/coordination/return-time.ts
+++ b/packages/bramleystage/src/coordination/return-time.ts
@@ -10,6 +10,14 @@
 const maxSpreadMs = 1000;
 /** Share of the time left that callers wait at most. */
 const maxWaitShare = 1 / 3;
+/** Share of the time left within which a place is of use to a caller; the rest is for its answer. */
+const maxPlaceShare = 1 / 2;
+/** Shares of the time left between which callers return for whom no place is free. */
+const spreadShares = [1 / 4, 3 / 4] as const;
+/** The same for callers with little time left: attempts at ever shorter intervals came to six times what could be served. */
+const lateShares = [1, 2] as const;
+/** Least time left with which a caller without a place is asked to return, in milliseconds. */
+const minSpreadMs = 5000;
 
 /**
  * Computes the time after which a refused caller should return, in milliseconds.
@@ -39,28 +47,49 @@
 	/** `drawRandom` returns a number from 0 to 1. */
 	constructor(private readonly drawRandom: () => number) {}
 
+	/** Takes the time after which the next refused caller should return, in milliseconds; `intervalMs` is the time between two calls that begin. */
+	take(
+		{
+			intervalMs,
+			remainingMs,
+		}: {readonly intervalMs: number; readonly remainingMs: number},
+		now: number,
+	): number {
+		const returnAt = Math.max(now + minReturnMs, this.#lastAt + intervalMs);
+		const latestMs = Math.max(minReturnMs, remainingMs * maxWaitShare);
+		if (returnAt - now <= latestMs) {
+			this.#lastAt = returnAt;
+			return Math.ceil(returnAt - now);
+		}
+
+		// Others have the places for which this caller would wait.
+		return Math.ceil(
+			minReturnMs + (latestMs - minReturnMs) * this.drawRandom(),
+		);
+	}
+
 	/**
-	 * Takes the time after which the next refused caller should return, in milliseconds;
-	 * `intervalMs` is the time between two calls that begin. `share` is the admitted share of
-	 * calls: a caller needs the more attempts the lower it is, and returns that much later.
+	 * Takes a place in a lasting shortage, and returns the time until it, in milliseconds. Calls
+	 * are admitted by `share`: a caller needs the more attempts the lower it is, and returns
+	 * that much later. A caller for whom no place is free in time returns at a time drawn from
+	 * the middle of its own, or not before its end if little is left.
 	 */
-	take(
+	takePlace(
 		{
 			intervalMs,
 			remainingMs,
-			share = 1,
+			share,
 		}: {
 			readonly intervalMs: number;
 			readonly remainingMs: number;
-			readonly share?: number;
+			readonly share: number;
 		},
 		now: number,
 	): number {
-		const latestMs = Math.max(minReturnMs, remainingMs * maxWaitShare);
-		// Half of the time is left to spread those for whom there is no place.
+		const latestMs = Math.max(minReturnMs, remainingMs * maxPlaceShare);
 		const earliestMs = Math.max(
 			minReturnMs,
-			Math.min(minReturnMs / share, latestMs / 2),
+			Math.min(minReturnMs / share, latestMs),
 		);
 		const returnAt = Math.max(now + earliestMs, this.#lastAt + intervalMs);
 		if (returnAt - now <= latestMs) {
@@ -68,7 +97,8 @@
 			return Math.ceil(returnAt - now);
 		}
 
-		// Others have the places for which this caller would wait.
-		return Math.ceil(earliestMs + (latestMs - earliestMs) * this.drawRandom());
+		const [from, to] = remainingMs >= minSpreadMs ? spreadShares : lateShares;
+		const drawn = from + (to - from) * this.drawRandom();
+		return Math.ceil(Math.max(minReturnMs, remainingMs * drawn));
 	}
 }
--- a/packages/bramleystage/src/coordination/room-estimate.ts
+++ b/packages/bramleystage/src/coordination/room-estimate.ts
@@ -37,7 +37,11 @@
 export type RoomEstimate = {
 	/** Streams that the service can carry at their present mean size. */
 	readonly capacity: number;
-	/** Share of the capacity in use; above 1 if requests wait at the engines. */
+	/** Streams in flight, projected from the age of the totals to the present. */
+	readonly running: number;
+	/** Share of the capacity that was in use at the age of the totals; above 1 if requests wait at the engines. */
+	readonly measuredFill: number;
+	/** Share of the capacity that is in use at present by this projection. */
 	readonly fill: number;
 	/** Requests that arrive a second. */
 	readonly arrivals: number;
@@ -108,11 +112,20 @@
 		return undefined;
 	}
 
-	const {running, ends, rates} = fleet;
+	const {ends, rates} = fleet;
+	const admissions = sumRates(rates.map((entry) => entry.admissions));
+	const sinceMs = Math.max(0, ageMs);
+	// What was admitted and ended since the totals were taken; without it, shares swing by a third at an age of 1 s.
+	const running = Math.max(
+		0,
+		fleet.running + ((admissions - ends) * sinceMs) / msPerSecond,
+	);
 	const room = capacity * targetFill - running;
-	const rate = ends + (room * msPerSecond) / (horizonMs + ageMs);
+	const rate = ends + (room * msPerSecond) / (horizonMs + sinceMs);
 	return {
 		capacity,
+		running,
+		measuredFill: fleet.running / capacity,
 		fill: running / capacity,
 		arrivals: sumRates(rates.map(({arrivals}) => arrivals)),
 		admissionRate: Math.max(ends * minEndsShare, rate),
@@ -120,15 +133,18 @@
 }
 
 /**
- * Whether demand exceeds what can be admitted now. Below `minShedFill` it never does, so a
+ * Whether demand exceeds what can be admitted now. Below `minShedFill` it never does, by the
+ * totals as well as by the projection: while a service fills up, completions lag behind. So a
  * gateway without fresh totals, whose own work times the number of gateways stands for the
  * fleet's, can always carry more than its part of a quarter of the capacity.
  */
 export const isRoomExceeded = ({
+	measuredFill,
 	fill,
 	arrivals,
 	admissionRate,
-}: RoomEstimate): boolean => fill >= minShedFill && arrivals > admissionRate;
+}: RoomEstimate): boolean =>
+	Math.min(measuredFill, fill) >= minShedFill && arrivals > admissionRate;
 
 /** Updates whether a service is short: it begins above what ends it, and ends after a calm time. */
 export function updateShortage(
@@ -138,9 +154,11 @@
 ): Shortage {
 	const {fill, arrivals, admissionRate} = room;
 	if (!shortage.isShort) {
-		return fill >= shortageFill && arrivals > admissionRate * shortageArrivals
-			? {isShort: true, exceededAt: now}
-			: shortage;
+		const begins =
+			isRoomExceeded(room) &&
+			fill >= shortageFill &&
+			arrivals > admissionRate * shortageArrivals;
+		return begins ? {isShort: true, exceededAt: now} : shortage;
 	}
 
 	if (isRoomExceeded(room)) {
