--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -112,13 +112,14 @@
 	const {context} = options;
 	const {readClock, drawRandom} = context;
 	const returns = new ReturnSchedule(drawRandom);
+	const shedding = createLoadShedding(options);
 	const admission: CallAdmission = new CallAdmission({
 		...options,
 		readClock,
 		recordArrival(call, now) {
 			options.demand.recordArrival(call, now);
 		},
-		shedding: createLoadShedding(options),
+		findShortage: (call, now) => shedding.findRefusal(call, now),
 		beginCall(call) {
 			handleCall(call);
 		},
