Give idle engines the layers with the least room for KV cache while it is nearly full

Change: planCacheStages, by the measured tokens in flight, each area in turn; the reserve stays idle. EnginePlacement and LayerOrder move to a module of their own.

--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -151,10 +151,10 @@
 		limits,
 		permits,
 		listServices: () => [...(configurations.value?.services.values() ?? [])],
-		readDemand: ({name}, now) => ({
-			running: demand.readFleetLoad(name, now).fleet.running,
-			reserve: settings.toleratedLosses,
-		}),
+		readDemand({name}, now) {
+			const {running, tokens} = demand.readFleetLoad(name, now).fleet;
+			return {running, tokens, reserve: settings.toleratedLosses};
+		},
 		...base,
 	});
 	const monitor = new StreamMonitor({
--- a/packages/bramleystage/src/coordination/__tests__/front-stages.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/front-stages.test.ts
@@ -1,6 +1,7 @@
 import {expect, test} from 'vitest';
-import {type PlacementDemand, planFrontStages} from '../front-stages.js';
-import {type EnginePlacement, planLayerOrders} from '../layer-orders.js';
+import type {EnginePlacement, PlacementDemand} from '../engine-placement.js';
+import {planFrontStages} from '../front-stages.js';
+import {planLayerOrders} from '../layer-orders.js';
 import {
 	applyOrders,
 	countHolders,
@@ -45,7 +46,7 @@
 	const placed = createWideFleet();
 	const running = 900;
 	expect(countFirstStages(placed) * model.slots).toBeLessThan(running);
-	const settled = settle(placed, {running, reserve: 2});
+	const settled = settle(placed, {running, tokens: 0, reserve: 2});
 	expect(countFirstStages(settled) * model.slots).toBeGreaterThanOrEqual(
 		2 * running,
 	);
@@ -54,13 +55,15 @@
 test('a demand that the first stages carry changes nothing', () => {
 	const placed = createWideFleet();
 	const running = Math.floor((countFirstStages(placed) * model.slots) / 2);
-	expect(planLayerOrders(model, placed, {running, reserve: 2})).toEqual([]);
+	expect(
+		planLayerOrders(model, placed, {running, tokens: 0, reserve: 2}),
+	).toEqual([]);
 	expect(planLayerOrders(model, placed)).toEqual([]);
 });
 
 test('the reserve stays idle however large the demand is, and consists of the largest idle engines', () => {
 	const placed = createWideFleet();
-	const settled = settle(placed, {running: 100_000, reserve: 3});
+	const settled = settle(placed, {running: 100_000, tokens: 0, reserve: 3});
 	expect(settled.filter((engine) => isIdle(engine)).length).toBe(3);
 	const idleKinds = placed.filter((engine) => isIdle(engine));
 	const hasLargeIdle = idleKinds.some(({kind}) => kind === 'large');
@@ -72,6 +75,7 @@
 test('front stages are spread over the data centres', () => {
 	const orders = planFrontStages(model, createWideFleet(), {
 		running: 900,
+		tokens: 0,
 		reserve: 2,
 	});
 	const byDataCentre = new Map<string, number>();
@@ -87,7 +91,7 @@
 });
 
 test('lost layers are replaced before front stages are added, and by front stages if no engine is idle', () => {
-	const demand = {running: 100_000, reserve: 0};
+	const demand = {running: 100_000, tokens: 0, reserve: 0};
 	const settled = settle(createWideFleet(), demand);
 	expect(settled.some((engine) => isIdle(engine))).toBe(false);
 	const lost = settled.find(({layers}) => (layers?.from ?? 0) > 20);
@@ -109,7 +113,7 @@
 		placed.map((engine) =>
 			isIdle(engine) ? {...engine, isSuspect: true} : engine,
 		),
-		{running: 900, reserve: 0},
+		{running: 900, tokens: 0, reserve: 0},
 	);
 	expect(orders).toEqual([]);
 });
@@ -117,7 +121,7 @@
 test('the placement of a small fleet stays as it is at its usual demand', () => {
 	const engines = createFleet();
 	const placed = applyOrders(engines, planLayerOrders(model, engines));
-	expect(planLayerOrders(model, placed, {running: 150, reserve: 1})).toEqual(
-		planLayerOrders(model, placed),
-	);
+	expect(
+		planLayerOrders(model, placed, {running: 150, tokens: 0, reserve: 1}),
+	).toEqual(planLayerOrders(model, placed));
 });
--- a/packages/bramleystage/src/coordination/__tests__/layer-fixtures.ts
+++ b/packages/bramleystage/src/coordination/__tests__/layer-fixtures.ts
@@ -7,7 +7,7 @@
 } from '../../protocol/ids.js';
 import type {LayerRange} from '../../state/backends.js';
 import type {PipelineModel} from '../../state/routes.js';
-import type {EnginePlacement} from '../layer-orders.js';
+import type {EnginePlacement} from '../engine-placement.js';
 
 export const model: PipelineModel = {
 	model: toModelName('guide'),
--- a/packages/bramleystage/src/coordination/__tests__/layer-orders.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/layer-orders.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {type EnginePlacement, planLayerOrders} from '../layer-orders.js';
+import type {EnginePlacement} from '../engine-placement.js';
+import {planLayerOrders} from '../layer-orders.js';
 import {computeMaxLayers, computeTokenCapacity} from '../layer-plan.js';
 import {
 	applyOrders,
--- a/packages/bramleystage/src/coordination/front-stages.ts
+++ b/packages/bramleystage/src/coordination/front-stages.ts
@@ -11,15 +11,14 @@
 import type {PipelineModel} from '../state/routes.js';
 import {pickLowest} from '../state/pick-lowest.js';
 import {computeMaxLayers} from './layer-plan.js';
-import type {EnginePlacement, LayerOrder} from './layer-orders.js';
-
-/** Demand that a placement serves. */
-export type PlacementDemand = {
-	/** Requests of all gateways that engines work on. */
-	readonly running: number;
-	/** Engines that are to stay idle, to replace lost ones. */
-	readonly reserve: number;
-};
+import {
+	type EnginePlacement,
+	isFreeEngine,
+	isSoundEngine,
+	type LayerOrder,
+	type PlacementDemand,
+	resolveRange,
+} from './engine-placement.js';
 
 /** Layers of a front stage. */
 const frontLayers = 1;
@@ -29,14 +28,8 @@
  */
 const maxSlotUse = 0.5;
 
-const readRange = ({pendingLayers, layers}: EnginePlacement) =>
-	pendingLayers ?? layers;
-
 const isFirstStage = (engine: EnginePlacement) =>
-	engine.isUsable &&
-	!engine.isSuspect &&
-	!engine.isLimited &&
-	readRange(engine)?.from === 0;
+	isSoundEngine(engine) && resolveRange(engine)?.from === 0;
 
 /** Plans the front stages that the demand calls for; none if the first stages suffice or too few engines are idle. */
 export function planFrontStages(
@@ -49,10 +42,7 @@
 		Math.ceil(running / (maxSlotUse * model.slots)) - firstStages.length;
 	const idle = engines.filter(
 		(engine) =>
-			engine.isUsable &&
-			!engine.isSuspect &&
-			!engine.isLimited &&
-			readRange(engine) === undefined &&
+			isFreeEngine(engine) &&
 			computeMaxLayers(model, engine.kind) >= frontLayers,
 	);
 	const count = Math.min(wanted, idle.length - reserve);
--- a/packages/bramleystage/src/coordination/layer-orders.ts
+++ b/packages/bramleystage/src/coordination/layer-orders.ts
@@ -9,10 +9,16 @@
  * them first, and only then does the engine release them, so that no layer
  * becomes uncovered in between.
  */
-import type {BackendId, DataCentreId} from '../protocol/ids.js';
 import type {LayerRange} from '../state/backends.js';
 import type {PipelineModel} from '../state/routes.js';
-import {planFrontStages, type PlacementDemand} from './front-stages.js';
+import {planCacheStages} from './cache-stages.js';
+import {
+	type EnginePlacement,
+	type LayerOrder,
+	type PlacementDemand,
+	resolveRange,
+} from './engine-placement.js';
+import {planFrontStages} from './front-stages.js';
 import {
 	computeLayersWithCapacity,
 	computeMaxLayers,
@@ -22,31 +28,6 @@
 	planLayers,
 } from './layer-plan.js';
 
-/** An engine with the layers that it holds and whether it can be used. */
-export type EnginePlacement = {
-	readonly id: BackendId;
-	readonly dataCentre: DataCentreId;
-	readonly kind: string;
-	readonly layers?: LayerRange;
-	/** Layers of a pending order; they count as held. */
-	readonly pendingLayers?: LayerRange;
-	/** Whether it is neither draining nor assumed to be dead. */
-	readonly isUsable: boolean;
-	/** Whether requests recently failed to reach it. */
-	readonly isSuspect: boolean;
-	/** Whether it names a limit, so that few requests can begin there. */
-	readonly isLimited?: boolean;
-};
-
-/** Assigns a layer range to an engine. */
-export type LayerOrder = {
-	readonly id: BackendId;
-	readonly layers: LayerRange;
-	/** Why the order was planned; appears in the log. */
-	readonly reason:
-		'first' | 'gap' | 'neighbour' | 'front' | 'relief' | 'shrink';
-};
-
 /** Token capacity that an engine keeps when it extends into an uncovered range. */
 const minTokenCapacity = 12_000;
 /** An engine is relieved when its token capacity is below this share of the target. */
@@ -57,8 +38,6 @@
  */
 const minReliefGain = 1.2;
 
-const resolveRange = ({pendingLayers: ordered, layers}: EnginePlacement) =>
-	ordered ?? layers;
 const countLayers = ({from, to}: LayerRange) => to - from;
 const containsLayer = (range: LayerRange | undefined, layer: number) =>
 	range !== undefined && layer >= range.from && layer < range.to;
@@ -83,10 +62,28 @@
 	);
 	// Lost layers are replaced first, as they need the idle engines more.
 	const isMending = orders.some(({reason}) => reason !== 'relief');
-	const frontOrders =
-		demand && !isMending ? planFrontStages(model, usable, demand) : [];
-	const ordered = new Set(frontOrders.map(({id}) => id));
-	return [...frontOrders, ...orders.filter(({id}) => !ordered.has(id))];
+	if (!demand || isMending) {
+		return orders;
+	}
+
+	const demandOrders = planDemandOrders(model, usable, demand);
+	const ordered = new Set(demandOrders.map(({id}) => id));
+	return [...demandOrders, ...orders.filter(({id}) => !ordered.has(id))];
+}
+
+/** Gives idle engines the layers that the demand calls for: first stages before KV cache. */
+function planDemandOrders(
+	model: PipelineModel,
+	engines: readonly EnginePlacement[],
+	demand: PlacementDemand,
+): LayerOrder[] {
+	const frontOrders = planFrontStages(model, engines, demand);
+	const ranges = new Map(frontOrders.map(({id, layers}) => [id, layers]));
+	const withFronts = engines.map((engine) => ({
+		...engine,
+		pendingLayers: ranges.get(engine.id) ?? engine.pendingLayers,
+	}));
+	return [...frontOrders, ...planCacheStages(model, withFronts, demand)];
 }
 
 function planArea(
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -101,6 +101,11 @@
 	maxClaimedKeys,
 } from './coordination/claims.js';
 export {DemandMeter} from './coordination/demand-meter.js';
+export {
+	type EnginePlacement,
+	type LayerOrder,
+	type PlacementDemand,
+} from './coordination/engine-placement.js';
 export {
 	FairQueue,
 	type WeightedShare,
@@ -114,7 +119,6 @@
 	type FenceState,
 	type FencedOrder,
 } from './coordination/fence.js';
-export {type PlacementDemand} from './coordination/front-stages.js';
 export {
 	computeFleetLoad,
 	type DemandSums,
@@ -765,11 +769,7 @@
 	recordMembers,
 	recordRenewal,
 } from './coordination/budget-share.js';
-export {
-	type LayerOrder,
-	type EnginePlacement,
-	planLayerOrders,
-} from './coordination/layer-orders.js';
+export {planLayerOrders} from './coordination/layer-orders.js';
 export {
 	choosePath,
 	choosePathFromStage,
