Tell waits at a crowded first stage from silence, and space inspections by engine

Change: a wait for a first event is no silence while the engine's reported queue or a rise of all first-event delays there explains it and the engine has sent something within 150 ms. One report answers for all paths of an engine. Streams that had events decide as before. Lines path.crowded and metrics show it.

--- a/packages/bramleystage-gateway/src/fleet.ts
+++ b/packages/bramleystage-gateway/src/fleet.ts
@@ -21,7 +21,6 @@
 	type LayerRange,
 	type Logger,
 	type PathStage,
-	pickLowest,
 	type PipelineModel,
 	recordStoreEra,
 	replaceBackends,
@@ -29,12 +28,14 @@
 	type StoreEraState,
 } from 'bramleystage';
 import {BehaviorSubject} from 'rxjs';
+import {chooseBackend} from './backend-choice.js';
 import {BackendHealth} from './backend-health.js';
 import {recordBackendChanges} from './backend-log.js';
+import type {ReadFleetLoad} from './engine-loads.js';
 import {InstanceReturns} from './instance-returns.js';
 import {type LimitedChoice, unlimitedChoice} from './limited-choice.js';
 import {PathChoice} from './path-choice.js';
-import {PathCosts, type ReadFleetLoad} from './path-costs.js';
+import {PathCosts} from './path-costs.js';
 
 export type FleetOptions = {
 	readonly dataCentre: DataCentreId;
@@ -215,24 +216,15 @@
 		excluded: ReadonlySet<BackendId>,
 		full: ReadonlySet<BackendId> = new Set(),
 	): Backend | undefined {
-		const {health, costs} = this;
-		const untried = this.#listOpen(service).filter(
-			({id}) => !health.isPaused(id) && !excluded.has(id) && !full.has(id),
-		);
-		const preferred = untried.filter(({id}) => !health.isAvoided(id));
-		const candidates = [preferred, untried].find((list) => list.length > 0);
-		const score = (backend: Backend) =>
-			costs.countRequests(backend.id) +
-			(backend.dataCentre === this.options.dataCentre ? 0 : 0.5);
-		return (
-			candidates &&
-			pickLowest(
-				this.#limitedChoice.selectPreferred(
-					candidates,
-					costs.createRoomCheck(candidates),
-				),
-				score,
-			)
+		return chooseBackend(
+			this.#listOpen(service),
+			(id) => excluded.has(id) || full.has(id),
+			{
+				health: this.health,
+				costs: this.costs,
+				limitedChoice: this.#limitedChoice,
+				dataCentre: this.options.dataCentre,
+			},
 		);
 	}
 
@@ -309,6 +301,12 @@
 			this.costs.removeReport(id);
 		}
 
+		for (const id of previous.backends.keys()) {
+			if (!next.backends.has(id)) {
+				this.costs.removeReport(id);
+			}
+		}
+
 		this.snapshots.next(next);
 	}
 }
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import type {GatewaySettings, PlatformPort} from './platform-port.js';
 import {DrainControl} from './drain-control.js';
 import {OwnLink} from './own-link.js';
+import {registerPathMetrics} from './path-metrics.js';
 import {listenForOperations} from './readiness-server.js';
 import {followSharedState, type SharedState} from './shared-state.js';
 import {openTimedAttempt} from './timed-attempt.js';
@@ -148,6 +149,7 @@
 		instances,
 		...base,
 	});
+	registerPathMetrics(recorder.registry, fleet.paths, monitor);
 	const drain = new DrainControl({
 		graceMs: settings.graceMs,
 		computeStreamMs: (call) => monitor.computeDurationMs(call),
--- a/packages/bramleystage-gateway/src/path-choice.ts
+++ b/packages/bramleystage-gateway/src/path-choice.ts
@@ -22,8 +22,8 @@
 import type {PathCosts} from './path-costs.js';
 
 export class PathChoice {
-	/** Choices of a first stage by load, and those among them that found none with a free slot. */
-	readonly counts = {byLoad: 0, withoutSlot: 0};
+	/** Choices of a first stage by load, those among them that found none with a free slot, and the largest load over the mean at the last one. */
+	readonly counts = {byLoad: 0, withoutSlot: 0, spread: 0};
 
 	constructor(
 		private readonly costs: PathCosts,
@@ -109,6 +109,10 @@
 		if (chosen) {
 			this.counts.byLoad++;
 			this.counts.withoutSlot += chosen.slotLoad < 1 ? 0 : 1;
+			const loads = options.map(({slotLoad}) => slotLoad);
+			const sum = loads.reduce((total, load) => total + load, 0);
+			this.counts.spread =
+				sum > 0 ? (Math.max(...loads) * loads.length) / sum : 0;
 		}
 
 		return chosen?.listStages();
--- a/packages/bramleystage-gateway/src/path-costs.ts
+++ b/packages/bramleystage-gateway/src/path-costs.ts
@@ -11,25 +11,22 @@
 	computeBlendedRequests,
 	computeCrowdCost,
 	computeEvenWork,
-	computeFleetFactor,
 	computeFleetWork,
 	computeLinkMbps,
 	computeReportedOthers,
 	computeTokenCapacity,
 	createLinkLoads,
 	type DataCentreId,
-	type EngineLoad,
 	type EngineLoadReport,
 	type FleetLoad,
 	type LayerRange,
 	type LinkLoads,
 	type PathEngine,
-	type PathStage,
 	type PipelineModel,
 	recordTransfer,
 	type ServiceName,
-	unmeasuredLoad,
 } from 'bramleystage';
+import {EngineLoads, type InFlightWork} from './engine-loads.js';
 
 /** Cost of a hop between two engines of one data centre, in milliseconds: its delay. */
 const localHopCostMs = 0.2;
@@ -44,12 +41,6 @@
 /** Multiple of the number of gateways that the factor from the own traffic on a link to that of all doesn't exceed: few own requests say little. */
 const maxLinkFactor = 4;
 
-/** Work that this gateway has in flight at one backend server; `received` counts the requests that it sent there. */
-type InFlightWork = {requests: number; received: number; layerTokens: number};
-const noWork: InFlightWork = {requests: 0, received: 0, layerTokens: 0};
-
-export type ReadFleetLoad = (service: ServiceName, now: number) => FleetLoad;
-
 /** An engine that holds layers, with its capacity in tokens times layers. */
 type Holder = {
 	readonly backend: Backend & {readonly layers: LayerRange};
@@ -70,70 +61,8 @@
 	readonly others?: number;
 };
 
-export class PathCosts {
+export class PathCosts extends EngineLoads {
 	#links: LinkLoads = createLinkLoads();
-	readonly #inFlight = new Map<BackendId, InFlightWork>();
-	readonly #reports = new Map<BackendId, EngineLoadReport>();
-
-	constructor(
-		/** Returns the number of gateways that share the load. */
-		private readonly countGateways: () => number,
-		private readonly readClock: () => number,
-		private readonly readFleetLoad: ReadFleetLoad = () => unmeasuredLoad,
-	) {}
-
-	/** Records the load that an engine reports with an answer; one that can't be true is ignored. */
-	recordReport(id: BackendId, load: EngineLoad): void {
-		if (load.running < 0 || load.waiting < 0 || load.slots <= 0) {
-			return;
-		}
-
-		this.#reports.set(id, {
-			...load,
-			receivedAt: this.readClock(),
-			ownRequests: this.#inFlight.get(id)?.received ?? 0,
-		});
-	}
-
-	/** Finds the last load that an engine reported. */
-	findReport(id: BackendId): EngineLoadReport | undefined {
-		return this.#reports.get(id);
-	}
-
-	/** Removes what is known of a server that is no longer listed or listed anew. */
-	removeReport(id: BackendId): void {
-		this.#reports.delete(id);
-	}
-
-	/** Counts this gateway's requests in flight at a backend server. */
-	countRequests(id: BackendId): number {
-		return this.#inFlight.get(id)?.requests ?? 0;
-	}
-
-	/** Counts a request as in flight at the stages until the returned function is called. */
-	registerWork(
-		stages: ReadonlyArray<Pick<PathStage, 'id' | 'layers'>>,
-		tokens: number,
-	): () => void {
-		const add = (sign: 1 | -1) => {
-			for (const [index, {id, layers}] of stages.entries()) {
-				const known = this.#inFlight.get(id) ?? {...noWork};
-				known.requests += sign;
-				known.received += index === 0 ? sign : 0;
-				known.layerTokens += sign * tokens * (layers.to - layers.from);
-				this.#inFlight.set(id, known);
-			}
-		};
-
-		let isDone = false;
-		add(1);
-		return () => {
-			if (!isDone) {
-				isDone = true;
-				add(-1);
-			}
-		};
-	}
 
 	/** Records the transfers that a prompt causes between the data centres of its stages. */
 	recordPrompt(
@@ -158,7 +87,7 @@
 	): (backend: Backend) => boolean {
 		if (!model) {
 			return ({id, service, slots}) =>
-				this.countRequests(id) * this.#computeFactor(service, 1) <=
+				this.countRequests(id) * this.computeFactor(service, 1) <=
 				maxLoad * slots;
 		}
 
@@ -189,7 +118,7 @@
 		const now = this.readClock();
 		const mbps = computeLinkMbps(this.#links, [from, to], now);
 		const load =
-			(mbps * this.#computeFactor(service, maxLinkFactor)) / model.linkMbps;
+			(mbps * this.computeFactor(service, maxLinkFactor)) / model.linkMbps;
 		return load > maxLoad
 			? Number.POSITIVE_INFINITY
 			: remoteHopCostMs * (1 + linkLoadWeight * load);
@@ -233,11 +162,6 @@
 		);
 	}
 
-	/** Computes the part of the work of all gateways that is this one's, from 0 to 1. */
-	computeOwnShare(service: ServiceName): number {
-		return 1 / this.#computeFactor(service, Number.POSITIVE_INFINITY);
-	}
-
 	#buildHolder(backend: Backend, model: PipelineModel): Holder | undefined {
 		const {id, layers, kind} = backend;
 		if (!layers || kind === undefined) {
@@ -247,8 +171,8 @@
 		const heldLayers = layers.to - layers.from;
 		return {
 			backend: {...backend, layers},
-			work: this.#inFlight.get(id) ?? noWork,
-			report: this.#reports.get(id),
+			work: this.findWork(id),
+			report: this.findReport(id),
 			capacity: computeTokenCapacity(model, kind, heldLayers) * heldLayers,
 			stepFactor: model.kinds.get(kind)?.stepFactor ?? 1,
 		};
@@ -327,13 +251,4 @@
 			evenWork: computeEvenWork(totals.firstStages) * requestTokens * layers,
 		});
 	}
-
-	/** Computes the factor from this gateway's work to that of all, at most a multiple of their number. */
-	#computeFactor(service: ServiceName, maxMultiple: number): number {
-		const gateways = this.countGateways();
-		const load = this.readFleetLoad(service, this.readClock());
-		return load.isMeasured
-			? Math.min(gateways * maxMultiple, computeFleetFactor(load, gateways))
-			: Math.max(1, gateways);
-	}
 }
--- a/packages/bramleystage-gateway/src/path-silence.ts
+++ b/packages/bramleystage-gateway/src/path-silence.ts
@@ -17,8 +17,10 @@
 export type SilenceLimits = {
 	/** Of streams that had events. */
 	readonly startedMs: number;
-	/** Of streams without an event yet. */
+	/** Of streams without an event yet on a path with an engine that does not answer. */
 	readonly firstEventMs: number;
+	/** Of streams without an event yet before their path is inspected. */
+	readonly uninspectedMs: number;
 	/** Of streams without an event yet on a path whose first engine reports no fault. */
 	readonly unexplainedFirstEventMs: number;
 	/** Of streams on a path with an engine that can't be reached. */
@@ -31,24 +33,32 @@
 	readonly pauseMs: number;
 	/** Smoothed time to the first event on all paths. */
 	readonly firstEventMs: number;
+	/** Wait for a first event that the load of the first engine explains. */
+	readonly explainedMs: number;
 	/** Delay of the own link. */
 	readonly linkDelayMs: number;
 };
 
 /**
  * Computes the limits of a path. Under load all first events are late; a stream
- * that then left its path would only make other engines read its prompt again.
+ * that then left its path would only make other engines read its prompt again. A wait
+ * that the load of the first engine explains is no silence of the path.
  */
 export const computeSilenceLimits = ({
 	pauseMs,
 	firstEventMs,
+	explainedMs,
 	linkDelayMs,
 }: SilenceBasis): SilenceLimits => ({
 	startedMs: Math.max(minSilenceMs, silencePauseFactor * pauseMs) + linkDelayMs,
 	firstEventMs: firstEventSilenceMs + linkDelayMs,
+	uninspectedMs: Math.max(firstEventSilenceMs, explainedMs) + linkDelayMs,
 	unexplainedFirstEventMs:
-		Math.max(firstEventSilenceMs, silencePauseFactor * firstEventMs) +
-		linkDelayMs,
+		Math.max(
+			firstEventSilenceMs,
+			silencePauseFactor * firstEventMs,
+			explainedMs,
+		) + linkDelayMs,
 	unreachableMs: unreachableEnginePauseFactor * pauseMs + linkDelayMs,
 });
 
@@ -59,7 +69,7 @@
  */
 export function isPathSilent(
 	streams: ReadonlyArray<Pick<StreamRun, 'hasEvents' | 'lastProgressAt'>>,
-	{startedMs, firstEventMs}: SilenceLimits,
+	{startedMs, uninspectedMs}: SilenceLimits,
 	now: number,
 ): boolean {
 	const started = streams.filter(({hasEvents}) => hasEvents);
@@ -71,7 +81,7 @@
 	}
 
 	return streams.some(
-		({lastProgressAt}) => now - lastProgressAt > firstEventMs,
+		({lastProgressAt}) => now - lastProgressAt > uninspectedMs,
 	);
 }
 
--- a/packages/bramleystage-gateway/src/stream-answer-run.ts
+++ b/packages/bramleystage-gateway/src/stream-answer-run.ts
@@ -23,7 +23,10 @@
 	/** Records the pause between two events of a path, in milliseconds. */
 	readonly recordPause: (path: readonly PathStage[], pauseMs: number) => void;
 	/** Records the time to the first event on a path, in milliseconds. */
-	readonly recordFirstEvent: (delayMs: number) => void;
+	readonly recordFirstEvent: (
+		delayMs: number,
+		path: readonly PathStage[],
+	) => void;
 };
 
 export abstract class StreamAnswerRun extends CallRun {
@@ -73,7 +76,7 @@
 			if (active.hasEvents) {
 				this.context.recordPause(active.path, sinceMs);
 			} else {
-				this.context.recordFirstEvent(sinceMs);
+				this.context.recordFirstEvent(sinceMs, active.path);
 			}
 
 			this.lastProgressAt = now;
--- a/packages/bramleystage-gateway/src/stream-hooks.ts
+++ b/packages/bramleystage-gateway/src/stream-hooks.ts
@@ -15,7 +15,7 @@
 	recordPause(path, pauseMs) {
 		monitor.recordPause(path, pauseMs);
 	},
-	recordFirstEvent(delayMs) {
-		monitor.recordFirstEvent(delayMs);
+	recordFirstEvent(delayMs, path) {
+		monitor.recordFirstEvent(delayMs, path);
 	},
 });
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -7,43 +7,35 @@
 	type BackendId,
 	type LifeCycle,
 	type Logger,
-	maxLinkDelayMs,
 	type PathStage,
 	splitBy,
 } from 'bramleystage';
 import type {Call} from './call.js';
+import {EngineInspection} from './engine-inspection.js';
 import type {Fleet} from './fleet.js';
 import type {InstanceWatch} from './instance-watch.js';
-import {
-	computeSilenceLimits,
-	isLeaveDue,
-	isPathSilent,
-	type SilenceLimits,
-} from './path-silence.js';
+import {formatPathKey, PathPace} from './path-pace.js';
+import {isLeaveDue, isPathSilent} from './path-silence.js';
 import type {StreamRun} from './stream-run.js';
+import {
+	type InspectedPath,
+	isAffected,
+	listWatchedPaths,
+	toInspectedPath,
+	toUnexplainedLimits,
+	type WatchedPath,
+} from './watched-paths.js';
 
 /** How often the streams are checked, in milliseconds. */
 const checkIntervalMs = 20;
 /** Least time between two checks of an engine that refusals report as faulty, in milliseconds. */
 const faultyEngineCheckIntervalMs = 400;
-/** Timeout for an engine's report, in milliseconds; a live engine answers within a few milliseconds. */
-const reportTimeoutMs = 150;
-/** By how much a timer may fire early, in milliseconds. */
-const timerPrecisionMs = 1;
-/** Rise of the own link's delay during a report that may have made it late, in milliseconds; a sound link varies by less. */
-const minDelayRiseMs = 20;
-/** Least time between two inspections of one path over a sound link, in milliseconds. */
+/** Least time between two inspections of one path, or of one engine for all paths that begin there, over a sound link, in milliseconds. */
 const inspectIntervalMs = 150;
-/** Smoothed pause below which a path counts as fast, in milliseconds. */
-const fastPauseMs = 60;
-/** Least pause between events that estimates assume, in milliseconds. */
-const minAssumedPauseMs = 40;
-/** Weight of a new pause in a path's smoothed pause (EWMA). */
-const pathPauseWeight = 0.05;
-/** Weight of a new pause in the smoothed pause of all paths (EWMA). */
-const overallPauseWeight = 0.005;
-/** Weight of a new time to the first event in the smoothed one (EWMA). */
-const firstEventWeight = 0.2;
+/** The same for an engine that has sent nothing at all for as long as a path may be silent, so that one that has just ended is found at once. */
+const quietInspectIntervalMs = 50;
+/** Least time between two log lines about one crowded engine, in milliseconds. */
+const crowdedLogIntervalMs = 1000;
 /** Delay of the monitor's timer that shows that the event loop was blocked, in milliseconds. */
 const eventLoopDelayMs = 40;
 
@@ -58,27 +50,33 @@
 };
 
 export class StreamMonitor {
+	/** Waits, one for each path and check, that the load of the first engine explained. */
+	explainedCount = 0;
 	readonly #streams = new Set<StreamRun>();
 	/** Steady-clock time of the last inspection of each path or engine, in milliseconds. */
 	readonly #inspectedAt = new Map<string, number>();
-	/** Paths and engines whose last report may have been late only because of the own link. */
-	readonly #undecided = new Set<string>();
-	/** Smoothed pause between events of each path, in milliseconds. */
-	readonly #pauses = new Map<string, number>();
-	/** Smoothed pause between events of all paths, in milliseconds. */
-	#overallPause = 0;
-	/** Smoothed time to the first event on all paths, in milliseconds. */
-	#firstEventMs = 0;
+	readonly #inspection: EngineInspection;
+	readonly #pace: PathPace;
 	#lastCheckAt: number;
 	#suspendedUntil = 0;
 
 	constructor(private readonly options: StreamMonitorOptions) {
 		this.#lastCheckAt = options.readClock();
+		this.#inspection = new EngineInspection(options);
+		this.#pace = new PathPace({
+			...options,
+			findReport: (id) => options.fleet.costs.findReport(id),
+		});
 		options.lifeCycle.registerInterval(checkIntervalMs, () => {
 			this.#check(options.readClock());
 		});
 	}
 
+	/** Counts the reports that were read for inspections. */
+	get inspectionCount(): number {
+		return this.#inspection.count;
+	}
+
 	register(stream: StreamRun): () => void {
 		this.#streams.add(stream);
 		return () => {
@@ -92,22 +90,19 @@
 			return undefined;
 		}
 
-		const pauseMs = Math.max(minAssumedPauseMs, ...this.#pauses.values());
-		const events = metadata.maxAnswerTokens / service.pipeline.tokensPerEvent;
-		return this.#firstEventMs + events * pauseMs;
+		return this.#pace.computeDurationMs(
+			metadata.maxAnswerTokens / service.pipeline.tokensPerEvent,
+		);
 	}
 
 	/** Records a pause between two events of a stream, in milliseconds. */
 	recordPause(path: readonly PathStage[], pauseMs: number): void {
-		const key = formatPathKey(path);
-		const average = this.#pauses.get(key) ?? pauseMs;
-		this.#pauses.set(key, average + (pauseMs - average) * pathPauseWeight);
-		this.#overallPause += (pauseMs - this.#overallPause) * overallPauseWeight;
+		this.#pace.recordPause(path, pauseMs);
 	}
 
-	/** Records the time to the first event of a stream on its path, in milliseconds, or that it took longer. */
-	recordFirstEvent(delayMs: number): void {
-		this.#firstEventMs += (delayMs - this.#firstEventMs) * firstEventWeight;
+	/** Records the time to the first event of a stream on its path, in milliseconds. */
+	recordFirstEvent(delayMs: number, path: readonly PathStage[] = []): void {
+		this.#pace.recordFirstEvent(path, delayMs);
 	}
 
 	/**
@@ -117,13 +112,12 @@
 	 */
 	async checkFaultyEngine({id, address}: PathStage): Promise<void> {
 		const {readClock, fleet} = this.options;
-		const lastAt = this.#inspectedAt.get(id) ?? Number.NEGATIVE_INFINITY;
-		if (readClock() - lastAt < faultyEngineCheckIntervalMs) {
+		if (!this.#isDue(id, faultyEngineCheckIntervalMs, readClock())) {
 			return;
 		}
 
 		this.#inspectedAt.set(id, readClock());
-		const report = await this.#readReport(id, {id, address});
+		const report = await this.#inspection.readReport({id, address});
 		if (!report?.isErr()) {
 			return;
 		}
@@ -139,7 +133,11 @@
 		const now = readClock();
 		for (const stream of this.#streams) {
 			const isOnPath = stream.path.some((stage) => stage.id === id);
-			const limits = this.#computeLimits(formatPathKey(stream.path));
+			const limits = this.#pace.computeLimits(
+				formatPathKey(stream.path),
+				stream.path[0]?.id ?? id,
+				now,
+			);
 			const limitMs = isUnreachable ? limits.unreachableMs : limits.startedMs;
 			if (isOnPath && now - stream.lastProgressAt > limitMs) {
 				stream.failOver([id], 'An engine on the path does not answer.');
@@ -158,45 +156,84 @@
 			return;
 		}
 
-		const active = [...this.#streams].filter(({path}) => path.length > 0);
-		for (const [key, streams] of splitBy(active, ({path}) =>
-			formatPathKey(path),
-		)) {
-			if (isPathSilent(streams, this.#computeLimits(key), now)) {
-				void this.#handleSilence(key, streams);
+		const silent: WatchedPath[] = [];
+		for (const path of listWatchedPaths(this.#streams)) {
+			const limits = this.#pace.computeLimits(path.key, path.first.id, now);
+			if (isPathSilent(path.streams, limits, now)) {
+				silent.push(path);
+			} else if (isPathSilent(path.streams, toUnexplainedLimits(limits), now)) {
+				this.#recordExplained(path, now);
 			}
 		}
+
+		for (const paths of splitBy(silent, ({first}) => first.id).values()) {
+			void this.#handleSilence(paths);
+		}
 	}
 
-	#computeLimits(key: string): SilenceLimits {
-		return computeSilenceLimits({
-			pauseMs: this.#pauses.get(key) ?? 0,
-			firstEventMs: this.#firstEventMs,
-			linkDelayMs: this.options.readLinkDelayMs(),
-		});
+	/** Records that a path has no events because its first engine is crowded. */
+	#recordExplained({first, streams}: WatchedPath, now: number): void {
+		this.explainedCount++;
+		const key = `crowded=${first.id}`;
+		if (this.#isDue(key, crowdedLogIntervalMs, now)) {
+			this.#inspectedAt.set(key, now);
+			const report = this.options.fleet.costs.findReport(first.id);
+			this.options.logger.info('path.crowded', {
+				first: first.address,
+				streams: streams.length,
+				running: report?.running,
+				waiting: report?.waiting,
+				slots: report?.slots,
+			});
+		}
 	}
 
-	async #handleSilence(
-		key: string,
-		streams: readonly StreamRun[],
-	): Promise<void> {
-		const {readClock, readLinkDelayMs, logger} = this.options;
-		const [first] = streams[0]?.path ?? [];
+	#isDue(key: string, intervalMs: number, now: number): boolean {
 		const lastAt = this.#inspectedAt.get(key) ?? Number.NEGATIVE_INFINITY;
-		const intervalMs = inspectIntervalMs + readLinkDelayMs();
-		if (!first || readClock() - lastAt < intervalMs) {
+		return now - lastAt >= intervalMs;
+	}
+
+	/** Inspects the engine at which silent paths begin, and lets streams leave what it shows to be faulty. */
+	async #handleSilence(silent: readonly WatchedPath[]): Promise<void> {
+		const {readClock, readLinkDelayMs, logger} = this.options;
+		const startedAt = readClock();
+		const isDue = (key: string, intervalMs: number) =>
+			this.#isDue(key, intervalMs + readLinkDelayMs(), startedAt);
+		const paths = silent
+			.filter(({key}) => isDue(key, inspectIntervalMs))
+			.map((path) => toInspectedPath(path));
+		const [first] = paths.map((path) => path.first);
+		if (!first) {
 			return;
 		}
 
-		this.#inspectedAt.set(key, readClock());
-		const hadEvents = streams.some(({hasEvents}) => hasEvents);
-		const wasFast = (this.#pauses.get(key) ?? this.#overallPause) < fastPauseMs;
-		const suspects = await this.#findSuspects(key, first);
+		const isQuiet = paths.some(
+			({key, hadEvents}) =>
+				hadEvents && this.#pace.isQuiet(key, first.id, startedAt),
+		);
+		const intervalMs = isQuiet ? quietInspectIntervalMs : inspectIntervalMs;
+		if (!isDue(formatEngineKey(first.id), intervalMs)) {
+			return;
+		}
+
+		const keys = [formatEngineKey(first.id), ...paths.map(({key}) => key)];
+		for (const key of keys) {
+			this.#inspectedAt.set(key, startedAt);
+		}
+
+		const {suspects, queued} =
+			(await this.#inspection.findSuspects(first)) ?? {};
+		if (queued !== undefined) {
+			this.#pace.recordQueued(first.id, queued);
+		}
+
 		logger.warn('path.silent', {
 			first: first.address,
-			streams: streams.length,
-			pause_ms: Math.round(this.#pauses.get(key) ?? 0),
+			paths: paths.length,
+			streams: paths.reduce((sum, path) => sum + path.streams.length, 0),
+			pause_ms: Math.round(this.#pace.findPauseMs(paths[0]?.key ?? '')),
 			suspects: suspects?.join(','),
+			queued,
 			link_delay_ms: readLinkDelayMs() || undefined,
 		});
 		if (!suspects) {
@@ -204,91 +241,57 @@
 		}
 
 		const now = readClock();
-		const limits = this.#computeLimits(key);
+		const inspected = new Set(paths.map(({key}) => key));
+		// What the report shows holds for all paths that begin at the engine.
+		const others = listWatchedPaths(this.#streams)
+			.filter((path) => path.first.id === first.id && !inspected.has(path.key))
+			.filter(
+				({key, streams}) =>
+					streams.some(({path}) => isAffected(path, suspects)) &&
+					isPathSilent(
+						streams,
+						toUnexplainedLimits(this.#pace.computeLimits(key, first.id, now)),
+						now,
+					),
+			)
+			.map((path) => toInspectedPath(path));
+		for (const path of [...paths, ...others]) {
+			this.#leavePath(path, suspects, now);
+		}
+	}
+
+	/** Lets the streams of a silent path leave it as far as the suspects or its silence are a reason. */
+	#leavePath(
+		{key, first, streams, hadEvents}: InspectedPath,
+		suspects: readonly BackendId[],
+		now: number,
+	): void {
+		const limits = this.#pace.computeLimits(key, first.id, now);
+		const wasFast = this.#pace.wasFast(key);
 		for (const stream of streams) {
-			const path = stream.path.map(({id}) => id);
-			const isAffected = path.some((id) => suspects.includes(id));
-			const silentMs = Math.round(now - stream.lastProgressAt);
+			const silentMs = now - stream.lastProgressAt;
+			const isSuspect = isAffected(stream.path, suspects);
 			const isLeaving =
 				formatPathKey(stream.path) === key &&
 				isLeaveDue(
-					{hasEvents: stream.hasEvents, silentMs: now - stream.lastProgressAt},
-					{hadEvents, wasFast, isAffected},
+					{hasEvents: stream.hasEvents, silentMs},
+					{hadEvents, wasFast, isAffected: isSuspect},
 					limits,
 				);
 			if (!isLeaving) {
 				continue;
 			}
 
-			if (!stream.hasEvents && !isAffected) {
-				this.recordFirstEvent(silentMs);
+			if (!stream.hasEvents && !isSuspect) {
+				this.#pace.recordWait(silentMs);
 			}
 
 			stream.failOver(
-				isAffected ? suspects : path,
-				`The path was silent for ${silentMs} ms.`,
+				isSuspect ? suspects : stream.path.map(({id}) => id),
+				`The path was silent for ${Math.round(silentMs)} ms.`,
 			);
 		}
 	}
-
-	/** Reads from the first engine's report which engines do not answer; undefined if the own link may have delayed it. */
-	async #findSuspects(
-		key: string,
-		first: PathStage,
-	): Promise<BackendId[] | undefined> {
-		const {fleet} = this.options;
-		const report = await this.#readReport(key, first);
-		if (!report) {
-			return fleet.health.isPaused(first.id) ? [] : undefined;
-		}
-
-		if (report.isErr()) {
-			const {kind, detail} = report.error;
-			const sign = kind === 'malformed' ? 'failed' : 'unreachable';
-			fleet.health.recordFailure(first.id, sign, `No report: ${detail}`);
-			return [first.id];
-		}
-
-		const stalled = new Set(report.value.stalled.map((item) => item.address));
-		const suspects: BackendId[] = [];
-		for (const item of stalled) {
-			const backend = fleet.findByAddress(item);
-			if (backend) {
-				fleet.health.recordFailure(
-					backend.id,
-					'unreachable',
-					'Reported as stalled.',
-				);
-				suspects.push(backend.id);
-			}
-		}
-
-		return suspects;
-	}
-
-	/**
-	 * Reads an engine's report for the inspection of a path or engine. Returns
-	 * undefined if the engine is paused, or if the delay of the own link has risen meanwhile, so that the report
-	 * may still be under way; the next one then gets the longest time.
-	 */
-	async #readReport(key: string, engine: Pick<PathStage, 'id' | 'address'>) {
-		const {instances, readClock, readLinkDelayMs} = this.options;
-		const startedAt = readClock();
-		const delayMs = this.#undecided.delete(key)
-			? maxLinkDelayMs
-			: readLinkDelayMs();
-		const timeoutMs = reportTimeoutMs + delayMs;
-		const report = await instances.readReport(engine, timeoutMs);
-		const isLate = readClock() - startedAt >= timeoutMs - timerPrecisionMs;
-		const hasRisen = readLinkDelayMs() > delayMs + minDelayRiseMs;
-		if (report?.isErr() && isLate && hasRisen) {
-			this.#undecided.add(key);
-			return undefined;
-		}
-
-		return report;
-	}
 }
 
-const formatPathKey = (path: readonly PathStage[]) =>
-	path.map(({id, layers}) => `${id}=${layers.to}`).join(',');
+const formatEngineKey = (id: BackendId) => `first=${id}`;
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -787,6 +787,14 @@
 	isCrowded,
 	unmeasuredLoad,
 } from './coordination/path-load.js';
+export {
+	computeExplainedMs,
+	noWaitSigns,
+	recordFirstEventDelay,
+	recordQueue,
+	recordSign,
+	type WaitSigns,
+} from './coordination/wait-signs.js';
 export {
 	createRetryWindow,
 	decideWindowRetry,
