Weigh prefix cache savings against the wait at each host

The route cost had a term for cached prompt tokens that nothing supplied, so requests that share a beginning were prefilled again wherever they went.

The entry keeps, for each host, the named blocks of the prompts that ran there and of those its agent reports. A saving counts only as far as it exceeds twice the additional wait, and never without room. Engines' counts of cached tokens come back with the first token and lower the weight of wrong estimates. All new fields of messages are optional.

--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -32,6 +32,7 @@
 } from 'bramleystage';
 import type {Observable} from 'rxjs';
 import {createMetrics} from './agent-metrics.js';
+import {createCacheFollower} from './cache-follower.js';
 import {CallManager} from './call-manager.js';
 import {ClaimManager} from './claim-manager.js';
 import {EngineClient} from './engine-client.js';
@@ -96,6 +97,7 @@
 		offers,
 		load: describeLoad(),
 		table: follower.createReport(peer),
+		prefixes: cache?.createReport(schedulers.steps.room),
 	});
 	const follower = new TableFollower({
 		dataCentre,
@@ -139,6 +141,9 @@
 		engine?.close();
 		service?.close();
 	});
+	const cache = settings.engine
+		? createCacheFollower(settings.engine, lifeCycle)
+		: undefined;
 	const stages = engine
 		? new StageManager({
 				client: engine,
@@ -157,6 +162,9 @@
 				onStepFailed() {
 					void refreshOffers();
 				},
+				onPromptRun({prefix}) {
+					cache?.recordRun(prefix ?? [], readClock());
+				},
 				readClock,
 			})
 		: undefined;
@@ -243,9 +251,10 @@
 		}
 	};
 
-	await refreshOffers();
+	await Promise.all([refreshOffers(), cache?.refresh()]);
 	lifeCycle.registerInterval(offerRefreshIntervalMs, () => {
 		void refreshOffers();
+		void cache?.refresh();
 	});
 	lifeCycle.registerInterval(sweepIntervalMs, () => {
 		calls?.sweep(readClock());
--- a/packages/bramleystage-agent/src/engine-steps.ts
+++ b/packages/bramleystage-agent/src/engine-steps.ts
@@ -22,6 +22,7 @@
 			.object({id: z.int(), text: z.string(), isEnd: z.boolean()})
 			.optional(),
 		promptTokens: z.int().optional(),
+		cachedTokens: z.int().min(0).optional(),
 	}),
 	z.object({sequence: z.string(), position: positionSchema, error: z.string()}),
 ]);
--- a/packages/bramleystage-agent/src/stage-manager.ts
+++ b/packages/bramleystage-agent/src/stage-manager.ts
@@ -55,6 +55,8 @@
 			readonly sendToStage: (stage: Stage, message: Message) => void;
 			/** Called when the engine did not run a requested step. */
 			readonly onStepFailed: () => void;
+			/** Called when the engine has run the prompt of a stage. */
+			readonly onPromptRun: (open: StageOpen) => void;
 			readonly readClock: () => number;
 		},
 	) {}
@@ -279,6 +281,10 @@
 			return;
 		}
 
+		if (result.isOk() && record.next === record.open.fromPosition) {
+			this.options.onPromptRun(record.open);
+		}
+
 		this.handle(
 			request,
 			result.match<StageEvent>(
--- a/packages/bramleystage-entry/src/entry.ts
+++ b/packages/bramleystage-entry/src/entry.ts
@@ -36,10 +36,12 @@
 import type {ModelRouteOptions} from './model-route.js';
 import {AgentNetwork} from './agent-network.js';
 import {
-	createRouter,
 	chooseModelStages,
+	createRouter,
+	listRequestBlocks,
 	replaceModelStage,
 } from './model-routing.js';
+import {SentPrompts} from './sent-prompts.js';
 import {ServiceCallManager} from './service-call-manager.js';
 import {startTable} from './entry-table.js';
 
@@ -174,7 +176,12 @@
 		chooseStages: (request, excluding) =>
 			chooseModelStages(
 				router,
-				{request, hosts: agentNetwork.hosts, excluding},
+				{
+					request,
+					hosts: agentNetwork.hosts,
+					excluding,
+					prefix: listRequestBlocks(request),
+				},
 				readClock(),
 			),
 		replaceStage: (request, lost) =>
@@ -183,6 +190,7 @@
 				{request, lost, hosts: agentNetwork.hosts},
 				readClock(),
 			),
+		prompts: new SentPrompts(router.prefixes),
 		send,
 		allowRetry,
 		recovery,
--- a/packages/bramleystage-entry/src/model-routing.ts
+++ b/packages/bramleystage-entry/src/model-routing.ts
@@ -5,7 +5,9 @@
 	type Failure,
 	type HostId,
 	type HostsSnapshot,
+	listPrefixBlocks,
 	type Milliseconds,
+	type PrefixBlocks,
 	replaceStage,
 	type RequestShape,
 	type Stage,
@@ -27,6 +29,8 @@
 	readonly request: ModelRequest;
 	readonly hosts: HostsSnapshot;
 	readonly excluding: readonly HostId[];
+	/** Leading blocks of the prompt; absent if prefix caches are not considered. */
+	readonly prefix?: PrefixBlocks;
 };
 
 /**
@@ -44,10 +48,17 @@
 	answerTokens: Math.min(body.maxTokens, maxExpectedAnswerTokens),
 });
 
+/** Lists the leading blocks of a request's prompt. */
+export const listRequestBlocks = ({
+	body,
+	modelCells,
+}: Pick<ModelRequest, 'body' | 'modelCells'>): PrefixBlocks =>
+	listPrefixBlocks(body.model, modelCells.version, body.prompt);
+
 /** Chooses the stages of a request. */
 export function chooseModelStages(
 	router: Router,
-	{request, hosts, excluding}: StageChoiceInput,
+	{request, hosts, excluding, prefix}: StageChoiceInput,
 	now: Milliseconds,
 ): Result<readonly Stage[], Failure> {
 	const {layers, version} = request.modelCells;
@@ -60,7 +71,7 @@
 	const {model} = request.body;
 	return router.chooseStages(
 		hosts,
-		{model, version, layers, ...shape},
+		{model, version, layers, prefix, ...shape},
 		excluding,
 		now,
 	);
--- a/packages/bramleystage-entry/src/model-run-manager.ts
+++ b/packages/bramleystage-entry/src/model-run-manager.ts
@@ -24,6 +24,7 @@
 } from './model-request.js';
 import {estimateRequestShape} from './model-routing.js';
 import type {AgentNetworkEvent} from './agent-network.js';
+import type {SentPrompts} from './sent-prompts.js';
 
 type ActiveRun = {
 	readonly request: ModelRequest;
@@ -46,6 +47,7 @@
 			readonly send: (host: HostId, message: Message) => void;
 			readonly allowRetry: AllowRetry;
 			readonly recovery: RecoveryMode;
+			readonly prompts: SentPrompts;
 			readonly readClock: () => number;
 		},
 	) {
@@ -240,6 +242,8 @@
 			}
 
 			case 'deliverToken': {
+				const {prompts, readClock} = this.options;
+				prompts.recordToken(command.token, readClock());
 				request.onToken(command.token);
 				break;
 			}
@@ -286,6 +290,14 @@
 				estimateRequestShape(modelRequest),
 				stage.toLayer - stage.fromLayer,
 			),
+			prefix: [
+				...this.options.prompts.openStage(
+					modelRequest,
+					index,
+					command,
+					this.options.readClock(),
+				),
+			],
 			deadlineMs: command.deadlineMs,
 		});
 	}
@@ -295,6 +307,7 @@
 		clearTimeout(deadlineTimer);
 		clearTimeout(chooseTimer);
 		this.#activeRuns.delete(request.request);
+		this.options.prompts.remove(request.request);
 		const {attempt, stages} = state;
 		request.onEnd(failure, {attempts: attempt, stages});
 	}
--- a/packages/bramleystage-entry/src/routing.ts
+++ b/packages/bramleystage-entry/src/routing.ts
@@ -22,6 +22,9 @@
 	type Milliseconds,
 	type ModelName,
 	type Pipeline,
+	type PipelineCosts,
+	type PrefixBlocks,
+	PrefixSavings,
 	type RequestShape,
 	selectCandidates,
 	type ServiceName,
@@ -31,12 +34,19 @@
 } from 'bramleystage';
 import type {Result} from 'neverthrow';
 import type {AgentNetworkEvent} from './agent-network.js';
+import {
+	createPrefixEstimates,
+	listHolders,
+	recordSentPrompt,
+} from './prefix-routing.js';
 
 /** Model, version and size of a model request to route. */
 export type RouteRequest = RequestShape & {
 	readonly model: ModelName;
 	readonly version: string;
 	readonly layers: number;
+	/** Leading blocks of the prompt; absent if prefix caches are not considered. */
+	readonly prefix?: PrefixBlocks | undefined;
 };
 
 export type RouterOptions = {
@@ -62,6 +72,7 @@
 /** Chooses pipelines and service agents, and tracks the load sent to each host. */
 export class Router {
 	readonly loads = new LoadTracker();
+	readonly prefixes = new PrefixSavings();
 	readonly #indexes = new Map<string, CandidateIndex>();
 	#uncoveredChoices = 0;
 
@@ -82,18 +93,26 @@
 			hosts: this.loads.size,
 			uncovered: this.#uncoveredChoices,
 			models: Object.fromEntries(groups),
+			prefixes: this.prefixes.describe(now),
 		};
 	}
 
 	/** Records the load that a host reported. */
-	recordReport({host, load, offers}: ConnectedHost, now: Milliseconds): void {
+	recordReport(connected: ConnectedHost, now: Milliseconds): void {
+		const {host, load, offers, prefixes} = connected;
+		this.prefixes.recordReport(connected, prefixes, now);
 		this.loads.recordReport(host, load, findOfferedTokenRate(offers), now);
 	}
 
-	/** Removes the load of a host whose session ended. */
+	/**
+	 * Removes the load of a host whose session ended, and the prefixes of one that
+	 * is unreachable.
+	 */
 	receive(event: AgentNetworkEvent): void {
 		if (event.type === 'lost') {
 			this.loads.remove(event.host.host);
+		} else if (event.type === 'unreachable') {
+			this.prefixes.remove(event.host.host);
 		}
 	}
 
@@ -110,20 +129,26 @@
 		const {layers} = request;
 		const findUsable = (host: HostId) =>
 			excluding.includes(host) ? undefined : findAvailableHost(hosts, host);
-		const costs = createRouteCosts(
-			request,
-			{
-				estimateLoad: (...load) => this.loads.estimate(...load),
-				linkMs: estimateLinkMs,
-			},
-			now,
-		);
 		const chooseAmong = (groups: readonly CandidateGroup[]) => {
 			const {candidatesPerRange, drawIndex} = this.options;
+			const drawn = selectCandidates(
+				groups,
+				candidatesPerRange,
+				findUsable,
+				drawIndex,
+			);
+			const candidates = [
+				...drawn,
+				...listHolders(this.prefixes, request.prefix, {
+					groups,
+					drawn,
+					findUsable,
+				}),
+			];
 			return choosePipeline(
-				selectCandidates(groups, candidatesPerRange, findUsable, drawIndex),
+				candidates,
 				layers,
-				costs,
+				this.#createCosts(hosts, request, candidates, now),
 			);
 		};
 
@@ -171,16 +196,41 @@
 		return leastLoaded;
 	}
 
+	#createCosts(
+		hosts: HostsSnapshot,
+		request: RouteRequest,
+		candidates: readonly StageCandidate[],
+		now: Milliseconds,
+	): PipelineCosts {
+		const {prefix} = request;
+		return createRouteCosts(
+			request,
+			{
+				estimateLoad: (...load) => this.loads.estimate(...load),
+				linkMs: estimateLinkMs,
+				...(prefix && {
+					prefixes: createPrefixEstimates(
+						this.prefixes,
+						{prefix, candidates, entries: countEntries(hosts)},
+						now,
+					),
+				}),
+			},
+			now,
+		);
+	}
+
 	#recordSent(
-		shape: RequestShape,
+		request: RouteRequest,
 		pipeline: Pipeline,
 		now: Milliseconds,
 	): readonly Stage[] {
 		for (const {candidate, fromLayer, toLayer} of pipeline.stages) {
-			const work = computeStageWork(shape, toLayer - fromLayer);
+			const work = computeStageWork(request, toLayer - fromLayer);
 			this.loads.recordSent(candidate.host.host, work, now);
 		}
 
+		recordSentPrompt(this.prefixes, request, pipeline.stages, now);
 		return createStages(pipeline);
 	}
 
@@ -207,6 +257,9 @@
 	}
 }
 
+const countEntries = ({listed}: HostsSnapshot) =>
+	[...listed.values()].filter(({role}) => role === 'entry').length;
+
 const formatIndexKey = ({model, version}: RouteRequest) =>
 	`${model}/${version}`;
 
--- a/packages/bramleystage/src/coordination/pipeline.ts
+++ b/packages/bramleystage/src/coordination/pipeline.ts
@@ -15,8 +15,12 @@
 import type {Stage} from '../protocol/messages.js';
 import type {StageCandidate} from './stage-candidates.js';
 
-/** Expected cost in milliseconds of running `layers` layers at a candidate. */
-export type StageCost = (candidate: StageCandidate, layers: number) => number;
+/** Expected cost in milliseconds of running `layers` layers from one on at a candidate. */
+export type StageCost = (
+	candidate: StageCandidate,
+	layers: number,
+	fromLayer: number,
+) => number;
 
 /** Expected cost in milliseconds of the link from one stage to another. */
 export type LinkCost = (from: StageCandidate, to: StageCandidate) => number;
@@ -163,7 +167,8 @@
 			continue;
 		}
 
-		const cost = costBefore + costs.stageCost(candidate, toLayer - fromLayer);
+		const cost =
+			costBefore + costs.stageCost(candidate, toLayer - fromLayer, fromLayer);
 		const paths = findOrCreatePaths(pathsByLayer, toLayer);
 		const known = paths.get(dataCentre);
 		if (known === undefined || cost < known.cost) {
--- a/packages/bramleystage/src/coordination/prompt-tokens.ts
+++ b/packages/bramleystage/src/coordination/prompt-tokens.ts
@@ -3,7 +3,8 @@
  * the prompt. The engine reports the exact count with its first output.
  */
 
-const charactersPerToken = 5;
+/** Mean number of characters of a token. */
+export const charactersPerToken = 5;
 
 /** Estimates the number of tokens of a prompt from its length in characters. */
 export const estimatePromptTokens = (prompt: string) =>
--- a/packages/bramleystage/src/coordination/route-cost.ts
+++ b/packages/bramleystage/src/coordination/route-cost.ts
@@ -4,13 +4,16 @@
  * backlog. Under load, work therefore moves to the hosts where another
  * layer-token adds the least delay, also between engines whose layer ranges
  * overlap only in part, so that load is spread in proportion to the engines'
- * rates. A layer-token is one token processed by one layer.
+ * rates. A layer-token is one token processed by one layer. Prefill that a
+ * host's prefix cache spares is deducted as far as it exceeds the additional
+ * wait there.
  */
 import type {Milliseconds} from '../protocol/decision.js';
 import type {HostId} from '../protocol/ids.js';
 import type {LoadEstimate} from '../state/load-tracker.js';
 import type {StageCandidate} from './stage-candidates.js';
-import type {LinkCost, PipelineCosts} from './pipeline.js';
+import type {LayerSpan, LinkCost, PipelineCosts} from './pipeline.js';
+import {computeNetSaving} from './prefix-savings.js';
 
 /** The size of a request, in tokens. */
 export type RequestShape = {
@@ -26,18 +29,39 @@
 	now: Milliseconds,
 ) => LoadEstimate;
 
-/** Estimates how many tokens of the prompt are in a host's prefix cache. */
-export type EstimateCachedTokens = (host: HostId) => number;
+/** Estimates how many tokens of the prompt a candidate keeps for a span of layers. */
+export type EstimateCachedTokens = (
+	candidate: StageCandidate,
+	span: LayerSpan,
+) => number;
+
+/** What is known of prefix caches for one routing decision. */
+export type PrefixEstimates = {
+	readonly estimateCachedTokens: EstimateCachedTokens;
+	/** All candidates, with whose wait that of a holder is compared. */
+	readonly candidates: readonly StageCandidate[];
+	readonly hasRoom: (host: HostId) => boolean;
+	/** Wait at a host that its load does not include yet. */
+	readonly estimateUnseenWaitMs: (host: HostId) => Milliseconds;
+};
 
 export type RouteCostOptions = {
 	readonly estimateLoad: EstimateLoad;
 	/** One-way latency of the link between two hosts, in milliseconds. */
 	readonly linkMs: LinkCost;
-	readonly estimateCachedTokens?: EstimateCachedTokens;
+	/** Absent if nothing is known of prefix caches. */
+	readonly prefixes?: PrefixEstimates;
 };
 
 /** Costs of a candidate in milliseconds: per layer, and once per stage. */
-type CandidateCost = {readonly layerMs: number; readonly stageMs: number};
+type CandidateCost = {
+	readonly layerMs: number;
+	readonly stageMs: number;
+	/** Prefill time of a token in a layer. */
+	readonly prefillMs: number;
+	/** Time until a new step at the host ends, apart from its own work. */
+	readonly waitMs: number;
+};
 
 const msPerSecond = 1000;
 /**
@@ -60,11 +84,7 @@
 /** Creates the cost functions of one routing decision. Costs per candidate are cached. */
 export function createRouteCosts(
 	shape: RequestShape,
-	{
-		estimateLoad,
-		linkMs,
-		estimateCachedTokens: estimateCached,
-	}: RouteCostOptions,
+	{estimateLoad, linkMs, prefixes}: RouteCostOptions,
 	now: Milliseconds,
 ): PipelineCosts {
 	const steps = Math.max(1, shape.answerTokens);
@@ -73,14 +93,15 @@
 		const {layerTokensPerSecond} = offer;
 		const load = estimateLoad(host.host, layerTokensPerSecond, now);
 		const {backlog, rate, stepMs} = load;
-		const cachedTokens = estimateCached?.(host.host) ?? 0;
-		const promptTokens = Math.max(1, shape.promptTokens - cachedTokens);
 		const backlogMs = (backlog * msPerSecond) / rate;
 		const tokenMs = msPerSecond / rate + backlogMs * congestionFactor;
 		const slowMs = Math.max(0, stepMs - normalStepMs);
 		return {
-			layerMs: computeStageWork({...shape, promptTokens}, 1) * tokenMs,
+			layerMs: computeStageWork(shape, 1) * tokenMs,
 			stageMs: steps * (minStepMs + slowMs),
+			prefillMs: msPerSecond / rate,
+			waitMs:
+				backlogMs + stepMs + (prefixes?.estimateUnseenWaitMs(host.host) ?? 0),
 		};
 	};
 
@@ -95,11 +116,37 @@
 		return computed;
 	};
 
+	const computeSaving = (candidate: StageCandidate, span: LayerSpan) => {
+		const cachedTokens = prefixes?.estimateCachedTokens(candidate, span) ?? 0;
+		if (!prefixes || cachedTokens <= 0) {
+			return 0;
+		}
+
+		const {prefillMs, waitMs} = findCost(candidate);
+		// At least one token is computed for the first output.
+		const tokens = Math.min(cachedTokens, shape.promptTokens - 1);
+		const waits = prefixes.candidates
+			.filter((other) => hasLayers(other, span))
+			.map((other) => findCost(other).waitMs);
+		return computeNetSaving({
+			savedMs: tokens * countLayers(span) * prefillMs,
+			waitMs,
+			leastWaitMs: Math.min(waitMs, ...waits),
+			hasRoom: prefixes.hasRoom(candidate.host.host),
+		});
+	};
+
 	return {
-		stageCost(candidate, layers) {
+		stageCost(candidate, layers, fromLayer) {
 			const {layerMs, stageMs} = findCost(candidate);
-			return layers * layerMs + stageMs;
+			const span = {fromLayer, toLayer: fromLayer + layers};
+			return layers * layerMs + stageMs - computeSaving(candidate, span);
 		},
 		linkCost: (from, to) => steps * linkMs(from, to),
 	};
 }
+
+const countLayers = ({fromLayer, toLayer}: LayerSpan) => toLayer - fromLayer;
+
+const hasLayers = ({offer}: StageCandidate, {fromLayer, toLayer}: LayerSpan) =>
+	offer.fromLayer <= fromLayer && offer.toLayer >= toLayer;
--- a/packages/bramleystage/src/coordination/scheduler.ts
+++ b/packages/bramleystage/src/coordination/scheduler.ts
@@ -50,6 +50,11 @@
 		return this.#queue.size >= this.options.maxQueued;
 	}
 
+	/** Number of further items that may wait. */
+	get room(): number {
+		return Math.max(0, this.options.maxQueued - this.#queue.size);
+	}
+
 	/** Reserves the cost of work that `key` is expected to add in parts. */
 	reserve(key: string, cost: number): void {
 		this.release(key);
--- a/packages/bramleystage/src/coordination/stage-protocol.ts
+++ b/packages/bramleystage/src/coordination/stage-protocol.ts
@@ -30,6 +30,8 @@
 		readonly isEnd: boolean;
 	};
 	readonly promptTokens?: number;
+	/** Prompt tokens that the engine's prefix cache spared. */
+	readonly cachedTokens?: number;
 };
 
 export type StageEvent =
--- a/packages/bramleystage/src/coordination/stage-step.ts
+++ b/packages/bramleystage/src/coordination/stage-step.ts
@@ -24,6 +24,9 @@
 /** Memory per retained value, in bytes. */
 export const bytesPerRetainedValue = 8;
 
+/** Field of an output that tells the cached prompt tokens of each stage so far. */
+type CachedTokens = Pick<Activation, 'cached'>;
+
 type PlannedStep = {
 	readonly first: Position;
 	readonly position: Position;
@@ -60,6 +63,7 @@
 		{
 			...record,
 			runningStep: {first, position},
+			...findCachedBefore(input),
 			unacknowledged:
 				input.type === 'token' && !isLastStage(open)
 					? [...record.unacknowledged, input.message]
@@ -69,6 +73,14 @@
 	];
 }
 
+/** Finds what the stages before found cached; the first stage has none before it. */
+const findCachedBefore = (
+	input: StageInput,
+): Pick<OpenStage, 'cachedBefore'> => {
+	const cachedBefore = input.type === 'run' ? [] : input.message.cached;
+	return cachedBefore ? {cachedBefore} : {};
+};
+
 export const isLastStage = ({index, stages}: StageOpen) =>
 	index + 1 === stages.length;
 
@@ -158,6 +170,7 @@
 		return [record, []];
 	}
 
+	const cached = listCachedTokens(record, output);
 	const advanced: OpenStage = {
 		...record,
 		runningStep: undefined,
@@ -172,8 +185,8 @@
 				: output.promptTokens - running.position),
 	};
 	const [sent, commands] = isLastStage(open)
-		? decideToken(advanced, output)
-		: decideForward(advanced, running.first, output, context);
+		? decideToken(advanced, output, cached)
+		: decideForward(advanced, {first: running.first, cached}, output, context);
 	if (!record.pendingInput || sent?.phase !== 'open') {
 		return [sent, commands];
 	}
@@ -182,9 +195,23 @@
 	return [next, [...commands, ...more]];
 }
 
+/**
+ * Lists the cached prompt tokens up to this stage with its first output;
+ * undefined for later outputs, or if a stage didn't tell.
+ */
+const listCachedTokens = (
+	{next, open, cachedBefore}: OpenStage,
+	{cachedTokens}: StepOutput,
+): CachedTokens =>
+	next === open.fromPosition &&
+	cachedBefore?.length === open.index &&
+	cachedTokens !== undefined
+		? {cached: [...cachedBefore, cachedTokens]}
+		: {};
+
 function decideForward(
 	record: OpenStage,
-	first: Position,
+	{first, cached}: {readonly first: Position; readonly cached: CachedTokens},
 	{position, values}: StepOutput,
 	{mayRetain}: StageContext,
 ): StageDecision {
@@ -200,6 +227,7 @@
 		first,
 		position,
 		values: [...values],
+		...cached,
 	};
 	return [
 		{
@@ -212,7 +240,11 @@
 	];
 }
 
-function decideToken(record: OpenStage, output: StepOutput): StageDecision {
+function decideToken(
+	record: OpenStage,
+	output: StepOutput,
+	cached: CachedTokens,
+): StageDecision {
 	const {open, promptTokens} = record;
 	const {position, token} = output;
 	if (!token) {
@@ -235,6 +267,7 @@
 		text: token.text,
 		finish: findFinish(open, position, token.isEnd),
 		promptTokens,
+		...cached,
 	};
 	const commands: StageCommand[] = [{type: 'sendToEntry', message: sent}];
 	if (!sent.finish) {
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -201,6 +201,21 @@
 	type PlannedStage,
 	type StageCost,
 } from './coordination/pipeline.js';
+export {
+	computeBlockTokens,
+	listPrefixBlocks,
+	listStageBlocks,
+	type PrefixBlocks,
+} from './coordination/prefix-blocks.js';
+export {HolderIndex} from './coordination/prefix-holders.js';
+export {PrefixLedger} from './coordination/prefix-ledger.js';
+export {
+	computeNetSaving,
+	type HostProcess,
+	PrefixSavings,
+	type SavingTerms,
+} from './coordination/prefix-savings.js';
+export {PrefixTable} from './coordination/prefix-table.js';
 export {RateMeter} from './coordination/rate-meter.js';
 export {selectByRendezvous} from './coordination/rendezvous.js';
 export {selectByScore} from './coordination/rendezvous-order.js';
@@ -216,6 +231,7 @@
 	createRouteCosts,
 	type EstimateCachedTokens,
 	type EstimateLoad,
+	type PrefixEstimates,
 	type RequestShape,
 	type RouteCostOptions,
 } from './coordination/route-cost.js';
@@ -378,6 +394,11 @@
 	type Welcome,
 	welcomeSchema,
 } from './protocol/messages.js';
+export {
+	maxPrefixBlocks,
+	maxReportedChanges,
+	type PrefixReport,
+} from './protocol/prefix-messages.js';
 export {createRandom, type Random} from './protocol/random.js';
 export {
 	buildErrorBody,
--- a/packages/bramleystage/src/protocol/messages.ts
+++ b/packages/bramleystage/src/protocol/messages.ts
@@ -23,6 +23,11 @@
 	permitHeldSchema,
 	permitReleaseSchema,
 } from './limits.js';
+import {
+	cachedTokensSchema,
+	prefixBlocksSchema,
+	prefixReportSchema,
+} from './prefix-messages.js';
 import {outcomeSchema, resultNameSchema} from './result-codes.js';
 import {
 	tablePartSchema,
@@ -112,6 +117,8 @@
 	offers: z.array(offerSchema).max(100).optional(),
 	load: loadReportSchema.optional(),
 	table: tableReportSchema.optional(),
+	/** Absent while unchanged, and if the backend server keeps no prefixes. */
+	prefixes: prefixReportSchema.optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
@@ -218,6 +225,8 @@
 	maxTokens: count,
 	/** Layer-tokens that the stage is expected to run. */
 	work: amount.optional(),
+	/** Names of the prompt's leading blocks at this stage. */
+	prefix: prefixBlocksSchema.optional(),
 	deadlineMs: amount,
 });
 export type StageOpen = z.infer<typeof stageOpenSchema>;
@@ -268,6 +277,8 @@
 	/** Last position that the values cover. */
 	position: positionSchema,
 	values: z.array(count),
+	/** With the first output: cached prompt tokens of the stages before. */
+	cached: cachedTokensSchema.optional(),
 });
 export type Activation = z.infer<typeof activationSchema>;
 
@@ -281,6 +292,8 @@
 	text: z.string(),
 	finish: z.enum(['stop', 'length']).optional(),
 	promptTokens: count.optional(),
+	/** With the first token of an attempt: cached prompt tokens of its stages. */
+	cached: cachedTokensSchema.optional(),
 });
 export type Token = z.infer<typeof tokenSchema>;
 
--- a/packages/bramleystage/src/state/hosts.ts
+++ b/packages/bramleystage/src/state/hosts.ts
@@ -5,6 +5,7 @@
  */
 import type {DataCentreId, HostId, Incarnation} from '../protocol/ids.js';
 import type {Heartbeat, LoadReport, Offer} from '../protocol/messages.js';
+import type {PrefixReport} from '../protocol/prefix-messages.js';
 import {
 	computeSlowStartShare,
 	type HostHistories,
@@ -31,6 +32,8 @@
 	readonly leaving: boolean;
 	readonly offers: readonly Offer[];
 	readonly load: LoadReport;
+	/** Absent if the agent reports no prefixes. */
+	readonly prefixes?: PrefixReport | undefined;
 	/** Steady-clock time at which the load report arrived, in milliseconds. */
 	readonly reportedAt: number;
 	/** Smoothed round-trip time of the session, in milliseconds. */
@@ -91,6 +94,7 @@
 			leaving: history.isLeaving,
 			offers: heartbeat.offers ?? current?.offers ?? [],
 			load: heartbeat.load ?? current?.load ?? {queued: 0, running: 0, rate: 0},
+			prefixes: heartbeat.prefixes ?? current?.prefixes,
 			reportedAt: now,
 			roundTripMs: current?.roundTripMs ?? 0,
 			share: computeSlowStartShare(history, now),
--- a/packages/bramleystage/src/state/stage-record.ts
+++ b/packages/bramleystage/src/state/stage-record.ts
@@ -40,6 +40,8 @@
 	/** Input that arrived while a step was running; runs after it. */
 	readonly pendingInput: StageInput | undefined;
 	readonly promptTokens: number | undefined;
+	/** Cached prompt tokens that the stages before this one found; absent if unknown. */
+	readonly cachedBefore?: readonly number[];
 	/** Last output: an activation to the next stage, or a token from the last stage to the first. */
 	readonly lastSent: Activation | Token | undefined;
 	/** Last position of the latest replay to a next stage that had no state. */
--- a/packages/bramleystage/src/transport/heartbeat-scheduler.ts
+++ b/packages/bramleystage/src/transport/heartbeat-scheduler.ts
@@ -3,7 +3,7 @@
  * that carries requests sends heartbeats at a short interval, so that a dead
  * peer is detected quickly. An idle session uses a longer interval, except that
  * a change that the peer must know immediately is sent at the next tick.
- * Offers and load are omitted while they equal what was last sent.
+ * Offers, load and prefixes are omitted while they equal what was last sent.
  */
 import type {Milliseconds} from '../protocol/decision.js';
 import type {Heartbeat} from '../protocol/messages.js';
@@ -35,6 +35,7 @@
 	#sentUrgentState = '';
 	#sentOffers = '';
 	#sentLoad = '';
+	#sentPrefixes = '';
 
 	constructor(
 		private readonly timing: HeartbeatTiming,
@@ -116,18 +117,27 @@
 		return this.#omitUnchanged(self);
 	}
 
-	#omitUnchanged({offers, load, ...rest}: SelfDescription): Heartbeat {
+	#omitUnchanged({
+		offers,
+		load,
+		prefixes,
+		...rest
+	}: SelfDescription): Heartbeat {
 		const offersText = JSON.stringify(offers);
 		const loadText = JSON.stringify(load);
+		const prefixesText = JSON.stringify(prefixes) ?? '';
 		const hasNewOffers = offersText !== this.#sentOffers;
 		const hasNewLoad = loadText !== this.#sentLoad;
+		const hasNewPrefixes = prefixesText !== this.#sentPrefixes;
 		this.#sentOffers = offersText;
 		this.#sentLoad = loadText;
+		this.#sentPrefixes = prefixesText;
 		return {
 			type: 'heartbeat',
 			...rest,
 			...(hasNewOffers && {offers}),
 			...(hasNewLoad && {load}),
+			...(hasNewPrefixes && {prefixes}),
 		};
 	}
 }
