--- a/packages/bramleystage-entry/src/model-run-manager.ts
+++ b/packages/bramleystage-entry/src/model-run-manager.ts
@@ -4,7 +4,6 @@
  */
 import {
 	type AllowRetry,
-	computeStageWork,
 	createModelRun,
 	decideModelRun,
 	type Failure,
@@ -22,8 +21,8 @@
 	ModelRequest,
 	ReplaceStage,
 } from './model-request.js';
-import {estimateRequestShape} from './model-routing.js';
 import type {AgentNetworkEvent} from './agent-network.js';
+import type {SentPrompts} from './sent-prompts.js';
 
 type ActiveRun = {
 	readonly request: ModelRequest;
@@ -46,6 +45,7 @@
 			readonly send: (host: HostId, message: Message) => void;
 			readonly allowRetry: AllowRetry;
 			readonly recovery: RecoveryMode;
+			readonly prompts: SentPrompts;
 			readonly readClock: () => number;
 		},
 	) {
@@ -240,6 +240,8 @@
 			}
 
 			case 'deliverToken': {
+				const {prompts, readClock} = this.options;
+				prompts.recordToken(command.token, readClock());
 				request.onToken(command.token);
 				break;
 			}
@@ -267,6 +269,12 @@
 			return;
 		}
 
+		const {prefix, work} = this.options.prompts.openStage(
+			modelRequest,
+			index,
+			command,
+			this.options.readClock(),
+		);
 		this.options.send(stage.host, {
 			type: 'stageOpen',
 			request,
@@ -282,10 +290,8 @@
 			index,
 			fromPosition: command.fromPosition,
 			maxTokens: body.maxTokens,
-			work: computeStageWork(
-				estimateRequestShape(modelRequest),
-				stage.toLayer - stage.fromLayer,
-			),
+			work,
+			prefix: [...prefix],
 			deadlineMs: command.deadlineMs,
 		});
 	}
@@ -295,6 +301,7 @@
 		clearTimeout(deadlineTimer);
 		clearTimeout(chooseTimer);
 		this.#activeRuns.delete(request.request);
+		this.options.prompts.remove(request.request);
 		const {attempt, stages} = state;
 		request.onEnd(failure, {attempts: attempt, stages});
 	}
