Count a retry until its arrival has left the budget's window

Cause: the budget counted a retry for 10 s from the decision, and not at all the first attempt. A suspended server takes attempts when it goes on, also closed ones, so repeats of one window arrived in the next, beside those spent there; and the requests of the ratio could lie in two windows of the rule. Change: each attempt counts until its head arrives or, unanswered, until 5 s after its end; the ratio takes the requests that any window of the rule holds at least.

--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -5,12 +5,13 @@
 import {writeErrorResponse} from './error-response.js';
 import type {OpenCalls} from './open-calls.js';
 import {PlainRun} from './plain-run.js';
+import {RequestArrivals} from './request-arrivals.js';
 import type {RetryBudget} from './retry-budget.js';
 import {StreamRun, type StreamRunContext} from './stream-run.js';
 
 export type CallHandlerOptions = {
-	readonly context: Omit<StreamRunContext, 'admission'>;
-	readonly retryBudget: Pick<RetryBudget, 'recordRequest'>;
+	readonly context: Omit<StreamRunContext, 'admission' | 'trySpendRetry'>;
+	readonly retryBudget: Pick<RetryBudget, 'recordRequest' | 'trySpendRetry'>;
 	readonly openCalls: Pick<OpenCalls, 'add' | 'recordEnd'>;
 	/** Finds the reason to refuse a call that might still be running when this process exits. */
 	readonly findDrainRefusal: (call: Call) => Failure | undefined;
@@ -24,25 +25,33 @@
 	admission: CallAdmission,
 ): (call: Call) => void {
 	const {readClock} = base;
-	const context = {
-		...base,
-		admission: {
-			recordDelay: admission.recordDelay.bind(admission),
-			recordEnd(call: Call) {
-				openCalls.recordEnd(call, readClock());
-				admission.recordEnd(call);
+	const createContext = (): StreamRunContext => {
+		const arrivals = new RequestArrivals(readClock);
+		return {
+			...base,
+			openAttempt: arrivals.recordAttempts(base.openAttempt),
+			trySpendRetry: (service) => retryBudget.trySpendRetry(service, arrivals),
+			admission: {
+				recordDelay: admission.recordDelay.bind(admission),
+				recordEnd(call: Call) {
+					arrivals.recordEnd();
+					openCalls.recordEnd(call, readClock());
+					admission.recordEnd(call);
+				},
 			},
-		},
+		};
 	};
+
 	return (call) => {
 		const refusal = findDrainRefusal(call);
 		if (refusal) {
-			refuseCall(context, call, refusal);
+			refuseCall(base, call, refusal);
 			admission.recordEnd(call);
 			return;
 		}
 
 		retryBudget.recordRequest(call.service.name);
+		const context = createContext();
 		const run = call.service.pipeline
 			? new StreamRun(call, context)
 			: new PlainRun(call, context);
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  * engines and plain services, using the configuration and the list of backend
  * servers in the platform's store. No state of it lasts but what it saves there.
  */
-import {LifeCycle, type Logger, type ServiceName} from 'bramleystage';
+import {LifeCycle, type Logger} from 'bramleystage';
 import {createBodyBudget} from './body-budget.js';
 import {createCallAdmission} from './call-handler.js';
 import {listenForCallers} from './caller-server.js';
@@ -169,7 +169,6 @@
 		checkEnd: createEndCheck({instances, ...base}),
 		headers,
 		recorder,
-		trySpendRetry: (service: ServiceName) => retryBudget.trySpendRetry(service),
 		readClock,
 		readLinkDelayMs,
 		isStopping,
--- a/packages/bramleystage-gateway/src/retry-budget.ts
+++ b/packages/bramleystage-gateway/src/retry-budget.ts
@@ -1,4 +1,7 @@
-/** Retry budget of each service: this gateway's share of the budget of all gateways. */
+/**
+ * Retry budget of each service: this gateway's share of the budget of all gateways. A
+ * retry counts until the window has passed since it arrived at a server, or may have.
+ */
 import {
 	createRetryWindow,
 	decideWindowRetry,
@@ -7,6 +10,7 @@
 	type ServiceName,
 } from 'bramleystage';
 import type {GatewaySettings} from './platform-port.js';
+import type {RequestArrivals} from './request-arrivals.js';
 
 /** Share of the budget's slack that the known gateways use; the rest is for gateways that are not known yet. */
 const usableSlackShare = 0.75;
@@ -15,10 +19,15 @@
 
 export class RetryBudget {
 	readonly #windows = new Map<ServiceName, RetryWindow>();
+	/** Requests of each service that have spent retries which may count. */
+	readonly #repeated = new Map<ServiceName, Set<RequestArrivals>>();
 	readonly #startedAt: number;
 
 	constructor(
-		private readonly settings: GatewaySettings,
+		private readonly settings: Pick<
+			GatewaySettings,
+			'retryRatio' | 'retrySlack' | 'retryWindowMs' | 'isFirstStart'
+		>,
 		/** Returns the share of the slack that belongs to this gateway, 0 to 1. */
 		private readonly readShare: (now: number) => number,
 		private readonly readClock: () => number,
@@ -39,18 +48,44 @@
 		);
 	}
 
-	/** Spends one retry; returns false if none is left. */
-	trySpendRetry(service: ServiceName): boolean {
+	/** Spends one retry for a request; returns false if none is left. */
+	trySpendRetry(service: ServiceName, arrivals: RequestArrivals): boolean {
 		const now = this.readClock();
+		const retries = this.#listRepeatTimes(service, now);
 		const [next, isAllowed] = decideWindowRetry(
-			this.#readWindow(service),
+			{...this.#readWindow(service), retries},
 			this.#computeLimits(now),
 			now,
 		);
 		this.#windows.set(service, next);
+		if (isAllowed) {
+			arrivals.recordRetry();
+			this.#readRepeated(service).add(arrivals);
+		}
+
 		return isAllowed;
 	}
 
+	/** Lists the times of the repeats in the window, and forgets requests without one. */
+	#listRepeatTimes(service: ServiceName, now: number): number[] {
+		const since = now - this.settings.retryWindowMs;
+		const repeated = this.#readRepeated(service);
+		return [...repeated].flatMap((arrivals) => {
+			const times = arrivals.listRepeatTimes().filter((time) => time >= since);
+			if (times.length === 0) {
+				repeated.delete(arrivals);
+			}
+
+			return times;
+		});
+	}
+
+	#readRepeated(service: ServiceName): Set<RequestArrivals> {
+		const repeated = this.#repeated.get(service) ?? new Set();
+		this.#repeated.set(service, repeated);
+		return repeated;
+	}
+
 	#readWindow(service: ServiceName): RetryWindow {
 		return this.#windows.get(service) ?? createRetryWindow();
 	}
--- a/packages/bramleystage/src/coordination/__tests__/retry-window.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/retry-window.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {
+	countCertainRequests,
 	createRetryWindow,
 	decideWindowRetry,
 	recordWindowRequest,
@@ -63,3 +64,20 @@
 		{seed: 7},
 	);
 });
+
+test('a steady load counts in full, also just after it ends', () => {
+	const times = Array.from({length: 300}, (_, index) => index * 10);
+	expect(countCertainRequests(times, 1000, 2990)).toBe(100);
+});
+
+// Guards against requests that lie in two windows of the rule when a late repeat arrives.
+test('of a load that lasts one window the requests count that lie in one window of the rule', () => {
+	const times = Array.from({length: 100}, (_, index) => index * 10);
+	expect(countCertainRequests(times, 1000, 990)).toBe(75);
+});
+
+// Guards against a budget that shrinks at the start of a load.
+test('a load shorter than half a window counts in full', () => {
+	const times = Array.from({length: 50}, (_, index) => index * 10);
+	expect(countCertainRequests(times, 1000, 490)).toBe(50);
+});
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -691,6 +691,10 @@
 } from './transport/table-snapshot-writer.js';
 export {type TrafficCount, TrafficMeter} from './transport/traffic-meter.js';
 export {registerTrafficCounters} from './transport/traffic-metrics.js';
+export {
+	type AttemptArrivals,
+	listRepeatTimes,
+} from './coordination/attempt-arrivals.js';
 export {
 	type AttemptLimits,
 	type AttemptHistory,
