--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -17,17 +17,18 @@
 } from './load-shedding.js';
 import type {OpenCalls} from './open-calls.js';
 import {PlainRun} from './plain-run.js';
+import {RequestArrivals} from './request-arrivals.js';
 import type {RetryBudget} from './retry-budget.js';
 import {createSheddingRecorder} from './shedding-recorder.js';
 import {StreamRun, type StreamRunContext} from './stream-run.js';
 
 export type CallHandlerOptions = {
-	readonly context: Omit<StreamRunContext, 'admission'>;
+	readonly context: Omit<StreamRunContext, 'admission' | 'trySpendRetry'>;
 	readonly demand: Pick<
 		DemandWatch,
 		'recordAdmission' | 'recordArrival' | 'recordEnd'
 	>;
-	readonly retryBudget: Pick<RetryBudget, 'recordRequest'>;
+	readonly retryBudget: Pick<RetryBudget, 'recordRequest' | 'trySpendRetry'>;
 	readonly openCalls: Pick<OpenCalls, 'add' | 'recordEnd'>;
 	/** Finds the reason to refuse a call that might still be running when this process exits. */
 	readonly findDrainRefusal: (call: Call) => Failure | undefined;
@@ -50,27 +51,35 @@
 	admission: CallAdmission,
 ): (call: Call) => void {
 	const {readClock} = base;
-	const context = {
-		...base,
-		admission: {
-			recordDelay: admission.recordDelay.bind(admission),
-			recordEnd(call: Call) {
-				demand.recordEnd(call, readClock());
-				openCalls.recordEnd(call, readClock());
-				admission.recordEnd(call);
+	const createContext = (): StreamRunContext => {
+		const arrivals = new RequestArrivals(readClock);
+		return {
+			...base,
+			openAttempt: arrivals.recordAttempts(base.openAttempt),
+			trySpendRetry: (service) => retryBudget.trySpendRetry(service, arrivals),
+			admission: {
+				recordDelay: admission.recordDelay.bind(admission),
+				recordEnd(call: Call) {
+					arrivals.recordEnd();
+					demand.recordEnd(call, readClock());
+					openCalls.recordEnd(call, readClock());
+					admission.recordEnd(call);
+				},
 			},
-		},
+		};
 	};
+
 	return (call) => {
 		const refusal = findDrainRefusal(call);
 		if (refusal) {
-			refuseCall(context, call, refusal);
+			refuseCall(base, call, refusal);
 			admission.recordEnd(call);
 			return;
 		}
 
 		demand.recordAdmission(call, readClock());
 		retryBudget.recordRequest(call.service.name);
+		const context = createContext();
 		const run = call.service.pipeline
 			? new StreamRun(call, context)
 			: new PlainRun(call, context);
