--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -933,6 +933,7 @@
 export {
 	computeUrgencyShares,
 	CustomerShares,
+	findPlaceRate,
 	findUrgencyShare,
 	type UrgencyShare,
 } from './coordination/urgency-shares.js';
