Give places to refused callers within a third of their time

Cause: callers return after a third of the time that they have left at the latest, so a later place stays empty. Change: takePlace gives no place beyond that. The refusal test builds the admission with the measured demand and the retry budget of the merged code. Result: 7 tests pass.

--- a/packages/bramleystage/src/coordination/return-time.ts
+++ b/packages/bramleystage/src/coordination/return-time.ts
@@ -10,8 +10,6 @@
 const maxSpreadMs = 1000;
 /** Share of the time left that callers wait at most. */
 const maxWaitShare = 1 / 3;
-/** Share of the time left within which a place is of use to a caller; the rest is for its answer. */
-const maxPlaceShare = 1 / 2;
 
 /**
  * Computes the time after which a refused caller should return, in milliseconds.
@@ -80,7 +78,7 @@
 		},
 		now: number,
 	): number {
-		const latestMs = Math.max(minReturnMs, remainingMs * maxPlaceShare);
+		const latestMs = Math.max(minReturnMs, remainingMs * maxWaitShare);
 		const earliestMs = Math.max(
 			minReturnMs,
 			Math.min(minReturnMs / share, latestMs / 2),
