Let own work count for more in the estimate of the others' spread, and test lending

Cause: totals without reports made gateways assume much of the others' work at far stages, so near ones were over their slots: 36% of the time on 27 gateways in a trial. A path with an engine that can't be reached was not inspected while its first engine was crowded.

Change: an even spread counts as one own request for each first stage, not four. An engine out of reach ends the explanation of a wait. Tests of both.

--- a/packages/bramleystage-gateway/src/__tests__/crowded-stage.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/crowded-stage.test.ts
@@ -213,3 +213,22 @@
 	await vi.advanceTimersByTimeAsync(40);
 	expect(reportedAt).toHaveLength(1);
 });
+
+// Failure: an engine after the crowded one ends. Guards against streams that wait there for
+// an engine that is known to be out of reach.
+test('a path with an engine that can not be reached is inspected although its first engine is crowded', async () => {
+	const {fleet, reportedAt, addStream, sendEvents} = startMonitor(30);
+	sendEvents(addStream(0, 0, true));
+	fleet.costs.recordReport(crowdedId, crowd);
+	addStream(1, 0);
+	addStream(2, 0);
+	await vi.advanceTimersByTimeAsync(400);
+	expect(reportedAt).toEqual([]);
+	fleet.health.recordFailure(
+		createPath(2)[1]!.id,
+		'unreachable',
+		'No connection.',
+	);
+	await vi.advanceTimersByTimeAsync(40);
+	expect(reportedAt).toHaveLength(1);
+});
--- a/packages/bramleystage-gateway/src/__tests__/path-load.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/path-load.test.ts
@@ -50,9 +50,16 @@
 	};
 }
 
-const fronts = Array.from({length: 5}, (_, index) =>
-	createBackend(`front-${index}`, 0, frontLayers),
-);
+const createFronts = (farStages: number) =>
+	Array.from({length: 5}, (_, index) =>
+		createBackend(
+			`front-${index}`,
+			0,
+			frontLayers,
+			index < 5 - farStages ? 'a' : 'b',
+		),
+	);
+const fronts = createFronts(0);
 const backs = Array.from({length: 28}, (_, index) =>
 	createBackend(
 		`back-${index}`,
@@ -80,6 +87,8 @@
 	readonly partitionedShare?: number;
 	/** Time until an engine's report arrives, in milliseconds; no reports if undefined. */
 	readonly reportMs?: number;
+	/** First stages in another data centre, of five. */
+	readonly farStages?: number;
 	readonly seed?: number;
 };
 
@@ -88,6 +97,10 @@
 	readonly spread: number;
 	/** Requests for which no path was found, over all. */
 	readonly refused: number;
+	/** Part of the time in which a stage has more requests than slots. */
+	readonly fullShare: number;
+	/** Standard deviation of the requests in the other data centre, over their mean. */
+	readonly farSwing: number;
 };
 
 /** Lets gateways choose paths for 8 s, of which the first three don't count. */
@@ -97,9 +110,11 @@
 	staleMs,
 	partitionedShare = 0,
 	reportMs,
+	farStages = 0,
 	seed = 7,
 }: Trial): Outcome {
 	const draw = createDraw(seed);
+	const stages = createFronts(farStages);
 	let now = 0;
 	const history: number[][] = [];
 	const inFlight = Array.from({length: gateways}, () => 0);
@@ -143,7 +158,7 @@
 			() => now,
 			() => readLoad(self),
 		);
-		const list = () => [...fronts, ...backs];
+		const list = () => [...stages, ...backs];
 		return {
 			costs,
 			paths: new PathChoice(costs, unlimitedChoice, list, draw),
@@ -209,6 +224,8 @@
 	};
 
 	const spreads: number[] = [];
+	const far: number[] = [];
+	let overfull = 0;
 	for (let step = 0; step < 8000 / stepMs; step++) {
 		now = step * stepMs;
 		runDueEvents();
@@ -222,11 +239,23 @@
 		const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
 		if (now >= 3000 && mean > 0) {
 			spreads.push(Math.max(...loads) / mean);
+			overfull += Math.max(...loads) > model.slots ? 1 : 0;
+			far.push(loads.slice(5 - farStages).reduce((sum, n) => sum + n, 0));
 		}
 	}
 
-	const total = spreads.reduce((sum, value) => sum + value, 0);
-	return {spread: total / spreads.length, refused: refused / requests};
+	const computeMean = (values: readonly number[]) =>
+		values.reduce((sum, value) => sum + value, 0) / values.length;
+	const farMean = computeMean(far);
+	const deviation = Math.sqrt(
+		computeMean(far.map((count) => (count - farMean) ** 2)),
+	);
+	return {
+		spread: computeMean(spreads),
+		refused: refused / requests,
+		fullShare: overfull / spreads.length,
+		farSwing: farMean > 0 ? deviation / farMean : 0,
+	};
 }
 
 /** What the gateways know of the load of all, and how old it is. */
@@ -344,3 +373,18 @@
 	expect(countFar(122)).toBeGreaterThan(0);
 	expect(countFar(134)).toBe(200);
 });
+
+// Load pattern: the near first stages have 402 slots for 470 requests. Guards against requests
+// that queue near while another data centre has free slots, and against swings between the two.
+test.each([3, 27, 68, 400])(
+	'%i gateways that get reports lend slots of another data centre in time and without swings',
+	(gateways) => {
+		const trial = {gateways, crowdedShare: 0.3, farStages: 2};
+		const before = runTrial(trial);
+		const after = runTrial({...trial, staleMs: 500, reportMs: 60});
+		expect(after.refused).toBe(0);
+		expect(after.fullShare).toBeLessThanOrEqual(before.fullShare);
+		expect(after.farSwing).toBeLessThan(gateways > 100 ? 1 : 0.6);
+	},
+	30_000,
+);
--- a/packages/bramleystage-gateway/src/stream-monitor.ts
+++ b/packages/bramleystage-gateway/src/stream-monitor.ts
@@ -159,9 +159,14 @@
 		const silent: WatchedPath[] = [];
 		for (const path of listWatchedPaths(this.#streams)) {
 			const limits = this.#pace.computeLimits(path.key, path.first.id, now);
-			if (isPathSilent(path.streams, limits, now)) {
+			const unexplained = toUnexplainedLimits(limits);
+			// Another engine that can't be reached explains the wait as well as a queue does.
+			const isReachable = !path.streams[0]?.path.some(({id}) =>
+				this.options.fleet.health.isUnreachable(id),
+			);
+			if (isPathSilent(path.streams, isReachable ? limits : unexplained, now)) {
 				silent.push(path);
-			} else if (isPathSilent(path.streams, toUnexplainedLimits(limits), now)) {
+			} else if (isPathSilent(path.streams, unexplained, now)) {
 				this.#recordExplained(path, now);
 			}
 		}
--- a/packages/bramleystage/src/coordination/path-load.ts
+++ b/packages/bramleystage/src/coordination/path-load.ts
@@ -10,8 +10,8 @@
 
 /** Age at which an engine's report no longer counts, in milliseconds: by then its queue may have filled and drained. */
 const maxReportAgeMs = 2000;
-/** Requests for each engine that an even spread of the other gateways' work is assumed with; a gateway with few requests of its own says little about where those of the others are. */
-const evenRequests = 4;
+/** Requests for each engine that an even spread of the other gateways' work is assumed with; a gateway with few requests of its own says little about where those of the others are. With 4 instead of 1, 27 gateways lent slots of another data centre so late that a near stage was overfull for 36% of the time and not 10%. */
+const evenRequests = 1;
 /** Slot load from which on queueing adds to the cost; below 1, so that other data centres lend slots gradually and not all at once. */
 const crowdedLoad = 0.8;
 /** Cost of a first stage whose slots are all taken, in milliseconds: above the hop to another data centre and back. */
