--- a/packages/bramleystage-agent/src/agent.ts
+++ b/packages/bramleystage-agent/src/agent.ts
@@ -162,9 +162,12 @@
 				onStepFailed() {
 					void refreshOffers();
 				},
-				estimateCached: ({prefix}) => cache?.estimateTokens(prefix ?? []) ?? 0,
-				onPromptRun({prefix}) {
-					cache?.recordRun(prefix ?? [], readClock());
+				promptCache: {
+					estimateTokens: ({prefix}) =>
+						cache?.estimateTokens(prefix ?? []) ?? 0,
+					recordRun({prefix}) {
+						cache?.recordRun(prefix ?? [], readClock());
+					},
 				},
 				readClock,
 			})
--- a/packages/bramleystage-agent/src/stage-manager.ts
+++ b/packages/bramleystage-agent/src/stage-manager.ts
@@ -25,7 +25,7 @@
 	type SequenceName,
 } from './engine-steps.js';
 import type {EntryKey} from './entry-sessions.js';
-import {createStepWork} from './step-work.js';
+import {createStepWork, type PromptCache} from './step-work.js';
 
 /** How long the record of a closed stage is kept, in milliseconds. */
 const closedRecordRetentionMs = 600_000;
@@ -55,10 +55,7 @@
 			readonly sendToStage: (stage: Stage, message: Message) => void;
 			/** Called when the engine did not run a requested step. */
 			readonly onStepFailed: () => void;
-			/** Estimates how many tokens of a stage's prompt the engine keeps. */
-			readonly estimateCached: (open: StageOpen) => number;
-			/** Called when the engine has run the prompt of a stage. */
-			readonly onPromptRun: (open: StageOpen) => void;
+			readonly promptCache: PromptCache;
 			readonly readClock: () => number;
 		},
 	) {}
@@ -202,7 +199,7 @@
 
 			case 'runStep': {
 				this.options.scheduler.add(
-					createStepWork(command, this.options.estimateCached(command.open)),
+					createStepWork(command, this.options.promptCache),
 					formatSequenceName(command),
 				);
 				this.#startQueuedSteps();
@@ -284,7 +281,7 @@
 		}
 
 		if (result.isOk() && record.next === record.open.fromPosition) {
-			this.options.onPromptRun(record.open);
+			this.options.promptCache.recordRun(record.open);
 		}
 
 		this.handle(
--- a/packages/bramleystage-entry/src/routing.ts
+++ b/packages/bramleystage-entry/src/routing.ts
@@ -255,8 +255,23 @@
 	}
 }
 
-const countEntries = ({listed}: HostsSnapshot) =>
-	[...listed.values()].filter(({role}) => role === 'entry').length;
+/** Counts of entries by host list, which is replaced as a whole. */
+const entryCounts = new WeakMap<HostsSnapshot['listed'], number>();
+
+function countEntries({listed}: HostsSnapshot): number {
+	const known = entryCounts.get(listed);
+	if (known !== undefined) {
+		return known;
+	}
+
+	let entries = 0;
+	for (const {role} of listed.values()) {
+		entries += Number(role === 'entry');
+	}
+
+	entryCounts.set(listed, entries);
+	return entries;
+}
 
 const formatIndexKey = ({model, version}: RouteRequest) =>
 	`${model}/${version}`;
--- a/packages/bramleystage/src/coordination/stage-step.ts
+++ b/packages/bramleystage/src/coordination/stage-step.ts
@@ -13,6 +13,11 @@
 import {createFailure, type Failure} from '../protocol/result-codes.js';
 import {appendItem} from '../state/append-list.js';
 import type {OpenStage, StageInput} from '../state/stage-record.js';
+import {
+	type CachedTokens,
+	findCachedBefore,
+	listCachedTokens,
+} from './stage-cached.js';
 import type {
 	StageCommand,
 	StageContext,
@@ -24,9 +29,6 @@
 /** Memory per retained value, in bytes. */
 export const bytesPerRetainedValue = 8;
 
-/** Field of an output that tells the cached prompt tokens of each stage so far. */
-type CachedTokens = Pick<Activation, 'cached'>;
-
 type PlannedStep = {
 	readonly first: Position;
 	readonly position: Position;
@@ -73,14 +75,6 @@
 	];
 }
 
-/** Finds what the stages before found cached; the first stage has none before it. */
-const findCachedBefore = (
-	input: StageInput,
-): Pick<OpenStage, 'cachedBefore'> => {
-	const cachedBefore = input.type === 'run' ? [] : input.message.cached;
-	return cachedBefore ? {cachedBefore} : {};
-};
-
 export const isLastStage = ({index, stages}: StageOpen) =>
 	index + 1 === stages.length;
 
@@ -195,20 +189,6 @@
 	return [next, [...commands, ...more]];
 }
 
-/**
- * Lists the cached prompt tokens up to this stage with its first output;
- * undefined for later outputs, or if a stage didn't tell.
- */
-const listCachedTokens = (
-	{next, open, cachedBefore}: OpenStage,
-	{cachedTokens}: StepOutput,
-): CachedTokens =>
-	next === open.fromPosition &&
-	cachedBefore?.length === open.index &&
-	cachedTokens !== undefined
-		? {cached: [...cachedBefore, cachedTokens]}
-		: {};
-
 function decideForward(
 	record: OpenStage,
 	{first, cached}: {readonly first: Position; readonly cached: CachedTokens},
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -245,6 +245,11 @@
 	type SessionFence,
 	updateSessionFence,
 } from './coordination/session-fence.js';
+export {
+	type CachedTokens,
+	findCachedBefore,
+	listCachedTokens,
+} from './coordination/stage-cached.js';
 export {
 	createCloseCommand,
 	createOpenedCommand,
