Place front stages from the start, avoid full KV caches, and admit returning callers first

Change: a first placement with memory for more usual requests than its first stages receive gets front stages; the cost of an engine rises steeply as its KV cache fills, if the load is measured; in a shortage a caller that returns, told by its time left, goes before the customer's new ones.

--- a/packages/bramleystage-gateway/src/path-costs.ts
+++ b/packages/bramleystage-gateway/src/path-costs.ts
@@ -201,7 +201,12 @@
 			address,
 			dataCentre,
 			layers,
-			layerCost: stepMs * (1 + engineLoadWeight * load),
+			layerCost:
+				stepMs * (1 + engineLoadWeight * load) +
+				// An engine whose KV cache is full refuses requests or preempts others.
+				(totals.load.isMeasured
+					? computeCrowdCost(load) / (layers.to - layers.from)
+					: 0),
 			firstStageCost:
 				slotLoad > maxLoad
 					? Number.POSITIVE_INFINITY
--- a/packages/bramleystage/src/coordination/__tests__/urgency-shares.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/urgency-shares.test.ts
@@ -82,7 +82,10 @@
 						asked: 0,
 						admitted: 0,
 					};
-					const isAdmitted = customers.tryTake(String(customer), 2, share);
+					const isAdmitted = customers.tryTake(String(customer), {
+						priority: 2,
+						share,
+					});
 					counts.set(customer, {
 						asked: asked + 1,
 						admitted: admitted + (isAdmitted ? 1 : 0),
@@ -101,7 +104,7 @@
 test('customers with one request at each of many gateways get their share too', () => {
 	const drawRandom = createRandom(5);
 	const admitted = Array.from({length: 4000}, () =>
-		new CustomerShares(drawRandom).tryTake('a', 0, 0.6),
+		new CustomerShares(drawRandom).tryTake('a', {priority: 0, share: 0.6}),
 	).filter(Boolean).length;
 	expect(admitted / 4000).toBeCloseTo(0.6, 1);
 });
@@ -127,3 +130,30 @@
 	expect(placeRates[1]).toBeCloseTo(13.94, 1);
 	expect(findPlaceRate(own, shares, 7)).toBe(0);
 });
+
+// Load pattern: callers that were refused return in a shortage; refused again, they have waited for nothing.
+test('returning callers go before new ones of their customer, whose share stays', () => {
+	const customers = new CustomerShares(() => 0);
+	const admitted = {new: 0, returning: 0};
+	const rounds = 400;
+	for (let round = 0; round < rounds; round++) {
+		const isReturning = round % 5 === 0;
+		const isAdmitted = customers.tryTake(
+			'a',
+			{priority: 1, share: 0.4},
+			isReturning,
+		);
+		admitted[isReturning ? 'returning' : 'new'] += isAdmitted ? 1 : 0;
+	}
+
+	expect(admitted.returning).toBe(rounds / 5);
+	expect(Math.abs(admitted.new + admitted.returning - 160)).toBeLessThan(4);
+});
+
+test('a customer whose callers all return gets no more than its share', () => {
+	const customers = new CustomerShares(() => 0);
+	const admitted = Array.from({length: 400}, () =>
+		customers.tryTake('a', {priority: 1, share: 0.4}, true),
+	).filter(Boolean);
+	expect(Math.abs(admitted.length - 160)).toBeLessThan(4);
+});
--- a/packages/bramleystage/src/coordination/cache-stages.ts
+++ b/packages/bramleystage/src/coordination/cache-stages.ts
@@ -111,7 +111,7 @@
 }
 
 /** Computes the tokens whose KV cache fits, by layer, over all engines. */
-function computeLayerCapacities(
+export function computeLayerCapacities(
 	model: PipelineModel,
 	engines: readonly EnginePlacement[],
 ): number[] {
--- a/packages/bramleystage/src/coordination/path-load.ts
+++ b/packages/bramleystage/src/coordination/path-load.ts
@@ -12,9 +12,9 @@
 const maxReportAgeMs = 2000;
 /** Requests for each engine that an even spread of the other gateways' work is assumed with; a gateway with few requests of its own says little about where those of the others are. With 4 instead of 1, 27 gateways lent slots of another data centre so late that a near stage was overfull for 36% of the time and not 10%. */
 const evenRequests = 1;
-/** Slot load from which on queueing adds to the cost; below 1, so that other data centres lend slots gradually and not all at once. */
+/** Load of slots or KV cache from which on crowding adds to the cost; below 1, so that other data centres lend room gradually and not all at once. */
 const crowdedLoad = 0.8;
-/** Cost of a first stage whose slots are all taken, in milliseconds: above the hop to another data centre and back. */
+/** Cost of an engine whose slots or KV cache are all taken, in milliseconds: above the hop to another data centre and back. */
 const fullCostMs = 100;
 /** Difference of costs that is no reason for a choice, in milliseconds. */
 const minToleranceMs = 0.5;
@@ -129,9 +129,9 @@
 	return weight * reported + (1 - weight) * estimated;
 }
 
-/** Computes what queueing adds to the cost of a first stage, in milliseconds. */
-export const computeCrowdCost = (slotLoad: number): number =>
-	(fullCostMs * Math.max(0, slotLoad - crowdedLoad)) / (1 - crowdedLoad);
+/** Computes what the load of an engine's slots or KV cache adds to its cost, in milliseconds. */
+export const computeCrowdCost = (load: number): number =>
+	(fullCostMs * Math.max(0, load - crowdedLoad)) / (1 - crowdedLoad);
 
 /** Whether an engine's report says that new requests wait there. */
 export const isCrowded = ({running, waiting, slots}: EngineLoad): boolean =>
