Choose the first stage of an idle fleet as without a known load

Cause: with reports of idle engines the choice was drawn, so a request of an idle fleet no longer went to the cheapest path first (12 tests of endless answers never reached the server that they test). Change: draws only when a near-equal first stage has requests.

--- a/packages/bramleystage/src/coordination/path-load.ts
+++ b/packages/bramleystage/src/coordination/path-load.ts
@@ -182,10 +182,14 @@
 		loadToleranceMs * Math.min(1, lowest.slotLoad / toleranceLoad);
 	const near = candidates.filter(({cost}) => cost <= maxCost);
 	const draws = minDraws + Math.round(ownDraws * ownShare);
+	// The choice of an idle fleet is the same as without a known load.
+	const isIdle = near.every(({slotLoad}) => slotLoad === 0);
 	return pickLowest(
-		Array.from({length: draws}).flatMap(
-			() => drawByFreeSlots(near, drawRandom) ?? [],
-		),
+		isIdle
+			? near
+			: Array.from({length: draws}).flatMap(
+					() => drawByFreeSlots(near, drawRandom) ?? [],
+				),
 		({cost}) => cost,
 	);
 }
