--- a/packages/bramleystage-gateway/src/load-shedding.ts
+++ b/packages/bramleystage-gateway/src/load-shedding.ts
@@ -76,15 +76,6 @@
 	readonly returns: Map<number, ReturnSchedule>;
 };
 
-/** Share of the route's time that a caller has left at most if it was refused before. */
-const maxReturningShare = 0.95;
-
-/** Whether a caller has used a part of its time elsewhere: it was refused and returns. */
-const isReturning = (
-	{deadlineAt, route}: Pick<SheddableCall, 'deadlineAt' | 'route'>,
-	now: number,
-): boolean => deadlineAt - now < route.timeoutMs * maxReturningShare;
-
 /** A load under which nothing is shed. */
 export const idleFleetLoad: FleetLoad = {
 	own: emptyServiceLoad,
@@ -120,11 +111,7 @@
 		const isAdmitted =
 			share >= 1 ||
 			call.metadata.lastEvent !== undefined ||
-			state.customers.tryTake(
-				customer,
-				{priority, share},
-				isReturning(call, now),
-			);
+			state.customers.tryTake(customer, {priority, share});
 		this.options.recordDecision(priority, isAdmitted);
 		if (isAdmitted) {
 			return undefined;
--- a/packages/bramleystage/src/coordination/urgency-shares.ts
+++ b/packages/bramleystage/src/coordination/urgency-shares.ts
@@ -16,8 +16,6 @@
 const placePart = 0.25;
 /** Customers whose remainders are kept; those kept longest are dropped beyond. */
 const maxCustomers = 4096;
-/** Requests of returning callers that a customer is admitted ahead of its share. */
-const maxAdvance = 3;
 /** Absorbs rounding in sums of shares. */
 const epsilon = 1e-9;
 
@@ -90,20 +88,13 @@
 	/**
 	 * Whether the next request of a customer and priority is admitted. The first remainder is
 	 * drawn, so that customers with one request at each of many gateways get their share too.
-	 * A caller that returns goes before the customer's new ones, which then wait for the
-	 * remainder to recover: so a refused request isn't refused again, and no share changes.
 	 */
-	tryTake(
-		customer: string,
-		{priority, share}: UrgencyShare,
-		isReturning = false,
-	): boolean {
+	tryTake(customer: string, {priority, share}: UrgencyShare): boolean {
 		const key = `${priority} ${customer}`;
 		const previous = this.#remainders.get(key) ?? this.#addCustomer();
 		const sum = Math.min(previous, 1) + Math.max(0, Math.min(1, share));
-		const least = isReturning ? 1 - maxAdvance : 1;
-		const isAdmitted = sum >= least - epsilon;
-		this.#remainders.set(key, isAdmitted ? sum - 1 : sum);
+		const isAdmitted = sum >= 1 - epsilon;
+		this.#remainders.set(key, isAdmitted ? Math.max(0, sum - 1) : sum);
 		return isAdmitted;
 	}
 
