--- a/packages/bramleystage/src/coordination/path-load.ts
+++ b/packages/bramleystage/src/coordination/path-load.ts
@@ -10,7 +10,7 @@
 
 /** Age at which an engine's report no longer counts, in milliseconds: by then its queue may have filled and drained. */
 const maxReportAgeMs = 2000;
-/** Requests for each engine that an even spread of the other gateways' work is assumed with; a gateway with few requests of its own says little about where those of the others are. With 4 instead of 1, 27 gateways lent slots of another data centre so late that a near stage was overfull for 36% of the time and not 10%. */
+/** Requests for each engine that an even spread of the other gateways' work is assumed with; a gateway with few requests of its own says little about where those of the others are. With more, slots of another data centre are lent too late. */
 const evenRequests = 1;
 /** Load of slots or KV cache from which on crowding adds to the cost; below 1, so that other data centres lend room gradually and not all at once. */
 const crowdedLoad = 0.8;
--- a/packages/bramleystage/src/coordination/return-time.ts
+++ b/packages/bramleystage/src/coordination/return-time.ts
@@ -64,7 +64,7 @@
 	 * Takes a place in a lasting shortage, and returns the time until it, in milliseconds. Calls
 	 * are admitted by `share`: a caller needs the more attempts the lower it is, and returns
 	 * that much later. A caller for whom no place is free in time is told a time beyond its own:
-	 * asked to return before, such callers kept the fleet short for 27 s after the demand.
+	 * asked to return before, such callers prolong the shortage.
 	 */
 	takePlace(
 		{
--- a/packages/bramleystage/src/coordination/room-estimate.ts
+++ b/packages/bramleystage/src/coordination/room-estimate.ts
@@ -115,7 +115,7 @@
 	const {ends, rates} = fleet;
 	const admissions = sumRates(rates.map((entry) => entry.admissions));
 	const sinceMs = Math.max(0, ageMs);
-	// What was admitted and ended since the totals were taken. Without it, a flood took the streams in flight to 1.32 instead of 1.26 of the slots, with totals 1 s old.
+	// Adds what was admitted and ended since the totals were taken; otherwise old totals let in too many.
 	const running = Math.max(
 		0,
 		fleet.running + ((admissions - ends) * sinceMs) / msPerSecond,
