--- a/packages/bramleystage-gateway/src/__tests__/load-shedding.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/load-shedding.test.ts
@@ -7,11 +7,11 @@
 	type Route,
 	type ServiceLoad,
 	toServiceName,
+	unmeasuredLoad,
 } from 'bramleystage';
 import {Registry} from 'prom-client';
 import {beforeEach, expect, test} from 'vitest';
 import {
-	idleFleetLoad,
 	LoadShedding,
 	type SheddableCall,
 	type SheddingState,
@@ -140,7 +140,7 @@
 
 // Guards against refusals without need, and against another reason in place of "no pipeline".
 test.each([
-	['an unknown load', () => ({load: idleFleetLoad, slots: 100})],
+	['an unknown load', () => ({load: unmeasuredLoad, slots: 100})],
 	[
 		'less than 0.7 of the capacity in use',
 		() => ({load: fullFleet, slots: 130}),
@@ -179,7 +179,7 @@
 	expect(states).toHaveLength(3);
 	expect(states[1]).toMatchObject({isShort: true, capacity: 100, ageMs: 300});
 	expect(states[1]?.refused).toBeGreaterThan(50);
-	load = idleFleetLoad;
+	load = unmeasuredLoad;
 	for (let now = 3000; now < 5000; now += 10) {
 		expect(shedding.findRefusal(buildCall(6), now + 100)).toBeUndefined();
 	}
--- a/packages/bramleystage-gateway/src/call-handler.ts
+++ b/packages/bramleystage-gateway/src/call-handler.ts
@@ -5,16 +5,13 @@
 	type Failure,
 	type Logger,
 	ReturnSchedule,
+	unmeasuredLoad,
 } from 'bramleystage';
 import {CallAdmission, type CallAdmissionOptions} from './call-admission.js';
 import type {Call} from './call.js';
 import type {DemandWatch} from './demand-watch.js';
 import {writeErrorResponse} from './error-response.js';
-import {
-	idleFleetLoad,
-	LoadShedding,
-	type ReadFleetLoad,
-} from './load-shedding.js';
+import {LoadShedding, type ReadFleetLoad} from './load-shedding.js';
 import type {OpenCalls} from './open-calls.js';
 import {PlainRun} from './plain-run.js';
 import {RequestArrivals} from './request-arrivals.js';
@@ -96,7 +93,7 @@
 /** Creates what refuses calls while the fleet is short of engines. */
 function createLoadShedding({
 	context: {fleet, recorder, drawRandom},
-	readFleetLoad = () => idleFleetLoad,
+	readFleetLoad = () => unmeasuredLoad,
 	logger,
 }: CallHandlerOptions): LoadShedding {
 	return new LoadShedding({
--- a/packages/bramleystage-gateway/src/load-shedding.ts
+++ b/packages/bramleystage-gateway/src/load-shedding.ts
@@ -8,7 +8,6 @@
 	computeUrgencyShares,
 	createFailure,
 	CustomerShares,
-	emptyServiceLoad,
 	type Failure,
 	findPlaceRate,
 	findUrgencyShare,
@@ -21,6 +20,7 @@
 	type ServiceCapacity,
 	type ServiceName,
 	type Shortage,
+	unmeasuredLoad,
 	updateShortage,
 	type UrgencyShare,
 } from 'bramleystage';
@@ -76,14 +76,6 @@
 	readonly returns: Map<number, ReturnSchedule>;
 };
 
-/** A load under which nothing is shed. */
-export const idleFleetLoad: FleetLoad = {
-	own: emptyServiceLoad,
-	fleet: emptyServiceLoad,
-	isMeasured: false,
-	ageMs: 0,
-};
-
 export class LoadShedding {
 	readonly #services = new Map<ServiceName, ServiceShedding>();
 
@@ -130,7 +122,7 @@
 		const state: ServiceShedding = {
 			shortage: initialShortage,
 			shares: [],
-			load: idleFleetLoad,
+			load: unmeasuredLoad,
 			updatedAt: Number.NEGATIVE_INFINITY,
 			recordedAt: Number.NEGATIVE_INFINITY,
 			refusedCount: 0,
