Add cache stages only when the KV cache is nearly full

Cause: from 0.6 of the KV cache on, cache stages made paths of up to 14 engines, so that each loss broke most streams of its data centre, and took the reserve. Change: from 0.9 on.

--- a/packages/bramleystage/src/coordination/cache-stages.ts
+++ b/packages/bramleystage/src/coordination/cache-stages.ts
@@ -24,8 +24,11 @@
 	resolveRange,
 } from './engine-placement.js';
 
-/** Share of the KV cache above which more is added: requests are spread unevenly, and engines preempt when one is full. */
-const maxCacheUse = 0.6;
+/**
+ * Share of the KV cache above which more is added. Each cache stage makes paths longer, so
+ * that the loss of an engine breaks more streams, and takes an engine of the reserve.
+ */
+const maxCacheUse = 0.9;
 /** Share of the least token capacity up to which the next layers count as the same bottleneck. */
 const bottleneckSlack = 1.15;
 /** Layers that a cache stage is wanted for at least; with fewer, paths get longer for little room. */
