--- a/packages/bramleystage/src/coordination/cache-stages.ts
+++ b/packages/bramleystage/src/coordination/cache-stages.ts
@@ -114,7 +114,7 @@
 }
 
 /** Computes the tokens whose KV cache fits, by layer, over all engines. */
-export function computeLayerCapacities(
+function computeLayerCapacities(
 	model: PipelineModel,
 	engines: readonly EnginePlacement[],
 ): number[] {
--- a/packages/bramleystage/src/coordination/front-stages.ts
+++ b/packages/bramleystage/src/coordination/front-stages.ts
@@ -10,7 +10,6 @@
 import type {DataCentreId} from '../protocol/ids.js';
 import type {PipelineModel} from '../state/routes.js';
 import {pickLowest} from '../state/pick-lowest.js';
-import {computeLayerCapacities} from './cache-stages.js';
 import {computeMaxLayers} from './layer-plan.js';
 import {
 	type EnginePlacement,
@@ -32,18 +31,6 @@
 const isFirstStage = (engine: EnginePlacement) =>
 	isSoundEngine(engine) && resolveRange(engine)?.from === 0;
 
-/** Computes the usual requests whose KV cache fits, if they are more than the first stages receive; 0 otherwise. */
-export function computeUnreceivedRequests(
-	model: PipelineModel,
-	engines: readonly EnginePlacement[],
-): number {
-	const {usualTokens, slots} = model;
-	const received = slots * engines.filter((item) => isFirstStage(item)).length;
-	const tokens = Math.min(...computeLayerCapacities(model, engines));
-	const fitting = usualTokens ? tokens / usualTokens : 0;
-	return fitting > received ? fitting : 0;
-}
-
 /** Plans the front stages that the demand calls for; none if the first stages suffice or too few engines are idle. */
 export function planFrontStages(
 	model: PipelineModel,
--- a/packages/bramleystage/src/coordination/layer-orders.ts
+++ b/packages/bramleystage/src/coordination/layer-orders.ts
@@ -18,7 +18,7 @@
 	type PlacementDemand,
 	resolveRange,
 } from './engine-placement.js';
-import {computeUnreceivedRequests, planFrontStages} from './front-stages.js';
+import {planFrontStages} from './front-stages.js';
 import {
 	computeLayersWithCapacity,
 	computeMaxLayers,
@@ -50,7 +50,11 @@
 ): LayerOrder[] {
 	const usable = engines.filter(({isUsable}) => isUsable);
 	if (usable.every((engine) => resolveRange(engine) === undefined)) {
-		return planFirstOrders(model, usable, demand);
+		return [...planLayers(model, usable)].map(([id, layers]) => ({
+			id,
+			layers,
+			reason: 'first',
+		}));
 	}
 
 	const orders = listAreas(model, usable).flatMap(
@@ -67,31 +71,6 @@
 	return [...demandOrders, ...orders.filter(({id}) => !ordered.has(id))];
 }
 
-/**
- * Places all layers at once. The demand is not known before the first requests, but
- * memory for more requests than the first stages receive calls for more of them.
- */
-function planFirstOrders(
-	model: PipelineModel,
-	engines: readonly EnginePlacement[],
-	demand: PlacementDemand | undefined,
-): LayerOrder[] {
-	const plan = planLayers(model, engines);
-	const orders = [...plan].map(([id, layers]): LayerOrder => ({
-		id,
-		layers,
-		reason: 'first',
-	}));
-	const placed = engines.map((engine) => ({
-		...engine,
-		pendingLayers: plan.get(engine.id),
-	}));
-	const running = computeUnreceivedRequests(model, placed);
-	return demand && running > 0
-		? [...orders, ...planFrontStages(model, placed, {...demand, running})]
-		: orders;
-}
-
 /** Gives idle engines the layers that the demand calls for: first stages before KV cache. */
 function planDemandOrders(
 	model: PipelineModel,
--- a/packages/bramleystage/src/state/routes.ts
+++ b/packages/bramleystage/src/state/routes.ts
@@ -75,8 +75,6 @@
 	readonly linkMbps: number;
 	/** Time to load all layers, in milliseconds. */
 	readonly loadMs: number;
-	/** Prompt and answer tokens of a usual request; absent if not configured. */
-	readonly usualTokens?: number;
 	readonly kinds: ReadonlyMap<string, AcceleratorKind>;
 };
 
