Show what a gateway's share of the retry budget rests on

Logs and metrics could not tell whether repeats pile up since starts bring slack of their own or since gateways divide by too few. A line group.share and gauges of the share, the number of gateways that divide the slack, the repeats and those allowed show both. No logic is changed.

--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -7,12 +7,13 @@
  */
 import {
 	type BudgetShare,
-	computeBudgetShare,
 	createBudgetShare,
+	describeBudgetShare,
 	type LifeCycle,
 	type Logger,
 	recordMembers,
 	recordRenewal,
+	type ShareBasis,
 	waitFor,
 } from 'bramleystage';
 import {emptyQuery, sendPeerQuery} from './peer-exchange.js';
@@ -27,6 +28,8 @@
 const renewalsPerMemberTtl = 3;
 /** How often the order leader is determined, in milliseconds. */
 const leaderCheckIntervalMs = 500;
+/** How often the share of budgets is compared with the one that was logged last, in milliseconds. */
+const shareLogIntervalMs = 200;
 /** How much older the order leader's list may be than this gateway's, in milliseconds. */
 const maxLeaderLagMs = 2500;
 /** Number of gateways that is assumed for the load until the group has been read. */
@@ -82,6 +85,7 @@
 		});
 		void this.#renew();
 		void this.#watchLeader();
+		this.#registerShareLog();
 	}
 
 	/** Fencing token of this gateway's orders; it rises also when the store starts over from an older copy. */
@@ -114,8 +118,13 @@
 
 	/** Computes the share of a budget of all gateways that this one may spend, 0 to 1. */
 	computeBudgetShare(now: number): number {
+		return this.describeBudgetShare(now).share;
+	}
+
+	/** Describes what this gateway's share of a budget of all gateways rests on. */
+	describeBudgetShare(now: number): ShareBasis {
 		const {memberMs, windowMs, isStoreUnreachable} = this.options;
-		return computeBudgetShare(
+		return describeBudgetShare(
 			this.#budgetShare,
 			{memberMs, windowMs, isStoreUnreachable: isStoreUnreachable()},
 			now,
@@ -241,6 +250,20 @@
 		this.#budgetShare = recordRenewal(this.#budgetShare, this.options, sentAt);
 	}
 
+	/** Logs what the share of budgets rests on whenever it changes. */
+	#registerShareLog(): void {
+		const {lifeCycle, logger, readClock} = this.options;
+		let logged = '';
+		lifeCycle.registerInterval(shareLogIntervalMs, () => {
+			const {share, gateways, lack} = this.describeBudgetShare(readClock());
+			const text = `${gateways} ${lack}`;
+			if (text !== logged) {
+				logged = text;
+				logger.info('group.share', {share, gateways, lack});
+			}
+		});
+	}
+
 	async #watchLeader(): Promise<void> {
 		const {lifeCycle, logger} = this.options;
 		while (!lifeCycle.isStopped) {
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import {createEndCheck} from './end-check.js';
 import {Fleet} from './fleet.js';
 import {RetryBudget} from './retry-budget.js';
+import {registerRetryGauges} from './retry-gauges.js';
 import {InstanceWatch} from './instance-watch.js';
 import {
 	createLimitControl,
@@ -175,6 +176,12 @@
 		(now) => group.computeBudgetShare(now),
 		readClock,
 	);
+	registerRetryGauges({
+		registry: recorder.registry,
+		describeShare: (now) => group.describeBudgetShare(now),
+		describeRepeats: (now) => retryBudget.describe(now),
+		readClock,
+	});
 	const context = {
 		fleet,
 		instances,
--- a/packages/bramleystage-gateway/src/retry-budget.ts
+++ b/packages/bramleystage-gateway/src/retry-budget.ts
@@ -3,6 +3,7 @@
  * retry counts until the window has passed since it arrived at a server, or may have.
  */
 import {
+	countCertainRequests,
 	createRetryWindow,
 	decideWindowRetry,
 	recordWindowRequest,
@@ -17,6 +18,13 @@
 /** Share of its slack that a restarted gateway uses in its first window; the previous process may have spent some. */
 const restartSlackShare = 0.25;
 
+export type ServiceRepeats = {
+	readonly service: ServiceName;
+	/** Repeats that count in the window. */
+	readonly repeats: number;
+	readonly allowed: number;
+};
+
 export class RetryBudget {
 	readonly #windows = new Map<ServiceName, RetryWindow>();
 	/** Requests of each service that have spent retries which may count. */
@@ -66,6 +74,18 @@
 		return isAllowed;
 	}
 
+	/** Describes the repeats of each service in the window and those allowed there. */
+	describe(now: number): ServiceRepeats[] {
+		const limits = this.#computeLimits(now);
+		return [...this.#windows].map(([service, {requests}]) => ({
+			service,
+			repeats: this.#listRepeatTimes(service, now).length,
+			allowed:
+				limits.ratio * countCertainRequests(requests, limits.windowMs, now) +
+				limits.slack,
+		}));
+	}
+
 	/** Lists the times of the repeats in the window, and forgets requests without one. */
 	#listRepeatTimes(service: ServiceName, now: number): number[] {
 		const since = now - this.settings.retryWindowMs;
--- a/packages/bramleystage/src/coordination/__tests__/budget-share.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/budget-share.test.ts
@@ -4,6 +4,7 @@
 	type BudgetShare,
 	computeBudgetShare,
 	createBudgetShare,
+	describeBudgetShare,
 	recordMembers,
 	recordRenewal,
 } from '../budget-share.js';
@@ -43,6 +44,29 @@
 	).toBe(1 / 3);
 });
 
+test('a share tells what it rests on and what it lacks', () => {
+	const unread = createBudgetShare(6, 0);
+	expect(describeBudgetShare(unread, bounds, 0)).toMatchObject({
+		gateways: 6,
+		lack: 'members',
+	});
+	const share = createMember();
+	expect(describeBudgetShare(share, bounds, 8999)).toEqual({
+		share: 1 / 5,
+		gateways: 5,
+		lack: 'nothing',
+	});
+	expect(describeBudgetShare(share, bounds, 9000)).toMatchObject({
+		share: 0,
+		lack: 'renewal',
+	});
+	const back = recordRenewal(share, bounds, 19_000);
+	expect(describeBudgetShare(back, bounds, 19_000)).toMatchObject({
+		share: 0,
+		lack: 'return',
+	});
+});
+
 test('the share of a dropped member is taken over when its window has passed', () => {
 	let share = recordMembers(createMember(), ['a', 'b', 'c'], 20_000);
 	share = recordRenewal({...share, renewedAt: 28_000}, bounds, 29_000);
--- a/packages/bramleystage/src/coordination/budget-share.ts
+++ b/packages/bramleystage/src/coordination/budget-share.ts
@@ -95,25 +95,56 @@
 	};
 }
 
-/** Computes the share of the budget that this gateway may spend, from 0 to 1. */
-export function computeBudgetShare(
+/** What a gateway lacks for a share of its own. */
+export type ShareLack =
+	| 'nothing'
+	/** The members were never read. */
+	| 'members'
+	/** The group may have dropped this gateway. */
+	| 'renewal'
+	/** Others may still spend the share. */
+	| 'return';
+
+/** What a share rests on. */
+export type ShareBasis = {
+	/** Share of the budget that this gateway may spend, from 0 to 1. */
+	readonly share: number;
+	/** Number of gateways among which the budget is divided. */
+	readonly gateways: number;
+	readonly lack: ShareLack;
+};
+
+/** Describes the share of the budget that this gateway may spend. */
+export function describeBudgetShare(
 	share: BudgetShare,
 	bounds: BudgetShareBounds,
 	now: number,
-): number {
-	const isPresumedDropped =
-		now - share.renewedAt >= bounds.memberMs && !bounds.isStoreUnreachable;
-	if (isPresumedDropped || now < share.maySpendFrom) {
-		return 0;
-	}
-
-	const {members, droppedAt, assumedMembers, renewedAt} = share;
+): ShareBasis {
+	const {members, droppedAt, assumedMembers, renewedAt, maySpendFrom} = share;
 	// The known members are only as recent as the last renewal.
 	const recentlyDropped = [...droppedAt.values()].filter(
 		(at) => at >= renewedAt - bounds.windowMs,
 	);
-	const count = members
-		? members.size + recentlyDropped.length
-		: assumedMembers;
-	return 1 / Math.max(1, count);
+	const gateways = Math.max(
+		1,
+		members ? members.size + recentlyDropped.length : assumedMembers,
+	);
+	const isPresumedDropped =
+		now - renewedAt >= bounds.memberMs && !bounds.isStoreUnreachable;
+	if (isPresumedDropped || now < maySpendFrom) {
+		return {share: 0, gateways, lack: isPresumedDropped ? 'renewal' : 'return'};
+	}
+
+	return {
+		share: 1 / gateways,
+		gateways,
+		lack: members ? 'nothing' : 'members',
+	};
 }
+
+/** Computes the share of the budget that this gateway may spend, from 0 to 1. */
+export const computeBudgetShare = (
+	share: BudgetShare,
+	bounds: BudgetShareBounds,
+	now: number,
+): number => describeBudgetShare(share, bounds, now).share;
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -796,8 +796,11 @@
 	type BudgetShareBounds,
 	computeBudgetShare,
 	createBudgetShare,
+	describeBudgetShare,
 	recordMembers,
 	recordRenewal,
+	type ShareBasis,
+	type ShareLack,
 } from './coordination/budget-share.js';
 export {planLayerOrders} from './coordination/layer-orders.js';
 export {
@@ -843,6 +846,7 @@
 	type WaitSigns,
 } from './coordination/wait-signs.js';
 export {
+	countCertainRequests,
 	createRetryWindow,
 	decideWindowRetry,
 	recordWindowRequest,
