--- a/packages/bramleystage-check/src/simulated-gateway.ts
+++ b/packages/bramleystage-check/src/simulated-gateway.ts
@@ -12,6 +12,8 @@
 import {
 	Fleet,
 	followSharedState,
+	type GatewaySettings,
+	RetryBudget,
 	servePeerSocket,
 	type SharedState,
 	startPeerServer,
@@ -26,7 +28,17 @@
 
 /** Time after which the store drops a silent member of the group, in milliseconds. */
 export const memberMs = 9000;
-const retryWindowMs = 10_000;
+
+export type RetrySettings = Pick<
+	GatewaySettings,
+	'retryRatio' | 'retrySlack' | 'retryWindowMs'
+>;
+
+const defaultRetries: RetrySettings = {
+	retryRatio: 0.2,
+	retrySlack: 200,
+	retryWindowMs: 10_000,
+};
 
 /** Nothing is told of crashes and limits. */
 const noNews = {
@@ -47,6 +59,7 @@
 	readonly network: SimulatedNetwork;
 	readonly store: SimulatedStore;
 	readonly draw: () => number;
+	readonly retries?: RetrySettings;
 	/** Called with each version in force. */
 	readonly recordVersion: (version: number) => void;
 	readonly recordEvent: (event: GatewayEvent) => void;
@@ -55,6 +68,9 @@
 export class SimulatedGateway {
 	process: SimulatedProcess = {...createProcess(), isEnded: true};
 	state: SharedState | undefined;
+	/** Retry budget of the running process. */
+	retryBudget: RetryBudget | undefined;
+	#hasRun = false;
 	#backAt: number | undefined;
 	#sockets = new Set<SimulatedSocket>();
 	#publish: (() => void) | undefined;
@@ -92,6 +108,7 @@
 		const {network, address} = this.options;
 		this.process.isEnded = true;
 		this.state = undefined;
+		this.retryBudget = undefined;
 		if (isPowerLoss) {
 			network.dark.add(address);
 		} else {
@@ -114,8 +131,16 @@
 	}
 
 	async #open(process: SimulatedProcess): Promise<void> {
-		const {address, seeds, network, store, draw, recordVersion, recordEvent} =
-			this.options;
+		const {
+			address,
+			seeds,
+			network,
+			store,
+			draw,
+			retries = defaultRetries,
+			recordVersion,
+			recordEvent,
+		} = this.options;
 		const {hosts} = network;
 		const lifeCycle = new LifeCycle();
 		const readClock = () => hosts.now;
@@ -141,7 +166,12 @@
 		const limits = {...noNews, buildNews: () => ({changeCount: 0})};
 		const base = {lifeCycle, logger, readClock, readLinkDelayMs};
 		const state: SharedState = followSharedState({
-			settings: {peerListen: address, seeds, memberMs, retryWindowMs},
+			settings: {
+				peerListen: address,
+				seeds,
+				memberMs,
+				retryWindowMs: retries.retryWindowMs,
+			},
 			store: store.createPort(address, process),
 			fleet,
 			registry: new Registry(),
@@ -158,6 +188,12 @@
 			...base,
 		});
 		this.state = state;
+		this.retryBudget = new RetryBudget(
+			{...retries, isFirstStart: !this.#hasRun},
+			(now) => state.group.computeBudgetShare(now),
+			readClock,
+		);
+		this.#hasRun = true;
 		const publisher = await startPeerServer({
 			address,
 			readState: state.readState,
--- a/packages/bramleystage-gateway/src/index.ts
+++ b/packages/bramleystage-gateway/src/index.ts
@@ -27,3 +27,5 @@
 	StorePort,
 } from './platform-port.js';
 export {followSharedState, type SharedState} from './shared-state.js';
+export {RequestArrivals} from './request-arrivals.js';
+export {RetryBudget} from './retry-budget.js';
