Give no retries anew to a gateway that starts

Servers in trouble got more repeats than the budget allows when gateways were killed in series. Cause: each process kept the budget from what it knew since its start. A started one spent a quarter of its share of the slack at once, and the ratio of its own requests in full, although requests before the window had already paid for retries of the ended process there.

Retries now need tokens, which requests and time earn; a bucket holds a quarter of a window's retries, and a started process has an empty one. In every window the fleet spends at most what buckets held at its beginning and what was earned since, so no start adds anything. It no longer matters whether the platform says that all started for the first time.

--- a/packages/bramleystage-check/src/simulated-gateway.ts
+++ b/packages/bramleystage-check/src/simulated-gateway.ts
@@ -70,7 +70,6 @@
 	state: SharedState | undefined;
 	/** Retry budget of the running process. */
 	retryBudget: RetryBudget | undefined;
-	#hasRun = false;
 	#backAt: number | undefined;
 	#sockets = new Set<SimulatedSocket>();
 	#publish: (() => void) | undefined;
@@ -189,11 +188,10 @@
 		});
 		this.state = state;
 		this.retryBudget = new RetryBudget(
-			{...retries, isFirstStart: !this.#hasRun},
+			retries,
 			(now) => state.group.computeBudgetShare(now),
 			readClock,
 		);
-		this.#hasRun = true;
 		const publisher = await startPeerServer({
 			address,
 			readState: state.readState,
--- a/packages/bramleystage-gateway/src/__tests__/retry-budget.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/retry-budget.test.ts
@@ -36,7 +36,6 @@
 		retryRatio: ratio,
 		retrySlack: slack,
 		retryWindowMs: windowMs,
-		isFirstStart: true,
 	};
 	const budgets = Array.from(
 		{length: gatewayCount},
--- a/packages/bramleystage-gateway/src/retry-budget.ts
+++ b/packages/bramleystage-gateway/src/retry-budget.ts
@@ -1,23 +1,26 @@
 /**
- * Retry budget of each service: this gateway's share of the budget of all gateways. A
- * retry counts until the window has passed since it arrived at a server, or may have.
+ * Retry budget of each service: this gateway's part of the budget of all gateways. A retry
+ * needs a token, and counts until the window has passed since it arrived at a server, or may
+ * have.
  */
 import {
+	addRequestTokens,
+	computeOwnSlack,
 	countCertainRequests,
+	countRecentRequests,
+	createRetryTokens,
 	createRetryWindow,
 	decideWindowRetry,
 	recordWindowRequest,
+	type RetryTokens,
 	type RetryWindow,
 	type ServiceName,
+	spendRetryToken,
+	updateRetryTokens,
 } from 'bramleystage';
 import type {GatewaySettings} from './platform-port.js';
 import type {RequestArrivals} from './request-arrivals.js';
 
-/** Share of the budget's slack that the known gateways use; the rest is for gateways that are not known yet. */
-const usableSlackShare = 0.75;
-/** Share of its slack that a restarted gateway uses in its first window; the previous process may have spent some. */
-const restartSlackShare = 0.25;
-
 export type ServiceRepeats = {
 	readonly service: ServiceName;
 	/** Repeats that count in the window. */
@@ -25,71 +28,90 @@
 	readonly allowed: number;
 };
 
+/** The budget of one service. */
+type ServiceBudget = {
+	window: RetryWindow;
+	tokens: RetryTokens;
+	/** Requests that have spent retries which may count. */
+	readonly repeated: Set<RequestArrivals>;
+};
+
 export class RetryBudget {
-	readonly #windows = new Map<ServiceName, RetryWindow>();
-	/** Requests of each service that have spent retries which may count. */
-	readonly #repeated = new Map<ServiceName, Set<RequestArrivals>>();
-	readonly #startedAt: number;
+	readonly #budgets = new Map<ServiceName, ServiceBudget>();
+	/** Tokens of a service without requests. */
+	#unusedTokens: RetryTokens;
 
 	constructor(
 		private readonly settings: Pick<
 			GatewaySettings,
-			'retryRatio' | 'retrySlack' | 'retryWindowMs' | 'isFirstStart'
+			'retryRatio' | 'retrySlack' | 'retryWindowMs'
 		>,
 		/** Returns the share of the slack that belongs to this gateway, 0 to 1. */
 		private readonly readShare: (now: number) => number,
 		private readonly readClock: () => number,
 	) {
-		this.#startedAt = readClock();
+		this.#unusedTokens = createRetryTokens(readClock());
 	}
 
 	/** Records a request of a caller; retries are limited to a ratio of these requests, plus the slack. */
 	recordRequest(service: ServiceName): void {
 		const now = this.readClock();
-		this.#windows.set(
-			service,
-			recordWindowRequest(
-				this.#readWindow(service),
-				this.#computeLimits(now),
-				now,
-			),
+		const budget = this.#updateBudget(service, now);
+		budget.window = recordWindowRequest(
+			budget.window,
+			this.#computeLimits(budget),
+			now,
 		);
+		budget.tokens = addRequestTokens(budget.tokens, {
+			ratio: this.settings.retryRatio,
+		});
 	}
 
 	/** Spends one retry for a request; returns false if none is left. */
 	trySpendRetry(service: ServiceName, arrivals: RequestArrivals): boolean {
 		const now = this.readClock();
-		const retries = this.#listRepeatTimes(service, now);
+		const budget = this.#updateBudget(service, now);
+		const tokens = spendRetryToken(budget.tokens);
+		if (!tokens) {
+			return false;
+		}
+
+		const retries = this.#listRepeatTimes(budget, now);
 		const [next, isAllowed] = decideWindowRetry(
-			{...this.#readWindow(service), retries},
-			this.#computeLimits(now),
+			{...budget.window, retries},
+			this.#computeLimits(budget),
 			now,
 		);
-		this.#windows.set(service, next);
+		budget.window = next;
 		if (isAllowed) {
+			budget.tokens = tokens;
 			arrivals.recordRetry();
-			this.#readRepeated(service).add(arrivals);
+			budget.repeated.add(arrivals);
 		}
 
 		return isAllowed;
 	}
 
-	/** Describes the repeats of each service in the window and those allowed there. */
+	/** Describes the repeats of each service in the window and those allowed there as of now. */
 	describe(now: number): ServiceRepeats[] {
-		const limits = this.#computeLimits(now);
-		return [...this.#windows].map(([service, {requests}]) => ({
-			service,
-			repeats: this.#listRepeatTimes(service, now).length,
-			allowed:
-				limits.ratio * countCertainRequests(requests, limits.windowMs, now) +
-				limits.slack,
-		}));
+		return [...this.#budgets.keys()].map((service) => {
+			const budget = this.#updateBudget(service, now);
+			const repeats = this.#listRepeatTimes(budget, now).length;
+			const {ratio, slack, windowMs} = this.#computeLimits(budget);
+			const {requests} = budget.window;
+			const allowed =
+				ratio * countCertainRequests(requests, windowMs, now) + slack;
+			return {
+				service,
+				repeats,
+				allowed: Math.min(allowed, repeats + Math.floor(budget.tokens.tokens)),
+			};
+		});
 	}
 
 	/** Lists the times of the repeats in the window, and forgets requests without one. */
-	#listRepeatTimes(service: ServiceName, now: number): number[] {
+	#listRepeatTimes({repeated}: ServiceBudget, now: number): number[] {
 		const since = now - this.settings.retryWindowMs;
-		const repeated = this.#readRepeated(service);
 		return [...repeated].flatMap((arrivals) => {
 			const times = arrivals.listRepeatTimes().filter((time) => time >= since);
 			if (times.length === 0) {
@@ -100,26 +122,35 @@
 		});
 	}
 
-	#readRepeated(service: ServiceName): Set<RequestArrivals> {
-		const repeated = this.#repeated.get(service) ?? new Set();
-		this.#repeated.set(service, repeated);
-		return repeated;
-	}
-
-	#readWindow(service: ServiceName): RetryWindow {
-		return this.#windows.get(service) ?? createRetryWindow();
+	/** Brings the tokens of a service up to a time. */
+	#updateBudget(service: ServiceName, now: number): ServiceBudget {
+		const {
+			retryRatio: ratio,
+			retrySlack: slack,
+			retryWindowMs: windowMs,
+		} = this.settings;
+		const bounds = {ratio, slack, windowMs, share: this.readShare(now)};
+		this.#unusedTokens = updateRetryTokens(this.#unusedTokens, bounds, 0, now);
+		const budget: ServiceBudget = this.#budgets.get(service) ?? {
+			window: createRetryWindow(),
+			tokens: this.#unusedTokens,
+			repeated: new Set(),
+		};
+		this.#budgets.set(service, budget);
+		budget.tokens = updateRetryTokens(
+			budget.tokens,
+			bounds,
+			countRecentRequests(budget.window, windowMs, now),
+			now,
+		);
+		return budget;
 	}
 
-	#computeLimits(now: number) {
-		const {retryRatio, retrySlack, retryWindowMs, isFirstStart} = this.settings;
-		// Retries that the previous process spent still count for one window.
-		const isFresh = !isFirstStart && now - this.#startedAt < retryWindowMs;
-		const share = isFresh
-			? usableSlackShare * restartSlackShare
-			: usableSlackShare;
+	#computeLimits({tokens: {share}}: ServiceBudget) {
+		const {retryRatio, retrySlack, retryWindowMs} = this.settings;
 		return {
 			ratio: retryRatio,
-			slack: retrySlack * share * this.readShare(now),
+			slack: computeOwnSlack({slack: retrySlack, share}),
 			windowMs: retryWindowMs,
 		};
 	}
--- a/packages/bramleystage/src/coordination/retry-window.ts
+++ b/packages/bramleystage/src/coordination/retry-window.ts
@@ -1,8 +1,8 @@
 /**
  * Fleet-wide retry budget: in any sliding window, the retries of all gateways
  * together are at most a ratio of their requests plus a fixed slack. Each
- * gateway counts its own requests and gets a share of the slack, so the gateways
- * exchange no messages.
+ * process counts its own requests and retries here, by when they arrive; what ended
+ * processes have spent is not given out again as retry-tokens.ts says.
  */
 
 export type RetryWindowBounds = {
@@ -51,6 +51,13 @@
 	return low;
 }
 
+/** Counts the requests of the last window. */
+export const countRecentRequests = (
+	{requests}: Pick<RetryWindow, 'requests'>,
+	windowMs: number,
+	now: number,
+): number => requests.length - countUpTo(requests, now - windowMs);
+
 /**
  * Counts the requests that allow retries now. A retry may arrive in any window that
  * begins by now. The requests that count there are those in that window, in the one
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -845,8 +845,18 @@
 	recordSign,
 	type WaitSigns,
 } from './coordination/wait-signs.js';
+export {
+	addRequestTokens,
+	computeOwnSlack,
+	createRetryTokens,
+	type RetryTokenBounds,
+	type RetryTokens,
+	spendRetryToken,
+	updateRetryTokens,
+} from './coordination/retry-tokens.js';
 export {
 	countCertainRequests,
+	countRecentRequests,
 	createRetryWindow,
 	decideWindowRetry,
 	recordWindowRequest,
