Give a started gateway no share of the slack before its count of the others is sure

Repeats passed the budget where the store turned most gateways away while others were killed: a started gateway divided the slack by the members that it had heard of so far, 8 to 10 of 27, and the shares added up to 1.5. Members that others had told of did not count before they had answered a check, of which 16 run at a time.

Gateways now tell each other, with pings and updates, the largest number that they are sure of. A started one has no share before it is told a number that is no lower than its own and that was counted after the others could hear of it, or, if all have started, until its own number has not grown for 3 s. The largest number of a window counts, so that gateways that know different parts don't divide by less. Members that were told of count at once.

--- a/packages/bramleystage-check/src/simulated-gateway.ts
+++ b/packages/bramleystage-check/src/simulated-gateway.ts
@@ -196,6 +196,9 @@
 			address,
 			readState: state.readState,
 			onPing: state.recordPing,
+			onMemberCount(told) {
+				state.group.recordMemberCount(told, readClock());
+			},
 			onGroupFence(fence) {
 				state.group.recordPeerFence(fence);
 			},
--- a/packages/bramleystage-gateway/src/__tests__/group.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/group.test.ts
@@ -103,6 +103,14 @@
 	await waitForSize(group, 1);
 	expect(reads).toBe(2);
 	expect(group.fence).toBeGreaterThan(fenceBefore);
+	const until = performance.now() + 5000;
+	while (
+		group.describeBudgetShare(performance.now()).lack !== 'nothing' &&
+		performance.now() < until
+	) {
+		await waitFor(10);
+	}
+
 	// Members that the copy lacks still spend their shares.
 	expect(group.computeBudgetShare(performance.now())).toBeCloseTo(1 / 3);
 });
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -9,8 +9,11 @@
 	type BudgetShare,
 	createBudgetShare,
 	describeBudgetShare,
+	findMemberCount,
 	type LifeCycle,
 	type Logger,
+	type MemberCount,
+	recordMemberCount,
 	recordMembers,
 	recordRenewal,
 	type ShareBasis,
@@ -34,8 +37,6 @@
 const maxLeaderLagMs = 2500;
 /** Number of gateways that is assumed for the load until the group has been read. */
 const assumedGroupSize = 6;
-/** Number of gateways that is assumed for the retry budget until the group has been read: the most that are supported. */
-const maxGroupSize = 400;
 /** Bound of the group's generations within one era of the store. */
 const generationsPerEra = 2 ** 24;
 
@@ -79,8 +80,8 @@
 	#budgetShare: BudgetShare;
 
 	constructor(private readonly options: GatewayGroupOptions) {
-		this.#budgetShare = createBudgetShare(maxGroupSize, options.readClock());
-		options.known.confirmed.subscribe(() => {
+		this.#budgetShare = createBudgetShare(options.readClock());
+		options.known.counted.subscribe(() => {
 			this.#shareBudget();
 		});
 		void this.#renew();
@@ -131,6 +132,21 @@
 		);
 	}
 
+	/** Finds the largest number of gateways that this one is sure of or was told. */
+	findMemberCount(now: number): MemberCount | undefined {
+		return findMemberCount(this.#budgetShare, this.options.windowMs, now);
+	}
+
+	/** Records the number of gateways that another one is sure of. */
+	recordMemberCount(told: MemberCount, now: number): void {
+		this.#budgetShare = recordMemberCount(
+			this.#budgetShare,
+			told,
+			this.options.windowMs,
+			now,
+		);
+	}
+
 	/** Applies a newer state of the group that a followed peer knows. */
 	applyPeerGroup(): void {
 		const peerGroup = this.options.findPeerGroup();
@@ -240,7 +256,7 @@
 			// A new member gets no share before the others have renewed their membership.
 			this.#budgetShare = recordMembers(
 				this.#budgetShare,
-				[...known.confirmed.value, self],
+				[...known.counted.value, self],
 				readClock(),
 			);
 		}
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -133,6 +133,9 @@
 		address: settings.peerListen,
 		readState,
 		onPing: shared.recordPing,
+		onMemberCount(told) {
+			group.recordMemberCount(told, readClock());
+		},
 		onGroupFence(fence) {
 			group.recordPeerFence(fence);
 		},
--- a/packages/bramleystage-gateway/src/known-members.ts
+++ b/packages/bramleystage-gateway/src/known-members.ts
@@ -55,6 +55,8 @@
 export class KnownMembers {
 	/** Addresses of the other gateways that are or were listed, or have answered, sorted. */
 	readonly confirmed = new BehaviorSubject<readonly string[]>([]);
+	/** Addresses of these and of those that others have told of, sorted. */
+	readonly counted = new BehaviorSubject<readonly string[]>([]);
 	readonly #members = new Map<string, Member>();
 	/** When each gateway was found dead; steady-clock time in milliseconds. */
 	readonly #deadAt = new Map<string, number>();
@@ -188,14 +190,20 @@
 
 	#update(): void {
 		const {self} = this.options;
-		const confirmed = [...this.#members]
-			.filter(([address, {isConfirmed}]) => isConfirmed && address !== self)
-			.map(([address]) => address)
+		const counted = [...this.#members.keys()]
+			.filter((address) => address !== self)
 			.toSorted();
+		const confirmed = counted.filter(
+			(address) => this.#members.get(address)?.isConfirmed,
+		);
 		this.#peers = this.#sortPeers();
 		if (confirmed.join(',') !== this.confirmed.value.join(',')) {
 			this.confirmed.next(confirmed);
 		}
+
+		if (counted.join(',') !== this.counted.value.join(',')) {
+			this.counted.next(counted);
+		}
 	}
 
 	#sortPeers(): string[] {
--- a/packages/bramleystage-gateway/src/peer-link.ts
+++ b/packages/bramleystage-gateway/src/peer-link.ts
@@ -5,6 +5,7 @@
 	LifeCycle,
 	type LinkEvent,
 	type Logger,
+	type MemberCount,
 } from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
 import type {DemandWatch} from './demand-watch.js';
@@ -14,6 +15,7 @@
 import {
 	applyPeerUpdate,
 	createPeerState,
+	encodeMemberCount,
 	peerUpdateSchema,
 	type PeerState,
 } from './peer-update.js';
@@ -62,6 +64,8 @@
 	readonly demand?: Pick<DemandWatch, 'buildSums'>;
 	/** Returns the fence of the group's state that this gateway knows. */
 	readonly readGroupFence: () => number | undefined;
+	/** Finds the largest number of gateways that this one is sure of or was told. */
+	readonly findMemberCount?: (now: number) => MemberCount | undefined;
 	/** Receives what the connection shows of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
 	readonly openSocket?: OpenPeerSocket;
@@ -201,6 +205,10 @@
 					beatAt,
 					sender: this.options.findSender?.(),
 					groupFence: this.options.readGroupFence(),
+					memberCount: encodeMemberCount(
+						this.options.findMemberCount?.(beatAt),
+						beatAt,
+					),
 					crashNews: news,
 					limitNews: limitNews.news,
 					demand: this.options.demand?.buildSums(beatAt),
--- a/packages/bramleystage-gateway/src/peer-links.ts
+++ b/packages/bramleystage-gateway/src/peer-links.ts
@@ -1,5 +1,11 @@
 /** The connections to the gateways that this one follows, and what they tell. */
-import type {LifeCycle, LinkEvent, Logger, TimedTotal} from 'bramleystage';
+import type {
+	LifeCycle,
+	LinkEvent,
+	Logger,
+	MemberCount,
+	TimedTotal,
+} from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
 import type {DemandWatch} from './demand-watch.js';
 import type {LimitWatch} from './limit-watch.js';
@@ -27,6 +33,8 @@
 	readonly demand?: Pick<DemandWatch, 'buildSums'>;
 	/** Returns the fence of the group's state that this gateway knows. */
 	readonly readGroupFence: () => number | undefined;
+	/** Finds the largest number of gateways that this one is sure of or was told. */
+	readonly findMemberCount?: (now: number) => MemberCount | undefined;
 	/** Receives what the connections show of the own link's delay. */
 	readonly recordLinkEvent: (event: LinkEvent) => void;
 	readonly openSocket?: OpenPeerSocket;
--- a/packages/bramleystage-gateway/src/peer-publisher.ts
+++ b/packages/bramleystage-gateway/src/peer-publisher.ts
@@ -1,6 +1,6 @@
 /** Sends peer updates to the gateways that follow this one, at each change and at each ping. */
 import type {Socket} from 'node:net';
-import {encodeValueFrame} from 'bramleystage';
+import {encodeValueFrame, type MemberCount} from 'bramleystage';
 import type {CrashLedger} from './crash-ledger.js';
 import type {DemandWatch} from './demand-watch.js';
 import type {LimitWatch} from './limit-watch.js';
@@ -33,6 +33,8 @@
 	readonly onPing?: (sender: string) => void;
 	/** Receives the fence of the group's state that a follower knows. */
 	readonly onGroupFence: (fence: number) => void;
+	/** Receives the number of gateways that a follower is sure of or was told. */
+	readonly onMemberCount?: (told: MemberCount) => void;
 	readonly crashes: Pick<CrashLedger, 'acceptNews' | 'buildNews'>;
 	readonly limits: Pick<LimitWatch, 'acceptNews' | 'buildNews'>;
 	/** Takes the load of followers and builds the total that is sent; absent if none is measured. */
@@ -51,7 +53,15 @@
 	/** Records a follower's ping and sends it an update. */
 	acceptPing(
 		socket: Socket,
-		{beatAt, sender, groupFence, crashNews, limitNews, demand}: Ping,
+		{
+			beatAt,
+			sender,
+			groupFence,
+			memberCount,
+			crashNews,
+			limitNews,
+			demand,
+		}: Ping,
 	): void {
 		const ping = {beatAt, arrivedAt: this.options.readClock()};
 		if (crashNews) {
@@ -69,6 +79,12 @@
 			this.options.onGroupFence(groupFence);
 		}
 
+		if (memberCount) {
+			const {count, ageMs} = memberCount;
+			const countedAt = ping.arrivedAt - maxPingDelayMs - ageMs;
+			this.options.onMemberCount?.({count, countedAt});
+		}
+
 		if (limitNews) {
 			this.options.limits.acceptNews(limitNews);
 		}
--- a/packages/bramleystage-gateway/src/peer-update.ts
+++ b/packages/bramleystage-gateway/src/peer-update.ts
@@ -9,6 +9,7 @@
 	backendIdSchema,
 	type BackendsSnapshot,
 	dataCentreIdSchema,
+	type MemberCount,
 	modelNameSchema,
 	parseAddress,
 	serviceNameSchema,
@@ -42,6 +43,13 @@
 	bornAt: z.number(),
 });
 
+/** The largest number of gateways that the sender is sure of or was told. */
+const memberCountSchema = z.object({
+	count: z.int().positive(),
+	/** Time since it was counted, in milliseconds. */
+	ageMs: z.number().nonnegative(),
+});
+
 export const pingSchema = z.object({
 	/** Follower's steady-clock time when it sent this ping, in milliseconds. */
 	beatAt: z.number(),
@@ -49,6 +57,8 @@
 	sender: addressSchema.optional(),
 	/** Fence of the group's state that the follower knows; absent if none. */
 	groupFence: z.number().optional(),
+	/** Absent if it knows none, and from gateways of older builds. */
+	memberCount: memberCountSchema.optional(),
 	/** Crash evidence that the follower has not sent before. */
 	crashNews: crashNewsSchema.optional(),
 	/** Limits of servers that the follower has not sent before. */
@@ -70,6 +80,8 @@
 		.nullable(),
 	/** Gateways that it knows, if they changed since the last update. */
 	known: z.array(addressSchema).readonly().optional(),
+	/** Absent if it knows none, and from gateways of older builds. */
+	memberCount: memberCountSchema.optional(),
 	/** Version of the newest configuration; -1 if none is known. */
 	version: z.int(),
 	/** Time since the configuration was read from the store, in milliseconds; null if never. */
@@ -117,6 +129,8 @@
 	readonly group?: GroupState;
 	/** `host:port` of each gateway that it knows; the same array as before unless they change. */
 	readonly known?: readonly string[];
+	/** Largest number of gateways that it is sure of or was told; absent if there is none. */
+	readonly memberCount?: MemberCount;
 	readonly version: number;
 	/** Time as of which the configuration is known. */
 	readonly configurationReadAt: number;
@@ -125,6 +139,16 @@
 	readonly backends: BackendsSnapshot['backends'];
 };
 
+/** Encodes a number of gateways with its age. */
+export const encodeMemberCount = (
+	memberCount: MemberCount | undefined,
+	now: number,
+) =>
+	memberCount && {
+		count: memberCount.count,
+		ageMs: Math.max(0, now - memberCount.countedAt),
+	};
+
 const computeAge = (now: number, readAt: number) =>
 	Number.isFinite(readAt) ? now - readAt : null;
 
@@ -146,6 +170,7 @@
 				? {...group, members: [...group.members]}
 				: null,
 		...(state.known !== lastSent.known && {known: state.known}),
+		memberCount: encodeMemberCount(state.memberCount, now),
 		version: state.version,
 		configurationAgeMs: computeAge(now, state.configurationReadAt),
 		listAgeMs: computeAge(now, state.listReadAt),
@@ -210,6 +235,12 @@
 		...(update.reader !== null && {reader: update.reader}),
 		group: update.group ?? state.group,
 		known: update.known ?? state.known,
+		...(update.memberCount && {
+			memberCount: {
+				count: update.memberCount.count,
+				countedAt: writtenAt - update.memberCount.ageMs,
+			},
+		}),
 		version: update.version,
 		configurationReadAt: toReadAt(update.configurationAgeMs),
 		listReadAt: toReadAt(update.listAgeMs),
--- a/packages/bramleystage-gateway/src/shared-state.ts
+++ b/packages/bramleystage-gateway/src/shared-state.ts
@@ -107,11 +107,15 @@
 			known.recordTold(state.known ?? [], now);
 			peerSync.acceptUpdate(state, address);
 			group.applyPeerGroup();
+			if (state.memberCount) {
+				group.recordMemberCount(state.memberCount, now);
+			}
 		},
 		crashes,
 		limits,
 		demand,
 		readGroupFence: () => group.state?.fence,
+		findMemberCount: (now) => group.findMemberCount(now),
 		recordLinkEvent,
 		...base,
 	});
@@ -171,6 +175,7 @@
 				}),
 				group: group.state,
 				known: known.confirmed.value,
+				memberCount: group.findMemberCount(readClock()),
 				version: configurations.value?.version ?? -1,
 				configurationReadAt: follower.readAt(),
 				listReadAt: fleet.readAt,
--- a/packages/bramleystage/src/coordination/__tests__/budget-share.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/budget-share.test.ts
@@ -5,6 +5,8 @@
 	computeBudgetShare,
 	createBudgetShare,
 	describeBudgetShare,
+	findMemberCount,
+	recordMemberCount,
 	recordMembers,
 	recordRenewal,
 } from '../budget-share.js';
@@ -13,7 +15,7 @@
 
 const names = ['a', 'b', 'c', 'd', 'e'];
 
-const createMember = () => recordMembers(createBudgetShare(6, 0), names, 0);
+const createMember = () => recordMembers(createBudgetShare(0), names, 0);
 
 test('a member that still runs after the group dropped it spends nothing', () => {
 	const share = recordRenewal(createMember(), bounds, 4000);
@@ -36,19 +38,79 @@
 	expect(computeBudgetShare(renewed, bounds, 38_000)).toBe(1 / 5);
 });
 
-test('a number of members is assumed until the group has been read', () => {
-	const share = createBudgetShare(6, 0);
-	expect(computeBudgetShare(share, bounds, 0)).toBe(1 / 6);
-	expect(
-		computeBudgetShare(recordMembers(share, ['a', 'b', 'c'], 100), bounds, 200),
-	).toBe(1 / 3);
+const {windowMs} = bounds;
+
+test('a started member spends nothing until it has heard of no further one for a while', () => {
+	const share = createBudgetShare(0);
+	expect(computeBudgetShare(share, bounds, 8000)).toBe(0);
+	const two = recordMembers(share, ['a', 'b'], 100);
+	expect(computeBudgetShare(two, bounds, 3099)).toBe(0);
+	const three = recordMembers(two, ['a', 'b', 'c'], 3000);
+	expect(computeBudgetShare(three, bounds, 5999)).toBe(0);
+	expect(computeBudgetShare(three, bounds, 6000)).toBe(1 / 3);
+	// What is sure once stays so when further members come.
+	const four = recordMembers(three, ['a', 'b', 'c', 'd'], 6000);
+	expect(computeBudgetShare(four, bounds, 6000)).toBe(1 / 4);
+});
+
+// Guards against a started member that divides by the few that it has heard of.
+test('a started member divides by the count that a sure one tells', () => {
+	const started = recordMembers(createBudgetShare(0), ['a', 'b'], 100);
+	const early = recordMemberCount(
+		started,
+		{count: 5, countedAt: 1499},
+		windowMs,
+		1600,
+	);
+	expect(computeBudgetShare(early, bounds, 1600)).toBe(0);
+	const introduced = recordMemberCount(
+		started,
+		{count: 5, countedAt: 1500},
+		windowMs,
+		1600,
+	);
+	expect(computeBudgetShare(introduced, bounds, 1600)).toBe(1 / 5);
+	expect(computeBudgetShare(introduced, bounds, 11_499)).toBe(0);
+	const renewed = recordRenewal(introduced, bounds, 11_499);
+	expect(computeBudgetShare(renewed, bounds, 11_499)).toBe(1 / 5);
+	expect(computeBudgetShare(renewed, bounds, 11_500)).toBe(1 / 2);
+});
+
+test('a count below what a started member knows itself is not sure', () => {
+	const started = recordMembers(createBudgetShare(0), names, 1000);
+	const told = {count: 4, countedAt: 2000};
+	const share = recordMemberCount(started, told, windowMs, 2100);
+	expect(computeBudgetShare(share, bounds, 2100)).toBe(0);
+});
+
+test('the largest count of a window counts, and is told on with its age', () => {
+	const share = recordMemberCount(
+		recordMemberCount(
+			createMember(),
+			{count: 7, countedAt: 4000},
+			windowMs,
+			4100,
+		),
+		{count: 6, countedAt: 5000},
+		windowMs,
+		5100,
+	);
+	expect(findMemberCount(share, windowMs, 6000)).toEqual({
+		count: 7,
+		countedAt: 4000,
+	});
+	expect(findMemberCount(share, windowMs, 14_000)?.count).toBe(6);
+	expect(findMemberCount(share, windowMs, 15_000)).toEqual({
+		count: 5,
+		countedAt: 15_000,
+	});
 });
 
 test('a share tells what it rests on and what it lacks', () => {
-	const unread = createBudgetShare(6, 0);
-	expect(describeBudgetShare(unread, bounds, 0)).toMatchObject({
-		gateways: 6,
-		lack: 'members',
+	expect(describeBudgetShare(createBudgetShare(0), bounds, 0)).toEqual({
+		share: 0,
+		gateways: 1,
+		lack: 'count',
 	});
 	const share = createMember();
 	expect(describeBudgetShare(share, bounds, 8999)).toEqual({
--- a/packages/bramleystage/src/coordination/budget-share.ts
+++ b/packages/bramleystage/src/coordination/budget-share.ts
@@ -16,12 +16,35 @@
  * 4. A member that did not renew for the time after which the group drops a
  *    member may have missed that a dropped one came back and was dropped again,
  *    so it counts every former member as dropped just now.
+ * 5. A started member hears of the others one by one. It spends nothing until a member
+ *    that is sure of its count tells it one, after it had time to hear of this member and
+ *    no lower than what this member knows itself; or, if all have started, until it has
+ *    heard of no further member for a while.
+ * 6. The largest count that a member was told of in the last window counts, so that two
+ *    members that know different parts of the group don't divide by less than both.
  */
 
+/** Time within which the members hear of a started one, in milliseconds. */
+const introductionMs = 1500;
+/** Time without a further member after which a member knows all others, in milliseconds. */
+const quietMs = 3000;
+
+/** Number of members that a member is sure of. */
+export type MemberCount = {
+	readonly count: number;
+	/** When it was counted, in milliseconds. */
+	readonly countedAt: number;
+};
+
 /** What one gateway knows of its group. All times are in the gateway's own clock. */
 export type BudgetShare = {
-	/** Number of members to assume before the group was first read. */
-	readonly assumedMembers: number;
+	readonly startedAt: number;
+	/** When a member was last added, in milliseconds. */
+	readonly grownAt: number;
+	/** Whether the count of the known members was found to be sure. */
+	readonly isSure: boolean;
+	/** Counts that other members told, none of them older and smaller than another. */
+	readonly told: readonly MemberCount[];
 	/** Members of the group as last read; undefined before the first read. */
 	readonly members?: ReadonlySet<string>;
 	/** When each former member was found to be dropped, in milliseconds. */
@@ -42,16 +65,34 @@
 };
 
 /** Creates the state of a gateway that has not read the group yet. */
-export const createBudgetShare = (
-	assumedMembers: number,
-	now: number,
-): BudgetShare => ({
-	assumedMembers,
+export const createBudgetShare = (now: number): BudgetShare => ({
+	startedAt: now,
+	grownAt: now,
+	isSure: false,
+	told: [],
 	droppedAt: new Map(),
 	renewedAt: now,
 	maySpendFrom: now,
 });
 
+/** Whether the count of the known members is sure. */
+const isCountSure = (
+	{isSure, members, grownAt}: BudgetShare,
+	now: number,
+): boolean => isSure || (members !== undefined && now - grownAt >= quietMs);
+
+/** Counts the members that may spend, as far as this one knows. */
+function countMembers(
+	{members, droppedAt, renewedAt}: BudgetShare,
+	windowMs: number,
+): number {
+	// The known members are only as recent as the last renewal.
+	const recentlyDropped = [...droppedAt.values()].filter(
+		(at) => at >= renewedAt - windowMs,
+	);
+	return Math.max(1, (members?.size ?? 0) + recentlyDropped.length);
+}
+
 /** Records the members of the group. */
 export function recordMembers(
 	share: BudgetShare,
@@ -68,7 +109,54 @@
 		}
 	}
 
-	return {...share, members: memberSet, droppedAt};
+	const isGrown = members.some((member) => !share.members?.has(member));
+	return {
+		...share,
+		members: memberSet,
+		droppedAt,
+		isSure: isCountSure(share, now),
+		grownAt: isGrown ? now : share.grownAt,
+	};
+}
+
+/** Records the count that another member told. */
+export function recordMemberCount(
+	share: BudgetShare,
+	told: MemberCount,
+	windowMs: number,
+	now: number,
+): BudgetShare {
+	const isIntroduced = told.countedAt >= share.startedAt + introductionMs;
+	return {
+		...share,
+		isSure:
+			isCountSure(share, now) ||
+			(isIntroduced && told.count >= countMembers(share, windowMs)),
+		told: [
+			...share.told.filter(
+				({count, countedAt}) =>
+					now - countedAt < windowMs &&
+					(count > told.count || countedAt > told.countedAt),
+			),
+			told,
+		],
+	};
+}
+
+/** Finds the largest count that is sure here or was told in the last window; undefined if there is none. */
+export function findMemberCount(
+	share: BudgetShare,
+	windowMs: number,
+	now: number,
+): MemberCount | undefined {
+	const counts = share.told.filter(({countedAt}) => now - countedAt < windowMs);
+	if (isCountSure(share, now)) {
+		counts.push({count: countMembers(share, windowMs), countedAt: now});
+	}
+
+	return counts.toSorted(
+		(a, b) => b.count - a.count || b.countedAt - a.countedAt,
+	)[0];
 }
 
 /** Records a successful renewal of this gateway's membership. */
@@ -98,8 +186,8 @@
 /** What a gateway lacks for a share of its own. */
 export type ShareLack =
 	| 'nothing'
-	/** The members were never read. */
-	| 'members'
+	/** The count of the members is not sure. */
+	| 'count'
 	/** The group may have dropped this gateway. */
 	| 'renewal'
 	/** Others may still spend the share. */
@@ -120,26 +208,30 @@
 	bounds: BudgetShareBounds,
 	now: number,
 ): ShareBasis {
-	const {members, droppedAt, assumedMembers, renewedAt, maySpendFrom} = share;
-	// The known members are only as recent as the last renewal.
-	const recentlyDropped = [...droppedAt.values()].filter(
-		(at) => at >= renewedAt - bounds.windowMs,
-	);
-	const gateways = Math.max(
-		1,
-		members ? members.size + recentlyDropped.length : assumedMembers,
+	const {memberMs, windowMs, isStoreUnreachable} = bounds;
+	const gateways = findMemberCount(share, windowMs, now)?.count ?? 1;
+	const lack = findShareLack(
+		share,
+		now - share.renewedAt >= memberMs && !isStoreUnreachable,
+		now,
 	);
-	const isPresumedDropped =
-		now - renewedAt >= bounds.memberMs && !bounds.isStoreUnreachable;
-	if (isPresumedDropped || now < maySpendFrom) {
-		return {share: 0, gateways, lack: isPresumedDropped ? 'renewal' : 'return'};
+	return {share: lack === 'nothing' ? 1 / gateways : 0, gateways, lack};
+}
+
+function findShareLack(
+	share: BudgetShare,
+	isPresumedDropped: boolean,
+	now: number,
+): ShareLack {
+	if (isPresumedDropped) {
+		return 'renewal';
 	}
 
-	return {
-		share: 1 / gateways,
-		gateways,
-		lack: members ? 'nothing' : 'members',
-	};
+	if (now < share.maySpendFrom) {
+		return 'return';
+	}
+
+	return isCountSure(share, now) ? 'nothing' : 'count';
 }
 
 /** Computes the share of the budget that this gateway may spend, from 0 to 1. */
