Count a page as a complete read only if it reaches the end of the log

Callers could be handled by an older version, and requests reach a server that leaves: a page of the store's log that ends before its end counted as all that there was, so the gateway, and those that it informs, took what they had for new and read on only up to 1.8 s later.

The pages' end offset was decoded and not used. A page that ends before it now leaves the age of the configuration or the list as it was, and the next one is read at once.

--- a/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/configuration-follower.test.ts
@@ -332,3 +332,16 @@
 	await poll.answer(buildEmptyRead(3));
 	expect(follower.readAt()).toBe(startedAt + 700);
 });
+
+// Guards against a version that is late since the page before it counted as all that there was.
+test('a page that ends before the end of the log is no complete read, and the next one is read at once', async () => {
+	await takeCall().answer(buildRead(1, 3));
+	const {readAt} = follower;
+	const knownAt = readAt();
+	readMaxAgeMs = 1100;
+	await vi.advanceTimersByTimeAsync(500);
+	const page = buildRead(2, 7)._unsafeUnwrap();
+	await takeCall().answer(ok({...page, hasMore: true}));
+	expect(readAt()).toBe(knownAt);
+	expect(takeCall()).toMatchObject({name: 'await', from: 7});
+});
--- a/packages/bramleystage-gateway/src/backend-follower.ts
+++ b/packages/bramleystage-gateway/src/backend-follower.ts
@@ -36,6 +36,8 @@
 	let next: number | undefined;
 	/** Era in which `next` is valid. */
 	let nextEra: number | undefined;
+	/** Whether the log went on behind the last page that was read. */
+	let hasMore = false;
 	/** Steady-clock time of the last read here, in milliseconds. */
 	let ownReadAt = Number.NEGATIVE_INFINITY;
 	/** Steady-clock time from which a complete read replaces the list after an outage, in milliseconds. */
@@ -124,7 +126,7 @@
 	const step = async (): Promise<number> => {
 		const startedAt = readClock();
 		const delayMs = fleet.readAt + readMaxAgeMs() - startedAt;
-		if (delayMs > 0) {
+		if (delayMs > 0 && !hasMore) {
 			return delayMs;
 		}
 
@@ -150,11 +152,13 @@
 
 			logSkipped(read.value);
 			next = read.value.next;
-			fleet.apply(read.value.changes, startedAt);
-			return readIntervalMs;
+			hasMore = read.value.hasMore ?? false;
+			fleet.apply(read.value.changes, hasMore ? fleet.readAt : startedAt);
+			return hasMore ? 0 : readIntervalMs;
 		}
 
 		next = undefined;
+		hasMore = false;
 		if (read.error.kind === 'expired') {
 			return 0;
 		}
--- a/packages/bramleystage-gateway/src/configuration-follower.ts
+++ b/packages/bramleystage-gateway/src/configuration-follower.ts
@@ -81,6 +81,21 @@
 	readonly signAt: number;
 };
 
+/**
+ * Computes when the answer of a poll was written, at the earliest: newer versions may have
+ * come while it was under way. One without a configuration was written at the end of the wait.
+ */
+const computeWrittenAt = (
+	{configuration}: ConfigurationRead,
+	{
+		startedAt,
+		arrivedAt,
+		waitMs,
+	}: {startedAt: number; arrivedAt: number | undefined; waitMs: number},
+	now: number,
+): number =>
+	configuration ? (arrivedAt ?? startedAt) : Math.min(now, startedAt + waitMs);
+
 /** Starts following the configuration until the life cycle stops. */
 export function followConfiguration(
 	options: ConfigurationFollowerOptions,
@@ -138,6 +153,8 @@
 	let position: ReadPosition | undefined;
 	/** When this gateway or the one that informs it last had its turn to refresh; steady-clock time in milliseconds. */
 	let refreshedAt = Number.NEGATIVE_INFINITY;
+	/** Whether the log went on behind the last page that was read. */
+	let hasMore = false;
 	/** Version that a complete read did not have although a peer announced it. */
 	let missedVersion = -1;
 	/** When the load under way began or, after a failed call, when its first bytes arrived; steady-clock time in milliseconds. */
@@ -155,6 +172,7 @@
 	/** Records a failed read; returns the delay until the next one, in milliseconds. */
 	const handleFailure = (failure: StoreFailure): number => {
 		position = undefined;
+		hasMore = false;
 		if (failure.kind === 'expired') {
 			logger.info('configuration.expired', {detail: failure.detail});
 			return retryDelayMs;
@@ -170,8 +188,9 @@
 	const step = async (): Promise<number> => {
 		const startedAt = readClock();
 		const isBehind = announced > readVersion();
-		const delayMs = readAt + readMaxAgeMs() - startedAt;
-		if (!isBehind && delayMs > 0) {
+		const delayMs =
+			isBehind || hasMore ? 0 : readAt + readMaxAgeMs() - startedAt;
+		if (delayMs > 0) {
 			refreshedAt = startedAt;
 			return delayMs;
 		}
@@ -196,18 +215,21 @@
 			return handleFailure(read.error);
 		}
 
-		// Newer versions may have come while an answer was under way: one without a
-		// configuration was written at the end of the wait.
-		const writtenAt = read.value.configuration
-			? (arrivedAt ?? startedAt)
-			: Math.min(readClock(), startedAt + waitMs);
-		const readSince = isFullRead ? startedAt : writtenAt;
+		const readSince = isFullRead
+			? startedAt
+			: computeWrittenAt(
+					read.value,
+					{startedAt, arrivedAt, waitMs},
+					readClock(),
+				);
 		const origin: Origin = {
 			source: isFullRead ? 'load' : 'poll',
 			readBefore: readAt,
 			signAt: arrivedAt ?? startedAt,
 		};
-		readAt = Math.max(readAt, readSince);
+		hasMore = read.value.hasMore === true;
+		readAt = hasMore ? readAt : Math.max(readAt, readSince);
+
 		refreshedAt = isFullRead ? startedAt : refreshedAt;
 		contact.recordSuccess();
 		const {era, next} = read.value;
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -46,6 +46,8 @@
 	/** Newest configuration that was read, if there was one. */
 	readonly configuration?: RoutingConfiguration;
 	readonly next: StoreOffset;
+	/** Whether the log went on behind the records that were read. */
+	readonly hasMore?: boolean;
 	readonly skipped: readonly SkippedRecord[];
 };
 
@@ -53,6 +55,8 @@
 	readonly era: StoreEra;
 	readonly changes: readonly BackendChange[];
 	readonly next: StoreOffset;
+	/** Whether the log went on behind the records that were read. */
+	readonly hasMore?: boolean;
 	readonly skipped: readonly SkippedRecord[];
 };
 
