Let the first processes of a deployment retry at once

No process has spent anything there, so the first ones have a full bucket, and share the slack as soon as the group was read, as if six at least did.

--- a/packages/bramleystage-check/src/simulated-gateway.ts
+++ b/packages/bramleystage-check/src/simulated-gateway.ts
@@ -34,6 +34,9 @@
 	'retryRatio' | 'retrySlack' | 'retryWindowMs'
 >;
 
+/** Time within which the gateways of a deployment start for the first time, in milliseconds. */
+const maxFirstStartMs = 1000;
+
 const defaultRetries: RetrySettings = {
 	retryRatio: 0.2,
 	retrySlack: 200,
@@ -70,6 +73,7 @@
 	state: SharedState | undefined;
 	/** Retry budget of the running process. */
 	retryBudget: RetryBudget | undefined;
+	#hasRun = false;
 	#backAt: number | undefined;
 	#sockets = new Set<SimulatedSocket>();
 	#publish: (() => void) | undefined;
@@ -154,6 +158,9 @@
 			debug: () => undefined,
 		};
 		const readLinkDelayMs = () => 0;
+		// One that joins later finds a deployment that has started before.
+		const isFirstStart = !this.#hasRun && hosts.now < maxFirstStartMs;
+		this.#hasRun = true;
 		const fleet: Fleet = new Fleet({
 			dataCentre: toDataCentreId('a'),
 			logger,
@@ -170,6 +177,7 @@
 				seeds,
 				memberMs,
 				retryWindowMs: retries.retryWindowMs,
+				isFirstStart,
 			},
 			store: store.createPort(address, process),
 			fleet,
@@ -188,7 +196,7 @@
 		});
 		this.state = state;
 		this.retryBudget = new RetryBudget(
-			retries,
+			{...retries, isFirstStart},
 			(now) => state.group.computeBudgetShare(now),
 			readClock,
 		);
--- a/packages/bramleystage-gateway/src/__tests__/gateway-start.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/gateway-start.test.ts
@@ -49,6 +49,7 @@
 			readyListen: `127.0.0.1:${readPort(taken)}`,
 			peerListen: `127.0.0.1:${peerPort}`,
 			seeds: [],
+			isFirstStart: true,
 			graceMs: 1000,
 			heartbeatMs: 1000,
 			memberMs: 9000,
--- a/packages/bramleystage-gateway/src/__tests__/retry-budget.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/retry-budget.test.ts
@@ -36,6 +36,7 @@
 		retryRatio: ratio,
 		retrySlack: slack,
 		retryWindowMs: windowMs,
+		isFirstStart: true,
 	};
 	const budgets = Array.from(
 		{length: gatewayCount},
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -49,6 +49,8 @@
 	readonly memberMs: number;
 	/** Time window of the shared retry budget, in milliseconds. */
 	readonly windowMs: number;
+	/** Whether the complete deployment starts for the first time. */
+	readonly isFirstStart?: boolean;
 	/** Whether the other gateways can't reach the store either. */
 	readonly isStoreUnreachable: () => boolean;
 	/** Steady-clock time as of which this gateway's list is known, in milliseconds. */
@@ -80,7 +82,10 @@
 	#budgetShare: BudgetShare;
 
 	constructor(private readonly options: GatewayGroupOptions) {
-		this.#budgetShare = createBudgetShare(options.readClock());
+		this.#budgetShare = createBudgetShare(
+			options.readClock(),
+			options.isFirstStart,
+		);
 		options.known.counted.subscribe(() => {
 			this.#shareBudget();
 		});
--- a/packages/bramleystage-gateway/src/platform-port.ts
+++ b/packages/bramleystage-gateway/src/platform-port.ts
@@ -272,6 +272,8 @@
 	readonly seeds: readonly string[];
 	/** `host:port` of the metrics; not served if absent. */
 	readonly operatorListen?: string;
+	/** Whether the complete deployment starts for the first time. */
+	readonly isFirstStart: boolean;
 	/** Grace period between the stop signal and the kill. */
 	readonly graceMs: number;
 	/** How often backend servers renew their entries. */
--- a/packages/bramleystage-gateway/src/retry-budget.ts
+++ b/packages/bramleystage-gateway/src/retry-budget.ts
@@ -44,13 +44,13 @@
 	constructor(
 		private readonly settings: Pick<
 			GatewaySettings,
-			'retryRatio' | 'retrySlack' | 'retryWindowMs'
+			'retryRatio' | 'retrySlack' | 'retryWindowMs' | 'isFirstStart'
 		>,
 		/** Returns the share of the slack that belongs to this gateway, 0 to 1. */
 		private readonly readShare: (now: number) => number,
 		private readonly readClock: () => number,
 	) {
-		this.#unusedTokens = createRetryTokens(readClock());
+		this.#unusedTokens = createRetryTokens(readClock(), settings.isFirstStart);
 	}
 
 	/** Records a request of a caller; retries are limited to a ratio of these requests, plus the slack. */
--- a/packages/bramleystage-gateway/src/shared-state.ts
+++ b/packages/bramleystage-gateway/src/shared-state.ts
@@ -29,7 +29,7 @@
 export type SharedStateOptions = {
 	readonly settings: Pick<
 		GatewaySettings,
-		'peerListen' | 'seeds' | 'memberMs' | 'retryWindowMs'
+		'peerListen' | 'seeds' | 'memberMs' | 'retryWindowMs' | 'isFirstStart'
 	>;
 	readonly store: StorePort;
 	readonly fleet: Fleet;
@@ -128,6 +128,7 @@
 		known,
 		memberMs: settings.memberMs,
 		windowMs: settings.retryWindowMs,
+		isFirstStart: settings.isFirstStart,
 		isStoreUnreachable: () => peerLinks.isStoreUnreachable,
 		readListReadAt: () => fleet.readAt,
 		findPeerState: (address) => peerLinks.findPeerState(address),
--- a/packages/bramleystage/src/coordination/__tests__/budget-share.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/budget-share.test.ts
@@ -53,6 +53,16 @@
 	expect(computeBudgetShare(four, bounds, 6000)).toBe(1 / 4);
 });
 
+test('the first members of a group assume a few until their count is sure', () => {
+	const first = createBudgetShare(0, true);
+	expect(computeBudgetShare(first, bounds, 100)).toBe(0);
+	const two = recordMembers(first, ['a', 'b'], 100);
+	expect(computeBudgetShare(two, bounds, 100)).toBe(1 / 6);
+	const many = recordMembers(two, ['a', 'b', 'c', 'd', 'e', 'f', 'g'], 200);
+	expect(computeBudgetShare(many, bounds, 200)).toBe(1 / 7);
+	expect(computeBudgetShare(two, bounds, 3100)).toBe(1 / 2);
+});
+
 // Guards against a started member that divides by the few that it has heard of.
 test('a started member divides by the count that a sure one tells', () => {
 	const started = recordMembers(createBudgetShare(0), ['a', 'b'], 100);
--- a/packages/bramleystage/src/coordination/__tests__/retry-tokens.test.ts
+++ b/packages/bramleystage/src/coordination/__tests__/retry-tokens.test.ts
@@ -25,6 +25,17 @@
 	expect(spent).toBeLessThanOrEqual(bounds.slack * bounds.share);
 });
 
+test('where no process has run before, the bucket is full once there is a share', () => {
+	const unshared = updateRetryTokens(
+		createRetryTokens(0, true),
+		{...bounds, share: 0},
+		0,
+		100,
+	);
+	const bucket = updateRetryTokens(unshared, bounds, 0, 200);
+	expect(bucket.tokens).toBeCloseTo(0.25 * 0.95 * bounds.slack * bounds.share);
+});
+
 test('requests earn retries at once', () => {
 	let bucket = updateRetryTokens(createRetryTokens(0), bounds, 0, 0);
 	for (let request = 1; request <= 7; request++) {
--- a/packages/bramleystage/src/coordination/budget-share.ts
+++ b/packages/bramleystage/src/coordination/budget-share.ts
@@ -19,7 +19,8 @@
  * 5. A started member hears of the others one by one. It spends nothing until a member
  *    that is sure of its count tells it one, after it had time to hear of this member and
  *    no lower than what this member knows itself; or, if all have started, until it has
- *    heard of no further member for a while.
+ *    heard of no further member for a while. The first members of a group assume a few
+ *    members until then.
  * 6. The largest count that a member was told of in the last window counts, so that two
  *    members that know different parts of the group don't divide by less than both.
  */
@@ -36,9 +37,14 @@
 	readonly countedAt: number;
 };
 
+/** Fewest members that the first members of a group assume until their count is sure. */
+const firstMembers = 6;
+
 /** What one gateway knows of its group. All times are in the gateway's own clock. */
 export type BudgetShare = {
 	readonly startedAt: number;
+	/** Whether no member has run before, so that nothing is spent yet. */
+	readonly isFirstStart: boolean;
 	/** When a member was last added, in milliseconds. */
 	readonly grownAt: number;
 	/** Whether the count of the known members was found to be sure. */
@@ -65,8 +71,12 @@
 };
 
 /** Creates the state of a gateway that has not read the group yet. */
-export const createBudgetShare = (now: number): BudgetShare => ({
+export const createBudgetShare = (
+	now: number,
+	isFirstStart = false,
+): BudgetShare => ({
 	startedAt: now,
+	isFirstStart,
 	grownAt: now,
 	isSure: false,
 	told: [],
@@ -209,13 +219,19 @@
 	now: number,
 ): ShareBasis {
 	const {memberMs, windowMs, isStoreUnreachable} = bounds;
-	const gateways = findMemberCount(share, windowMs, now)?.count ?? 1;
+	const known = findMemberCount(share, windowMs, now)?.count;
 	const lack = findShareLack(
 		share,
 		now - share.renewedAt >= memberMs && !isStoreUnreachable,
 		now,
 	);
-	return {share: lack === 'nothing' ? 1 / gateways : 0, gateways, lack};
+	const isFirst =
+		lack === 'count' && share.isFirstStart && share.members !== undefined;
+	const gateways = isFirst
+		? Math.max(firstMembers, countMembers(share, windowMs), known ?? 1)
+		: (known ?? 1);
+	const hasShare = isFirst || lack === 'nothing';
+	return {share: hasShare ? 1 / gateways : 0, gateways, lack};
 }
 
 function findShareLack(
--- a/packages/bramleystage/src/coordination/retry-tokens.ts
+++ b/packages/bramleystage/src/coordination/retry-tokens.ts
@@ -35,9 +35,15 @@
 	readonly share: number;
 };
 
-/** Creates the empty bucket of a process that starts. */
-export const createRetryTokens = (now: number): RetryTokens => ({
-	tokens: 0,
+/**
+ * Creates the bucket of a process that starts: empty, unless no process of any gateway has
+ * run before.
+ */
+export const createRetryTokens = (
+	now: number,
+	isFirstStart = false,
+): RetryTokens => ({
+	tokens: isFirstStart ? Number.POSITIVE_INFINITY : 0,
 	share: 0,
 	updatedAt: now,
 });
@@ -70,6 +76,11 @@
 	requests: number,
 	now: number,
 ): RetryTokens {
+	if (tokens === Number.POSITIVE_INFINITY && bounds.share === 0) {
+		// A full bucket is as large as the share, once there is one.
+		return {tokens, share, updatedAt: now};
+	}
+
 	// The smaller share counts, as it is not known when it changed.
 	const earned = computeEarnedSlack({
 		...bounds,
