Take no output of an engine's step from an answer that is no success

Callers of our own interface got tokens from an answer of status 000: the agent read the lines of steps from whatever an engine sent, also from a status that ends no request or an error. The check of the status was in sendHttpRequest alone, behind the function that both share; it is in openHttpResponse now, and steps count only in an answer of status 200.

The platform path refused such answers already.

--- a/packages/bramleystage-agent/src/engine-client.ts
+++ b/packages/bramleystage-agent/src/engine-client.ts
@@ -71,6 +71,7 @@
 /** Lines that may arrive without one; late outputs of steps that were retried are some hundred. */
 const maxUnusedLines = 1000;
 const msPerSecond = 1000;
+const okStatus = 200;
 
 const connectionOptions = {noDelay: true, timeout: idleConnectionMs};
 const createStepConnections = () =>
@@ -194,7 +195,14 @@
 			return opened.error;
 		}
 
-		const {response, toHttpError, countBody} = opened.value;
+		const {status, response, toHttpError, countBody} = opened.value;
+		if (status !== okStatus) {
+			response.destroy();
+			return toHttpError(
+				new Error(`The engine responded with status ${status}.`),
+			);
+		}
+
 		try {
 			const error = await this.#resolveLines(response, countBody);
 			return toHttpError(error);
--- a/packages/bramleystage/src/transport/http-client.ts
+++ b/packages/bramleystage/src/transport/http-client.ts
@@ -67,14 +67,7 @@
 		return err(opened.error);
 	}
 
-	const {response, toHttpError, countBody} = opened.value;
-	const status = response.statusCode ?? 0;
-	if (status < minFinalStatus) {
-		response.destroy();
-		const detail = `Status ${status} ends no request.`;
-		return err({kind: 'lost', sent: true, detail});
-	}
-
+	const {status, response, toHttpError, countBody} = opened.value;
 	const chunks: Buffer[] = [];
 	let size = 0;
 	const limit = options.maxBodyBytes ?? defaultMaxBodyBytes;
@@ -109,6 +102,8 @@
  * body.
  */
 export type OpenHttpResponse = {
+	/** Status of a final response, 200 or above. */
+	readonly status: number;
 	readonly response: IncomingMessage;
 	readonly toHttpError: (error: Error) => HttpError;
 	/** Must be told each length of the body that is read. */
@@ -178,7 +173,15 @@
 			resolve(err(toHttpError(error)));
 		});
 		request.on('response', (response) => {
-			resolve(ok({response, toHttpError, countBody}));
+			const status = response.statusCode ?? 0;
+			if (status < minFinalStatus) {
+				response.destroy();
+				const detail = `Status ${status} ends no request.`;
+				resolve(err({kind: 'lost', sent: true, detail}));
+				return;
+			}
+
+			resolve(ok({status, response, toHttpError, countBody}));
 		});
 		request.end(options.body);
 	});
