Probe blocked contents only where all gateways are surely known

Probes take turns by hash over the known gateways, so that one request at a time may end another server. A started gateway that has heard of few others could take the turn of one that it does not know: the class of the shares of the retry budget. It lets nothing through now before its number of gateways is sure. Its test failed before.

--- a/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/crash-exchange.test.ts
@@ -23,8 +23,9 @@
 	await lifeCycle.stop();
 });
 
-const createLedger = (self: string) =>
+const createLedger = (self: string, isGroupKnown = true) =>
 	new CrashLedger({
+		isGroupKnown: () => isGroupKnown,
 		listMembers: () => ['a', 'b'],
 		self,
 		lifeCycle,
@@ -174,3 +175,22 @@
 
 	expect(one?.findBlame(traits)).toBeUndefined();
 });
+
+// Guards against a started gateway that probes in the turn of one that it has not heard of.
+test('a gateway that may not know all others lets no request through as a probe', () => {
+	const countProbes = (isGroupKnown: boolean) => {
+		const ledger = createLedger('a', isGroupKnown);
+		for (const [index, name] of ['1', '2', '3', '4'].entries()) {
+			recordCrash(ledger, name, 5000 + 400 * index);
+		}
+
+		const blame = ledger.findBlame(traits);
+		const seconds = Array.from({length: 60}, (_, second) => second);
+		return seconds.filter(
+			(second) => blame && ledger.tryProbe(blame, 10_000 + 1000 * second),
+		).length;
+	};
+
+	expect(countProbes(false)).toBe(0);
+	expect(countProbes(true)).toBeGreaterThan(0);
+});
--- a/packages/bramleystage-gateway/src/__tests__/crash-memory.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/crash-memory.test.ts
@@ -50,6 +50,7 @@
 	const beganAt = Date.now();
 	const readClock = () => Date.now() - beganAt;
 	const ledger = new CrashLedger({
+		isGroupKnown: () => true,
 		listMembers: () => [],
 		self: 'a',
 		lifeCycle,
--- a/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/run-limit.test.ts
@@ -192,6 +192,7 @@
 	const recorder = new RequestRecorder(logger, readClock, () => 0);
 	const crashGuard = new CrashGuard({
 		ledger: new CrashLedger({
+			isGroupKnown: () => true,
 			listMembers: () => [],
 			self: 'gateway',
 			lifeCycle,
--- a/packages/bramleystage-gateway/src/crash-ledger.ts
+++ b/packages/bramleystage-gateway/src/crash-ledger.ts
@@ -47,6 +47,8 @@
 export type CrashLedgerOptions = {
 	/** Returns the addresses of all known gateways. */
 	readonly listMembers: () => readonly string[];
+	/** Whether these are surely all. */
+	readonly isGroupKnown: (now: number) => boolean;
 	readonly self: string;
 	readonly lifeCycle: LifeCycle;
 	readonly logger: Logger;
@@ -172,7 +174,12 @@
 
 	/** Takes the right to let one request through although a trait is to blame; returns false if it is not due here. */
 	tryProbe(blame: Blame, now: number): boolean {
-		const {self, listMembers, logger} = this.options;
+		const {self, listMembers, isGroupKnown, logger} = this.options;
+		// A gateway that knows a part of the others would take the turn of another one.
+		if (!isGroupKnown(now)) {
+			return false;
+		}
+
 		const place = {
 			members: listMembers(),
 			self,
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -102,6 +102,8 @@
 	const {ledger, crashGuard, memory} = createCrashControl({
 		store,
 		listMembers: () => shared.known.listPeers(),
+		isGroupKnown: (now) =>
+			shared.group.describeBudgetShare(now).lack !== 'count',
 		self: settings.peerListen,
 		isWriter: () => shared.group.isLeader,
 		recorder,
