Refuse what the parser can't read behind the answers before it

A caller could take the refusal of what followed its request on the connection for the answer to it: nothing listened for the server's event of a client error, so Node wrote 400 as soon as its parser failed, also while the answer to the request before was awaited, which ran all the same. The 400 had no body, so it did not say that nothing was run. On our own interface the refusal could be written into an answer under way.

Both listeners share one handler: a request that can't be read is refused with the body of our own errors, once the answers before it have ended.

--- a/packages/bramleystage-gateway/src/caller-server.ts
+++ b/packages/bramleystage-gateway/src/caller-server.ts
@@ -18,6 +18,7 @@
 	type RoutingConfiguration,
 	startServer,
 	waitFor,
+	registerParserRefusals,
 } from 'bramleystage';
 import {refuseWhileArriving} from './error-response.js';
 import type {BodyBudget} from './body-budget.js';
@@ -108,6 +109,9 @@
 			void handleRequest(options, index, {request, response, caller});
 		},
 	);
+	registerParserRefusals(server, (failure) => {
+		options.recorder.recordEarlyRefusal(failure, undefined);
+	});
 	const callers = new WeakMap<Socket, CallerConnection>();
 	const resolveCaller = (socket: Socket): CallerConnection => {
 		const known = callers.get(socket);
--- a/packages/bramleystage/src/index.ts
+++ b/packages/bramleystage/src/index.ts
@@ -658,7 +658,6 @@
 } from './transport/http-heads.js';
 export {
 	defaultHttpBounds,
-	formatRawErrorResponse,
 	type HttpBounds,
 	type HttpHandler,
 	type HttpListener,
@@ -848,6 +847,8 @@
 	recordSign,
 	type WaitSigns,
 } from './coordination/wait-signs.js';
+export {registerParserRefusals} from './transport/parser-refusal.js';
+export {formatRawErrorResponse} from './transport/raw-response.js';
 export {
 	addRequestTokens,
 	computeOwnSlack,
--- a/packages/bramleystage/src/transport/http-server.ts
+++ b/packages/bramleystage/src/transport/http-server.ts
@@ -13,6 +13,7 @@
 } from '../protocol/result-codes.js';
 import {describeUnwritableHead} from './http-heads.js';
 import {type ListenOptions, startServer} from './listening.js';
+import {registerParserRefusals} from './parser-refusal.js';
 
 export type HttpBounds = {
 	readonly maxBodyBytes: number;
@@ -79,13 +80,7 @@
 			}
 		},
 	);
-	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		if (socket.writable) {
-			socket.end(formatRawErrorResponse(createParserFailure(error)));
-		} else {
-			socket.destroy();
-		}
-	});
+	registerParserRefusals(server);
 	const bound = await startServer(server, address, listenOptions);
 	const closed = new Promise<void>((resolve) => {
 		server.once('close', resolve);
@@ -109,39 +104,6 @@
 	};
 }
 
-function createParserFailure({code}: NodeJS.ErrnoException): Failure {
-	switch (code) {
-		case 'HPE_HEADER_OVERFLOW': {
-			return createFailure('headersTooLarge', 'The headers are too large.');
-		}
-
-		case 'ERR_HTTP_REQUEST_TIMEOUT': {
-			return createFailure('bodyTimeout', 'The headers arrived too slowly.');
-		}
-
-		default: {
-			return createFailure('badHttp', 'The request is not valid HTTP.');
-		}
-	}
-}
-
-/** Formats the response to a request that Node's parser rejected or never saw; it ends the connection. */
-export function formatRawErrorResponse(failure: Failure): string {
-	const status = selectStatus(failure);
-	const body = JSON.stringify(buildErrorBody(failure));
-	return [
-		`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
-		'content-type: application/json; charset=utf-8',
-		`content-length: ${Buffer.byteLength(body)}`,
-		...(failure.retryAfterSeconds === undefined
-			? []
-			: [`retry-after: ${failure.retryAfterSeconds}`]),
-		'connection: close',
-		'',
-		body,
-	].join('\r\n');
-}
-
 /** Refuses a request that could not be sent on, and closes its connection. */
 function refuseBadHttp(
 	request: IncomingMessage,
