--- a/packages/bramleystage-check/src/retry-simulation.ts
+++ b/packages/bramleystage-check/src/retry-simulation.ts
@@ -86,7 +86,7 @@
 		);
 		const shares = gateways
 			.filter(({isRunning}) => isRunning)
-			.map(({state}) => state?.group.computeBudgetShare(now) ?? 0);
+			.map(({state}) => state?.group.share.describe(now).share ?? 0);
 		largestShares = Math.max(
 			largestShares,
 			shares.reduce((sum, share) => sum + share, 0),
--- a/packages/bramleystage-check/src/simulated-gateway.ts
+++ b/packages/bramleystage-check/src/simulated-gateway.ts
@@ -197,7 +197,7 @@
 		this.state = state;
 		this.retryBudget = new RetryBudget(
 			{...retries, isFirstStart},
-			(now) => state.group.computeBudgetShare(now),
+			(now) => state.group.share.describe(now).share,
 			readClock,
 		);
 		const publisher = await startPeerServer({
@@ -205,7 +205,7 @@
 			readState: state.readState,
 			onPing: state.recordPing,
 			onMemberCount(told) {
-				state.group.recordMemberCount(told, readClock());
+				state.group.share.recordMemberCount(told, readClock());
 			},
 			onGroupFence(fence) {
 				state.group.recordPeerFence(fence);
--- a/packages/bramleystage-gateway/src/__tests__/group.test.ts
+++ b/packages/bramleystage-gateway/src/__tests__/group.test.ts
@@ -105,14 +105,15 @@
 	expect(group.fence).toBeGreaterThan(fenceBefore);
 	const until = performance.now() + 5000;
 	while (
-		group.describeBudgetShare(performance.now()).lack !== 'nothing' &&
+		group.share.describe(performance.now()).lack !== 'nothing' &&
 		performance.now() < until
 	) {
 		await waitFor(10);
 	}
 
 	// Members that the copy lacks still spend their shares.
-	expect(group.computeBudgetShare(performance.now())).toBeCloseTo(1 / 3);
+	const {share} = group.share.describe(performance.now());
+	expect(share).toBeCloseTo(1 / 3);
 });
 
 test('members come from an informed peer, and the store is read if the peer does not have them in time', async () => {
--- a/packages/bramleystage-gateway/src/gateway-group.ts
+++ b/packages/bramleystage-gateway/src/gateway-group.ts
@@ -5,25 +5,13 @@
  * at a time do no harm, since every order carries the count of orders before it.
  * So the choice needs no lease and continues while the store is unreachable.
  */
-import {
-	type BudgetShare,
-	createBudgetShare,
-	describeBudgetShare,
-	findMemberCount,
-	type LifeCycle,
-	type Logger,
-	type MemberCount,
-	recordMemberCount,
-	recordMembers,
-	recordRenewal,
-	type ShareBasis,
-	waitFor,
-} from 'bramleystage';
+import {waitFor} from 'bramleystage';
 import {emptyQuery, sendPeerQuery} from './peer-exchange.js';
 import type {OpenPeerSocket} from './peer-socket.js';
 import type {KnownMembers} from './known-members.js';
 import type {GroupState, PeerState} from './peer-update.js';
 import type {StorePort} from './platform-port.js';
+import {SlackShare, type SlackShareOptions} from './slack-share.js';
 
 /** Renewals that may wait for a peer to read the members, so that the last one that counted is within the time after which the store drops a silent member. */
 const maxWaitedRenewals = 1;
@@ -31,8 +19,6 @@
 const renewalsPerMemberTtl = 3;
 /** How often the order leader is determined, in milliseconds. */
 const leaderCheckIntervalMs = 500;
-/** How often the share of budgets is compared with the one that was logged last, in milliseconds. */
-const shareLogIntervalMs = 200;
 /** How much older the order leader's list may be than this gateway's, in milliseconds. */
 const maxLeaderLagMs = 2500;
 /** Number of gateways that is assumed for the load until the group has been read. */
@@ -40,19 +26,11 @@
 /** Bound of the group's generations within one era of the store. */
 const generationsPerEra = 2 ** 24;
 
-export type GatewayGroupOptions = {
+export type GatewayGroupOptions = SlackShareOptions & {
 	readonly store: StorePort;
 	/** `host:port` at which other gateways reach this one. */
 	readonly self: string;
 	readonly known: KnownMembers;
-	/** Time after which the store drops a silent member, in milliseconds. */
-	readonly memberMs: number;
-	/** Time window of the shared retry budget, in milliseconds. */
-	readonly windowMs: number;
-	/** Whether the complete deployment starts for the first time. */
-	readonly isFirstStart?: boolean;
-	/** Whether the other gateways can't reach the store either. */
-	readonly isStoreUnreachable: () => boolean;
 	/** Steady-clock time as of which this gateway's list is known, in milliseconds. */
 	readonly readListReadAt: () => number;
 	/** Returns the last known state of a followed peer; undefined if it is silent or not followed. */
@@ -61,15 +39,14 @@
 	readonly findPeerGroup: () => GroupState | undefined;
 	/** Whether another gateway reads the store and sends updates. */
 	readonly isInformedByPeer: () => boolean;
-	readonly lifeCycle: LifeCycle;
-	readonly logger: Logger;
-	readonly readClock: () => number;
 	/** Returns the delay of the own network link, in milliseconds. */
 	readonly readLinkDelayMs: () => number;
 	readonly openSocket?: OpenPeerSocket;
 };
 
 export class GatewayGroup {
+	/** This gateway's share of the slack of the retry budget. */
+	readonly share: SlackShare;
 	#era = 0;
 	#generation = 0;
 	/** Members as last read, here or by a peer. */
@@ -79,19 +56,14 @@
 	#isRenewing = false;
 	#isLeader = false;
 	#isLeaving = false;
-	#budgetShare: BudgetShare;
 
 	constructor(private readonly options: GatewayGroupOptions) {
-		this.#budgetShare = createBudgetShare(
-			options.readClock(),
-			options.isFirstStart,
-		);
+		this.share = new SlackShare(options);
 		options.known.counted.subscribe(() => {
-			this.#shareBudget();
+			this.#shareSlack();
 		});
 		void this.#renew();
 		void this.#watchLeader();
-		this.#registerShareLog();
 	}
 
 	/** Fencing token of this gateway's orders; it rises also when the store starts over from an older copy. */
@@ -122,36 +94,6 @@
 			: assumedGroupSize;
 	}
 
-	/** Computes the share of a budget of all gateways that this one may spend, 0 to 1. */
-	computeBudgetShare(now: number): number {
-		return this.describeBudgetShare(now).share;
-	}
-
-	/** Describes what this gateway's share of a budget of all gateways rests on. */
-	describeBudgetShare(now: number): ShareBasis {
-		const {memberMs, windowMs, isStoreUnreachable} = this.options;
-		return describeBudgetShare(
-			this.#budgetShare,
-			{memberMs, windowMs, isStoreUnreachable: isStoreUnreachable()},
-			now,
-		);
-	}
-
-	/** Finds the largest number of gateways that this one is sure of or was told. */
-	findMemberCount(now: number): MemberCount | undefined {
-		return findMemberCount(this.#budgetShare, this.options.windowMs, now);
-	}
-
-	/** Records the number of gateways that another one is sure of. */
-	recordMemberCount(told: MemberCount, now: number): void {
-		this.#budgetShare = recordMemberCount(
-			this.#budgetShare,
-			told,
-			this.options.windowMs,
-			now,
-		);
-	}
-
 	/** Applies a newer state of the group that a followed peer knows. */
 	applyPeerGroup(): void {
 		const peerGroup = this.options.findPeerGroup();
@@ -219,7 +161,7 @@
 		this.applyPeerGroup();
 		if (this.#state && this.#state.fence >= fence) {
 			this.#waitedRenewals = 0;
-			this.#recordRenewal(sentAt);
+			this.share.recordRenewal(sentAt);
 			return;
 		}
 
@@ -235,7 +177,7 @@
 		}
 
 		this.#waitedRenewals = 0;
-		this.#recordRenewal(sentAt);
+		this.share.recordRenewal(sentAt);
 		this.#applyMembers({fence, members: members.value});
 	}
 
@@ -247,44 +189,21 @@
 		const {known, readClock, logger} = this.options;
 		this.#state = state;
 		known.recordListed(state.members, readClock());
-		this.#shareBudget();
+		this.#shareSlack();
 		logger.info('group.changed', {
 			fence: state.fence,
 			members: state.members.join(','),
 		});
 	}
 
-	/** Shares the budget among the known gateways, once the group has been read. */
-	#shareBudget(): void {
+	/** Shares the slack among the known gateways, once the group has been read. */
+	#shareSlack(): void {
 		const {self, known, readClock} = this.options;
 		if (this.#state) {
-			// A new member gets no share before the others have renewed their membership.
-			this.#budgetShare = recordMembers(
-				this.#budgetShare,
-				[...known.counted.value, self],
-				readClock(),
-			);
+			this.share.recordMembers([...known.counted.value, self], readClock());
 		}
 	}
 
-	#recordRenewal(sentAt: number): void {
-		this.#budgetShare = recordRenewal(this.#budgetShare, this.options, sentAt);
-	}
-
-	/** Logs what the share of budgets rests on whenever it changes. */
-	#registerShareLog(): void {
-		const {lifeCycle, logger, readClock} = this.options;
-		let logged = '';
-		lifeCycle.registerInterval(shareLogIntervalMs, () => {
-			const {share, gateways, lack} = this.describeBudgetShare(readClock());
-			const text = `${gateways} ${lack}`;
-			if (text !== logged) {
-				logged = text;
-				logger.info('group.share', {share, gateways, lack});
-			}
-		});
-	}
-
 	async #watchLeader(): Promise<void> {
 		const {lifeCycle, logger} = this.options;
 		while (!lifeCycle.isStopped) {
--- a/packages/bramleystage-gateway/src/gateway.ts
+++ b/packages/bramleystage-gateway/src/gateway.ts
@@ -102,8 +102,7 @@
 	const {ledger, crashGuard, memory} = createCrashControl({
 		store,
 		listMembers: () => shared.known.listPeers(),
-		isGroupKnown: (now) =>
-			shared.group.describeBudgetShare(now).lack !== 'count',
+		isGroupKnown: (now) => shared.group.share.describe(now).lack !== 'count',
 		self: settings.peerListen,
 		isWriter: () => shared.group.isLeader,
 		recorder,
@@ -136,7 +135,7 @@
 		readState,
 		onPing: shared.recordPing,
 		onMemberCount(told) {
-			group.recordMemberCount(told, readClock());
+			group.share.recordMemberCount(told, readClock());
 		},
 		onGroupFence(fence) {
 			group.recordPeerFence(fence);
@@ -178,12 +177,12 @@
 	});
 	const retryBudget = new RetryBudget(
 		settings,
-		(now) => group.computeBudgetShare(now),
+		(now) => group.share.describe(now).share,
 		readClock,
 	);
 	registerRetryGauges({
 		registry: recorder.registry,
-		describeShare: (now) => group.describeBudgetShare(now),
+		describeShare: (now) => group.share.describe(now),
 		describeRepeats: (now) => retryBudget.describe(now),
 		readClock,
 	});
--- a/packages/bramleystage-gateway/src/shared-state.ts
+++ b/packages/bramleystage-gateway/src/shared-state.ts
@@ -108,14 +108,14 @@
 			peerSync.acceptUpdate(state, address);
 			group.applyPeerGroup();
 			if (state.memberCount) {
-				group.recordMemberCount(state.memberCount, now);
+				group.share.recordMemberCount(state.memberCount, now);
 			}
 		},
 		crashes,
 		limits,
 		demand,
 		readGroupFence: () => group.state?.fence,
-		findMemberCount: (now) => group.findMemberCount(now),
+		findMemberCount: (now) => group.share.findMemberCount(now),
 		recordLinkEvent,
 		...base,
 	});
@@ -176,7 +176,7 @@
 				}),
 				group: group.state,
 				known: known.confirmed.value,
-				memberCount: group.findMemberCount(readClock()),
+				memberCount: group.share.findMemberCount(readClock()),
 				version: configurations.value?.version ?? -1,
 				configurationReadAt: follower.readAt(),
 				listReadAt: fleet.readAt,
