--- a/packages/bramleystage/src/coordination/budget-share.ts
+++ b/packages/bramleystage/src/coordination/budget-share.ts
@@ -2,7 +2,7 @@
  * The share of a fleet-wide budget that one gateway may spend without asking the
  * others. Each gateway divides the budget by the number of group members that it
  * knows. Spending counts for a sliding window. To keep the fleet within the
- * budget in every window, three rules hold:
+ * budget in every window, these rules hold:
  *
  * 1. A member that the group has dropped may still be running, partitioned from
  *    the store. It spends nothing once its renewals have failed for the time
