--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -1,4 +1,6 @@
-/** Starts a small deploym'node:child_process';
+/** Starts a small deployment of separate processes: the store, engines and gateways of the deploy file. */
+/* eslint-disable camelcase, no-await-in-loop -- The platform's fields are written as its pages spell them; waits poll. */
+import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {
 	appendFileSync,
